--- /dev/null
+++ b/Makefile
@@ -0,0 +1,110 @@
+# make demo   builds, starts stand-ins and daemons, shows every outcome
+# make check  builds and runs all tests; ends with "N passed, N failed"
+# make bench  measures; one name=value a line
+# make lint   formatter and linters
+# make deps   installs the packages
+
+CC = gcc
+CXX = g++
+CFLAGS = -std=gnu11 -O2 -g -Wall -Wextra -Wshadow -Wstrict-prototypes \
+	-Wmissing-prototypes -Wno-missing-field-initializers -D_GNU_SOURCE
+CXXFLAGS = -std=gnu++17 -O2 -g -Wall -D_GNU_SOURCE -Wno-missing-field-initializers
+LIBS = -levhtp -levent -levent_openssl -lprotobuf-c -lyaml -ljansson \
+	-largtable2 -llog4c -lxxhash -lssl -lcrypto -lm
+B = build
+
+BASE = $(wildcard src/base/*.c) src/platform/clock_linux.c
+STATE = $(wildcard src/state/*.c)
+COORD = $(wildcard src/coordination/*.c)
+PROTO = $(wildcard src/protocol/*.c)
+TRANS = $(wildcard src/transport/*.c)
+DAEMON = $(wildcard src/daemon/*.c)
+CTL = $(wildcard src/ctl/*.c)
+LIBSRC = $(BASE) $(STATE) $(COORD) $(PROTO) $(TRANS)
+
+LIBOBJ = $(LIBSRC:%.c=$(B)/%.o)
+DAEMONOBJ = $(DAEMON:%.c=$(B)/%.o)
+CTLOBJ = $(CTL:%.c=$(B)/%.o)
+
+PACKAGES = gcc g++ make curl jq clang-format clang-tidy cppcheck libevent-dev \
+	libevhtp-dev libprotobuf-c-dev libargtable2-dev liblog4c-dev \
+	libcunit1-dev librapidcheck-dev libyaml-dev libjansson-dev \
+	libxxhash-dev libssl-dev uthash-dev libbsd-dev
+
+all: $(B)/celerycartd $(B)/celerycartctl $(B)/standin $(B)/caller $(B)/checker
+
+$(B)/celerycartd: $(DAEMONOBJ) $(B)/libcc.a
+	$(CC) -o $@ $^ $(LIBS)
+
+$(B)/celerycartctl: $(CTLOBJ) $(B)/libcc.a
+	$(CC) -o $@ $^ $(LIBS)
+
+$(B)/libcc.a: $(LIBOBJ)
+	rm -f $@
+	ar rcs $@ $^
+
+STANDIN = $(wildcard tests/standin/*.c)
+$(B)/standin: $(STANDIN:%.c=$(B)/%.o) $(B)/libcc.a
+	$(CC) -o $@ $^ $(LIBS)
+
+$(B)/caller: $(B)/tests/tools/caller.o $(B)/libcc.a
+	$(CC) -o $@ $^ $(LIBS)
+
+$(B)/checker: $(B)/tests/tools/checker.o $(B)/libcc.a
+	$(CC) -o $@ $^ $(LIBS)
+
+$(B)/unit: $(patsubst %.c,$(B)/%.o,$(wildcard tests/unit/*.c)) $(B)/libcc.a
+	$(CC) -o $@ $^ -lcunit $(LIBS)
+
+$(B)/prop: $(patsubst %.cc,$(B)/%.o,$(wildcard tests/prop/*.cc)) $(B)/libcc.a
+	$(CXX) -o $@ $^ -lrapidcheck $(LIBS)
+
+$(B)/bench: $(patsubst %.c,$(B)/%.o,$(wildcard bench/*.c)) $(B)/libcc.a
+	$(CC) -o $@ $^ $(LIBS)
+
+$(B)/%.o: %.c
+	@mkdir -p $(dir $@)
+	$(CC) $(CFLAGS) -MMD -c -o $@ $<
+
+$(B)/%.o: %.cc
+	@mkdir -p $(dir $@)
+	$(CXX) $(CXXFLAGS) -MMD -c -o $@ $<
+
+-include $(shell find $(B) -name '*.d' 2>/dev/null)
+
+.PHONY: all deps demo check bench lint format proto clean
+
+deps:
+	@dpkg -s $(PACKAGES) >/dev/null 2>&1 || { apt-get update -q && \
+	    apt-get install -q -y --no-install-recommends $(PACKAGES); }
+
+demo: deps
+	@$(MAKE) -s all
+	@tests/scripts/demo.sh
+
+check: deps
+	@$(MAKE) -s all $(B)/unit $(B)/prop
+	@tests/scripts/run-all.sh
+
+bench: deps
+	@$(MAKE) -s all $(B)/bench
+	@tests/scripts/bench.sh
+
+OWN = $(filter-out %.pb-c.c,$(LIBSRC)) $(DAEMON) $(CTL) $(STANDIN) \
+	$(wildcard tests/tools/*.c tests/unit/*.c bench/*.c)
+HEADERS = $(filter-out %.pb-c.h,$(wildcard src/*/*.h tests/*/*.h))
+
+format:
+	@clang-format -i $(OWN) $(HEADERS) $(wildcard tests/prop/*.cc)
+
+lint:
+	@clang-format --dry-run --Werror $(OWN) $(HEADERS) $(wildcard tests/prop/*.cc)
+	@cppcheck -q -j 4 --error-exitcode=1 --enable=warning,portability \
+	    --suppressions-list=.cppcheck-suppress -D_GNU_SOURCE $(OWN)
+	@echo lint clean
+
+proto:
+	cd src/protocol && protoc-c --c_out=. peer.proto
+
+clean:
+	rm -rf $(B)
--- /dev/null
+++ b/src/coordination/lease.c
@@ -0,0 +1,54 @@
+#include "lease.h"
+
+void
+lease_sent(struct lease *l, int64_t now)
+{
+	l->sent_ms = now;
+}
+
+void
+lease_renewed(
+    struct lease *l, const struct lease_terms *t, uint64_t epoch, uint64_t beat)
+{
+	l->epoch = epoch;
+	l->beat = beat;
+	l->valid_until = l->sent_ms + t->hold_ms;
+	l->held = true;
+}
+
+void
+lease_lost(struct lease *l)
+{
+	l->held = false;
+	l->valid_until = 0;
+}
+
+bool
+lease_valid(const struct lease *l, int64_t now, int64_t guard_ms)
+{
+	return l->held && now + guard_ms < l->valid_until;
+}
+
+/*
+ * An unchanged counter keeps the time it was first seen. A new counter counts
+ * from when its answer was asked for at the earliest, but the renewal may be
+ * as late as the answer; so the caller passes the time of the answer.
+ */
+void
+lease_watch_observe(
+    struct lease_watch *w, uint64_t epoch, uint64_t beat, int64_t now)
+{
+	if (w->seen && w->epoch == epoch && w->beat == beat)
+		return;
+	w->seen = true;
+	w->epoch = epoch;
+	w->beat = beat;
+	w->since_ms = now;
+}
+
+bool
+lease_watch_lapsed(
+    const struct lease_watch *w, const struct lease_terms *t, int64_t now)
+{
+	return w->seen && now - w->since_ms > t->take_ms;
+}
--- /dev/null
+++ b/src/coordination/place.c
@@ -0,0 +1,67 @@
+#include "place.h"
+
+#include <string.h>
+
+/*
+ * What is left after the placement, each resource against the worker's total,
+ * in 1/1024; the smallest sum is the tightest fit. An accelerator that the
+ * task does not need counts most, so that plain work keeps off those workers.
+ */
+#define PART_UNIT 1024u
+#define ACCELERATOR_WEIGHT 4u
+
+static inline uint32_t
+part(uint32_t left, uint32_t total)
+{
+	return total == 0 ? 0 : (uint32_t)((uint64_t)left * PART_UNIT / total);
+}
+
+static inline uint32_t
+score(
+    const struct size *free, const struct size *total, const struct size *need)
+{
+	uint32_t s;
+
+	s = part(free->cpus - need->cpus, total->cpus);
+	s += part(free->memory_mb - need->memory_mb, total->memory_mb);
+	s += ACCELERATOR_WEIGHT *
+	    part(free->accelerators - need->accelerators, total->accelerators);
+	return s;
+}
+
+int
+place_best(const struct worker_pool *p, int shard, const char *avoid,
+    const struct size *need)
+{
+	const struct slot *slots = p->slots;
+	uint32_t s, best_score = UINT32_MAX;
+	int i, best = -1, avoided = -1;
+
+	for (i = 0; i < p->count; i++) {
+		if (!slots[i].usable || !size_fits(need, &slots[i].free) ||
+		    (shard != SHARD_ANY && slots[i].shard != shard))
+			continue;
+		s = score(&slots[i].free, &p->workers[i]->total, need);
+		if (s >= best_score)
+			continue;
+		if (avoid != NULL && strcmp(p->workers[i]->name, avoid) == 0) {
+			avoided = i;
+			continue;
+		}
+		best_score = s;
+		best = i;
+	}
+	return best >= 0 ? best : avoided;
+}
+
+bool
+place_possible(const struct worker_pool *p, const struct size *need)
+{
+	int i;
+
+	for (i = 0; i < p->count; i++)
+		if (!p->workers[i]->gone &&
+		    size_fits(need, &p->workers[i]->total))
+			return true;
+	return false;
+}
--- /dev/null
+++ b/src/coordination/ready.h
@@ -0,0 +1,52 @@
+/**
+ * @file Members that wait for a start, in order of slack.
+ *
+ * The slack is the time left until the class's start target. The pass goes
+ * through the members in that order, skips classes that hold their share of
+ * the cluster already, and lets later members go ahead only where the earlier
+ * ones do not fit.
+ */
+#ifndef READY_H
+#define READY_H
+
+#include <bsd/sys/tree.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+struct ready_item {
+	RB_ENTRY(ready_item) node;
+	RB_ENTRY(ready_item) give_up_node;
+	int64_t due_ms;	    /**< accepted + the class's start target */
+	int64_t give_up_ms; /**< accepted + the class's longest wait */
+	uint64_t seq;
+	bool queued;
+	void *owner;
+};
+
+RB_HEAD(ready_tree, ready_item);
+RB_HEAD(give_up_tree, ready_item);
+
+struct ready {
+	struct ready_tree tree;	     /**< by due_ms */
+	struct give_up_tree give_up; /**< by give_up_ms */
+	uint64_t next_seq;
+	int count;
+};
+
+enum ready_verdict {
+	READY_TAKEN, /**< it leaves the queue */
+	READY_KEEP,  /**< not now; others may go ahead */
+	READY_STOP,  /**< not now, and nobody after it */
+};
+
+typedef enum ready_verdict (*ready_fn)(struct ready_item *it, void *arg);
+
+void ready_init(struct ready *q);
+void ready_add(struct ready *q, struct ready_item *it);
+void ready_remove(struct ready *q, struct ready_item *it);
+/** Offers up to @p max members, the most urgent first. */
+void ready_pass(struct ready *q, int max, ready_fn fn, void *arg);
+/** A member whose longest wait is over by @p now, or NULL. */
+struct ready_item *ready_overdue(struct ready *q, int64_t now);
+
+#endif
--- /dev/null
+++ b/src/daemon/main.c
@@ -0,0 +1,122 @@
+/* celerycartd: reads its settings, checks them, and runs one node. */
+#include <argtable2.h>
+#include <event2/event.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "../base/err.h"
+#include "../base/kvlog.h"
+#include "../state/settings.h"
+#include "../state/yaml_doc.h"
+#include "node.h"
+
+#define VERSION "0.1.0"
+
+enum exit_code {
+	EXIT_OK,
+	EXIT_USAGE,
+	EXIT_SETTINGS,
+	EXIT_LISTEN
+};
+
+static void
+on_signal(evutil_socket_t sig, short what, void *arg)
+{
+	(void)sig;
+	(void)what;
+	node_leave(arg);
+}
+
+static int
+read_settings(const char *path, struct settings *s)
+{
+	struct findings fs;
+	size_t len;
+	char *text = yaml_read_file(path, &len), *report;
+	int bad;
+
+	if (text == NULL) {
+		fprintf(stderr, "celerycartd: cannot read %s\n", path);
+		return CC_ENOENT;
+	}
+	findings_init(&fs, path);
+	settings_parse(s, text, len, &fs);
+	free(text);
+	bad = fs.count;
+	report = findings_text(&fs);
+	fputs(report, stderr);
+	free(report);
+	findings_done(&fs);
+	return bad > 0 ? CC_EINVAL : CC_OK;
+}
+
+static int
+run(const struct settings *s)
+{
+	struct event_base *base;
+	struct event *term, *intr;
+	struct node *n;
+
+	signal(SIGPIPE, SIG_IGN);
+	kvlog_open(s->host, (enum kvlog_level)kvlog_level_of(s->log_level));
+	base = event_base_new();
+	n = node_new(base, s);
+	if (n == NULL)
+		return EXIT_LISTEN;
+	term = evsignal_new(base, SIGTERM, on_signal, n);
+	intr = evsignal_new(base, SIGINT, on_signal, n);
+	event_add(term, NULL);
+	event_add(intr, NULL);
+	kvlog(KVLOG_INFO, "listening", "addr=%s caller=%d operator=%d peer=%d",
+	    s->addr, (int)s->caller_port, (int)s->operator_port,
+	    (int)s->peer_port);
+	event_base_dispatch(base);
+	event_free(term);
+	event_free(intr);
+	node_delete(n);
+	event_base_free(base);
+	kvlog_close();
+	return EXIT_OK;
+}
+
+int
+main(int argc, char **argv)
+{
+	struct arg_file *conf =
+	    arg_file0("c", "config", "FILE", "settings in YAML");
+	struct arg_lit *check =
+	    arg_lit0(NULL, "check", "check the settings and end");
+	struct arg_lit *help = arg_lit0("h", "help", "print this and end");
+	struct arg_lit *version =
+	    arg_lit0(NULL, "version", "print the version and end");
+	struct arg_end *end = arg_end(8);
+	void *table[] = {conf, check, help, version, end};
+	struct settings s;
+	int errors = arg_parse(argc, argv, table), rc;
+
+	if (help->count > 0) {
+		printf("usage: celerycartd");
+		arg_print_syntax(stdout, table, "\n");
+		arg_print_glossary(stdout, table, "  %-24s %s\n");
+		printf("example: celerycartd -c settings.yaml --check\n");
+		rc = EXIT_OK;
+	} else if (version->count > 0) {
+		printf("celerycartd %s\n", VERSION);
+		rc = EXIT_OK;
+	} else if (errors > 0 || conf->count == 0) {
+		arg_print_errors(stderr, end, "celerycartd");
+		fprintf(stderr, "celerycartd: needs -c FILE; try --help\n");
+		rc = EXIT_USAGE;
+	} else if (read_settings(conf->filename[0], &s) != CC_OK) {
+		rc = EXIT_SETTINGS;
+	} else if (check->count > 0) {
+		printf("%s: no findings\n", conf->filename[0]);
+		rc = EXIT_OK;
+	} else {
+		rc = run(&s);
+	}
+	arg_freetable(table, sizeof(table) / sizeof(table[0]));
+	return rc;
+}
--- /dev/null
+++ b/src/daemon/placer.c
@@ -0,0 +1,647 @@
+#include "placer.h"
+
+#include <inttypes.h>
+#include <jansson.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <xxhash.h>
+
+#include "../base/err.h"
+#include "../base/kvlog.h"
+#include "../base/xalloc.h"
+#include "../coordination/place.h"
+#include "../platform/clock.h"
+#include "home.h"
+#include "hostlist.h"
+#include "tombstone.h"
+#include "watch.h"
+
+#define TICK_MS 250
+#define START_TIMEOUT_MS 2000
+#define HOLD_MS 10000
+#define GANG_HOLD_MS 3000
+#define CONFIRM_TIMEOUT_MS 3000
+
+struct placer {
+	struct node *node;
+	struct event *tick;
+	struct tombstones tombs;
+};
+
+static int64_t
+shard_epoch(const struct placer *p, int shard)
+{
+	return (int64_t)p->node->shards[shard].own_epoch;
+}
+
+/* ---- starts ---- */
+
+struct start_call {
+	struct placer *placer;
+	place_fn fn;
+	void *arg;
+	char key[TASK_KEY_LEN];
+	uint64_t attempt;
+	int shard;
+};
+
+static void
+reply_place(place_fn fn, void *arg, int err, const char *worker, uint64_t epoch,
+    bool reserved)
+{
+	Cc__PlaceReply r = CC__PLACE_REPLY__INIT;
+
+	r.error = err;
+	r.worker = (char *)worker;
+	r.shard_epoch = epoch;
+	r.reserved = reserved;
+	fn(&r, arg);
+}
+
+static void
+set_state(struct reservation *r, enum reservation_state st)
+{
+	r->state = st;
+	r->since_ms = clock_boot_ms();
+	r->expires_ms = 0;
+}
+
+static void
+start_done(const struct http_answer *a, void *arg)
+{
+	struct start_call *c = arg;
+	struct placer *p = c->placer;
+	uint64_t epoch = (uint64_t)shard_epoch(p, c->shard);
+	struct reservation *r = worker_pool_reservation(&p->node->pool, c->key);
+	int err = CC_EUNAVAIL;
+	const char *worker = "";
+
+	if (r == NULL || r->state != STARTING || r->attempt != c->attempt) {
+		/* Settled by a list meanwhile, or the shard was lost. */
+		err = r != NULL && r->state == RUNNING ? CC_OK : CC_EUNAVAIL;
+		worker = r != NULL ? r->worker->name : "";
+	} else if (a->err == CC_OK && a->status / 100 == 2) {
+		set_state(r, RUNNING);
+		health_started(&r->worker->health);
+		worker_refresh(&p->node->pool, r->worker);
+		err = CC_OK;
+		worker = r->worker->name;
+	} else if (a->err == CC_ENOTSENT ||
+	    (a->err == CC_OK && a->status / 100 == 4)) {
+		worker_release(&p->node->pool, r);
+		err = CC_EBUSY;
+	} else {
+		set_state(r, UNCERTAIN);
+		p->node->stats.starts_uncertain++;
+		watch_hurry(r->worker->watch);
+	}
+	reply_place(c->fn, c->arg, err, worker, epoch, false);
+	free(c);
+}
+
+static void
+send_start(struct placer *p, struct reservation *r, const Cc__Place *m,
+    place_fn fn, void *arg)
+{
+	struct worker *w = r->worker;
+	struct start_call *c;
+	json_t *body;
+	char *text;
+	struct http_request rq = {
+	    .addr = w->addr,
+	    .port = w->port,
+	    .method = EVHTTP_REQ_POST,
+	    .path = "/v1/tasks",
+	    .content_type = "application/json",
+	    .timeout_ms = START_TIMEOUT_MS,
+	    .fn = start_done,
+	};
+
+	/* The last look at the lease before the bytes leave this host. */
+	if (!node_may_start(p->node)) {
+		worker_release(&p->node->pool, r);
+		reply_place(fn, arg, CC_ENOTOWNER, "", 0, false);
+		return;
+	}
+	c = xcalloc(1, sizeof(*c));
+	c->placer = p;
+	c->fn = fn;
+	c->arg = arg;
+	str_copy(c->key, r->key, sizeof(c->key));
+	r->attempt = c->attempt = m->attempt;
+	c->shard = w->shard;
+	set_state(r, STARTING);
+	body = json_pack("{s:s,s:s,s:i,s:i,s:i,s:I,s:I,s:I}", "key", r->key,
+	    "class", r->class_name, "cpus", (int)r->size.cpus, "memory_mb",
+	    (int)r->size.memory_mb, "accelerators", (int)r->size.accelerators,
+	    "run_ms", (json_int_t)m->run_ms, "lease_ms",
+	    (json_int_t)p->node->settings->worker_lease_ms, "epoch",
+	    (json_int_t)shard_epoch(p, w->shard));
+	text = json_dumps(body, JSON_COMPACT);
+	rq.body = text;
+	rq.len = strlen(text);
+	rq.arg = c;
+	http_call(p->node->http, &rq);
+	free(text);
+	json_decref(body);
+}
+
+void
+placer_hold(struct placer *p, struct reservation *r, const char *class_name)
+{
+	(void)p;
+	set_state(r, RESERVED);
+	r->expires_ms = r->since_ms + HOLD_MS;
+	str_copy(r->class_name, class_name, sizeof(r->class_name));
+}
+
+/* Whether every worker that could run an unknown task has told its tasks. */
+static bool
+shard_listed(const struct placer *p, int shard)
+{
+	const struct worker_pool *pool = &p->node->pool;
+	int i;
+
+	for (i = 0; i < pool->count; i++)
+		if (pool->workers[i]->shard == shard &&
+		    !pool->workers[i]->listed &&
+		    !watch_empty(pool->workers[i]->watch))
+			return false;
+	return hostlist_known(p->node->hostlist);
+}
+
+static void
+place_existing(struct placer *p, struct reservation *r, const Cc__Place *m,
+    place_fn fn, void *arg)
+{
+	uint64_t epoch = (uint64_t)shard_epoch(p, (int)m->shard);
+
+	switch (r->state) {
+	case RESERVED:
+		r->attempt = m->attempt;
+		if (m->reserve_only) {
+			r->expires_ms = clock_boot_ms() + GANG_HOLD_MS;
+			reply_place(
+			    fn, arg, CC_OK, r->worker->name, epoch, true);
+			break;
+		}
+		send_start(p, r, m, fn, arg);
+		break;
+	case RUNNING:
+	case FINISHED:
+		reply_place(fn, arg, CC_OK, r->worker->name, epoch, false);
+		break;
+	default:
+		reply_place(fn, arg, CC_EUNAVAIL, "", epoch, false);
+	}
+}
+
+static void
+place_new(struct placer *p, const Cc__Place *m, const char *key,
+    const struct size *need, place_fn fn, void *arg)
+{
+	struct worker_pool *pool = &p->node->pool;
+	uint64_t epoch = (uint64_t)shard_epoch(p, (int)m->shard);
+	struct reservation *r;
+	int i;
+
+	/* Handed out under this epoch, it can be nowhere but here. */
+	if (m->site_epoch != epoch && !shard_listed(p, (int)m->shard)) {
+		reply_place(fn, arg, CC_EUNAVAIL, "", epoch, false);
+		return;
+	}
+	if (!m->repeatable && m->site_epoch != epoch) {
+		reply_place(fn, arg, CC_ENOENT, "", epoch, false);
+		return;
+	}
+	i = place_best(pool, (int)m->shard, m->avoid, need);
+	if (i < 0 ||
+	    worker_reserve(pool, pool->workers[i], key, need, &r) != CC_OK) {
+		reply_place(fn, arg, CC_EBUSY, "", epoch, false);
+		return;
+	}
+	placer_hold(p, r, m->class_name);
+	place_existing(p, r, m, fn, arg);
+}
+
+void
+placer_place(struct placer *p, const Cc__Place *m, place_fn fn, void *arg)
+{
+	struct node *n = p->node;
+	struct reservation *r;
+	struct size need = size_unpack(m->size);
+	char key[TASK_KEY_LEN];
+
+	if (m->shard >= (uint32_t)n->nshards ||
+	    n->shards[m->shard].state != SHARD_OWNED || !node_may_start(n)) {
+		reply_place(fn, arg, CC_ENOTOWNER, "", 0, false);
+		return;
+	}
+	snprintf(key, sizeof(key), "%s#%u", m->id, m->member);
+	if (!tombstone_pass(&p->tombs, key, m->attempt, clock_boot_ms())) {
+		reply_place(fn, arg, CC_ECONFLICT, "", 0, false);
+		return;
+	}
+	r = worker_pool_reservation(&n->pool, key);
+	if (r != NULL)
+		place_existing(p, r, m, fn, arg);
+	else
+		place_new(p, m, key, &need, fn, arg);
+}
+
+/* ---- stops ---- */
+
+struct stop_call {
+	struct placer *placer;
+	stop_fn fn;
+	void *arg;
+	char key[TASK_KEY_LEN];
+	uint64_t epoch;
+};
+
+static void
+stop_done(const struct http_answer *a, void *arg)
+{
+	struct stop_call *c = arg;
+	struct reservation *r =
+	    worker_pool_reservation(&c->placer->node->pool, c->key);
+
+	if (a->err == CC_OK && a->status / 100 == 2) {
+		c->fn(CC_OK, c->epoch, c->arg);
+	} else {
+		if (r != NULL && r->state == STOPPING)
+			r->state = RUNNING;
+		c->fn(CC_EUNAVAIL, c->epoch, c->arg);
+	}
+	free(c);
+}
+
+static void
+send_stop(struct placer *p, struct reservation *r, uint64_t epoch, stop_fn fn,
+    void *arg)
+{
+	struct stop_call *c = xcalloc(1, sizeof(*c));
+	char *escaped = evhttp_uriencode(r->key, -1, 0);
+	char *path = xasprintf("/v1/tasks/%s", escaped);
+	struct http_request rq = {
+	    .addr = r->worker->addr,
+	    .port = r->worker->port,
+	    .method = EVHTTP_REQ_DELETE,
+	    .path = path,
+	    .timeout_ms = START_TIMEOUT_MS,
+	    .fn = stop_done,
+	    .arg = c,
+	};
+
+	c->placer = p;
+	c->fn = fn;
+	c->arg = arg;
+	c->epoch = epoch;
+	str_copy(c->key, r->key, sizeof(c->key));
+	r->state = STOPPING;
+	http_call(p->node->http, &rq);
+	free(escaped);
+	free(path);
+}
+
+void
+placer_stop(struct placer *p, const Cc__Stop *m, stop_fn fn, void *arg)
+{
+	struct node *n = p->node;
+	struct reservation *r;
+	char key[TASK_KEY_LEN];
+	uint64_t epoch;
+
+	if (m->shard >= (uint32_t)n->nshards ||
+	    n->shards[m->shard].state != SHARD_OWNED) {
+		fn(CC_ENOTOWNER, 0, arg);
+		return;
+	}
+	epoch = (uint64_t)shard_epoch(p, (int)m->shard);
+	snprintf(key, sizeof(key), "%s#%u", m->id, m->member);
+	tombstone_pass(&p->tombs, key, m->attempt, clock_boot_ms());
+	r = worker_pool_reservation(&n->pool, key);
+	if (r == NULL) {
+		fn(shard_listed(p, (int)m->shard) ? CC_ENOENT : CC_EUNAVAIL,
+		    epoch, arg);
+		return;
+	}
+	switch (r->state) {
+	case RESERVED:
+		worker_release(&n->pool, r);
+		home_pump(n->home);
+		fn(CC_ENOENT, epoch, arg);
+		break;
+	case RUNNING:
+		send_stop(p, r, epoch, fn, arg);
+		break;
+	case FINISHED:
+		fn(CC_OK, epoch, arg);
+		break;
+	default:
+		fn(CC_EUNAVAIL, epoch, arg);
+	}
+}
+
+/* ---- reports ---- */
+
+struct confirm_call {
+	struct placer *placer;
+	char key[TASK_KEY_LEN];
+};
+
+static void
+confirmed(int err, void *arg)
+{
+	struct confirm_call *c = arg;
+	struct placer *p = c->placer;
+	struct reservation *r = worker_pool_reservation(&p->node->pool, c->key);
+
+	if (r != NULL && r->state == FINISHED) {
+		r->confirming = false;
+		r->since_ms = clock_boot_ms();
+		if (err == CC_OK) {
+			if (!r->lost)
+				watch_ack(r->worker->watch, r->key);
+			worker_release(&p->node->pool, r);
+		}
+	}
+	free(c);
+}
+
+static void
+confirm_reply(int err, const Cc__Frame *f, void *arg)
+{
+	if (err == CC_OK)
+		err = f->body_case == CC__FRAME__BODY_ACK ? f->ack->error
+							  : CC_EPROTO;
+	confirmed(err, arg);
+}
+
+/* Tells the home that a member ended; repeated until it confirms. */
+static void
+report(struct placer *p, struct reservation *r)
+{
+	struct node *n = p->node;
+	struct confirm_call *c;
+	struct shard *home;
+	Cc__Frame f = CC__FRAME__INIT;
+	Cc__Ended m = CC__ENDED__INIT;
+	char id[TASK_KEY_LEN];
+	char *mark;
+
+	if (r->confirming)
+		return;
+	str_copy(id, r->key, sizeof(id));
+	mark = strrchr(id, '#');
+	if (mark == NULL)
+		return;
+	*mark = '\0';
+	r->confirming = true;
+	c = xcalloc(1, sizeof(*c));
+	c->placer = p;
+	str_copy(c->key, r->key, sizeof(c->key));
+	home = node_home(n, id);
+	m.id = id;
+	m.member = (uint32_t)strtoul(mark + 1, NULL, 10);
+	m.home = (uint32_t)home->index;
+	m.worker = r->worker->name;
+	m.exit_status = r->exit_status;
+	m.run_ms = r->run_ms;
+	m.lost = r->lost;
+	if (home->state == SHARD_OWNED) {
+		home_ended(n, &m, confirmed, c);
+		return;
+	}
+	f.body_case = CC__FRAME__BODY_ENDED;
+	f.ended = &m;
+	peer_call(
+	    n->peers, home->owner, &f, CONFIRM_TIMEOUT_MS, confirm_reply, c);
+}
+
+static int
+count_quarantined(const struct worker_pool *pool)
+{
+	int i, n = 0;
+
+	for (i = 0; i < pool->count; i++)
+		n += pool->workers[i]->health.state != HEALTH_OK;
+	return n;
+}
+
+static void
+judge_worker(struct placer *p, struct worker *w, const struct reservation *r)
+{
+	struct worker_pool *pool = &p->node->pool;
+	uint64_t task = XXH64(r->key, strlen(r->key), 0);
+
+	if (r->exit_status == 0) {
+		health_success(&w->health);
+	} else if (r->run_ms < HEALTH_EARLY_MS && r->state != STOPPING &&
+	    health_failure(&w->health, task, clock_boot_ms(),
+		count_quarantined(pool), pool->count)) {
+		p->node->stats.quarantines++;
+		kvlog(KVLOG_WARN, "quarantine", "worker=%s term_ms=%" PRId64,
+		    w->name, w->health.term_ms);
+	}
+	worker_refresh(pool, w);
+}
+
+void
+placer_task_ended(struct placer *p, struct worker *w, const char *key,
+    int exit_status, uint64_t run_ms)
+{
+	struct reservation *r = worker_pool_reservation(&p->node->pool, key);
+
+	if (r == NULL || r->worker != w || r->state == FINISHED)
+		return;
+	r->exit_status = exit_status;
+	r->run_ms = run_ms;
+	judge_worker(p, w, r);
+	set_state(r, FINISHED);
+	worker_uncharge(&p->node->pool, r);
+	report(p, r);
+	home_pump(p->node->home);
+}
+
+void
+placer_task_lost(struct placer *p, struct reservation *r)
+{
+	if (r->state == FINISHED || r->state == RESERVED)
+		return;
+	kvlog(KVLOG_WARN, "task_lost", "key=%s worker=%s", r->key,
+	    r->worker->name);
+	r->lost = true;
+	r->run_ms = 0;
+	set_state(r, FINISHED);
+	worker_uncharge(&p->node->pool, r);
+	report(p, r);
+}
+
+void
+placer_task_seen(struct placer *p, struct worker *w, const char *key,
+    const char *class_name, const struct size *size)
+{
+	struct reservation *r = worker_adopt(&p->node->pool, w, key, size);
+
+	if (r == NULL) {
+		kvlog(KVLOG_ERROR, "task_twice", "key=%s worker=%s", key,
+		    w->name);
+		return;
+	}
+	if (r->state == FINISHED || r->state == STOPPING)
+		return;
+	if (r->state != RUNNING) {
+		set_state(r, RUNNING);
+		str_copy(r->class_name, class_name, sizeof(r->class_name));
+	}
+}
+
+/* ---- shards and workers coming and going ---- */
+
+void
+placer_shard_owned(struct placer *p, struct shard *s)
+{
+	(void)s;
+	placer_hosts_changed(p);
+}
+
+void
+placer_shard_lost(struct placer *p, struct shard *s)
+{
+	struct worker_pool *pool = &p->node->pool;
+	struct worker *w;
+	int i;
+
+	for (i = pool->count - 1; i >= 0; i--) {
+		w = pool->workers[i];
+		if (w->shard != s->index)
+			continue;
+		watch_delete(w->watch);
+		worker_pool_remove(pool, w);
+	}
+}
+
+bool
+placer_shard_quiet(struct placer *p, struct shard *s)
+{
+	struct worker_pool *pool = &p->node->pool;
+	struct reservation *r;
+
+	for (r = pool->by_key; r != NULL; r = r->hh.next)
+		if (r->worker->shard == s->index &&
+		    (r->state == STARTING || r->state == STOPPING ||
+			r->confirming))
+			return false;
+	return true;
+}
+
+void
+placer_hosts_changed(struct placer *p)
+{
+	struct node *n = p->node;
+	const struct host_row *h;
+	struct worker *w;
+	int i;
+
+	if (!hostlist_known(n->hostlist))
+		return;
+	for (i = 0; i < n->pool.count; i++)
+		n->pool.workers[i]->gone = true;
+	for (h = hostlist_workers(n->hostlist); h != NULL; h = h->hh.next) {
+		if (h->role != HOST_WORKER ||
+		    n->shards[h->shard].state != SHARD_OWNED)
+			continue;
+		w = worker_pool_get(&n->pool, h->name);
+		str_copy(w->rack, h->rack, sizeof(w->rack));
+		str_copy(w->zone, h->zone, sizeof(w->zone));
+		str_copy(w->addr, h->addr, sizeof(w->addr));
+		w->port = h->port;
+		w->shard = h->shard;
+		w->leaving = h->leaving;
+		w->gone = false;
+		if (w->total.cpus == 0)
+			w->total = h->size;
+		worker_refresh(&n->pool, w);
+		if (w->watch == NULL)
+			w->watch = watch_new(n, w);
+	}
+	for (i = 0; i < n->pool.count; i++)
+		worker_refresh(&n->pool, n->pool.workers[i]);
+}
+
+static void
+tick_reservations(struct placer *p, int64_t now)
+{
+	struct reservation *r, *tmp;
+
+	HASH_ITER(hh, p->node->pool.by_key, r, tmp)
+	{
+		if (r->state == RESERVED && r->expires_ms > 0 &&
+		    r->expires_ms <= now)
+			worker_release(&p->node->pool, r);
+		else if (r->state == FINISHED && !r->confirming &&
+		    now - r->since_ms > CONFIRM_TIMEOUT_MS / 4)
+			report(p, r);
+	}
+}
+
+static void
+tick_workers(struct placer *p, int64_t now)
+{
+	struct worker_pool *pool = &p->node->pool;
+	struct worker *w;
+	int i;
+
+	for (i = pool->count - 1; i >= 0; i--) {
+		w = pool->workers[i];
+		if (health_tick(&w->health, now)) {
+			kvlog(KVLOG_INFO, "probe", "worker=%s", w->name);
+			worker_refresh(pool, w);
+		}
+		if (w->gone && LIST_EMPTY(&w->reservations) &&
+		    watch_empty(w->watch)) {
+			watch_delete(w->watch);
+			worker_pool_remove(pool, w);
+		}
+	}
+}
+
+static void
+on_tick(evutil_socket_t fd, short what, void *arg)
+{
+	struct placer *p = arg;
+	int64_t now = clock_boot_ms();
+
+	(void)fd;
+	(void)what;
+	tick_reservations(p, now);
+	tick_workers(p, now);
+	tombstones_expire(&p->tombs, now);
+}
+
+struct placer *
+placer_new(struct node *n)
+{
+	struct placer *p = xcalloc(1, sizeof(*p));
+	struct timeval tv = {0, TICK_MS * 1000};
+
+	p->node = n;
+	p->tick = event_new(n->base, -1, EV_PERSIST, on_tick, p);
+	event_add(p->tick, &tv);
+	return p;
+}
+
+void
+placer_delete(struct placer *p)
+{
+	struct worker_pool *pool = &p->node->pool;
+	int i;
+
+	for (i = 0; i < pool->count; i++)
+		watch_delete(pool->workers[i]->watch);
+	event_free(p->tick);
+	tombstones_done(&p->tombs);
+	free(p);
+}
--- /dev/null
+++ b/src/daemon/router_send.h
@@ -0,0 +1,26 @@
+/** @file The queue of one host's own slots, used by router_submit. */
+#ifndef ROUTER_SEND_H
+#define ROUTER_SEND_H
+
+#include "router.h"
+
+struct dispatch_request {
+	const char *class_name;
+	const char *id;
+	const void *body;
+	size_t len;
+	const char *content_type;
+	int64_t budget_ms; /**< longest wait that is left; 0: the class's */
+	bool once;
+};
+
+/**
+ * Queues a request for this host's own slots.
+ * @return CC_OK, then @p fn is called once; CC_EUNAVAIL without a usable
+ *     runner; CC_EBUSY when the projected wait is too long; CC_ENOENT for an
+ *     unknown class. After an error nothing was sent.
+ */
+int router_dispatch(
+    struct router *r, const struct dispatch_request *q, route_fn fn, void *arg);
+
+#endif
--- /dev/null
+++ b/src/transport/front.c
@@ -0,0 +1,349 @@
+#include "front.h"
+
+#include <arpa/inet.h>
+#include <evhtp/evhtp.h>
+#include <netinet/in.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/queue.h>
+
+#include "../base/err.h"
+#include "../base/kvlog.h"
+#include "../base/xalloc.h"
+#include "../platform/clock.h"
+
+#define BACKLOG 512
+#define READ_TIMEOUT_S 10
+#define WRITE_TIMEOUT_S 30
+/** A request's head and body must be there this soon. */
+#define REQUEST_MS 10000
+#define HEADERS_MAX (16 << 10)
+#define CONNECTIONS_MAX 4096
+#define CONNECTIONS_PER_CALLER 1024
+#define TICK_MS 500
+
+struct caller_conn {
+	TAILQ_ENTRY(caller_conn) link;
+	struct front *front;
+	evhtp_connection_t *conn;
+	struct in6_addr ip;
+	int64_t since_ms; /**< accepted, or answered last */
+	size_t header_bytes;
+	int open; /**< requests under way */
+};
+
+struct front {
+	struct event_base *base;
+	evhtp_t *htp;
+	struct event *tick;
+	TAILQ_HEAD(caller_conn_list, caller_conn) conns;
+	int nconns;
+	int open;
+	bool leaving;
+	front_fn fn;
+	void *arg;
+};
+
+struct front_request {
+	struct front *front;
+	evhtp_request_t *req; /**< NULL once the caller is gone */
+	struct caller_conn *conn;
+	uint8_t *body;
+	size_t len;
+	char *path;
+	bool in_handler;
+	bool answered;
+};
+
+static struct in6_addr
+ip_of(const struct sockaddr *sa)
+{
+	struct in6_addr ip;
+
+	memset(&ip, 0, sizeof(ip));
+	if (sa != NULL && sa->sa_family == AF_INET6)
+		ip = ((const struct sockaddr_in6 *)sa)->sin6_addr;
+	else if (sa != NULL && sa->sa_family == AF_INET)
+		memcpy(&ip.s6_addr[12],
+		    &((const struct sockaddr_in *)sa)->sin_addr, 4);
+	return ip;
+}
+
+static int
+count_of_caller(const struct front *f, const struct in6_addr *ip)
+{
+	const struct caller_conn *c;
+	int n = 0;
+
+	TAILQ_FOREACH (c, &f->conns, link)
+		n += memcmp(&c->ip, ip, sizeof(*ip)) == 0;
+	return n;
+}
+
+static evhtp_res
+conn_fini(evhtp_connection_t *conn, void *arg)
+{
+	struct caller_conn *c = arg;
+
+	(void)conn;
+	TAILQ_REMOVE(&c->front->conns, c, link);
+	c->front->nconns--;
+	free(c);
+	return EVHTP_RES_OK;
+}
+
+static evhtp_res
+on_header(evhtp_request_t *req, evhtp_header_t *hdr, void *arg)
+{
+	struct caller_conn *c = arg;
+
+	(void)req;
+	c->header_bytes += hdr->klen + hdr->vlen;
+	return c->header_bytes > HEADERS_MAX ? EVHTP_RES_BADREQ : EVHTP_RES_OK;
+}
+
+static evhtp_res
+on_accept(evhtp_connection_t *conn, void *arg)
+{
+	struct front *f = arg;
+	struct in6_addr ip = ip_of(conn->saddr);
+	struct caller_conn *c;
+
+	if (f->nconns >= CONNECTIONS_MAX ||
+	    count_of_caller(f, &ip) >= CONNECTIONS_PER_CALLER) {
+		kvlog(KVLOG_WARN, "connection_refused", "open=%d", f->nconns);
+		return EVHTP_RES_ERROR;
+	}
+	c = xcalloc(1, sizeof(*c));
+	c->front = f;
+	c->conn = conn;
+	c->ip = ip;
+	c->since_ms = clock_boot_ms();
+	TAILQ_INSERT_TAIL(&f->conns, c, link);
+	f->nconns++;
+	evhtp_connection_set_hook(
+	    conn, evhtp_hook_on_connection_fini, (evhtp_hook)conn_fini, c);
+	evhtp_connection_set_hook(
+	    conn, evhtp_hook_on_header, (evhtp_hook)on_header, c);
+	return EVHTP_RES_OK;
+}
+
+static struct caller_conn *
+conn_of(struct front *f, const evhtp_connection_t *conn)
+{
+	struct caller_conn *c;
+
+	TAILQ_FOREACH (c, &f->conns, link)
+		if (c->conn == conn)
+			return c;
+	return NULL;
+}
+
+static void
+request_free(struct front_request *r)
+{
+	r->front->open--;
+	free(r->body);
+	free(r->path);
+	free(r);
+}
+
+/* The caller went away before the answer. */
+static evhtp_res
+request_fini(evhtp_request_t *req, void *arg)
+{
+	struct front_request *r = arg;
+
+	(void)req;
+	r->req = NULL;
+	r->conn = NULL;
+	return EVHTP_RES_OK;
+}
+
+static void
+on_request(evhtp_request_t *req, void *arg)
+{
+	struct front *f = arg;
+	struct front_request *r = xcalloc(1, sizeof(*r));
+
+	r->front = f;
+	r->req = req;
+	r->conn = conn_of(f, evhtp_request_get_connection(req));
+	r->len = evbuffer_get_length(req->buffer_in);
+	r->body = xmalloc(r->len + 1);
+	evbuffer_copyout(req->buffer_in, r->body, r->len);
+	r->body[r->len] = '\0';
+	r->path = xstrdup(req->uri->path->full);
+	f->open++;
+	if (r->conn != NULL) {
+		r->conn->open++;
+		r->conn->header_bytes = 0;
+	}
+	evhtp_request_set_hook(
+	    req, evhtp_hook_on_request_fini, (evhtp_hook)request_fini, r);
+	r->in_handler = true;
+	f->fn(r, f->arg);
+	if (r->answered) {
+		request_free(r);
+		return;
+	}
+	r->in_handler = false;
+	evhtp_request_pause(req);
+}
+
+static void
+on_tick(evutil_socket_t fd, short what, void *arg)
+{
+	struct front *f = arg;
+	struct caller_conn *c, *next;
+	int64_t now = clock_boot_ms();
+
+	(void)fd;
+	(void)what;
+	for (c = TAILQ_FIRST(&f->conns); c != NULL; c = next) {
+		next = TAILQ_NEXT(c, link);
+		if (c->open == 0 &&
+		    (f->leaving || now - c->since_ms > REQUEST_MS))
+			evhtp_connection_free(c->conn);
+	}
+}
+
+struct front *
+front_new(
+    struct event_base *base, const struct settings *s, front_fn fn, void *arg)
+{
+	struct front *f = xcalloc(1, sizeof(*f));
+	struct timeval rt = {READ_TIMEOUT_S, 0}, wt = {WRITE_TIMEOUT_S, 0};
+	struct timeval tv = {0, TICK_MS * 1000};
+	char addr[64];
+
+	f->base = base;
+	f->fn = fn;
+	f->arg = arg;
+	TAILQ_INIT(&f->conns);
+	f->htp = evhtp_new(base, NULL);
+	evhtp_set_timeouts(f->htp, &rt, &wt);
+	evhtp_set_max_body_size(f->htp, (uint64_t)s->body_max);
+	evhtp_set_gencb(f->htp, on_request, f);
+	evhtp_set_post_accept_cb(f->htp, on_accept, f);
+	snprintf(addr, sizeof(addr), "%s%s",
+	    strchr(s->addr, ':') != NULL ? "ipv6:" : "", s->addr);
+	if (evhtp_bind_socket(
+		f->htp, addr, (uint16_t)s->caller_port, BACKLOG) != 0) {
+		evhtp_free(f->htp);
+		free(f);
+		return NULL;
+	}
+	f->tick = event_new(base, -1, EV_PERSIST, on_tick, f);
+	event_add(f->tick, &tv);
+	return f;
+}
+
+void
+front_leave(struct front *f)
+{
+	if (f->leaving)
+		return;
+	f->leaving = true;
+	evhtp_unbind_socket(f->htp);
+}
+
+void
+front_delete(struct front *f)
+{
+	struct caller_conn *c;
+
+	while ((c = TAILQ_FIRST(&f->conns)) != NULL)
+		evhtp_connection_free(c->conn);
+	if (!f->leaving)
+		evhtp_unbind_socket(f->htp);
+	event_free(f->tick);
+	evhtp_free(f->htp);
+	free(f);
+}
+
+int
+front_open(const struct front *f)
+{
+	return f->open;
+}
+
+enum front_method
+front_request_method(const struct front_request *r)
+{
+	switch (evhtp_request_get_method(r->req)) {
+	case htp_method_GET:
+		return FRONT_GET;
+	case htp_method_POST:
+		return FRONT_POST;
+	case htp_method_DELETE:
+		return FRONT_DELETE;
+	default:
+		return FRONT_OTHER;
+	}
+}
+
+const char *
+front_request_path(const struct front_request *r)
+{
+	return r->path;
+}
+
+const char *
+front_request_param(const struct front_request *r, const char *name)
+{
+	if (r->req->uri->query == NULL)
+		return NULL;
+	return evhtp_kv_find(r->req->uri->query, name);
+}
+
+const char *
+front_request_header(const struct front_request *r, const char *name)
+{
+	return evhtp_header_find(r->req->headers_in, name);
+}
+
+const uint8_t *
+front_request_body(const struct front_request *r, size_t *len)
+{
+	*len = r->len;
+	return r->body;
+}
+
+static void
+add_header(evhtp_request_t *req, const char *name, const char *value)
+{
+	if (value != NULL && *value != '\0')
+		evhtp_headers_add_header(
+		    req->headers_out, evhtp_header_new(name, value, 1, 1));
+}
+
+void
+front_answer(struct front_request *r, int status, const char *content_type,
+    const void *body, size_t len, const struct front_header *headers)
+{
+	evhtp_request_t *req = r->req;
+	bool in_handler = r->in_handler;
+
+	r->answered = true;
+	if (req != NULL) {
+		add_header(req, "Content-Type", content_type);
+		for (; headers != NULL && headers->name != NULL; headers++)
+			add_header(req, headers->name, headers->value);
+		if (r->front->leaving)
+			add_header(req, "Connection", "close");
+		if (len > 0)
+			evbuffer_add(req->buffer_out, body, len);
+		if (r->conn != NULL) {
+			r->conn->open--;
+			r->conn->since_ms = clock_boot_ms();
+		}
+		evhtp_request_unset_hook(req, evhtp_hook_on_request_fini);
+		evhtp_send_reply(req, (evhtp_res)status);
+		if (!in_handler)
+			evhtp_request_resume(req);
+	}
+	if (!in_handler)
+		request_free(r);
+}
--- /dev/null
+++ b/src/transport/front.h
@@ -0,0 +1,56 @@
+/**
+ * @file The callers' listener, over libevhtp.
+ *
+ * It knows HTTP only: it limits sizes, times and connections, and hands each
+ * whole request to one handler, which answers now or later.
+ */
+#ifndef FRONT_H
+#define FRONT_H
+
+#include <event2/event.h>
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "../state/settings.h"
+
+struct front;
+struct front_request;
+
+enum front_method {
+	FRONT_GET,
+	FRONT_POST,
+	FRONT_DELETE,
+	FRONT_OTHER
+};
+
+typedef void (*front_fn)(struct front_request *r, void *arg);
+
+/** NULL when the port cannot be bound. */
+struct front *front_new(
+    struct event_base *base, const struct settings *s, front_fn fn, void *arg);
+void front_delete(struct front *f);
+/** Takes no new connections; those that are open are closed when answered. */
+void front_leave(struct front *f);
+/** Requests that were not answered yet. */
+int front_open(const struct front *f);
+
+enum front_method front_request_method(const struct front_request *r);
+const char *front_request_path(const struct front_request *r);
+/** A parameter of the query; NULL when it is absent. */
+const char *front_request_param(
+    const struct front_request *r, const char *name);
+const char *front_request_header(
+    const struct front_request *r, const char *name);
+const uint8_t *front_request_body(const struct front_request *r, size_t *len);
+
+struct front_header {
+	const char *name;
+	const char *value;
+};
+
+/** Answers and frees the request; headers end with a NULL name. */
+void front_answer(struct front_request *r, int status, const char *content_type,
+    const void *body, size_t len, const struct front_header *headers);
+
+#endif
--- /dev/null
+++ b/src/transport/http_call.c
@@ -0,0 +1,365 @@
+#include "http_call.h"
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/keyvalq_struct.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/queue.h>
+#include <sys/socket.h>
+
+#include "../base/err.h"
+#include "../base/xalloc.h"
+#include "../platform/clock.h"
+
+/** An idle connection is used again only this long after its last answer. */
+#define IDLE_REUSE_MS 1000
+#define IDLE_MAX 256
+#define USER_TIMEOUT_MS 4000
+#define ANSWER_MAX (64 << 20)
+
+struct conn {
+	TAILQ_ENTRY(conn) link;
+	struct http_pool *pool;
+	struct evhttp_connection *ev;
+	char addr[48];
+	uint16_t port;
+	int64_t heard_ms;
+	uint64_t sent;
+	bool closed; /**< the other end closed it while idle */
+};
+
+struct http_call {
+	TAILQ_ENTRY(http_call) link;
+	struct http_pool *pool;
+	struct conn *conn;
+	struct evhttp_request *req;
+	struct event *timer;
+	struct event *fail; /**< reports a failure from the event loop */
+	http_fn fn;
+	void *arg;
+	int error;
+	bool timed_out;
+};
+
+struct http_pool {
+	struct event_base *base;
+	TAILQ_HEAD(conn_list, conn) idle;
+	TAILQ_HEAD(http_call_list, http_call) calls;
+	int nidle;
+	char from[48];		/**< address that calls leave from */
+	struct conn *answering; /**< evhttp still uses it; must not be freed */
+	uint64_t sent;
+	uint64_t received;
+};
+
+static void
+count_out(struct evbuffer *b, const struct evbuffer_cb_info *info, void *arg)
+{
+	struct conn *c = arg;
+
+	(void)b;
+	c->sent += info->n_deleted;
+	c->pool->sent += info->n_deleted;
+}
+
+static void
+count_in(struct evbuffer *b, const struct evbuffer_cb_info *info, void *arg)
+{
+	struct conn *c = arg;
+
+	(void)b;
+	c->pool->received += info->n_added;
+}
+
+static void
+on_close(struct evhttp_connection *ev, void *arg)
+{
+	struct conn *c = arg;
+
+	(void)ev;
+	c->closed = true;
+}
+
+static struct conn *
+conn_new(struct http_pool *p, const char *addr, uint16_t port)
+{
+	struct conn *c = xcalloc(1, sizeof(*c));
+	struct bufferevent *bev;
+
+	c->pool = p;
+	str_copy(c->addr, addr, sizeof(c->addr));
+	c->port = port;
+	c->ev = evhttp_connection_base_new(p->base, NULL, addr, port);
+	if (c->ev == NULL)
+		abort();
+	evhttp_connection_set_retries(c->ev, 0);
+	if (p->from[0] != '\0')
+		evhttp_connection_set_local_address(c->ev, p->from);
+	evhttp_connection_set_max_body_size(c->ev, ANSWER_MAX);
+	evhttp_connection_set_closecb(c->ev, on_close, c);
+	bev = evhttp_connection_get_bufferevent(c->ev);
+	evbuffer_add_cb(bufferevent_get_output(bev), count_out, c);
+	evbuffer_add_cb(bufferevent_get_input(bev), count_in, c);
+	return c;
+}
+
+static void
+conn_delete(struct conn *c)
+{
+	struct bufferevent *bev = evhttp_connection_get_bufferevent(c->ev);
+
+	evbuffer_remove_cb(bufferevent_get_output(bev), count_out, c);
+	evbuffer_remove_cb(bufferevent_get_input(bev), count_in, c);
+	evhttp_connection_set_closecb(c->ev, NULL, NULL);
+	evhttp_connection_free(c->ev);
+	free(c);
+}
+
+/* Unsent bytes must not reach the other end after this host gave up. */
+static void
+conn_abort(struct conn *c)
+{
+	struct linger lg = {.l_onoff = 1, .l_linger = 0};
+	evutil_socket_t fd =
+	    bufferevent_getfd(evhttp_connection_get_bufferevent(c->ev));
+
+	if (fd >= 0)
+		setsockopt(fd, SOL_SOCKET, SO_LINGER, &lg, sizeof(lg));
+	conn_delete(c);
+}
+
+static struct conn *
+conn_take_idle(struct http_pool *p, const char *addr, uint16_t port)
+{
+	struct conn *c, *next;
+	int64_t now = clock_boot_ms();
+
+	for (c = TAILQ_FIRST(&p->idle); c != NULL; c = next) {
+		next = TAILQ_NEXT(c, link);
+		if (c == p->answering)
+			continue;
+		if (c->closed || now - c->heard_ms > IDLE_REUSE_MS) {
+			TAILQ_REMOVE(&p->idle, c, link);
+			p->nidle--;
+			conn_delete(c);
+		} else if (c->port == port && strcmp(c->addr, addr) == 0) {
+			TAILQ_REMOVE(&p->idle, c, link);
+			p->nidle--;
+			return c;
+		}
+	}
+	return NULL;
+}
+
+static void
+conn_put_idle(struct http_pool *p, struct conn *c)
+{
+	c->heard_ms = clock_boot_ms();
+	TAILQ_INSERT_HEAD(&p->idle, c, link);
+	if (++p->nidle <= IDLE_MAX)
+		return;
+	c = TAILQ_LAST(&p->idle, conn_list);
+	if (c == p->answering)
+		return;
+	TAILQ_REMOVE(&p->idle, c, link);
+	p->nidle--;
+	conn_delete(c);
+}
+
+struct http_pool *
+http_pool_new(struct event_base *base, const char *from)
+{
+	struct http_pool *p = xcalloc(1, sizeof(*p));
+
+	p->base = base;
+	str_copy(p->from, from, sizeof(p->from));
+	TAILQ_INIT(&p->idle);
+	TAILQ_INIT(&p->calls);
+	return p;
+}
+
+void
+http_pool_delete(struct http_pool *p)
+{
+	struct conn *c;
+
+	while (!TAILQ_EMPTY(&p->calls))
+		http_cancel(TAILQ_FIRST(&p->calls));
+	while ((c = TAILQ_FIRST(&p->idle)) != NULL) {
+		TAILQ_REMOVE(&p->idle, c, link);
+		conn_delete(c);
+	}
+	free(p);
+}
+
+static void
+call_free(struct http_call *c)
+{
+	TAILQ_REMOVE(&c->pool->calls, c, link);
+	event_free(c->timer);
+	event_free(c->fail);
+	free(c);
+}
+
+/* The connection must not be touched from evhttp's own callbacks. */
+static void
+call_fail_later(struct http_call *c, int error)
+{
+	c->error = error;
+	event_active(c->fail, EV_TIMEOUT, 0);
+}
+
+static void
+on_fail(evutil_socket_t fd, short what, void *arg)
+{
+	struct http_call *c = arg;
+	struct http_answer a = {.err = c->error};
+	http_fn fn = c->fn;
+	void *fn_arg = c->arg;
+
+	(void)fd;
+	(void)what;
+	if (c->conn != NULL && c->conn->sent == 0)
+		a.err = CC_ENOTSENT;
+	if (c->req != NULL && c->conn != NULL) {
+		evhttp_cancel_request(c->req);
+		c->req = NULL;
+	}
+	if (c->conn != NULL)
+		conn_abort(c->conn);
+	call_free(c);
+	fn(&a, fn_arg);
+}
+
+static void
+on_timeout(evutil_socket_t fd, short what, void *arg)
+{
+	struct http_call *c = arg;
+
+	(void)fd;
+	(void)what;
+	call_fail_later(c, CC_ETIMEOUT);
+}
+
+static bool
+keeps_alive(struct evhttp_request *req)
+{
+	const char *v = evhttp_find_header(
+	    evhttp_request_get_input_headers(req), "Connection");
+
+	return v == NULL || strcasecmp(v, "close") != 0;
+}
+
+static void
+on_answer(struct evhttp_request *req, void *arg)
+{
+	struct http_call *c = arg;
+	struct http_answer a = {.err = CC_OK};
+	struct evbuffer *in;
+	struct conn *conn = c->conn;
+	http_fn fn = c->fn;
+	void *fn_arg = c->arg;
+
+	c->req = NULL;
+	if (req == NULL || evhttp_request_get_response_code(req) == 0) {
+		call_fail_later(c, CC_ECONN);
+		return;
+	}
+	event_del(c->timer);
+	in = evhttp_request_get_input_buffer(req);
+	a.status = evhttp_request_get_response_code(req);
+	a.headers = evhttp_request_get_input_headers(req);
+	a.len = evbuffer_get_length(in);
+	a.body = a.len > 0 ? evbuffer_pullup(in, -1) : (const uint8_t *)"";
+	conn->closed = !keeps_alive(req);
+	conn->pool->answering = conn;
+	conn_put_idle(c->pool, conn);
+	call_free(c);
+	fn(&a, fn_arg);
+	conn->pool->answering = NULL;
+}
+
+static void
+add_headers(const struct http_request *r, struct evhttp_request *req)
+{
+	struct evkeyvalq *h = evhttp_request_get_output_headers(req);
+	char host[64];
+	size_t i;
+
+	snprintf(host, sizeof(host), "%s:%u", r->addr, r->port);
+	evhttp_add_header(h, "Host", host);
+	if (r->content_type != NULL && r->content_type[0] != '\0')
+		evhttp_add_header(h, "Content-Type", r->content_type);
+	for (i = 0; i < sizeof(r->headers) / sizeof(r->headers[0]); i++) {
+		if (r->headers[i].name == NULL)
+			break;
+		evhttp_add_header(h, r->headers[i].name, r->headers[i].value);
+	}
+}
+
+static void
+set_socket_options(struct conn *c)
+{
+	evutil_socket_t fd =
+	    bufferevent_getfd(evhttp_connection_get_bufferevent(c->ev));
+	unsigned ms = USER_TIMEOUT_MS;
+	int one = 1;
+
+	if (fd < 0)
+		return;
+	setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &ms, sizeof(ms));
+	setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof(one));
+}
+
+struct http_call *
+http_call(struct http_pool *p, const struct http_request *r)
+{
+	struct http_call *c = xcalloc(1, sizeof(*c));
+	struct timeval tv = {
+	    r->timeout_ms / 1000, (r->timeout_ms % 1000) * 1000};
+
+	c->pool = p;
+	c->fn = r->fn;
+	c->arg = r->arg;
+	c->timer = evtimer_new(p->base, on_timeout, c);
+	c->fail = evtimer_new(p->base, on_fail, c);
+	TAILQ_INSERT_TAIL(&p->calls, c, link);
+	c->conn = r->fresh ? NULL : conn_take_idle(p, r->addr, r->port);
+	if (c->conn == NULL)
+		c->conn = conn_new(p, r->addr, r->port);
+	c->conn->sent = 0;
+	c->req = evhttp_request_new(on_answer, c);
+	add_headers(r, c->req);
+	if (r->len > 0)
+		evbuffer_add(
+		    evhttp_request_get_output_buffer(c->req), r->body, r->len);
+	evtimer_add(c->timer, &tv);
+	if (evhttp_make_request(c->conn->ev, c->req, r->method, r->path) != 0) {
+		c->req = NULL;
+		call_fail_later(c, CC_ENOTSENT);
+		return c;
+	}
+	set_socket_options(c->conn);
+	return c;
+}
+
+void
+http_cancel(struct http_call *c)
+{
+	if (c->req != NULL)
+		evhttp_cancel_request(c->req);
+	if (c->conn != NULL)
+		conn_abort(c->conn);
+	call_free(c);
+}
+
+void
+http_pool_traffic(const struct http_pool *p, uint64_t *sent, uint64_t *received)
+{
+	*sent = p->sent;
+	*received = p->received;
+}
--- /dev/null
+++ b/src/transport/peer_net.c
@@ -0,0 +1,595 @@
+#include "peer_net.h"
+
+#include <arpa/inet.h>
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/listener.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <openssl/crypto.h>
+#include <openssl/rand.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/queue.h>
+#include <sys/socket.h>
+#include <uthash.h>
+
+#include "../base/err.h"
+#include "../base/kvlog.h"
+#include "../base/xalloc.h"
+#include "../platform/clock.h"
+#include "peer_auth.h"
+
+#define FRAME_MAX (66u << 20)
+#define HEAD_LEN 4
+#define TICK_MS 250
+#define SILENT_MS 3000
+#define HANDSHAKE_MS 2000
+#define REDIAL_MS 500
+#define USER_TIMEOUT_MS 3000
+#define LINKS_MAX 512
+
+enum link_state {
+	LINK_HELLO,
+	LINK_AUTH,
+	LINK_UP
+};
+
+struct link {
+	TAILQ_ENTRY(link) link;
+	struct peer_net *net;
+	struct bufferevent *bev;
+	struct peer *peer; /**< of a link that this host dialled */
+	enum link_state state;
+	uint64_t serial;
+	char host[64]; /**< of the other end */
+	uint8_t nonce[PEER_NONCE_LEN];
+	uint8_t other_nonce[PEER_NONCE_LEN];
+	int64_t heard_ms;
+	int64_t made_ms;
+};
+
+struct peer {
+	TAILQ_ENTRY(peer) link;
+	char host[64];
+	char addr[48];
+	uint16_t port;
+	struct link *out;
+	int64_t redial_ms;
+};
+
+struct call {
+	UT_hash_handle hh;
+	uint64_t id;
+	uint64_t link;
+	int64_t deadline_ms;
+	peer_reply_fn fn;
+	void *arg;
+	int err; /**< of a call that failed before it was sent */
+};
+
+struct peer_net {
+	struct event_base *base;
+	const struct settings *settings;
+	char incarnation[32];
+	struct evconnlistener *listener;
+	struct event *tick;
+	TAILQ_HEAD(link_list, link) links;
+	TAILQ_HEAD(peer_list, peer) peers;
+	struct call *calls;
+	uint64_t next_id;
+	uint64_t next_serial;
+	int nlinks;
+	peer_request_fn fn;
+	void *arg;
+	uint64_t sent;
+	uint64_t received;
+};
+
+static void
+send_frame(struct link *l, Cc__Frame *f)
+{
+	size_t len = cc__frame__get_packed_size(f);
+	uint8_t *buf = xmalloc(HEAD_LEN + len);
+	uint32_t head = htonl((uint32_t)len);
+
+	memcpy(buf, &head, HEAD_LEN);
+	cc__frame__pack(f, buf + HEAD_LEN);
+	evbuffer_add(bufferevent_get_output(l->bev), buf, HEAD_LEN + len);
+	l->net->sent += HEAD_LEN + len;
+	free(buf);
+}
+
+static void
+send_hello(struct link *l)
+{
+	Cc__Frame f = CC__FRAME__INIT;
+	Cc__Hello h = CC__HELLO__INIT;
+
+	h.host = (char *)l->net->settings->host;
+	h.incarnation = l->net->incarnation;
+	h.nonce.data = l->nonce;
+	h.nonce.len = sizeof(l->nonce);
+	f.body_case = CC__FRAME__BODY_HELLO;
+	f.hello = &h;
+	send_frame(l, &f);
+}
+
+static void
+auth_of(const struct link *l, bool mine, uint8_t mac[PEER_MAC_LEN])
+{
+	bool dialler = (l->peer != NULL) == mine;
+
+	peer_auth_mac(l->net->settings->key, dialler ? "dialler" : "listener",
+	    mine ? l->nonce : l->other_nonce, mine ? l->other_nonce : l->nonce,
+	    mine ? l->net->settings->host : l->host, mac);
+}
+
+static void
+send_auth(struct link *l)
+{
+	Cc__Frame f = CC__FRAME__INIT;
+	Cc__Auth a = CC__AUTH__INIT;
+	uint8_t mac[PEER_MAC_LEN];
+
+	auth_of(l, true, mac);
+	a.mac.data = mac;
+	a.mac.len = sizeof(mac);
+	f.body_case = CC__FRAME__BODY_AUTH;
+	f.auth = &a;
+	send_frame(l, &f);
+}
+
+static void
+fail_calls(struct peer_net *n, uint64_t serial)
+{
+	struct call *c, *tmp;
+
+	HASH_ITER(hh, n->calls, c, tmp)
+	{
+		if (c->link != serial)
+			continue;
+		HASH_DEL(n->calls, c);
+		c->fn(CC_ECONN, NULL, c->arg);
+		free(c);
+	}
+}
+
+static void
+link_delete(struct link *l, const char *why)
+{
+	struct peer_net *n = l->net;
+	struct peer *p = l->peer;
+	uint64_t serial = l->serial;
+
+	if (l->state == LINK_UP)
+		kvlog(KVLOG_INFO, "peer_down", "peer=%s why=%s dialled=%d",
+		    l->host, why, p != NULL);
+	if (p != NULL) {
+		p->out = NULL;
+		p->redial_ms = clock_boot_ms() + REDIAL_MS;
+	}
+	TAILQ_REMOVE(&n->links, l, link);
+	n->nlinks--;
+	bufferevent_free(l->bev);
+	free(l);
+	fail_calls(n, serial);
+}
+
+static bool
+check_auth(const struct link *l, const Cc__Auth *a)
+{
+	uint8_t mac[PEER_MAC_LEN];
+
+	auth_of(l, false, mac);
+	return a->mac.len == sizeof(mac) &&
+	    CRYPTO_memcmp(a->mac.data, mac, sizeof(mac)) == 0;
+}
+
+/* @return whether the handshake may go on. */
+static bool
+take_hello(struct link *l, const Cc__Frame *f)
+{
+	if (f->body_case != CC__FRAME__BODY_HELLO ||
+	    f->hello->nonce.len != PEER_NONCE_LEN || f->hello->host[0] == '\0')
+		return false;
+	str_copy(l->host, f->hello->host, sizeof(l->host));
+	memcpy(l->other_nonce, f->hello->nonce.data, PEER_NONCE_LEN);
+	if (l->peer != NULL)
+		send_auth(l);
+	else
+		send_hello(l);
+	l->state = LINK_AUTH;
+	return true;
+}
+
+static bool
+take_auth(struct link *l, const Cc__Frame *f)
+{
+	if (f->body_case != CC__FRAME__BODY_AUTH || !check_auth(l, f->auth)) {
+		kvlog(KVLOG_WARN, "peer_refused", "peer=%s why=key", l->host);
+		return false;
+	}
+	if (l->peer == NULL)
+		send_auth(l);
+	else if (l->peer->host[0] == '\0')
+		str_copy(l->peer->host, l->host, sizeof(l->peer->host));
+	l->state = LINK_UP;
+	kvlog(KVLOG_INFO, "peer_up", "peer=%s dialled=%d", l->host,
+	    l->peer != NULL);
+	return true;
+}
+
+static void
+take_reply(struct peer_net *n, const Cc__Frame *f)
+{
+	struct call *c;
+
+	HASH_FIND(hh, n->calls, &f->reply_to, sizeof(f->reply_to), c);
+	if (c == NULL)
+		return;
+	HASH_DEL(n->calls, c);
+	c->fn(CC_OK, f, c->arg);
+	free(c);
+}
+
+static bool
+take_frame(struct link *l, const Cc__Frame *f)
+{
+	struct peer_request rq;
+
+	l->heard_ms = clock_boot_ms();
+	if (l->state == LINK_HELLO)
+		return take_hello(l, f);
+	if (l->state == LINK_AUTH)
+		return take_auth(l, f);
+	if (f->reply_to != 0) {
+		take_reply(l->net, f);
+		return true;
+	}
+	rq.link = l->serial;
+	rq.id = f->id;
+	str_copy(rq.host, l->host, sizeof(rq.host));
+	l->net->fn(&rq, f, l->net->arg);
+	return true;
+}
+
+static struct link *
+find_link(const struct peer_net *n, uint64_t serial)
+{
+	struct link *l;
+
+	TAILQ_FOREACH (l, &n->links, link)
+		if (l->serial == serial)
+			return l;
+	return NULL;
+}
+
+static void
+on_read(struct bufferevent *bev, void *arg)
+{
+	struct link *l = arg;
+	struct peer_net *n = l->net;
+	struct evbuffer *in = bufferevent_get_input(bev);
+	uint64_t serial = l->serial;
+	uint32_t len;
+	Cc__Frame *f;
+	bool ok;
+
+	while (evbuffer_get_length(in) >= HEAD_LEN) {
+		evbuffer_copyout(in, &len, HEAD_LEN);
+		len = ntohl(len);
+		if (len > FRAME_MAX ||
+		    (l->state != LINK_UP && len > HEAD_LEN * 256)) {
+			link_delete(l, "frame-size");
+			return;
+		}
+		if (evbuffer_get_length(in) < HEAD_LEN + len)
+			return;
+		evbuffer_drain(in, HEAD_LEN);
+		f = cc__frame__unpack(NULL, len, evbuffer_pullup(in, len));
+		evbuffer_drain(in, len);
+		n->received += HEAD_LEN + len;
+		ok = f != NULL && take_frame(l, f);
+		if (f != NULL)
+			cc__frame__free_unpacked(f, NULL);
+		/* A handler may have closed the link. */
+		if (find_link(n, serial) == NULL)
+			return;
+		if (!ok) {
+			link_delete(l, "protocol");
+			return;
+		}
+	}
+}
+
+static void
+on_event(struct bufferevent *bev, short what, void *arg)
+{
+	struct link *l = arg;
+
+	(void)bev;
+	if (what & BEV_EVENT_CONNECTED) {
+		l->heard_ms = clock_boot_ms();
+		send_hello(l);
+		return;
+	}
+	link_delete(l, what & BEV_EVENT_EOF ? "closed" : "error");
+}
+
+static void
+set_options(evutil_socket_t fd)
+{
+	unsigned ms = USER_TIMEOUT_MS;
+	int one = 1;
+
+	setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof(one));
+	setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &ms, sizeof(ms));
+}
+
+static struct link *
+link_new(struct peer_net *n, evutil_socket_t fd, struct peer *p)
+{
+	struct link *l = xcalloc(1, sizeof(*l));
+
+	l->net = n;
+	l->peer = p;
+	l->serial = ++n->next_serial;
+	l->made_ms = l->heard_ms = clock_boot_ms();
+	RAND_bytes(l->nonce, sizeof(l->nonce));
+	l->bev = bufferevent_socket_new(n->base, fd, BEV_OPT_CLOSE_ON_FREE);
+	bufferevent_setcb(l->bev, on_read, NULL, on_event, l);
+	bufferevent_enable(l->bev, EV_READ | EV_WRITE);
+	TAILQ_INSERT_TAIL(&n->links, l, link);
+	n->nlinks++;
+	return l;
+}
+
+static bool
+parse_addr(const char *addr, uint16_t port, struct sockaddr_storage *ss,
+    socklen_t *len)
+{
+	struct sockaddr_in *a4 = (struct sockaddr_in *)ss;
+	struct sockaddr_in6 *a6 = (struct sockaddr_in6 *)ss;
+
+	memset(ss, 0, sizeof(*ss));
+	if (inet_pton(AF_INET, addr, &a4->sin_addr) == 1) {
+		a4->sin_family = AF_INET;
+		a4->sin_port = htons(port);
+		*len = sizeof(*a4);
+		return true;
+	}
+	a6->sin6_family = AF_INET6;
+	a6->sin6_port = htons(port);
+	*len = sizeof(*a6);
+	return inet_pton(AF_INET6, addr, &a6->sin6_addr) == 1;
+}
+
+static void
+dial(struct peer_net *n, struct peer *p)
+{
+	struct sockaddr_storage ss;
+	socklen_t len;
+	struct link *l;
+
+	p->redial_ms = clock_boot_ms() + REDIAL_MS;
+	if (!parse_addr(p->addr, p->port, &ss, &len))
+		return;
+	l = link_new(n, -1, p);
+	p->out = l;
+	if (bufferevent_socket_connect(
+		l->bev, (struct sockaddr *)&ss, (int)len) != 0) {
+		link_delete(l, "dial");
+		return;
+	}
+	set_options(bufferevent_getfd(l->bev));
+}
+
+static void
+on_accept(struct evconnlistener *ls, evutil_socket_t fd, struct sockaddr *sa,
+    int len, void *arg)
+{
+	struct peer_net *n = arg;
+
+	(void)ls;
+	(void)sa;
+	(void)len;
+	if (n->nlinks >= LINKS_MAX) {
+		evutil_closesocket(fd);
+		return;
+	}
+	set_options(fd);
+	link_new(n, fd, NULL);
+}
+
+static void
+expire_calls(struct peer_net *n, int64_t now)
+{
+	struct call *c, *tmp;
+
+	HASH_ITER(hh, n->calls, c, tmp)
+	{
+		if (c->err == CC_OK && now < c->deadline_ms)
+			continue;
+		HASH_DEL(n->calls, c);
+		c->fn(c->err != CC_OK ? c->err : CC_ETIMEOUT, NULL, c->arg);
+		free(c);
+	}
+}
+
+static bool
+link_stale(const struct link *l, int64_t now)
+{
+	if (l->state != LINK_UP)
+		return now - l->made_ms > HANDSHAKE_MS;
+	return now - l->heard_ms > SILENT_MS;
+}
+
+static void
+on_tick(evutil_socket_t fd, short what, void *arg)
+{
+	struct peer_net *n = arg;
+	int64_t now = clock_boot_ms();
+	struct link *l, *next;
+	struct peer *p;
+
+	(void)fd;
+	(void)what;
+	for (l = TAILQ_FIRST(&n->links); l != NULL; l = next) {
+		next = TAILQ_NEXT(l, link);
+		if (link_stale(l, now))
+			link_delete(l, "silent");
+	}
+	TAILQ_FOREACH (p, &n->peers, link)
+		if (p->out == NULL && now >= p->redial_ms)
+			dial(n, p);
+	expire_calls(n, now);
+}
+
+struct peer_net *
+peer_net_new(struct event_base *base, const struct settings *s,
+    const char *incarnation, peer_request_fn fn, void *arg)
+{
+	struct peer_net *n = xcalloc(1, sizeof(*n));
+	struct timeval tv = {0, TICK_MS * 1000};
+	struct sockaddr_storage ss;
+	socklen_t len;
+
+	n->base = base;
+	n->settings = s;
+	n->fn = fn;
+	n->arg = arg;
+	str_copy(n->incarnation, incarnation, sizeof(n->incarnation));
+	TAILQ_INIT(&n->links);
+	TAILQ_INIT(&n->peers);
+	if (parse_addr(s->addr, (uint16_t)s->peer_port, &ss, &len))
+		n->listener = evconnlistener_new_bind(base, on_accept, n,
+		    LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE, -1,
+		    (struct sockaddr *)&ss, (int)len);
+	if (n->listener == NULL) {
+		free(n);
+		return NULL;
+	}
+	n->tick = event_new(base, -1, EV_PERSIST, on_tick, n);
+	event_add(n->tick, &tv);
+	return n;
+}
+
+void
+peer_net_delete(struct peer_net *n)
+{
+	struct peer *p;
+
+	while (!TAILQ_EMPTY(&n->links))
+		link_delete(TAILQ_FIRST(&n->links), "shutdown");
+	while ((p = TAILQ_FIRST(&n->peers)) != NULL) {
+		TAILQ_REMOVE(&n->peers, p, link);
+		free(p);
+	}
+	expire_calls(n, INT64_MAX);
+	evconnlistener_free(n->listener);
+	event_free(n->tick);
+	free(n);
+}
+
+static struct peer *
+find_peer(const struct peer_net *n, const char *host)
+{
+	struct peer *p;
+
+	TAILQ_FOREACH (p, &n->peers, link)
+		if (strcmp(p->host, host) == 0)
+			return p;
+	return NULL;
+}
+
+void
+peer_net_add(
+    struct peer_net *n, const char *host, const char *addr, uint16_t port)
+{
+	struct peer *p;
+
+	TAILQ_FOREACH (p, &n->peers, link)
+		if (strcmp(p->addr, addr) == 0 && p->port == port)
+			break;
+	if (p == NULL) {
+		p = xcalloc(1, sizeof(*p));
+		str_copy(p->addr, addr, sizeof(p->addr));
+		p->port = port;
+		TAILQ_INSERT_TAIL(&n->peers, p, link);
+	}
+	if (*host != '\0')
+		str_copy(p->host, host, sizeof(p->host));
+}
+
+void
+peer_net_remove(struct peer_net *n, const char *host)
+{
+	struct peer *p = find_peer(n, host);
+
+	if (p == NULL)
+		return;
+	if (p->out != NULL)
+		link_delete(p->out, "removed");
+	TAILQ_REMOVE(&n->peers, p, link);
+	free(p);
+}
+
+bool
+peer_net_up(const struct peer_net *n, const char *host)
+{
+	struct peer *p = find_peer(n, host);
+
+	return p != NULL && p->out != NULL && p->out->state == LINK_UP;
+}
+
+int
+peer_net_hosts(const struct peer_net *n, char (*out)[64], int max)
+{
+	struct peer *p;
+	int i = 0;
+
+	TAILQ_FOREACH (p, &n->peers, link)
+		if (i < max && p->out != NULL && p->out->state == LINK_UP)
+			str_copy(out[i++], p->host, 64);
+	return i;
+}
+
+void
+peer_call(struct peer_net *n, const char *host, Cc__Frame *f,
+    int64_t timeout_ms, peer_reply_fn fn, void *arg)
+{
+	struct peer *p = find_peer(n, host);
+	struct call *c = xcalloc(1, sizeof(*c));
+
+	c->id = f->id = ++n->next_id;
+	c->deadline_ms = clock_boot_ms() + timeout_ms;
+	c->fn = fn;
+	c->arg = arg;
+	HASH_ADD(hh, n->calls, id, sizeof(c->id), c);
+	if (p == NULL || p->out == NULL || p->out->state != LINK_UP) {
+		c->err = CC_ENOTSENT;
+		return;
+	}
+	c->link = p->out->serial;
+	send_frame(p->out, f);
+}
+
+void
+peer_reply(struct peer_net *n, const struct peer_request *rq, Cc__Frame *f)
+{
+	struct link *l = find_link(n, rq->link);
+
+	if (l == NULL || rq->id == 0)
+		return;
+	f->id = 0;
+	f->reply_to = rq->id;
+	send_frame(l, f);
+}
+
+void
+peer_net_traffic(const struct peer_net *n, uint64_t *sent, uint64_t *received)
+{
+	*sent = n->sent;
+	*received = n->received;
+}
