Failure tests, and the faults they found

Runs are told apart by their attempt. - A host with three workers could never put one in quarantine; one always may. - A host that starts in an outage of the table heard of no configuration, because its peers do not dial it: the answer to a beat now tells the version.

--- a/src/coordination/place.c
+++ b/src/coordination/place.c
@@ -35,23 +35,20 @@
 {
 	const struct slot *slots = p->slots;
 	uint32_t s, best_score = UINT32_MAX;
-	int i, best = -1, avoided = -1;
+	int i, best = -1;
 
 	for (i = 0; i < p->count; i++) {
 		if (!slots[i].usable || !size_fits(need, &slots[i].free) ||
 		    (shard != SHARD_ANY && slots[i].shard != shard))
 			continue;
 		s = score(&slots[i].free, &p->workers[i]->total, need);
-		if (s >= best_score)
+		if (s >= best_score ||
+		    (avoid != NULL && strcmp(p->workers[i]->name, avoid) == 0))
 			continue;
-		if (avoid != NULL && strcmp(p->workers[i]->name, avoid) == 0) {
-			avoided = i;
-			continue;
-		}
 		best_score = s;
 		best = i;
 	}
-	return best >= 0 ? best : avoided;
+	return best;
 }
 
 bool
--- a/src/coordination/place.h
+++ b/src/coordination/place.h
@@ -5,8 +5,8 @@
 #include "../state/worker.h"
 
 /**
- * Best fit over the slots of one shard, or of all with SHARD_ANY. The worker
- * @p avoid is taken only when no other one fits; NULL for none.
+ * Best fit over the slots of one shard, or of all with SHARD_ANY, but never the
+ * worker @p avoid; NULL for none.
  * @return index of the worker, or -1 when it fits nowhere now.
  */
 int place_best(const struct worker_pool *p, int shard, const char *avoid,
--- a/src/coordination/quarantine.c
+++ b/src/coordination/quarantine.c
@@ -33,7 +33,8 @@
 static bool
 within_cap(int quarantined, int total)
 {
-	return (quarantined + 1) * 100 <= total * QUARANTINE_MAX_PCT;
+	return quarantined == 0 ||
+	    (quarantined + 1) * 100 <= total * QUARANTINE_MAX_PCT;
 }
 
 bool
--- a/src/coordination/quarantine.h
+++ b/src/coordination/quarantine.h
@@ -14,7 +14,7 @@
 #define HEALTH_DISTINCT_FAILURES 3
 #define QUARANTINE_FIRST_MS 5000
 #define QUARANTINE_MAX_MS 300000
-/** Largest share of the workers that may be in quarantine, in percent. */
+/** Largest share of the workers in quarantine, in percent; one always may. */
 #define QUARANTINE_MAX_PCT 25
 /** A failure counts against the worker only this soon after the start. */
 #define HEALTH_EARLY_MS 2000
--- a/src/daemon/home.c
+++ b/src/daemon/home.c
@@ -182,6 +182,7 @@
 		l = &n->loads[i];
 		if (n->shards[i].state != SHARD_OTHER ||
 		    now - l->at_ms > LOAD_FRESH_MS ||
+		    !peer_net_up(n->peers, n->shards[i].owner) ||
 		    !size_fits(need, &l->free) || need->cpus > l->largest_cpus)
 			continue;
 		if (best == NULL || l->largest_cpus < best->largest_cpus)
@@ -196,34 +197,44 @@
 	struct reservation *local;
 };
 
-/* Finds a shard with room: first among the own ones, then by the beats. */
 static bool
-choose_site(struct home *h, struct member *m, int64_t now, struct site *out)
+choose_local(
+    struct home *h, struct member *m, const char *avoid, struct site *out)
 {
 	struct node *n = h->node;
 	struct entry *e = m->entry;
-	struct shard_load *l;
 	struct worker *w;
 	char key[TASK_KEY_LEN];
 	int i;
 
+	if (!node_may_start(n))
+		return false;
+	i = place_best(&n->pool, SHARD_ANY, avoid, &e->size);
+	if (i < 0)
+		return false;
+	w = n->pool.workers[i];
 	member_key(m, key);
-	i = node_may_start(n)
-	    ? place_best(&n->pool, SHARD_ANY, m->avoid, &e->size)
-	    : -1;
-	if (i >= 0) {
-		w = n->pool.workers[i];
-		if (worker_reserve(&n->pool, w, key, &e->size, &out->local) !=
-		    CC_OK)
-			return false;
-		placer_hold(n->placer, out->local, e->class_name);
-		out->shard = (uint32_t)w->shard;
-		out->epoch = n->shards[w->shard].own_epoch;
+	if (worker_reserve(&n->pool, w, key, &e->size, &out->local) != CC_OK)
+		return false;
+	placer_hold(n->placer, out->local, e->class_name);
+	out->shard = (uint32_t)w->shard;
+	out->epoch = n->shards[w->shard].own_epoch;
+	return true;
+}
+
+/* Finds a shard with room: first among the own ones, then by the beats. */
+static bool
+choose_site(struct home *h, struct member *m, int64_t now, struct site *out)
+{
+	struct node *n = h->node;
+	struct entry *e = m->entry;
+	struct shard_load *l;
+
+	if (choose_local(h, m, m->avoid, out))
 		return true;
-	}
 	l = best_load(n, &e->size, now);
 	if (l == NULL)
-		return false;
+		return m->avoid[0] != '\0' && choose_local(h, m, NULL, out);
 	out->local = NULL;
 	out->shard = (uint32_t)(l - n->loads);
 	out->epoch = l->epoch;
@@ -468,6 +479,13 @@
 		if (e->count > 1)
 			gang_abort(h, home, e);
 		break;
+	case CC_ENOTSENT:
+		/* No question about this site ever left this host. */
+		if (!m->may_have_got_it && e->count == 1)
+			requeue(h, home, m, false);
+		else
+			home_ask_later(n, m);
+		break;
 	case CC_ENOENT:
 		/* The shard changed hands and nobody knows of the member. */
 		settle_simple(
@@ -655,8 +673,10 @@
 		for (i = 0; i < e->count; i++)
 			if (e->members[i].state == MEMBER_WAITING)
 				home_queue(h, &e->members[i]);
-			else if (e->members[i].state == MEMBER_SITED)
+			else if (e->members[i].state == MEMBER_SITED) {
+				e->members[i].may_have_got_it = true;
 				home_ask_later(h->node, &e->members[i]);
+			}
 	}
 }
 
--- a/src/daemon/home_ask.c
+++ b/src/daemon/home_ask.c
@@ -84,7 +84,7 @@
 		placed(f->place_reply, arg);
 		return;
 	}
-	r.error = CC_EUNAVAIL;
+	r.error = err == CC_ENOTSENT ? CC_ENOTSENT : CC_EUNAVAIL;
 	placed(&r, arg);
 }
 
@@ -131,11 +131,14 @@
 	p.site_epoch = m->shard_epoch;
 	p.avoid = m->avoid;
 	if (target->state == SHARD_OWNED) {
+		m->may_have_got_it = true;
 		placer_place(n->placer, &p, placed, ask_new(home, m));
 		return;
 	}
 	f.body_case = CC__FRAME__BODY_PLACE;
 	f.place = &p;
+	if (peer_net_up(n->peers, target->owner))
+		m->may_have_got_it = true;
 	peer_call(n->peers, target->owner, &f, ASK_TIMEOUT_MS, place_reply,
 	    ask_new(home, m));
 }
--- a/src/daemon/home_ops.c
+++ b/src/daemon/home_ops.c
@@ -207,8 +207,12 @@
 {
 	struct entry *e = ledger_find(&s->ledger, id);
 
+	/* Without the lease another host may know of it meanwhile. */
 	if (e == NULL)
-		reply_error(fn, arg, CC_ENOENT);
+		reply_error(fn, arg,
+		    lease_valid(&s->node->lease, clock_boot_ms(), 0)
+			? CC_ENOENT
+			: CC_ENOTOWNER);
 	else if (wait_ms > 0 && (e->state != ENTRY_ENDED || e->ending))
 		op_wait(s, e, wait_ms, fn, arg);
 	else
@@ -237,8 +241,12 @@
 	struct entry *e = ledger_find(&s->ledger, id);
 	struct op *o;
 
-	if (e == NULL || e->routed) {
-		reply_error(fn, arg, e == NULL ? CC_ENOENT : CC_EINVAL);
+	if (e == NULL) {
+		op_get(s, id, 0, fn, arg);
+		return;
+	}
+	if (e->routed) {
+		reply_error(fn, arg, CC_EINVAL);
 		return;
 	}
 	o = op_new(s, id, fn, arg);
--- a/src/daemon/peers.c
+++ b/src/daemon/peers.c
@@ -23,6 +23,11 @@
 	unsigned count;
 };
 
+struct beat_call {
+	struct node *node;
+	char host[64];
+};
+
 static Cc__ShardLoad *
 shard_load(struct node *n, const struct shard *s)
 {
@@ -59,9 +64,22 @@
 static void
 beat_acked(int err, const Cc__Frame *f, void *arg)
 {
-	(void)err;
-	(void)f;
-	(void)arg;
+	struct beat_call *c = arg;
+
+	if (err == CC_OK && f->body_case == CC__FRAME__BODY_ACK)
+		conf_sync_heard(
+		    c->node->conf_sync, c->host, f->ack->conf_version);
+	free(c);
+}
+
+static struct beat_call *
+beat_call_new(struct node *n, const char *host)
+{
+	struct beat_call *c = xcalloc(1, sizeof(*c));
+
+	c->node = n;
+	str_copy(c->host, host, sizeof(c->host));
+	return c;
 }
 
 void
@@ -85,8 +103,8 @@
 	f.body_case = CC__FRAME__BODY_BEAT;
 	f.beat = &b;
 	for (i = 0; i < count; i++)
-		peer_call(
-		    n->peers, hosts[i], &f, BEAT_TIMEOUT_MS, beat_acked, NULL);
+		peer_call(n->peers, hosts[i], &f, BEAT_TIMEOUT_MS, beat_acked,
+		    beat_call_new(n, hosts[i]));
 	for (k = 0; k < b.n_shards; k++)
 		free(b.shards[k]);
 	free(b.shards);
@@ -183,6 +201,7 @@
 	Cc__Ack a = CC__ACK__INIT;
 
 	a.error = err;
+	a.conf_version = n->conf.version;
 	f.body_case = CC__FRAME__BODY_ACK;
 	f.ack = &a;
 	peer_reply(n->peers, rq, &f);
--- a/src/daemon/placer.c
+++ b/src/daemon/placer.c
@@ -132,11 +132,11 @@
 	r->attempt = c->attempt = m->attempt;
 	c->shard = w->shard;
 	set_state(r, STARTING);
-	body = json_pack("{s:s,s:s,s:i,s:i,s:i,s:I,s:I,s:I}", "key", r->key,
+	body = json_pack("{s:s,s:s,s:i,s:i,s:i,s:I,s:I,s:I,s:I}", "key", r->key,
 	    "class", r->class_name, "cpus", (int)r->size.cpus, "memory_mb",
 	    (int)r->size.memory_mb, "accelerators", (int)r->size.accelerators,
-	    "run_ms", (json_int_t)m->run_ms, "lease_ms",
-	    (json_int_t)p->node->settings->worker_lease_ms, "epoch",
+	    "run_ms", (json_int_t)m->run_ms, "attempt", (json_int_t)m->attempt,
+	    "lease_ms", (json_int_t)p->node->settings->worker_lease_ms, "epoch",
 	    (json_int_t)shard_epoch(p, w->shard));
 	text = json_dumps(body, JSON_COMPACT);
 	rq.body = text;
@@ -216,6 +216,8 @@
 		return;
 	}
 	i = place_best(pool, (int)m->shard, m->avoid, need);
+	if (i < 0)
+		i = place_best(pool, (int)m->shard, NULL, need);
 	if (i < 0 ||
 	    worker_reserve(pool, pool->workers[i], key, need, &r) != CC_OK) {
 		reply_place(fn, arg, CC_EBUSY, "", epoch, false);
@@ -363,7 +365,7 @@
 		r->since_ms = clock_boot_ms();
 		if (err == CC_OK) {
 			if (!r->lost)
-				watch_ack(r->worker->watch, r->key);
+				watch_ack(r->worker->watch, r->key, r->attempt);
 			worker_release(&p->node->pool, r);
 		}
 	}
@@ -450,11 +452,16 @@
 
 void
 placer_task_ended(struct placer *p, struct worker *w, const char *key,
-    int exit_status, uint64_t run_ms)
+    uint64_t attempt, int exit_status, uint64_t run_ms)
 {
 	struct reservation *r = worker_pool_reservation(&p->node->pool, key);
 
-	if (r == NULL || r->worker != w || r->state == FINISHED)
+	if (r == NULL || r->worker != w || r->attempt != attempt) {
+		/* The end of an earlier run, which its home heard of. */
+		watch_ack(w->watch, key, attempt);
+		return;
+	}
+	if (r->state == FINISHED)
 		return;
 	r->exit_status = exit_status;
 	r->run_ms = run_ms;
@@ -481,21 +488,22 @@
 
 void
 placer_task_seen(struct placer *p, struct worker *w, const char *key,
-    const char *class_name, const struct size *size)
+    uint64_t attempt, const char *class_name, const struct size *size)
 {
-	struct reservation *r = worker_adopt(&p->node->pool, w, key, size);
+	struct reservation *r = worker_pool_reservation(&p->node->pool, key);
 
-	if (r == NULL) {
+	if (r != NULL && (r->worker != w || attempt < r->attempt)) {
 		kvlog(KVLOG_ERROR, "task_twice", "key=%s worker=%s", key,
 		    w->name);
 		return;
 	}
-	if (r->state == FINISHED || r->state == STOPPING)
-		return;
-	if (r->state != RUNNING) {
-		set_state(r, RUNNING);
+	if (r == NULL) {
+		r = worker_adopt(&p->node->pool, w, key, size);
 		str_copy(r->class_name, class_name, sizeof(r->class_name));
 	}
+	r->attempt = attempt;
+	if (r->state != FINISHED && r->state != STOPPING && r->state != RUNNING)
+		set_state(r, RUNNING);
 }
 
 /* ---- shards and workers coming and going ---- */
--- a/src/daemon/placer.h
+++ b/src/daemon/placer.h
@@ -32,11 +32,11 @@
 
 /* Used by the watches. */
 
-/** A worker reported a task, or that a task ended. */
+/** A worker reported one run of a task, told apart by its attempt. */
 void placer_task_seen(struct placer *p, struct worker *w, const char *key,
-    const char *class_name, const struct size *size);
+    uint64_t attempt, const char *class_name, const struct size *size);
 void placer_task_ended(struct placer *p, struct worker *w, const char *key,
-    int exit_status, uint64_t run_ms);
+    uint64_t attempt, int exit_status, uint64_t run_ms);
 /** The task is not on its worker any more and was not reported as ended. */
 void placer_task_lost(struct placer *p, struct reservation *r);
 
--- a/src/daemon/watch.c
+++ b/src/daemon/watch.c
@@ -75,17 +75,21 @@
 {
 	struct placer *p = w->node->placer;
 	const char *key = text_of(t, "key");
+	uint64_t attempt =
+	    (uint64_t)json_integer_value(json_object_get(t, "attempt"));
 	struct size size = json_size(t);
 
 	if (*key == '\0' || strlen(key) >= TASK_KEY_LEN)
 		return;
 	if (strcmp(text_of(t, "state"), "running") == 0) {
-		placer_task_seen(p, w->worker, key, text_of(t, "class"), &size);
+		placer_task_seen(
+		    p, w->worker, key, attempt, text_of(t, "class"), &size);
 		return;
 	}
 	if (worker_pool_reservation(&w->node->pool, key) == NULL)
-		placer_task_seen(p, w->worker, key, text_of(t, "class"), &size);
-	placer_task_ended(p, w->worker, key,
+		placer_task_seen(
+		    p, w->worker, key, attempt, text_of(t, "class"), &size);
+	placer_task_ended(p, w->worker, key, attempt,
 	    (int)json_integer_value(json_object_get(t, "exit")),
 	    (uint64_t)json_integer_value(json_object_get(t, "run_ms")));
 }
@@ -334,9 +338,10 @@
 }
 
 void
-watch_ack(struct watch *w, const char *key)
+watch_ack(struct watch *w, const char *key, uint64_t attempt)
 {
-	json_array_append_new(w->acks, json_string(key));
+	json_array_append_new(w->acks,
+	    json_pack("{s:s,s:I}", "key", key, "attempt", (json_int_t)attempt));
 }
 
 void
--- a/src/daemon/watch.h
+++ b/src/daemon/watch.h
@@ -17,8 +17,8 @@
 struct watch *watch_new(struct node *n, struct worker *w);
 /** NULL is allowed. */
 void watch_delete(struct watch *w);
-/** Lets the worker forget an ended task with the next poll. */
-void watch_ack(struct watch *w, const char *key);
+/** Lets the worker forget an ended run with the next poll. */
+void watch_ack(struct watch *w, const char *key, uint64_t attempt);
 /** Polls the full list soon. */
 void watch_hurry(struct watch *w);
 /** Whether no task can run on a worker that does not answer. */
--- a/src/protocol/peer.pb-c.c
+++ b/src/protocol/peer.pb-c.c
@@ -4544,7 +4544,7 @@
   (ProtobufCMessageInit) cc__ended__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cc__ack__field_descriptors[1] =
+static const ProtobufCFieldDescriptor cc__ack__field_descriptors[2] =
 {
   {
     "error",
@@ -4558,14 +4558,27 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "conf_version",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Cc__Ack, conf_version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cc__ack__field_indices_by_name[] = {
+  1,   /* field[1] = conf_version */
   0,   /* field[0] = error */
 };
 static const ProtobufCIntRange cc__ack__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 1 }
+  { 0, 2 }
 };
 const ProtobufCMessageDescriptor cc__ack__descriptor =
 {
@@ -4575,7 +4588,7 @@
   "Cc__Ack",
   "cc",
   sizeof(Cc__Ack),
-  1,
+  2,
   cc__ack__field_descriptors,
   cc__ack__field_indices_by_name,
   1,  cc__ack__number_ranges,
--- a/src/protocol/peer.pb-c.h
+++ b/src/protocol/peer.pb-c.h
@@ -594,10 +594,14 @@
 {
   ProtobufCMessage base;
   int32_t error;
+  /*
+   * in the answer to a beat
+   */
+  uint64_t conf_version;
 };
 #define CC__ACK__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cc__ack__descriptor) \
-    , 0 }
+    , 0, 0 }
 
 
 typedef enum {
--- a/src/state/ledger.h
+++ b/src/state/ledger.h
@@ -59,6 +59,7 @@
 	struct ready_item ready;
 	bool asking; /**< a Place or Stop is under way */
 	bool reserved;
+	bool may_have_got_it; /**< a Place of this site may have arrived */
 	enum member_stop stop;
 	uint64_t attempt;
 	int64_t retry_ms; /**< not placed before */
--- /dev/null
+++ b/tests/scripts/fail-runner.sh
@@ -0,0 +1,31 @@
+#!/usr/bin/env bash
+# Runners: answers lost after the run, open connections gone silent, one that
+# leaves by its own word and one that the host list says is leaving.
+PLATFORM=${PLATFORM:-18000}
+RUNNERS=6
+. "$(dirname "$0")/lib.sh"
+setup
+start_cluster 3 || exit 1
+load 10 60 15 1 2 3
+sleep 1
+fault runner_lose_pct=10
+sleep 2
+fault runner_lose_pct=0
+fault runner_silent=n0
+fault runner_silent=n1
+sleep 1
+fault runner_leave=n2
+sleep 1
+fault leaving=n3
+fault leaving=w0
+sleep 1
+fault hostlist_stale=1
+sleep 1
+fault hostlist_stale=0
+fault hostlist_empty=1
+sleep 2
+fault hostlist_empty=0
+load_done
+check "every request settled" all_settled
+check "invariants by the stand-in's record" judge leave_ms=3000
+finish
--- a/tests/scripts/lib.sh
+++ b/tests/scripts/lib.sh
@@ -187,3 +187,35 @@
 	echo "$PASSED passed, $FAILED failed"
 	[ "$FAILED" -eq 0 ]
 }
+
+# load SECONDS RATE SEED HOSTS...: callers of every class, in the background
+load() {
+	local t=() h
+	for h in "${@:4}"; do t+=(--target "$(addr "$h"):$((PLATFORM + 10))"); done
+	"$BIN/caller" "${t[@]}" --rate "$2" --seconds "$1" --seed "$3" \
+	    --drain "${DRAIN:-45}" --prefix "q$3" \
+	    --out "$RUN/outcomes.jsonl" \
+	    --mix booking:request:4:20:1:1:0:2000 \
+	    --mix dispatch:request:3:30:1:1:0:100 \
+	    --mix callout:task:3:400:1:1:10 --mix cure:task:3:900:2:1:5 \
+	    --mix cure:task:1:500:2:3:5 > "$RUN/caller.out" &
+	LOAD=$!
+	PIDS+=($LOAD)
+}
+
+load_done() { wait "$LOAD"; LOAD_RC=$?; cat "$RUN/caller.out"; }
+
+# The checker's verdict on the run; leave some time for the last stops.
+judge() {
+	sleep 0.3
+	"$BIN/checker" "$RECORD" "$RUN/outcomes.jsonl" once=dispatch \
+	    once=callout cpus="$CPUS" memory="$MEMORY" "$@"
+}
+
+all_settled() { [ "$LOAD_RC" -eq 0 ]; }
+
+logged() { # PATTERN HOSTS...
+	local p=$1 h
+	for h in "${@:2}"; do grep -q "$p" "$RUN/e$h.log" && return 0; done
+	return 1
+}
--- a/tests/standin/worker.c
+++ b/tests/standin/worker.c
@@ -15,7 +15,8 @@
 	char key[96];
 	char class_name[64];
 	int cpus, memory_mb, accelerators;
-	int serial; /**< tells two runs of one key apart */
+	int serial;	    /**< tells two runs of one key apart */
+	json_int_t attempt; /**< as the start gave it */
 	int64_t started_us;
 	int64_t lease_until_us;
 	int64_t seq; /**< of its last change */
@@ -65,10 +66,10 @@
 		if (t->seq <= since)
 			continue;
 		json_array_append_new(tasks,
-		    json_pack("{s:s,s:s,s:s,s:i,s:i,s:i,s:i,s:I}", "key",
-			t->key, "class", t->class_name, "state",
-			t->running ? "running" : "ended", "cpus", t->cpus,
-			"memory_mb", t->memory_mb, "accelerators",
+		    json_pack("{s:s,s:I,s:s,s:s,s:i,s:i,s:i,s:i,s:I}", "key",
+			t->key, "attempt", t->attempt, "class", t->class_name,
+			"state", t->running ? "running" : "ended", "cpus",
+			t->cpus, "memory_mb", t->memory_mb, "accelerators",
 			t->accelerators, "exit", t->exit, "run_ms",
 			(json_int_t)t->run_ms));
 	}
@@ -160,6 +161,7 @@
 	t->memory_mb = int_of(j, "memory_mb");
 	t->accelerators = int_of(j, "accelerators");
 	t->serial = ++w->serials;
+	t->attempt = json_integer_value(json_object_get(j, "attempt"));
 	t->started_us = now_us();
 	t->lease_until_us =
 	    t->started_us + (int64_t)int_of(j, "lease_ms") * 1000;
@@ -196,13 +198,15 @@
 }
 
 static void
-forget(struct worker *w, const char *key)
+forget(struct worker *w, const json_t *ack)
 {
 	struct task *t, *next;
 
 	for (t = TAILQ_FIRST(&w->tasks); t != NULL; t = next) {
 		next = TAILQ_NEXT(t, link);
-		if (t->running || strcmp(t->key, key) != 0)
+		if (t->running || strcmp(t->key, text_of(ack, "key")) != 0 ||
+		    t->attempt !=
+			json_integer_value(json_object_get(ack, "attempt")))
 			continue;
 		TAILQ_REMOVE(&w->tasks, t, link);
 		event_free(t->end);
@@ -229,7 +233,7 @@
 	size_t i;
 
 	for (i = 0; i < json_array_size(acks); i++)
-		forget(w, json_string_value(json_array_get(acks, i)));
+		forget(w, json_array_get(acks, i));
 	if (lease > 0)
 		TAILQ_FOREACH (t, &w->tasks, link)
 			if (t->running)
