Fewer bytes and writes for control; requests wait out a change of owners

Change: records say how long they may wait for others (now, soon, lazy) and a shard has credits for commits; the hosts' addresses stand apart from the rows that are read every 1.5 s; the shards' rows are read every 10 s while nothing moves and at once when they prove stale; a worker's poll tells only the ends. Tried and dropped: a commit period of 250 ms for everything.

--- a/Makefile
+++ b/Makefile
@@ -59,7 +59,7 @@
 $(B)/prop: $(patsubst %.cc,$(B)/%.o,$(wildcard tests/prop/*.cc)) $(B)/libcc.a
 	$(CXX) -o $@ $^ -lrapidcheck $(LIBS)
 
-$(B)/bench: $(patsubst %.c,$(B)/%.o,$(wildcard bench/*.c)) $(B)/libcc.a
+$(B)/bench-place: $(patsubst %.c,$(B)/%.o,$(wildcard bench/*.c)) $(B)/libcc.a
 	$(CC) -o $@ $^ $(LIBS)
 
 $(B)/%.o: %.c
@@ -87,7 +87,7 @@
 	@tests/scripts/run-all.sh
 
 bench: deps
-	@$(MAKE) -s all $(B)/bench
+	@$(MAKE) -s all $(B)/bench-place
 	@tests/scripts/bench.sh
 
 OWN = $(filter-out %.pb-c.c,$(LIBSRC)) $(DAEMON) $(CTL) $(STANDIN) \
--- /dev/null
+++ b/bench/bench.c
@@ -0,0 +1,226 @@
+/*
+ * Measures the placement decision alone: its rate and tail at the size of
+ * docs/CAPACITY.md, and how tightly it packs, each beside a baseline.
+ */
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "../src/base/err.h"
+#include "../src/base/hist.h"
+#include "../src/base/xalloc.h"
+#include "../src/coordination/place.h"
+#include "../src/platform/clock.h"
+
+#define RUNS 5
+#define TASKS 7500
+#define CHURN 200000
+#define SHARDS 16
+
+typedef int (*choose_fn)(const struct worker_pool *p, const struct size *s);
+
+static int
+choose_best(const struct worker_pool *p, const struct size *s)
+{
+	return place_best(p, SHARD_ANY, NULL, s);
+}
+
+/* Baseline: the first worker that fits. */
+static int
+choose_first(const struct worker_pool *p, const struct size *s)
+{
+	int i;
+
+	for (i = 0; i < p->count; i++)
+		if (p->slots[i].usable && size_fits(s, &p->slots[i].free))
+			return i;
+	return -1;
+}
+
+/* Baseline: a random worker that fits. */
+static int
+choose_random(const struct worker_pool *p, const struct size *s)
+{
+	int i, k = rand() % p->count;
+
+	for (i = 0; i < p->count; i++, k = (k + 1) % p->count)
+		if (p->slots[k].usable && size_fits(s, &p->slots[k].free))
+			return k;
+	return -1;
+}
+
+/*
+ * As the daemons place: the home's own shards first, then the shard whose
+ * largest hole is the tightest that fits.
+ */
+static int
+choose_sharded(const struct worker_pool *p, const struct size *s)
+{
+	struct size most[SHARDS];
+	int i, sh, best = -1, home = rand() % SHARDS;
+
+	i = place_best(p, home, NULL, s);
+	if (i >= 0)
+		return i;
+	memset(most, 0, sizeof(most));
+	for (i = 0; i < p->count; i++)
+		most[p->slots[i].shard] =
+		    size_max(&most[p->slots[i].shard], &p->slots[i].free);
+	for (sh = 0; sh < SHARDS; sh++)
+		if (size_fits(s, &most[sh]) &&
+		    (best < 0 || most[sh].cpus < most[best].cpus))
+			best = sh;
+	return best < 0 ? -1 : place_best(p, best, NULL, s);
+}
+
+static struct size
+random_size(void)
+{
+	static const uint32_t cpus[] = {1, 1, 1, 2, 2, 2, 4, 4, 8, 16};
+	struct size s;
+
+	s.cpus = cpus[rand() % 10];
+	s.memory_mb = s.cpus * (1024u + (uint32_t)(rand() % 6) * 1024u);
+	s.accelerators = rand() % 8 == 0 ? 1 : 0;
+	return s;
+}
+
+static void
+fill_pool(struct worker_pool *p, int workers)
+{
+	struct worker *w;
+	char name[32];
+	int i;
+
+	worker_pool_init(p);
+	for (i = 0; i < workers; i++) {
+		snprintf(name, sizeof(name), "w%d", i);
+		w = worker_pool_get(p, name);
+		w->total = (struct size){64, 262144, i % 3 == 0 ? 4 : 0};
+		w->shard = i % SHARDS;
+		w->listed = true;
+		worker_refresh(p, w);
+	}
+}
+
+static struct reservation *
+place(struct worker_pool *p, choose_fn choose, int id)
+{
+	struct reservation *r;
+	struct size s = random_size();
+	char key[TASK_KEY_LEN];
+	int i = choose(p, &s);
+
+	snprintf(key, sizeof(key), "t%d#0", id);
+	if (i < 0 || worker_reserve(p, p->workers[i], key, &s, &r) != CC_OK)
+		return NULL;
+	return r;
+}
+
+static int
+by_value(const void *a, const void *b)
+{
+	double x = *(const double *)a, y = *(const double *)b;
+
+	return x < y ? -1 : x > y;
+}
+
+static double
+median(double *v)
+{
+	qsort(v, RUNS, sizeof(*v), by_value);
+	return v[RUNS / 2];
+}
+
+/* Places and releases at a steady number of running tasks. */
+static void
+measure_rate(const char *name, choose_fn choose)
+{
+	static struct reservation *live[TASKS];
+	static struct hist h;
+	struct worker_pool p;
+	double rates[RUNS], tails[RUNS];
+	int64_t t0, t1, spent;
+	int run, i, k;
+
+	for (run = 0; run < RUNS; run++) {
+		srand((unsigned)run + 1);
+		fill_pool(&p, 1100);
+		memset(&h, 0, sizeof(h));
+		for (i = 0; i < TASKS; i++)
+			live[i] = place(&p, choose, i);
+		spent = 0;
+		for (i = 0; i < CHURN; i++) {
+			k = rand() % TASKS;
+			if (live[k] != NULL)
+				worker_release(&p, live[k]);
+			t0 = clock_boot_us();
+			live[k] = place(&p, choose, TASKS + i);
+			t1 = clock_boot_us();
+			spent += t1 - t0;
+			hist_add(&h, (uint64_t)(t1 - t0));
+		}
+		rates[run] = CHURN * 1e6 / (double)spent;
+		tails[run] = (double)hist_quantile(&h, 0.99);
+		worker_pool_done(&p);
+	}
+	printf("placements_per_s%s=%.0f\n", name, median(rates));
+	printf("placement_p99_us%s=%.0f\n", name, median(tails));
+}
+
+/* Processors placed before 20 tasks in a row found no room, of the total. */
+static double
+packed(choose_fn choose, int workers, unsigned seed)
+{
+	struct worker_pool p;
+	struct reservation *r;
+	uint64_t used = 0, total = (uint64_t)workers * 64;
+	int refused = 0, i;
+
+	srand(seed);
+	fill_pool(&p, workers);
+	for (i = 0; refused < 20; i++) {
+		r = place(&p, choose, i);
+		refused = r == NULL ? refused + 1 : 0;
+		used += r != NULL ? r->size.cpus : 0;
+	}
+	worker_pool_done(&p);
+	return (double)used / (double)total;
+}
+
+static void
+measure_packing(int workers)
+{
+	static const struct {
+		const char *name;
+		choose_fn choose;
+	} ways[] = {
+	    {"", choose_sharded},
+	    {"_baseline_first_fit", choose_first},
+	    {"_baseline_random", choose_random},
+	};
+	double v[RUNS], oracle;
+	size_t i;
+	unsigned run;
+
+	for (i = 0; i < sizeof(ways) / sizeof(ways[0]); i++) {
+		for (run = 0; run < RUNS; run++) {
+			oracle = packed(choose_best, workers, run + 1);
+			v[run] =
+			    packed(ways[i].choose, workers, run + 1) / oracle;
+		}
+		printf("packing_ratio%s_%d=%.4f\n", ways[i].name, workers,
+		    median(v));
+	}
+}
+
+int
+main(void)
+{
+	measure_rate("", choose_best);
+	measure_rate("_baseline_first_fit", choose_first);
+	measure_packing(50);
+	measure_packing(1100);
+	return 0;
+}
--- /dev/null
+++ b/src/daemon/home_answer.c
@@ -0,0 +1,129 @@
+#include "home_parts.h"
+
+#include <inttypes.h>
+
+#include "../base/err.h"
+#include "../base/kvlog.h"
+#include "../platform/clock.h"
+#include "home_ask.h"
+
+#define REQUEUE_WAIT_MS 100
+
+void
+home_requeue(
+    struct home *h, struct shard *home, struct member *m, bool maybe_ran)
+{
+	if (rec_requeue(m, home, maybe_ran, NULL, NULL) != CC_OK)
+		return;
+	m->retry_ms = clock_boot_ms() + REQUEUE_WAIT_MS;
+	home_queue(h, m);
+}
+
+/* A gang that could not reserve everywhere starts over. */
+static void
+gang_abort(struct home *h, struct shard *home, struct entry *e)
+{
+	uint32_t i;
+
+	for (i = 0; i < e->count; i++)
+		if (e->members[i].state == MEMBER_SITED &&
+		    e->members[i].reserved && !e->members[i].asking)
+			home_requeue(h, home, &e->members[i], false);
+}
+
+static void
+gang_start(struct node *n, struct entry *e)
+{
+	uint32_t i;
+
+	for (i = 0; i < e->count; i++)
+		if (e->members[i].state == MEMBER_WAITING ||
+		    (e->members[i].state == MEMBER_SITED &&
+			!e->members[i].reserved))
+			return;
+	for (i = 0; i < e->count; i++)
+		if (e->members[i].state == MEMBER_SITED &&
+		    !e->members[i].asking)
+			home_ask(n, &e->members[i]);
+}
+
+static void
+member_started(
+    struct home *h, struct shard *home, struct member *m, const char *worker)
+{
+	struct node *n = h->node;
+	struct entry *e = m->entry;
+	const struct class_conf *c =
+	    classes_find(&n->conf.classes, e->class_name);
+	int64_t wait = clock_boot_ms() - e->accepted_ms;
+
+	if (rec_start(m, home, worker) != CC_OK)
+		return;
+	n->stats.placements++;
+	if (n->shards[m->shard].state != SHARD_OWNED)
+		n->stats.placements_remote++;
+	stats_started(
+	    &n->stats, e->class_name, wait, c != NULL ? c->start_within_ms : 0);
+	kvlog(KVLOG_INFO, "started",
+	    "request=%s member=%u class=%s worker=%s wait_ms=%" PRId64, e->id,
+	    m->index, e->class_name, worker, wait);
+	if (e->cancelled)
+		home_ask(n, m);
+}
+
+void
+home_place_answer(struct node *n, struct member *m, const Cc__PlaceReply *r)
+{
+	struct home *h = n->home;
+	struct entry *e = m->entry;
+	struct shard *home = node_home(n, e->id);
+
+	switch (r->error) {
+	case CC_OK:
+		if (r->reserved) {
+			m->reserved = true;
+			gang_start(n, e);
+		} else {
+			member_started(h, home, m, r->worker);
+		}
+		break;
+	case CC_EBUSY:
+		n->loads[m->shard].largest_cpus = 0;
+		home_requeue(h, home, m, false);
+		if (e->count > 1)
+			gang_abort(h, home, e);
+		break;
+	case CC_ENOTSENT:
+		/* No question about this site ever left this host. */
+		if (!m->may_have_got_it && e->count == 1)
+			home_requeue(h, home, m, false);
+		else
+			home_ask_later(n, m);
+		break;
+	case CC_ENOENT:
+		/* The shard changed hands and nobody knows of the member. */
+		home_settle_as(
+		    home, e, OUTCOME_UNKNOWN, "owner-changed", e->ran_ms, 0);
+		break;
+	default:
+		home_ask_later(n, m);
+	}
+}
+
+void
+home_stop_answer(struct node *n, struct member *m, int err, uint64_t epoch)
+{
+	struct shard *home = node_home(n, m->entry->id);
+
+	switch (err) {
+	case CC_OK: /* its end will be reported */
+		break;
+	case CC_ENOENT:
+		m->stop =
+		    epoch == m->shard_epoch ? STOP_NEVER_RAN : STOP_UNSURE;
+		home_check_cancelled(home, m->entry);
+		break;
+	default:
+		home_ask_later(n, m);
+	}
+}
--- a/src/daemon/home_ask.c
+++ b/src/daemon/home_ask.c
@@ -7,6 +7,7 @@
 #include "../base/err.h"
 #include "../base/xalloc.h"
 #include "../coordination/retry.h"
+#include "owner.h"
 #include "placer.h"
 
 #define ASK_TIMEOUT_MS 3000
@@ -66,6 +67,8 @@
 	struct ask *a = arg;
 	struct member *m = take_answer(a);
 
+	if (r->error == CC_ENOTOWNER || r->error == CC_ENOTSENT)
+		owner_stale(a->home->node);
 	if (m != NULL && m->state == MEMBER_SITED) {
 		if (m->entry->cancelled && r->error != CC_OK)
 			home_ask_later(a->home->node, m);
--- a/src/daemon/home_call.c
+++ b/src/daemon/home_call.c
@@ -6,6 +6,7 @@
 #include "../base/xalloc.h"
 #include "../platform/clock.h"
 #include "home_ops.h"
+#include "owner.h"
 
 #define CALL_TIMEOUT_MS 3000
 #define REPEAT_FOR_MS 10000
@@ -52,6 +53,8 @@
 	struct home_call *c = arg;
 	struct timeval tv = {0, REPEAT_MS * 1000};
 
+	if (worth_repeating(r->error))
+		owner_stale(c->node);
 	if (worth_repeating(r->error) && clock_boot_ms() < c->give_up_ms)
 		event_base_once(
 		    c->node->base, -1, EV_TIMEOUT, on_repeat, c, &tv);
--- a/src/daemon/home_ops.c
+++ b/src/daemon/home_ops.c
@@ -110,7 +110,7 @@
 	rec.body_case = CC__REC__BODY_ACCEPT;
 	rec.accept = a;
 	o->created = true;
-	if (rec_write(s, &rec, op_durable, o) != CC_OK) {
+	if (rec_write(s, JOURNAL_NOW, &rec, op_durable, o) != CC_OK) {
 		reply_error(o->fn, o->arg, CC_EINVAL);
 		free(o);
 		return;
@@ -150,7 +150,7 @@
 	/* The same submission, asked again after a lost answer. */
 	o = op_new(s, a->id, fn, arg);
 	o->created = e->nonce == a->nonce;
-	journal_append(&s->journal, NULL, op_durable, o);
+	journal_append(&s->journal, JOURNAL_NOW, NULL, op_durable, o);
 }
 
 /* ---- get ---- */
@@ -230,7 +230,8 @@
 	if (e != NULL && e->state != ENTRY_ENDED)
 		home_cancel_entry(o->shard, e);
 	if (e != NULL && e->ending)
-		journal_append(&o->shard->journal, NULL, op_durable, o);
+		journal_append(
+		    &o->shard->journal, JOURNAL_NOW, NULL, op_durable, o);
 	else
 		op_durable(err, o);
 }
@@ -251,7 +252,7 @@
 	}
 	o = op_new(s, id, fn, arg);
 	if (e->state == ENTRY_ENDED || e->cancelled) {
-		journal_append(&s->journal, NULL, op_durable, o);
+		journal_append(&s->journal, JOURNAL_NOW, NULL, op_durable, o);
 		return;
 	}
 	if (rec_cancel(e, s, cancel_durable, o) != CC_OK) {
@@ -282,8 +283,8 @@
 	}
 	if (e->state != ENTRY_ENDED)
 		home_settle_entry(s, e, &end);
-	journal_append(
-	    &s->journal, NULL, op_durable, op_new(s, r->id, fn, arg));
+	journal_append(&s->journal, JOURNAL_NOW, NULL, op_durable,
+	    op_new(s, r->id, fn, arg));
 }
 
 /* ---- lists ---- */
--- /dev/null
+++ b/src/daemon/home_place.c
@@ -0,0 +1,157 @@
+#include "home_parts.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "../base/err.h"
+#include "../base/xalloc.h"
+#include "../coordination/place.h"
+#include "home_ask.h"
+#include "hostlist.h"
+#include "placer.h"
+
+#define LOAD_FRESH_MS 4000
+
+static void
+site_durable(int err, void *arg)
+{
+	struct ask *a = arg;
+	struct member *m = ask_member(a);
+
+	if (err == CC_OK && m != NULL && m->state == MEMBER_SITED)
+		home_ask(a->home->node, m);
+	free(a);
+}
+
+static void
+site_member(
+    struct shard *home, struct member *m, uint32_t shard, uint64_t epoch)
+{
+	struct ask *a = ask_new(home, m);
+
+	if (rec_site(m, home, shard, epoch, site_durable, a) != CC_OK)
+		free(a);
+}
+
+static struct shard_load *
+best_load(struct node *n, const struct size *need, int64_t now)
+{
+	struct shard_load *best = NULL, *l;
+	int i;
+
+	for (i = 0; i < n->nshards; i++) {
+		l = &n->loads[i];
+		if (n->shards[i].state != SHARD_OTHER ||
+		    now - l->at_ms > LOAD_FRESH_MS ||
+		    !peer_net_up(n->peers, n->shards[i].owner) ||
+		    !size_fits(need, &l->free) || need->cpus > l->largest_cpus)
+			continue;
+		if (best == NULL || l->largest_cpus < best->largest_cpus)
+			best = l;
+	}
+	return best;
+}
+
+struct site {
+	uint32_t shard;
+	uint64_t epoch;
+	struct reservation *local;
+};
+
+static bool
+choose_local(
+    struct home *h, struct member *m, const char *avoid, struct site *out)
+{
+	struct node *n = h->node;
+	struct entry *e = m->entry;
+	struct worker *w;
+	char key[TASK_KEY_LEN];
+	int i;
+
+	if (!node_may_start(n))
+		return false;
+	i = place_best(&n->pool, SHARD_ANY, avoid, &e->size);
+	if (i < 0)
+		return false;
+	w = n->pool.workers[i];
+	member_key(m, key);
+	if (worker_reserve(&n->pool, w, key, &e->size, &out->local) != CC_OK)
+		return false;
+	placer_hold(n->placer, out->local, e->class_name);
+	out->shard = (uint32_t)w->shard;
+	out->epoch = n->shards[w->shard].own_epoch;
+	return true;
+}
+
+/* Finds a shard with room: first among the own ones, then by the beats. */
+static bool
+choose_site(struct home *h, struct member *m, int64_t now, struct site *out)
+{
+	struct node *n = h->node;
+	struct entry *e = m->entry;
+	struct shard_load *l;
+
+	if (choose_local(h, m, m->avoid, out))
+		return true;
+	l = best_load(n, &e->size, now);
+	if (l == NULL)
+		return m->avoid[0] != '\0' && choose_local(h, m, NULL, out);
+	out->local = NULL;
+	out->shard = (uint32_t)(l - n->loads);
+	out->epoch = l->epoch;
+	size_sub(&l->free, &e->size);
+	l->largest_cpus -= e->size.cpus;
+	return true;
+}
+
+bool
+home_within_limits(struct home *h, const struct entry *e)
+{
+	struct node *n = h->node;
+	const struct class_conf *c =
+	    classes_find(&n->conf.classes, e->class_name);
+	const struct team_conf *t = classes_team(&n->conf.classes, e->team);
+	uint64_t need = (uint64_t)e->size.cpus * e->count, used;
+	uint64_t total = hostlist_total(n->hostlist).cpus;
+
+	if (c != NULL) {
+		used = home_usage(h, "class", e->class_name);
+		if (used > 0 &&
+		    (used + need) * 100 > total * (uint64_t)c->share_pct)
+			return false;
+	}
+	if (t != NULL && t->quota_cpus > 0) {
+		used = home_usage(h, "team", e->team);
+		if (used + need > (uint64_t)t->quota_cpus)
+			return false;
+	}
+	return true;
+}
+
+/* All waiting members of the request find room now, or none is sited. */
+enum ready_verdict
+home_try_entry(struct home *h, struct entry *e, int64_t now)
+{
+	struct node *n = h->node;
+	struct shard *home = node_home(n, e->id);
+	struct site *sites = xcalloc(e->count, sizeof(*sites));
+	bool ok = true;
+	uint32_t i;
+
+	for (i = 0; i < e->count && ok; i++)
+		if (e->members[i].state == MEMBER_WAITING)
+			ok = choose_site(h, &e->members[i], now, &sites[i]);
+	for (i = 0; i < e->count && !ok; i++)
+		if (sites[i].local != NULL)
+			worker_release(&n->pool, sites[i].local);
+	for (i = 0; i < e->count && ok; i++)
+		if (e->members[i].state == MEMBER_WAITING) {
+			ready_remove(&h->queue, &e->members[i].ready);
+			site_member(home, &e->members[i], sites[i].shard,
+			    sites[i].epoch);
+		}
+	free(sites);
+	if (ok)
+		usage_add(&h->usage, e);
+	return ok ? READY_TAKEN : READY_KEEP;
+}
--- a/src/daemon/journal.c
+++ b/src/daemon/journal.c
@@ -17,6 +17,11 @@
 
 #define CHUNK_MAX (256 << 10)
 #define COMMIT_TIMEOUT_MS 2000
+/** Time for records that belong together to meet. */
+#define LINGER_MS 4
+#define SOON_MS 250
+#define LAZY_MS 500
+#define CREDITS_MAX 8
 #define BACKOFF_BASE_MS 50
 #define BACKOFF_MAX_MS 1000
 
@@ -55,16 +60,33 @@
 	free(c);
 }
 
+/* Credits are saved up while the shard is quiet. */
+static void
+refill(struct journal *j, int64_t now)
+{
+	int64_t period = j->shard->node->settings->commit_ms;
+	int64_t n = (now - j->credit_ms) / period;
+
+	if (n <= 0)
+		return;
+	j->credits =
+	    j->credits + n > CREDITS_MAX ? CREDITS_MAX : j->credits + (int)n;
+	j->credit_ms += n * period;
+}
+
+/* Sets the timer for the earliest time that somebody asked for. */
 static void
 schedule(struct journal *j)
 {
-	int64_t wait;
+	int64_t now = clock_boot_ms(), wait, credit;
 
-	if (j->chunk != NULL || TAILQ_EMPTY(&j->pending) ||
-	    evtimer_pending(j->timer, NULL))
+	if (j->chunk != NULL || TAILQ_EMPTY(&j->pending))
 		return;
-	wait = j->flushed_ms + j->shard->node->settings->commit_ms -
-	    clock_boot_ms();
+	refill(j, now);
+	wait = j->due_ms - now;
+	credit = j->credit_ms + j->shard->node->settings->commit_ms - now;
+	if (j->credits == 0 && wait < credit)
+		wait = credit;
 	set_timer(j, wait > 0 ? wait : 0);
 }
 
@@ -230,6 +252,10 @@
 	evutil_secure_rng_get_bytes(&j->commit_id, sizeof(j->commit_id));
 	j->tries = 0;
 	j->flushed_ms = clock_boot_ms();
+	refill(j, j->flushed_ms);
+	if (j->credits > 0)
+		j->credits--;
+	j->due_ms = TAILQ_EMPTY(&j->pending) ? INT64_MAX : j->flushed_ms;
 	if (TAILQ_EMPTY(&j->pending))
 		snapshot_capture(j, j->seq + 1);
 	j->data = batch_builder_finish(&j->chunk->recs, j->commit_id, &j->len);
@@ -250,6 +276,9 @@
 {
 	j->seq = seq;
 	j->batches = 0;
+	j->credits = CREDITS_MAX;
+	j->credit_ms = clock_boot_ms();
+	j->due_ms = INT64_MAX;
 	j->open = true;
 }
 
@@ -280,9 +309,17 @@
 	event_free(j->timer);
 }
 
+static const int64_t delays_ms[] = {
+    [JOURNAL_NOW] = LINGER_MS,
+    [JOURNAL_SOON] = SOON_MS,
+    [JOURNAL_LAZY] = LAZY_MS,
+};
+
 void
-journal_append(struct journal *j, const Cc__Rec *rec, journal_fn fn, void *arg)
+journal_append(struct journal *j, enum journal_when when, const Cc__Rec *rec,
+    journal_fn fn, void *arg)
 {
+	int64_t due = clock_boot_ms() + delays_ms[when];
 	struct journal_chunk *c = TAILQ_LAST(&j->pending, journal_chunks);
 	struct journal_waiter *w;
 
@@ -300,7 +337,10 @@
 		w->arg = arg;
 		TAILQ_INSERT_TAIL(&c->waiters, w, link);
 	}
-	schedule(j);
+	if (due < j->due_ms) {
+		j->due_ms = due;
+		schedule(j);
+	}
 }
 
 bool
--- a/src/daemon/node.h
+++ b/src/daemon/node.h
@@ -55,6 +55,7 @@
 	char name[HOST_NAME_LEN];
 	char zone[64];
 	char addr[ADDR_LEN];
+	uint64_t addr_epoch; /**< epoch under which the address was read */
 	uint16_t peer_port;
 	uint16_t operator_port;
 	uint64_t epoch;
--- a/src/daemon/owner.c
+++ b/src/daemon/owner.c
@@ -18,6 +18,10 @@
 #define ACTIONS_MAX 32
 #define WRITE_TIMEOUT_MS 1000
 #define READ_TIMEOUT_MS 2000
+/** The shards' rows are read this often while nothing moves. */
+#define SHARDS_QUIET_MS 10000
+/** And no more often than this when they prove to be stale. */
+#define SHARDS_STALE_MS 200
 
 struct owner {
 	struct node *node;
@@ -27,12 +31,16 @@
 	bool renewing;
 	bool reading_hosts;
 	bool reading_shards;
+	bool reading_addresses;
+	bool address_missing;
+	bool moving; /**< shards are about to change hands */
 	bool hosts_known;
 	bool shards_known;
 	bool expiring;
 	bool leave_told; /**< the row says that this host is leaving */
 	int64_t renew_ms;
 	int64_t read_ms;
+	int64_t shards_ms; /**< when the shards' rows are read next */
 	uint64_t beat;
 	uint64_t try_epoch; /**< of the renewal under way */
 };
@@ -47,13 +55,18 @@
 put_host_row(
     struct table_tx *tx, const struct node *n, uint64_t epoch, uint64_t beat)
 {
-	const struct settings *s = n->settings;
-
-	table_tx_put(tx, "host", s->host);
+	table_tx_put(tx, "host", n->settings->host);
 	table_tx_num(tx, "epoch", epoch);
 	table_tx_num(tx, "beat", beat);
 	table_tx_num(tx, "expired", 0);
 	table_tx_num(tx, "leaving", is_leaving(n));
+}
+
+/* What seldom changes stands apart from the row that is read often. */
+static void
+put_host_address(struct table_tx *tx, const struct settings *s)
+{
+	table_tx_put(tx, "hostaddr", s->host);
 	table_tx_text(tx, "zone", s->zone);
 	table_tx_text(tx, "addr", s->addr);
 	table_tx_num(tx, "port", (uint64_t)s->peer_port);
@@ -125,6 +138,7 @@
 			table_tx_if_num(tx, "epoch", o->row_epoch);
 		else
 			table_tx_if_absent(tx);
+		put_host_address(tx, n->settings);
 	}
 	lease_sent(&n->lease, now);
 	table_write(n->table, tx, NULL, WRITE_TIMEOUT_MS, renewed, o);
@@ -144,19 +158,14 @@
 	h->epoch = table_item_num(it, "epoch");
 	h->expired = table_item_num(it, "expired") != 0;
 	h->leaving = table_item_num(it, "leaving") != 0;
-	str_copy(h->zone, table_item_text(it, "zone"), sizeof(h->zone));
-	str_copy(h->addr, table_item_text(it, "addr"), sizeof(h->addr));
-	h->peer_port = (uint16_t)table_item_num(it, "port");
-	h->operator_port = (uint16_t)table_item_num(it, "operator_port");
+	if (!h->expired && h->addr_epoch != h->epoch)
+		o->address_missing = true;
 	lease_watch_observe(
 	    &h->watch, h->epoch, table_item_num(it, "beat"), now);
 	if (h->expired || lease_watch_lapsed(&h->watch, &n->terms, now))
 		h->known_since_ms = now;
-	if (strcmp(name, n->settings->host) != 0) {
-		if (!h->expired)
-			peer_net_add(n->peers, name, h->addr, h->peer_port);
+	if (strcmp(name, n->settings->host) != 0)
 		return;
-	}
 	o->row_seen = true;
 	if (h->epoch > o->row_epoch)
 		o->row_epoch = h->epoch;
@@ -164,6 +173,34 @@
 		drop_lease(o, "row");
 }
 
+static void
+take_address(struct node *n, const struct table_item *it)
+{
+	const char *name = table_item_sort(it);
+	struct peer_host *h = node_host(n, name);
+
+	if (h == NULL || h->expired)
+		return;
+	h->addr_epoch = h->epoch;
+	str_copy(h->zone, table_item_text(it, "zone"), sizeof(h->zone));
+	str_copy(h->addr, table_item_text(it, "addr"), sizeof(h->addr));
+	h->peer_port = (uint16_t)table_item_num(it, "port");
+	h->operator_port = (uint16_t)table_item_num(it, "operator_port");
+	if (strcmp(name, n->settings->host) != 0)
+		peer_net_add(n->peers, name, h->addr, h->peer_port);
+}
+
+static void
+addresses_read(int err, const struct table_item *items, size_t count, void *arg)
+{
+	struct owner *o = arg;
+	size_t i;
+
+	o->reading_addresses = false;
+	for (i = 0; err == CC_OK && i < count; i++)
+		take_address(o->node, &items[i]);
+}
+
 static void
 hosts_read(int err, const struct table_item *items, size_t count, void *arg)
 {
@@ -181,6 +218,12 @@
 		n->hosts[h].present = false;
 	for (i = 0; i < count; i++)
 		take_host_row(o, &items[i], now);
+	if (o->address_missing && !o->reading_addresses) {
+		o->address_missing = false;
+		o->reading_addresses = true;
+		table_query(n->table, "hostaddr", "", READ_TIMEOUT_MS,
+		    addresses_read, o);
+	}
 	if (!o->row_seen) {
 		o->row_seen = true;
 		o->row_epoch = 0;
@@ -278,7 +321,7 @@
 		    s->index, s->state, cc_strerror(err));
 	if (s->state == SHARD_CLAIMING)
 		s->state = SHARD_OTHER;
-	o->read_ms = 0; /* the row tells what became of it */
+	o->shards_ms = 0; /* the row tells what became of it */
 }
 
 static void
@@ -322,7 +365,7 @@
 
 	(void)err;
 	o->expiring = false;
-	o->read_ms = 0;
+	o->read_ms = o->shards_ms = 0;
 }
 
 static void
@@ -337,10 +380,6 @@
 	table_tx_num(tx, "epoch", h->epoch + 1);
 	table_tx_num(tx, "beat", h->watch.beat);
 	table_tx_num(tx, "expired", 1);
-	table_tx_text(tx, "zone", h->zone);
-	table_tx_text(tx, "addr", h->addr);
-	table_tx_num(tx, "port", h->peer_port);
-	table_tx_num(tx, "operator_port", h->operator_port);
 	table_tx_if_num(tx, "epoch", h->watch.epoch);
 	table_tx_if_num(tx, "beat", h->watch.beat);
 	table_write(o->node->table, tx, NULL, WRITE_TIMEOUT_MS, expired, o);
@@ -415,6 +454,17 @@
 		claim(n, s);
 }
 
+static bool
+any_unheld(const struct plan_view *v)
+{
+	int i;
+
+	for (i = 0; i < v->nshards; i++)
+		if (!plan_shard_held(v, i))
+			return true;
+	return false;
+}
+
 static void
 act(struct owner *o, int64_t now)
 {
@@ -431,6 +481,7 @@
 	v = xcalloc(1, sizeof(*v));
 	fill_view(o, v, map, now);
 	count = plan_decide(v, actions, ACTIONS_MAX);
+	o->moving = count > 0 || any_unheld(v);
 	for (i = 0; i < count; i++)
 		carry_out(o, &actions[i], map);
 	free(v);
@@ -466,18 +517,18 @@
 	if (is_leaving(n) && !o->leave_told)
 		o->renew_ms = 0;
 	renew(o, now);
-	if (now >= o->read_ms) {
+	if (now >= o->read_ms && !o->reading_hosts) {
 		o->read_ms = now + n->terms.renew_ms;
-		if (!o->reading_hosts) {
-			o->reading_hosts = true;
-			table_query(n->table, "host", "", READ_TIMEOUT_MS,
-			    hosts_read, o);
-		}
-		if (!o->reading_shards) {
-			o->reading_shards = true;
-			table_query(n->table, "shard", "", READ_TIMEOUT_MS,
-			    shards_read, o);
-		}
+		o->reading_hosts = true;
+		table_query(
+		    n->table, "host", "", READ_TIMEOUT_MS, hosts_read, o);
+	}
+	if (now >= o->shards_ms && !o->reading_shards) {
+		o->shards_ms =
+		    now + (o->moving ? n->terms.renew_ms : SHARDS_QUIET_MS);
+		o->reading_shards = true;
+		table_query(
+		    n->table, "shard", "", READ_TIMEOUT_MS, shards_read, o);
 	}
 	act(o, now);
 	tick_shards(n);
@@ -490,6 +541,7 @@
 	struct timeval tv = {0, TICK_MS * 1000};
 
 	o->node = n;
+	o->moving = true;
 	/* A process that starts anew must not repeat an earlier counter. */
 	o->beat = (uint64_t)clock_wall_ms();
 	o->tick = event_new(n->base, -1, EV_PERSIST, on_tick, o);
@@ -546,3 +598,12 @@
 	}
 	return false;
 }
+
+void
+owner_stale(struct node *n)
+{
+	int64_t soon = clock_boot_ms() + SHARDS_STALE_MS;
+
+	if (n->owner->shards_ms > soon)
+		n->owner->shards_ms = soon;
+}
--- a/src/daemon/owner.h
+++ b/src/daemon/owner.h
@@ -25,4 +25,7 @@
 /** Whether a live host could take the shards of this one. */
 bool owner_has_successor(const struct node *n);
 
+/** The shards' rows as read prove to be out of date: reads them soon. */
+void owner_stale(struct node *n);
+
 #endif
--- a/src/daemon/peers.c
+++ b/src/daemon/peers.c
@@ -9,6 +9,7 @@
 #include "conf_sync.h"
 #include "home.h"
 #include "home_ops.h"
+#include "owner.h"
 #include "placer.h"
 #include "router.h"
 
@@ -164,6 +165,8 @@
 	sl = &n->loads[l->shard];
 	if (l->epoch < sl->epoch)
 		return;
+	if (l->epoch > n->shards[l->shard].epoch)
+		owner_stale(n);
 	sl->epoch = l->epoch;
 	sl->free = (struct size){
 	    l->free_cpus, l->free_memory_mb, l->free_accelerators};
--- a/src/daemon/placer.c
+++ b/src/daemon/placer.c
@@ -14,6 +14,7 @@
 #include "../platform/clock.h"
 #include "home.h"
 #include "hostlist.h"
+#include "owner.h"
 #include "../coordination/tombstone.h"
 #include "watch.h"
 
@@ -375,6 +376,8 @@
 static void
 confirm_reply(int err, const Cc__Frame *f, void *arg)
 {
+	if (err != CC_OK)
+		owner_stale(((struct confirm_call *)arg)->placer->node);
 	if (err == CC_OK)
 		err = f->body_case == CC__FRAME__BODY_ACK ? f->ack->error
 							  : CC_EPROTO;
--- a/src/daemon/rec.c
+++ b/src/daemon/rec.c
@@ -4,11 +4,12 @@
 #include "../platform/clock.h"
 
 int
-rec_write(struct shard *s, const Cc__Rec *rec, journal_fn fn, void *arg)
+rec_write(struct shard *s, enum journal_when when, const Cc__Rec *rec,
+    journal_fn fn, void *arg)
 {
 	if (ledger_apply(&s->ledger, rec) == NULL)
 		return CC_EINVAL;
-	journal_append(&s->journal, rec, fn, arg);
+	journal_append(&s->journal, when, rec, fn, arg);
 	return CC_OK;
 }
 
@@ -25,7 +26,7 @@
 	r.shard_epoch = epoch;
 	rec.body_case = CC__REC__BODY_SITE;
 	rec.site = &r;
-	return rec_write(home, &rec, fn, arg);
+	return rec_write(home, JOURNAL_NOW, &rec, fn, arg);
 }
 
 int
@@ -40,7 +41,7 @@
 	r.wall_ms = clock_wall_ms();
 	rec.body_case = CC__REC__BODY_START;
 	rec.start = &r;
-	return rec_write(home, &rec, NULL, NULL);
+	return rec_write(home, JOURNAL_LAZY, &rec, NULL, NULL);
 }
 
 int
@@ -55,7 +56,7 @@
 	r.maybe_ran = maybe_ran;
 	rec.body_case = CC__REC__BODY_REQUEUE;
 	rec.requeue = &r;
-	return rec_write(home, &rec, fn, arg);
+	return rec_write(home, JOURNAL_LAZY, &rec, fn, arg);
 }
 
 int
@@ -67,7 +68,7 @@
 	r.id = e->id;
 	rec.body_case = CC__REC__BODY_CANCEL;
 	rec.cancel = &r;
-	return rec_write(home, &rec, fn, arg);
+	return rec_write(home, JOURNAL_NOW, &rec, fn, arg);
 }
 
 int
@@ -83,7 +84,7 @@
 	r.status = status;
 	rec.body_case = CC__REC__BODY_MEMBER_END;
 	rec.member_end = &r;
-	return rec_write(home, &rec, fn, arg);
+	return rec_write(home, JOURNAL_SOON, &rec, fn, arg);
 }
 
 int
@@ -107,5 +108,6 @@
 	}
 	rec.body_case = CC__REC__BODY_END;
 	rec.end = &r;
-	return rec_write(home, &rec, fn, arg);
+	return rec_write(
+	    home, e->routed ? JOURNAL_NOW : JOURNAL_SOON, &rec, fn, arg);
 }
--- a/src/daemon/rec.h
+++ b/src/daemon/rec.h
@@ -10,7 +10,8 @@
  * @return CC_EINVAL when it does not follow from the state; then nothing was
  *     written and @p fn is not called.
  */
-int rec_write(struct shard *s, const Cc__Rec *rec, journal_fn fn, void *arg);
+int rec_write(struct shard *s, enum journal_when when, const Cc__Rec *rec,
+    journal_fn fn, void *arg);
 int rec_site(struct member *m, struct shard *home, uint32_t shard,
     uint64_t epoch, journal_fn fn, void *arg);
 int rec_start(struct member *m, struct shard *home, const char *worker);
--- a/src/daemon/router_submit.c
+++ b/src/daemon/router_submit.c
@@ -13,6 +13,7 @@
 #include "router_send.h"
 
 #define HOPS_MAX 3
+#define TRY_LATER_MS 100
 #define BEAT_FRESH_MS 3000
 #define PEER_SLACK_MS 1000
 
@@ -31,7 +32,8 @@
 	bool once;
 	bool has_key;
 	bool maybe_ran;
-	bool duplicate; /**< another request has the same key */
+	bool overloaded; /**< some host had runners, but no room in time */
+	bool duplicate;	 /**< another request has the same key */
 	int64_t made_ms;
 	int64_t longest_wait_ms;
 	int64_t answer_ms;
@@ -178,10 +180,14 @@
 	    .once = q->once,
 	};
 
+	int err;
+
 	if (dq.budget_ms <= 0)
 		return CC_EBUSY;
 	q->tried_self = true;
-	return router_dispatch(q->node->router, &dq, own_done, q);
+	err = router_dispatch(q->node->router, &dq, own_done, q);
+	q->overloaded = q->overloaded || err == CC_EBUSY;
+	return err;
 }
 
 static void
@@ -194,6 +200,8 @@
 	if (err == CC_OK && f->body_case == CC__FRAME__BODY_ROUTE_REPLY) {
 		r = f->route_reply;
 		if (r->refused) {
+			q->overloaded = q->overloaded ||
+			    strcmp(r->reason, "overloaded") == 0;
 			try_hosts(q);
 			return;
 		}
@@ -238,6 +246,35 @@
 	    peer_done, q);
 }
 
+static void
+refuse(struct received *q)
+{
+	q->node->stats.requests_refused++;
+	finish_as(
+	    q, q->maybe_ran ? OUTCOME_UNKNOWN : OUTCOME_NOT_RUN, "overloaded");
+}
+
+static void
+on_later(evutil_socket_t fd, short what, void *arg)
+{
+	struct received *q = arg;
+
+	(void)fd;
+	(void)what;
+	q->tried_self = false;
+	q->ntried = 0;
+	try_hosts(q);
+}
+
+/* Nobody owned a usable runner: owners change, or all of them rest. */
+static void
+try_later(struct received *q)
+{
+	struct timeval tv = {0, TRY_LATER_MS * 1000};
+
+	event_base_once(q->node->base, -1, EV_TIMEOUT, on_later, q, &tv);
+}
+
 /*
  * Own slots first while they are free, then the peer that has the most room;
  * when nobody has room, whoever has the shortest queue.
@@ -266,9 +303,10 @@
 	}
 	if (!q->tried_self && try_self(q) == CC_OK)
 		return;
-	n->stats.requests_refused++;
-	finish_as(
-	    q, q->maybe_ran ? OUTCOME_UNKNOWN : OUTCOME_NOT_RUN, "no-runner");
+	if (q->overloaded)
+		refuse(q);
+	else
+		try_later(q);
 }
 
 /* ---- claims ---- */
@@ -374,12 +412,13 @@
 };
 
 static void
-reply_refused(struct node *n, const struct peer_request *rq)
+reply_refused(struct node *n, const struct peer_request *rq, int err)
 {
 	Cc__Frame f = CC__FRAME__INIT;
 	Cc__RouteReply r = CC__ROUTE_REPLY__INIT;
 
 	r.refused = true;
+	r.reason = err == CC_EBUSY ? "overloaded" : "";
 	f.body_case = CC__FRAME__BODY_ROUTE_REPLY;
 	f.route_reply = &r;
 	peer_reply(n->peers, rq, &f);
@@ -418,12 +457,14 @@
 	    .budget_ms = m->budget_ms,
 	    .once = m->once,
 	};
+	int err = CC_EUNAVAIL;
 
 	s->node = n;
 	s->rq = *rq;
-	if (!n->leaving &&
-	    router_dispatch(n->router, &dq, served_done, s) == CC_OK)
+	if (!n->leaving)
+		err = router_dispatch(n->router, &dq, served_done, s);
+	if (err == CC_OK)
 		return;
 	free(s);
-	reply_refused(n, rq);
+	reply_refused(n, rq, err);
 }
--- a/src/daemon/watch.c
+++ b/src/daemon/watch.c
@@ -58,6 +58,18 @@
 	return s;
 }
 
+static struct size
+triple_size(const json_t *j)
+{
+	struct size s = {
+	    (uint32_t)json_integer_value(json_array_get(j, 0)),
+	    (uint32_t)json_integer_value(json_array_get(j, 1)),
+	    (uint32_t)json_integer_value(json_array_get(j, 2)),
+	};
+
+	return s;
+}
+
 static const char *
 text_of(const json_t *j, const char *name)
 {
@@ -147,8 +159,9 @@
 		}
 	}
 	w->seq = json_integer_value(json_object_get(body, "seq"));
-	w->worker->total = json_size(json_object_get(body, "total"));
-	w->worker->observed = json_size(json_object_get(body, "observed"));
+	if (full)
+		w->worker->total = triple_size(json_object_get(body, "total"));
+	w->worker->observed = triple_size(json_object_get(body, "observed"));
 	for (i = 0; i < json_array_size(tasks); i++)
 		take_task(w, json_array_get(tasks, i));
 	if (!full) {
--- a/src/state/settings.c
+++ b/src/state/settings.c
@@ -96,8 +96,6 @@
 	NULL},
     {"body_max", YAML_INT, S(body_max), 0, 1024, 64 << 20, false, NULL, NULL},
     {"runner_slots", YAML_INT, S(runner_slots), 0, 1, 1024, false, NULL, NULL},
-    {"runner_connections", YAML_INT, S(runner_connections), 0, 1, 1024, false,
-	NULL, NULL},
     {"snapshot_batches", YAML_INT, S(snapshot_batches), 0, 10, 100000, false,
 	NULL, NULL},
     {NULL, YAML_TEXT, 0, 0, 0, 0, false, NULL, NULL},
@@ -123,10 +121,9 @@
 	s->worker_lease_ms = 30000;
 	s->worker_watch_ms = 10000;
 	s->hostlist_ms = 2000;
-	s->commit_ms = 30;
+	s->commit_ms = 60;
 	s->body_max = 1 << 20;
 	s->runner_slots = 8;
-	s->runner_connections = 8;
 	s->snapshot_batches = 500;
 }
 
--- a/src/state/settings.h
+++ b/src/state/settings.h
@@ -40,10 +40,9 @@
 	int64_t worker_lease_ms;
 	int64_t worker_watch_ms;
 	int64_t hostlist_ms;
-	int64_t commit_ms; /**< least time between commits of a shard */
+	int64_t commit_ms; /**< a shard's mean time between commits when busy */
 	int64_t body_max;
 	int64_t runner_slots;
-	int64_t runner_connections; /**< of this host to one runner */
 	int64_t snapshot_batches;
 };
 
--- a/tests/scripts/lib.sh
+++ b/tests/scripts/lib.sh
@@ -1,7 +1,7 @@
 # Shared by the scripted tests: starts stand-ins and daemons on loopback,
 # keeps their process ids, and ends just these.
 ROOT=$(cd "$(dirname "${BASH_SOURCE[0]}")/../.." && pwd)
-BIN=$ROOT/build
+BIN=${BIN:-$ROOT/build}
 PLATFORM=${PLATFORM:-17000}
 WORKERS=${WORKERS:-8}
 RUNNERS=${RUNNERS:-4}
--- a/tests/standin/worker.c
+++ b/tests/standin/worker.c
@@ -50,10 +50,24 @@
 	    t->accelerators, "class", t->class_name, "why", why));
 }
 
+/* An ended run is told by its key; all tasks only in a full list. */
+static json_t *
+task_report(const struct task *t)
+{
+	if (!t->running)
+		return json_pack("{s:s,s:I,s:s,s:i,s:I}", "key", t->key,
+		    "attempt", t->attempt, "state", "ended", "exit", t->exit,
+		    "run_ms", (json_int_t)t->run_ms);
+	return json_pack("{s:s,s:I,s:s,s:s,s:i,s:i,s:i}", "key", t->key,
+	    "attempt", t->attempt, "class", t->class_name, "state", "running",
+	    "cpus", t->cpus, "memory_mb", t->memory_mb, "accelerators",
+	    t->accelerators);
+}
+
 static json_t *
 worker_report(struct worker *w, int64_t since)
 {
-	json_t *tasks = json_array();
+	json_t *tasks = json_array(), *j;
 	struct task *t;
 	int cpus = 0, mem = 0, acc = 0;
 
@@ -63,22 +77,16 @@
 			mem += t->memory_mb;
 			acc += t->accelerators;
 		}
-		if (t->seq <= since)
-			continue;
-		json_array_append_new(tasks,
-		    json_pack("{s:s,s:I,s:s,s:s,s:i,s:i,s:i,s:i,s:I}", "key",
-			t->key, "attempt", t->attempt, "class", t->class_name,
-			"state", t->running ? "running" : "ended", "cpus",
-			t->cpus, "memory_mb", t->memory_mb, "accelerators",
-			t->accelerators, "exit", t->exit, "run_ms",
-			(json_int_t)t->run_ms));
+		if (t->seq > since && (since == 0 || !t->running))
+			json_array_append_new(tasks, task_report(t));
 	}
-	return json_pack("{s:s,s:I,s:{s:i,s:i,s:i},s:{s:i,s:i,s:i},s:o}",
-	    "instance", w->instance, "seq", (json_int_t)w->seq, "total", "cpus",
-	    opt.cpus, "memory_mb", opt.memory_mb, "accelerators",
-	    (int)(w - workers) % 4 == 0 ? opt.accelerators : 0, "observed",
-	    "cpus", cpus, "memory_mb", mem, "accelerators", acc, "tasks",
-	    tasks);
+	j = json_pack("{s:s,s:I,s:[i,i,i],s:o}", "instance", w->instance, "seq",
+	    (json_int_t)w->seq, "observed", cpus, mem, acc, "tasks", tasks);
+	if (since == 0)
+		json_object_set_new(j, "total",
+		    json_pack("[i,i,i]", opt.cpus, opt.memory_mb,
+			(int)(w - workers) % 4 == 0 ? opt.accelerators : 0));
+	return j;
 }
 
 static void
