A member whose worker and owner were lost together is found out

Cause: the loss of a task is reported by the owner of the worker's shard. When both are lost at once, the successor never saw the task and the home waited for ever (read in the code; fail-both.sh brings it about). Change: a home asks the new owner about running members whose shard changed hands; an absent one is started anew when repeatable, unknown otherwise. A member that was handed out under an earlier epoch and is not found counts as maybe-run, so a later cancellation cannot call it not-run.

--- a/src/daemon/home.c
+++ b/src/daemon/home.c
@@ -9,7 +9,7 @@
 
 #define TICK_MS 50
 #define PASS_MAX 128
-#define EXPIRE_EVERY_MS 5000
+#define SWEEP_EVERY_MS 2000
 #define CLAIM_SLACK_MS 30000
 
 void
@@ -97,17 +97,44 @@
 	}
 }
 
+static bool
+shard_moved(const struct node *n, const struct member *m)
+{
+	uint64_t known =
+	    m->checked_epoch > 0 ? m->checked_epoch : m->shard_epoch;
+
+	return n->shards[m->shard].epoch > known;
+}
+
+/* Members whose shard changed hands since it last spoke of them. */
+static void
+check_moved(struct home *h, struct shard *s)
+{
+	struct entry *e, *tmp;
+	uint32_t i;
+
+	HASH_ITER(hh, s->ledger.entries, e, tmp)
+	{
+		for (i = 0; e->state == ENTRY_RUNNING && i < e->count; i++)
+			if (e->members[i].state == MEMBER_RUNNING &&
+			    !e->members[i].asking &&
+			    shard_moved(h->node, &e->members[i]))
+				home_ask(h->node, &e->members[i]);
+	}
+}
+
 static void
-expire_ledgers(struct home *h, int64_t now)
+sweep_ledgers(struct home *h, int64_t now)
 {
 	struct node *n = h->node;
 	int i;
 
-	if (now < h->expire_ms)
+	if (now < h->sweep_ms)
 		return;
-	h->expire_ms = now + EXPIRE_EVERY_MS;
+	h->sweep_ms = now + SWEEP_EVERY_MS;
 	for (i = 0; i < n->nshards; i++)
 		if (n->shards[i].state == SHARD_OWNED) {
+			check_moved(h, &n->shards[i]);
 			settle_abandoned(h, &n->shards[i], now);
 			ledger_expire(&n->shards[i].ledger, clock_wall_ms());
 		}
@@ -132,7 +159,7 @@
 	(void)what;
 	give_up_overdue(h, now);
 	try_queue(h);
-	expire_ledgers(h, now);
+	sweep_ledgers(h, now);
 }
 
 void
--- a/src/daemon/home_answer.c
+++ b/src/daemon/home_answer.c
@@ -1,6 +1,7 @@
 #include "home_parts.h"
 
 #include <inttypes.h>
+#include <string.h>
 
 #include "../base/err.h"
 #include "../base/kvlog.h"
@@ -84,12 +85,14 @@
 			m->reserved = true;
 			gang_start(n, e);
 		} else {
+			m->checked_epoch = r->shard_epoch;
 			member_started(h, home, m, r->worker);
 		}
 		break;
 	case CC_EBUSY:
 		n->loads[m->shard].largest_cpus = 0;
-		home_requeue(h, home, m, false);
+		/* An earlier owner may have started it, and it was lost. */
+		home_requeue(h, home, m, r->shard_epoch != m->shard_epoch);
 		if (e->count > 1)
 			gang_abort(h, home, e);
 		break;
@@ -127,3 +130,36 @@
 		home_ask_later(n, m);
 	}
 }
+
+/*
+ * A worker and the owner of its shard may be lost together, and then nobody
+ * reports the member's loss; so the new owner is asked.
+ */
+void
+home_check_answer(struct node *n, struct member *m, const Cc__PlaceReply *r)
+{
+	struct entry *e = m->entry;
+	struct shard *home = node_home(n, e->id);
+
+	switch (r->error) {
+	case CC_OK:
+		m->checked_epoch = r->shard_epoch;
+		if (strcmp(r->worker, m->worker) == 0)
+			break;
+		/* It was gone, and was started anew. */
+		if (rec_requeue(m, home, true, NULL, NULL) == CC_OK &&
+		    rec_site(m, home, m->shard, r->shard_epoch, NULL, NULL) ==
+			CC_OK)
+			rec_start(m, home, r->worker);
+		break;
+	case CC_EBUSY:
+		home_requeue(n->home, home, m, true);
+		break;
+	case CC_ENOENT:
+		home_settle_as(
+		    home, e, OUTCOME_UNKNOWN, "worker-lost", e->ran_ms, 0);
+		break;
+	default: /* the next look asks again */
+		break;
+	}
+}
--- a/src/daemon/home_ask.c
+++ b/src/daemon/home_ask.c
@@ -69,7 +69,9 @@
 
 	if (r->error == CC_ENOTOWNER || r->error == CC_ENOTSENT)
 		owner_stale(a->home->node);
-	if (m != NULL && m->state == MEMBER_SITED) {
+	if (m != NULL && m->state == MEMBER_RUNNING) {
+		home_check_answer(a->home->node, m, r);
+	} else if (m != NULL && m->state == MEMBER_SITED) {
 		if (m->entry->cancelled && r->error != CC_OK)
 			home_ask_later(a->home->node, m);
 		else
--- a/src/daemon/home_ask.h
+++ b/src/daemon/home_ask.h
@@ -30,6 +30,9 @@
 /* Answers, handled by the home. */
 void home_place_answer(
     struct node *n, struct member *m, const Cc__PlaceReply *r);
+/** The answer about a member that was running when its shard moved. */
+void home_check_answer(
+    struct node *n, struct member *m, const Cc__PlaceReply *r);
 void home_stop_answer(
     struct node *n, struct member *m, int err, uint64_t epoch);
 
--- a/src/daemon/home_parts.h
+++ b/src/daemon/home_parts.h
@@ -14,7 +14,7 @@
 	struct ready queue;
 	struct event *tick;
 	struct usage usage;
-	int64_t expire_ms;
+	int64_t sweep_ms;
 };
 
 /** Whether the class's share and the team's quota leave room. */
--- a/src/state/ledger.h
+++ b/src/state/ledger.h
@@ -61,6 +61,8 @@
 	bool reserved;
 	bool may_have_got_it; /**< a Place of this site may have arrived */
 	enum member_stop stop;
+	uint64_t
+	    checked_epoch; /**< of the shard when it last knew the member */
 	uint64_t attempt;
 	int64_t retry_ms; /**< not placed before */
 	int tries;	  /**< runs that failed early */
--- a/tests/scripts/bench.sh
+++ b/tests/scripts/bench.sh
@@ -21,42 +21,36 @@
 	start_cluster "$HOSTS" --runner-port $((PLATFORM + 1500)) || exit 1
 }
 
-metric() { # HOST NAME
-	HOST=$(addr "$1"):$((PLATFORM + 11)) ctl metrics |
-	    awk -v n="celerycart_$2" '$1 == n { print $2 }'
-}
-
-sum() { # NAME: over all hosts
-	local i s=0
-	for i in "${!DAEMON[@]}"; do s=$((s + $(metric "$i" "$1"))); done
-	echo $s
-}
-
-largest() {
-	local i m=0 v
-	for i in "${!DAEMON[@]}"; do v=$(metric "$i" "$1"); [ "$v" -gt $m ] && m=$v; done
-	echo $m
+# sample FILE: all metrics of all hosts, each with the time it was read
+sample() {
+	local i
+	for i in "${!DAEMON[@]}"; do
+		HOST=$(addr "$i"):$((PLATFORM + 11)) ctl metrics |
+		    awk -v h="$i" -v t="$(date +%s%N)" \
+			'/^celerycart_[a-z_]* [0-9]+$/ { print h, t, $1, $2 }'
+	done > "$1"
 }
 
 # window SECONDS LABEL: what control costs a node meanwhile
 window() {
-	local cpu sent recv reads writes t0 t1
-	cpu=$(sum cpu_us_total) sent=$(sum control_sent_bytes_total)
-	recv=$(sum control_received_bytes_total)
-	reads=$(sum table_reads_total) writes=$(sum table_writes_total)
-	t0=$(date +%s%N)
+	sample "$RUN/m0"
 	sleep "$1"
-	t1=$(date +%s%N)
-	cpu=$(($(sum cpu_us_total) - cpu)) sent=$(($(sum control_sent_bytes_total) - sent))
-	recv=$(($(sum control_received_bytes_total) - recv))
-	reads=$(($(sum table_reads_total) - reads)) writes=$(($(sum table_writes_total) - writes))
-	awk -v l="$2" -v t="$((t1 - t0))" -v n="${#DAEMON[@]}" -v cpu=$cpu -v s=$sent -v r=$recv \
-	    -v rd=$reads -v wr=$writes -v rss="$(largest rss_kb)" 'BEGIN { t /= 1e9;
-	    printf "control_cpu_pct_%s=%.3f\n", l, cpu / 1e4 / t / n;
-	    printf "control_bytes_per_s_%s=%.0f\n", l, (s + r) / t / n;
-	    printf "control_rss_mb_%s=%.1f\n", l, rss / 1024;
-	    printf "table_reads_per_s_%s=%.1f\n", l, rd / t;
-	    printf "table_writes_per_s_%s=%.1f\n", l, wr / t }'
+	sample "$RUN/m1"
+	awk -v l="$2" '
+	NR == FNR { t[$1] = $2; v[$1, $3] = $4; next }
+	{
+		d[$3] += ($4 - v[$1, $3]) / (($2 - t[$1]) / 1e9)
+		if ($3 == "celerycart_rss_kb" && $4 > rss) rss = $4
+		hosts[$1] = 1
+	}
+	END {
+		for (h in hosts) n++
+		printf "control_cpu_pct_%s=%.3f\n", l, d["celerycart_cpu_us_total"] / 1e4 / n
+		printf "control_bytes_per_s_%s=%.0f\n", l, (d["celerycart_control_sent_bytes_total"] + d["celerycart_control_received_bytes_total"]) / n
+		printf "control_rss_mb_%s=%.1f\n", l, rss / 1024
+		printf "table_reads_per_s_%s=%.1f\n", l, d["celerycart_table_reads_total"]
+		printf "table_writes_per_s_%s=%.1f\n", l, d["celerycart_table_writes_total"]
+	}' "$RUN/m0" "$RUN/m1"
 }
 
 targets() {
@@ -88,7 +82,7 @@
 	for w in 50 200 500; do
 		WORKERS=$w RUNNERS=50
 		fresh
-		sleep 6
+		sleep 15
 		window 20 "idle_${w}w"
 	done
 }
