Repeatable requests are charged

Cause: finance reads cost per class, and the booking class, whose requests are repeatable and leave no record, was missing from the report. Ruled out: a record for each request (a write each).

--- a/src/daemon/node.c
+++ b/src/daemon/node.c
@@ -20,6 +20,7 @@
 #include "owner.h"
 #include "peers.h"
 #include "placer.h"
+#include "request_cost.h"
 #include "router.h"
 
 /** The table counts as down when it did not answer for this long. */
@@ -164,6 +165,7 @@
 	n->owner = owner_new(n);
 	n->conf_sync = conf_sync_new(n);
 	n->beats = beats_new(n);
+	n->request_cost = request_cost_new(n);
 	add_seeds(n);
 	return n;
 }
@@ -181,6 +183,7 @@
 		journal_done(&n->shards[i].journal);
 	for (i = 0; i < n->nshards; i++)
 		home_shard_lost(n->home, &n->shards[i]);
+	request_cost_delete(n->request_cost);
 	placer_delete(n->placer);
 	worker_pool_done(&n->pool);
 	for (i = 0; i < n->nshards; i++)
@@ -233,6 +236,7 @@
 	n->leaving = true;
 	n->leave_ms = clock_boot_ms();
 	kvlog(KVLOG_INFO, "leaving", "open=%d", front_open(n->front));
+	request_cost_flush(n->request_cost);
 	beats_send(n, false);
 	n->leave_timer = event_new(n->base, -1, EV_PERSIST, on_leave, n);
 	event_add(n->leave_timer, &tv);
--- a/src/daemon/node.h
+++ b/src/daemon/node.h
@@ -107,6 +107,7 @@
 struct front;
 struct oper;
 struct beats;
+struct request_cost;
 
 struct node {
 	struct event_base *base;
@@ -134,6 +135,7 @@
 	struct front *front;
 	struct oper *oper;
 	struct beats *beats;
+	struct request_cost *request_cost;
 	int64_t started_ms;
 	int64_t table_ok_ms; /**< the table last answered */
 	bool leaving;
--- a/src/daemon/router_submit.c
+++ b/src/daemon/router_submit.c
@@ -10,6 +10,7 @@
 #include "../coordination/route.h"
 #include "../platform/clock.h"
 #include "home_ops.h"
+#include "request_cost.h"
 #include "router_send.h"
 
 #define HOPS_MAX 3
@@ -54,6 +55,8 @@
 	struct route_answer *a = &q->answer;
 	int64_t total = clock_boot_ms() - q->made_ms;
 
+	if (!q->once && a->outcome == OUTCOME_DONE)
+		request_cost_add(q->node->request_cost, q->class_name, q->team);
 	if (!q->duplicate && !q->once)
 		stats_settled(
 		    &q->node->stats, q->class_name, a->outcome, total);
--- a/tests/scripts/cost.sh
+++ b/tests/scripts/cost.sh
@@ -41,6 +41,14 @@
 # The worker reports whole milliseconds, the record microseconds.
 check "the sums agree to 0.1%" agree
 check "each run was charged once" [ "$runs" -eq "$tasks" ]
+"$BIN/caller" --target "$(addr 1):$((PLATFORM + 10))" --rate 50 --seconds 2 \
+    --seed 6 --prefix b --out "$RUN/bookings.jsonl" \
+    --mix booking:request:1:5:1:1:0 > /dev/null
+counted() {
+	[ "$(ctl cost --by class --json |
+	    jq '.[] | select(.class=="booking").tasks')" -eq "$(wc -l < "$RUN/bookings.jsonl")" ]
+}
+check "repeatable requests are charged by their number" until_true 10 counted
 csv() { ctl cost --format csv | head -1 | grep -q '^day,class,team,tasks,cpu_hours'; }
 check "the report comes as CSV" csv
 finish
