--- a/src/ctl/cmd_config.c
+++ b/src/ctl/cmd_config.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "../base/err.h"
+#include "../base/json_get.h"
 #include "../base/xalloc.h"
 #include "../state/classes.h"
 #include "../state/yaml_doc.h"
@@ -40,20 +41,6 @@
 	return text;
 }
 
-static const char *
-text_of(const json_t *j, const char *name)
-{
-	const char *s = json_string_value(json_object_get(j, name));
-
-	return s != NULL ? s : "";
-}
-
-static long long
-int_of(const json_t *j, const char *name)
-{
-	return (long long)json_integer_value(json_object_get(j, name));
-}
-
 static int
 get_config(struct client *c, json_t **j)
 {
@@ -73,8 +60,9 @@
 	if (c->json)
 		command_print_json(j);
 	else
-		printf("# version %lld, by %s\n%s", int_of(j, "version"),
-		    text_of(j, "who"), text_of(j, "text"));
+		printf("# version %lld, by %s\n%s",
+		    (long long)json_get_int(j, "version"),
+		    json_get_text(j, "who"), json_get_text(j, "text"));
 	json_decref(j);
 	return CTL_OK;
 }
@@ -105,9 +93,9 @@
 		return rc;
 	rc = get_config(c, &j);
 	if (rc == CTL_OK) {
-		if (print_diff(stdout, text_of(j, "text"), text) == 0)
+		if (print_diff(stdout, json_get_text(j, "text"), text) == 0)
 			printf("no difference from version %lld\n",
-			    int_of(j, "version"));
+			    (long long)json_get_int(j, "version"));
 		json_decref(j);
 	}
 	free(text);
@@ -127,13 +115,15 @@
 	json_decref(body);
 	rc = command_result(status, j);
 	if (rc == CTL_OK) {
-		printf("applied version %lld\n", int_of(j, "version"));
+		printf("applied version %lld\n",
+		    (long long)json_get_int(j, "version"));
 	} else if (rc == CTL_CONFLICT) {
 		fprintf(stderr,
 		    "version %lld by %s is in force; your file "
 		    "differs from it by:\n",
-		    int_of(j, "version"), text_of(j, "who"));
-		print_diff(stderr, text_of(j, "text"), text);
+		    (long long)json_get_int(j, "version"),
+		    json_get_text(j, "who"));
+		print_diff(stderr, json_get_text(j, "text"), text);
 	}
 	json_decref(j);
 	return rc;
@@ -154,7 +144,7 @@
 			free(text);
 			return rc;
 		}
-		seen = int_of(j, "version");
+		seen = (long long)json_get_int(j, "version");
 		json_decref(j);
 	}
 	rc = apply_text(c, text, seen);
@@ -173,18 +163,9 @@
 static int
 config_status(struct client *c, const char *file, long long seen)
 {
-	json_t *j;
-	int rc = command_get(c, "/v1/hosts", &j);
-
 	(void)file;
 	(void)seen;
-	if (rc == CTL_OK && c->json)
-		command_print_json(j);
-	else if (rc == CTL_OK)
-		print_table(
-		    stdout, json_object_get(j, "hosts"), status_columns);
-	json_decref(j);
-	return rc;
+	return command_show(c, "/v1/hosts", "hosts", status_columns);
 }
 
 static const struct column history_columns[] = {
@@ -198,18 +179,10 @@
 static int
 config_history(struct client *c, const char *file, long long seen)
 {
-	json_t *j;
-	int rc = command_get(c, "/v1/config/history", &j);
-
 	(void)file;
 	(void)seen;
-	if (rc == CTL_OK && c->json)
-		command_print_json(j);
-	else if (rc == CTL_OK)
-		print_table(
-		    stdout, json_object_get(j, "history"), history_columns);
-	json_decref(j);
-	return rc;
+	return command_show(
+	    c, "/v1/config/history", "history", history_columns);
 }
 
 static const struct {
--- a/src/ctl/commands.c
+++ b/src/ctl/commands.c
@@ -6,6 +6,7 @@
 #include <string.h>
 
 #include "../base/err.h"
+#include "../base/json_get.h"
 #include "../base/xalloc.h"
 #include "print.h"
 
@@ -16,14 +17,6 @@
 	putchar('\n');
 }
 
-static const char *
-text_of(const json_t *j, const char *name)
-{
-	const char *s = json_string_value(json_object_get(j, name));
-
-	return s != NULL ? s : "";
-}
-
 int
 command_result(int status, json_t *answer)
 {
@@ -33,16 +26,17 @@
 		return CTL_UNREACHABLE;
 	if (status / 100 == 2)
 		return CTL_OK;
-	if (*text_of(answer, "error") != '\0')
+	if (*json_get_text(answer, "error") != '\0')
 		fprintf(stderr, "celerycartctl: %s%s%s%s%s\n",
-		    text_of(answer, "field"),
-		    *text_of(answer, "field") != '\0' ? ": " : "",
-		    text_of(answer, "error"),
-		    *text_of(answer, "advice") != '\0' ? "; " : "",
-		    text_of(answer, "advice"));
-	if (strcmp(text_of(answer, "outcome"), "unknown") == 0)
+		    json_get_text(answer, "field"),
+		    *json_get_text(answer, "field") != '\0' ? ": " : "",
+		    json_get_text(answer, "error"),
+		    *json_get_text(answer, "advice") != '\0' ? "; " : "",
+		    json_get_text(answer, "advice"));
+	if (strcmp(json_get_text(answer, "outcome"), "unknown") == 0)
 		return CTL_UNKNOWN;
-	if (status == 503 && strcmp(text_of(answer, "outcome"), "not-run") == 0)
+	if (status == 503 &&
+	    strcmp(json_get_text(answer, "outcome"), "not-run") == 0)
 		return CTL_NOT_RUN;
 	return status == 409 ? CTL_CONFLICT : CTL_REFUSED;
 }
@@ -75,9 +69,10 @@
 	rows = json_array();
 	json_array_foreach(json_object_get(hosts, "hosts"), i, h)
 	{
-		if (strcmp(text_of(h, "state"), "gone") == 0)
+		if (strcmp(json_get_text(h, "state"), "gone") == 0)
 			continue;
-		str_copy(target.addr, text_of(h, "addr"), sizeof(target.addr));
+		str_copy(
+		    target.addr, json_get_text(h, "addr"), sizeof(target.addr));
 		target.port = (uint16_t)json_integer_value(
 		    json_object_get(h, "operator_port"));
 		if (client_ask_host(
@@ -85,7 +80,7 @@
 			fprintf(stderr,
 			    "celerycartctl: %s does not answer; its part is "
 			    "missing\n",
-			    text_of(h, "host"));
+			    json_get_text(h, "host"));
 			json_decref(part);
 			continue;
 		}
@@ -229,8 +224,8 @@
 	return show_gathered(c, "/v1/classes", "classes", class_columns);
 }
 
-static int
-show_one(struct client *c, const char *path, const char *name,
+int
+command_show(struct client *c, const char *path, const char *name,
     const struct column *cols)
 {
 	json_t *j, *missing;
@@ -257,7 +252,7 @@
 {
 	(void)argc;
 	(void)argv;
-	return show_one(c, "/v1/hosts", "hosts", host_columns);
+	return command_show(c, "/v1/hosts", "hosts", host_columns);
 }
 
 static int
@@ -278,7 +273,7 @@
 		path = xasprintf("/v1/tasks?class=%s&state=%s",
 		    cls->count ? cls->sval[0] : "",
 		    state->count ? state->sval[0] : "");
-		rc = show_one(c, path, "tasks", task_columns);
+		rc = command_show(c, path, "tasks", task_columns);
 		free(path);
 	}
 	arg_freetable(table, 3);
@@ -302,8 +297,8 @@
 		json_decref(j);
 		return rc;
 	}
-	printf("host %s in %s: lease %s, table %s%s\n", text_of(j, "host"),
-	    text_of(j, "zone"),
+	printf("host %s in %s: lease %s, table %s%s\n",
+	    json_get_text(j, "host"), json_get_text(j, "zone"),
 	    json_is_true(json_object_get(j, "lease")) ? "held" : "not held",
 	    json_is_true(json_object_get(j, "table_up")) ? "up" : "down",
 	    json_is_true(json_object_get(j, "leaving")) ? ", leaving" : "");
@@ -412,7 +407,7 @@
 		sum = json_pack("{s:[]}", "buckets");
 		json_array_foreach(rows, i, row)
 		{
-			if (strcmp(text_of(row, "class"), name) != 0)
+			if (strcmp(json_get_text(row, "class"), name) != 0)
 				continue;
 			found = true;
 			add_buckets(sum, json_object_get(row, hist_fields[k]));
@@ -480,7 +475,7 @@
 	status = client_ask(c, EVHTTP_REQ_POST, "/v1/drain", NULL, &j);
 	rc = command_result(status, j);
 	if (rc == CTL_OK)
-		printf("draining %s\n", text_of(j, "draining"));
+		printf("draining %s\n", json_get_text(j, "draining"));
 	json_decref(j);
 	return rc;
 }
--- a/src/ctl/commands.h
+++ b/src/ctl/commands.h
@@ -3,6 +3,7 @@
 #define COMMANDS_H
 
 #include "client.h"
+#include "print.h"
 
 /** Exit codes, as the manual gives them. */
 enum ctl_exit {
@@ -38,6 +39,9 @@
 int command_get(struct client *c, const char *path, json_t **out);
 /** Rows of a read that every live host answers for itself, as one array. */
 json_t *command_gather(struct client *c, const char *path, const char *name);
+/** Reads a path and prints one array of the answer. @return an exit code. */
+int command_show(struct client *c, const char *path, const char *name,
+    const struct column *cols);
 /** Prints the answer as JSON. */
 void command_print_json(json_t *j);
 
--- a/src/daemon/hostlist.c
+++ b/src/daemon/hostlist.c
@@ -7,6 +7,7 @@
 #include <xxhash.h>
 
 #include "../base/err.h"
+#include "../base/json_get.h"
 #include "../base/kvlog.h"
 #include "../base/xalloc.h"
 #include "../platform/clock.h"
@@ -35,20 +36,6 @@
     {"entry", HOST_ENTRY},
 };
 
-static const char *
-text_of(const json_t *j, const char *name)
-{
-	const char *s = json_string_value(json_object_get(j, name));
-
-	return s != NULL ? s : "";
-}
-
-static uint32_t
-num_of(const json_t *j, const char *name)
-{
-	return (uint32_t)json_integer_value(json_object_get(j, name));
-}
-
 static bool
 role_of(const char *name, enum host_role *out)
 {
@@ -65,12 +52,12 @@
 static void
 take_row(struct hostlist *l, const json_t *j)
 {
-	const char *name = text_of(j, "name");
+	const char *name = json_get_text(j, "name");
 	struct host_row *r;
 	enum host_role role;
 
 	if (*name == '\0' || strlen(name) >= sizeof(r->name) ||
-	    !role_of(text_of(j, "role"), &role))
+	    !role_of(json_get_text(j, "role"), &role))
 		return;
 	HASH_FIND_STR(l->rows, name, r);
 	if (r == NULL) {
@@ -79,15 +66,15 @@
 		HASH_ADD_STR(l->rows, name, r);
 	}
 	r->role = role;
-	str_copy(r->addr, text_of(j, "addr"), sizeof(r->addr));
-	r->port = (uint16_t)num_of(j, "port");
-	str_copy(r->rack, text_of(j, "rack"), sizeof(r->rack));
-	str_copy(r->zone, text_of(j, "zone"), sizeof(r->zone));
-	str_copy(r->service, text_of(j, "service"), sizeof(r->service));
-	r->size.cpus = num_of(j, "cpus");
-	r->size.memory_mb = num_of(j, "memory_mb");
-	r->size.accelerators = num_of(j, "accelerators");
-	r->leaving = strcmp(text_of(j, "state"), "leaving") == 0;
+	str_copy(r->addr, json_get_text(j, "addr"), sizeof(r->addr));
+	r->port = (uint16_t)(uint32_t)json_get_int(j, "port");
+	str_copy(r->rack, json_get_text(j, "rack"), sizeof(r->rack));
+	str_copy(r->zone, json_get_text(j, "zone"), sizeof(r->zone));
+	str_copy(r->service, json_get_text(j, "service"), sizeof(r->service));
+	r->size.cpus = (uint32_t)json_get_int(j, "cpus");
+	r->size.memory_mb = (uint32_t)json_get_int(j, "memory_mb");
+	r->size.accelerators = (uint32_t)json_get_int(j, "accelerators");
+	r->leaving = strcmp(json_get_text(j, "state"), "leaving") == 0;
 	r->shard =
 	    (int)(XXH64(name, strlen(name), 0) % (uint64_t)l->node->nshards);
 	r->seen = true;
--- a/src/daemon/owner.c
+++ b/src/daemon/owner.c
@@ -1,4 +1,4 @@
-#include "owner.h"
+#include "owner_parts.h"
 
 #include <inttypes.h>
 #include <stdio.h>
@@ -16,221 +16,11 @@
 
 #define TICK_MS 100
 #define ACTIONS_MAX 32
-#define WRITE_TIMEOUT_MS 1000
-#define READ_TIMEOUT_MS 2000
 /** The shards' rows are read this often while nothing moves. */
 #define SHARDS_QUIET_MS 10000
 /** And no more often than this when they prove to be stale. */
 #define SHARDS_STALE_MS 200
 
-struct owner {
-	struct node *node;
-	struct event *tick;
-	uint64_t row_epoch; /**< of this host's row as last read */
-	bool row_seen;
-	bool renewing;
-	bool reading_hosts;
-	bool reading_shards;
-	bool reading_addresses;
-	bool address_missing;
-	bool moving; /**< shards are about to change hands */
-	bool hosts_known;
-	bool shards_known;
-	bool expiring;
-	bool leave_told; /**< the row says that this host is leaving */
-	int64_t renew_ms;
-	int64_t read_ms;
-	int64_t shards_ms; /**< when the shards' rows are read next */
-	uint64_t beat;
-	uint64_t try_epoch; /**< of the renewal under way */
-};
-
-static bool
-is_leaving(const struct node *n)
-{
-	return n->leaving;
-}
-
-static void
-put_host_row(
-    struct table_tx *tx, const struct node *n, uint64_t epoch, uint64_t beat)
-{
-	table_tx_put(tx, "host", n->settings->host);
-	table_tx_num(tx, "epoch", epoch);
-	table_tx_num(tx, "beat", beat);
-	table_tx_num(tx, "expired", 0);
-	table_tx_num(tx, "leaving", is_leaving(n));
-}
-
-/* What seldom changes stands apart from the row that is read often. */
-static void
-put_host_address(struct table_tx *tx, const struct settings *s)
-{
-	table_tx_put(tx, "hostaddr", s->host);
-	table_tx_text(tx, "zone", s->zone);
-	table_tx_text(tx, "addr", s->addr);
-	table_tx_num(tx, "port", (uint64_t)s->peer_port);
-	table_tx_num(tx, "operator_port", (uint64_t)s->operator_port);
-}
-
-/* The lease ended for certain: all of its shards are gone. */
-static void
-drop_lease(struct owner *o, const char *why)
-{
-	struct node *n = o->node;
-	int i;
-
-	if (n->lease.held)
-		kvlog(KVLOG_WARN, "lease_lost", "epoch=%" PRIu64 " why=%s",
-		    n->lease.epoch, why);
-	lease_lost(&n->lease);
-	o->row_seen = false; /* register only after a new read */
-	for (i = 0; i < n->nshards; i++)
-		if (n->shards[i].state != SHARD_OTHER)
-			owner_shard_lost(n, &n->shards[i], "lease");
-}
-
-static void
-renewed(int err, void *arg)
-{
-	struct owner *o = arg;
-	struct node *n = o->node;
-
-	o->renewing = false;
-	if (err == CC_OK) {
-		n->table_ok_ms = clock_boot_ms();
-		if (o->try_epoch < o->row_epoch)
-			return; /* the lease was ended meanwhile */
-		if (!n->lease.held)
-			kvlog(KVLOG_INFO, "lease_taken", "epoch=%" PRIu64,
-			    o->try_epoch);
-		o->row_epoch = o->try_epoch;
-		lease_renewed(&n->lease, &n->terms, o->try_epoch, o->beat);
-		o->leave_told = is_leaving(n);
-		return;
-	}
-	/* A lost answer of a registration shows as a conflict: read again. */
-	if (err == CC_ECONFLICT)
-		drop_lease(o, "conflict");
-	else
-		kvlog(KVLOG_WARN, "renewal_failed", "err=%s", cc_strerror(err));
-}
-
-/* Registers with a new epoch, or renews under the one that is held. */
-static void
-renew(struct owner *o, int64_t now)
-{
-	struct node *n = o->node;
-	struct table_tx *tx;
-
-	if (o->renewing || now < o->renew_ms ||
-	    (!n->lease.held && !o->row_seen))
-		return;
-	o->renew_ms = now + n->terms.renew_ms;
-	o->renewing = true;
-	tx = table_tx_new();
-	o->try_epoch = n->lease.held ? n->lease.epoch : o->row_epoch + 1;
-	put_host_row(tx, n, o->try_epoch, ++o->beat);
-	if (n->lease.held) {
-		table_tx_if_num(tx, "epoch", n->lease.epoch);
-	} else {
-		if (o->row_epoch > 0)
-			table_tx_if_num(tx, "epoch", o->row_epoch);
-		else
-			table_tx_if_absent(tx);
-		put_host_address(tx, n->settings);
-	}
-	lease_sent(&n->lease, now);
-	table_write(n->table, tx, NULL, WRITE_TIMEOUT_MS, renewed, o);
-	table_tx_delete(tx);
-}
-
-static void
-take_host_row(struct owner *o, const struct table_item *it, int64_t now)
-{
-	struct node *n = o->node;
-	const char *name = table_item_sort(it);
-	struct peer_host *h = node_host_get(n, name);
-
-	if (h == NULL)
-		return;
-	h->present = true;
-	h->epoch = table_item_num(it, "epoch");
-	h->expired = table_item_num(it, "expired") != 0;
-	h->leaving = table_item_num(it, "leaving") != 0;
-	if (!h->expired && h->addr_epoch != h->epoch)
-		o->address_missing = true;
-	lease_watch_observe(
-	    &h->watch, h->epoch, table_item_num(it, "beat"), now);
-	if (h->expired || lease_watch_lapsed(&h->watch, &n->terms, now))
-		h->known_since_ms = now;
-	if (strcmp(name, n->settings->host) != 0)
-		return;
-	o->row_seen = true;
-	if (h->epoch > o->row_epoch)
-		o->row_epoch = h->epoch;
-	if (n->lease.held && h->epoch > n->lease.epoch)
-		drop_lease(o, "row");
-}
-
-static void
-take_address(struct node *n, const struct table_item *it)
-{
-	const char *name = table_item_sort(it);
-	struct peer_host *h = node_host(n, name);
-
-	if (h == NULL || h->expired)
-		return;
-	h->addr_epoch = h->epoch;
-	str_copy(h->zone, table_item_text(it, "zone"), sizeof(h->zone));
-	str_copy(h->addr, table_item_text(it, "addr"), sizeof(h->addr));
-	h->peer_port = (uint16_t)table_item_num(it, "port");
-	h->operator_port = (uint16_t)table_item_num(it, "operator_port");
-	if (strcmp(name, n->settings->host) != 0)
-		peer_net_add(n->peers, name, h->addr, h->peer_port);
-}
-
-static void
-addresses_read(int err, const struct table_item *items, size_t count, void *arg)
-{
-	struct owner *o = arg;
-	size_t i;
-
-	o->reading_addresses = false;
-	for (i = 0; err == CC_OK && i < count; i++)
-		take_address(o->node, &items[i]);
-}
-
-static void
-hosts_read(int err, const struct table_item *items, size_t count, void *arg)
-{
-	struct owner *o = arg;
-	struct node *n = o->node;
-	int64_t now = clock_boot_ms();
-	size_t i;
-	int h;
-
-	o->reading_hosts = false;
-	if (err != CC_OK)
-		return;
-	n->table_ok_ms = now;
-	for (h = 0; h < n->nhosts; h++)
-		n->hosts[h].present = false;
-	for (i = 0; i < count; i++)
-		take_host_row(o, &items[i], now);
-	if (o->address_missing && !o->reading_addresses) {
-		o->address_missing = false;
-		o->reading_addresses = true;
-		table_query(n->table, "hostaddr", "", READ_TIMEOUT_MS,
-		    addresses_read, o);
-	}
-	if (!o->row_seen) {
-		o->row_seen = true;
-		o->row_epoch = 0;
-	}
-	o->hosts_known = true;
-}
-
 static bool
 row_is_mine(const struct node *n, const struct shard *s)
 {
@@ -358,34 +148,6 @@
 	table_tx_delete(tx);
 }
 
-static void
-expired(int err, void *arg)
-{
-	struct owner *o = arg;
-
-	(void)err;
-	o->expiring = false;
-	o->read_ms = o->shards_ms = 0;
-}
-
-static void
-expire_host(struct owner *o, struct peer_host *h)
-{
-	struct table_tx *tx = table_tx_new();
-
-	kvlog(KVLOG_WARN, "host_expired", "peer=%s epoch=%" PRIu64, h->name,
-	    h->epoch);
-	o->expiring = true;
-	table_tx_put(tx, "host", h->name);
-	table_tx_num(tx, "epoch", h->epoch + 1);
-	table_tx_num(tx, "beat", h->watch.beat);
-	table_tx_num(tx, "expired", 1);
-	table_tx_if_num(tx, "epoch", h->watch.epoch);
-	table_tx_if_num(tx, "beat", h->watch.beat);
-	table_write(o->node->table, tx, NULL, WRITE_TIMEOUT_MS, expired, o);
-	table_tx_delete(tx);
-}
-
 static void
 fill_view(struct owner *o, struct plan_view *v, int *map, int64_t now)
 {
@@ -411,7 +173,7 @@
 		p->known_ms = now - h->known_since_ms;
 		if (strcmp(h->name, n->settings->host) == 0) {
 			p->lapsed = false;
-			p->leaving = is_leaving(n);
+			p->leaving = n->leaving;
 		}
 	}
 	v->nshards = n->nshards;
@@ -442,7 +204,7 @@
 
 	if (a->verb == PLAN_EXPIRE) {
 		if (!o->expiring)
-			expire_host(o, &n->hosts[map[a->index]]);
+			owner_expire(o, &n->hosts[map[a->index]]);
 		return;
 	}
 	s = &n->shards[a->index];
@@ -514,14 +276,12 @@
 
 	(void)fd;
 	(void)what;
-	if (is_leaving(n) && !o->leave_told)
+	if (n->leaving && !o->leave_told)
 		o->renew_ms = 0;
-	renew(o, now);
+	owner_renew(o, now);
 	if (now >= o->read_ms && !o->reading_hosts) {
 		o->read_ms = now + n->terms.renew_ms;
-		o->reading_hosts = true;
-		table_query(
-		    n->table, "host", "", READ_TIMEOUT_MS, hosts_read, o);
+		owner_read_hosts(o);
 	}
 	if (now >= o->shards_ms && !o->reading_shards) {
 		o->shards_ms =
--- a/src/daemon/placer.c
+++ b/src/daemon/placer.c
@@ -1,11 +1,9 @@
-#include "placer.h"
+#include "placer_parts.h"
 
-#include <inttypes.h>
 #include <jansson.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
-#include <xxhash.h>
 
 #include "../base/err.h"
 #include "../base/kvlog.h"
@@ -14,21 +12,12 @@
 #include "../platform/clock.h"
 #include "home.h"
 #include "hostlist.h"
-#include "owner.h"
-#include "../coordination/tombstone.h"
 #include "watch.h"
 
 #define TICK_MS 250
 #define START_TIMEOUT_MS 2000
 #define HOLD_MS 10000
 #define GANG_HOLD_MS 3000
-#define CONFIRM_TIMEOUT_MS 3000
-
-struct placer {
-	struct node *node;
-	struct event *tick;
-	struct tombstones tombs;
-};
 
 static int64_t
 shard_epoch(const struct placer *p, int shard)
@@ -60,8 +49,8 @@
 	fn(&r, arg);
 }
 
-static void
-set_state(struct reservation *r, enum reservation_state st)
+void
+placer_set_state(struct reservation *r, enum reservation_state st)
 {
 	r->state = st;
 	r->since_ms = clock_boot_ms();
@@ -83,7 +72,7 @@
 		err = r != NULL && r->state == RUNNING ? CC_OK : CC_EUNAVAIL;
 		worker = r != NULL ? r->worker->name : "";
 	} else if (a->err == CC_OK && a->status / 100 == 2) {
-		set_state(r, RUNNING);
+		placer_set_state(r, RUNNING);
 		health_started(&r->worker->health);
 		worker_refresh(&p->node->pool, r->worker);
 		err = CC_OK;
@@ -93,7 +82,7 @@
 		worker_release(&p->node->pool, r);
 		err = CC_EBUSY;
 	} else {
-		set_state(r, UNCERTAIN);
+		placer_set_state(r, UNCERTAIN);
 		p->node->stats.starts_uncertain++;
 		watch_hurry(r->worker->watch);
 	}
@@ -132,7 +121,7 @@
 	str_copy(c->key, r->key, sizeof(c->key));
 	r->attempt = c->attempt = m->attempt;
 	c->shard = w->shard;
-	set_state(r, STARTING);
+	placer_set_state(r, STARTING);
 	body = json_pack("{s:s,s:s,s:i,s:i,s:i,s:I,s:I,s:I,s:I}", "key", r->key,
 	    "class", r->class_name, "cpus", (int)r->size.cpus, "memory_mb",
 	    (int)r->size.memory_mb, "accelerators", (int)r->size.accelerators,
@@ -152,7 +141,7 @@
 placer_hold(struct placer *p, struct reservation *r, const char *class_name)
 {
 	(void)p;
-	set_state(r, RESERVED);
+	placer_set_state(r, RESERVED);
 	r->expires_ms = r->since_ms + HOLD_MS;
 	str_copy(r->class_name, class_name, sizeof(r->class_name));
 }
@@ -347,168 +336,6 @@
 	}
 }
 
-/* ---- reports ---- */
-
-struct confirm_call {
-	struct placer *placer;
-	char key[TASK_KEY_LEN];
-};
-
-static void
-confirmed(int err, void *arg)
-{
-	struct confirm_call *c = arg;
-	struct placer *p = c->placer;
-	struct reservation *r = worker_pool_reservation(&p->node->pool, c->key);
-
-	if (r != NULL && r->state == FINISHED) {
-		r->confirming = false;
-		r->since_ms = clock_boot_ms();
-		if (err == CC_OK) {
-			if (!r->lost)
-				watch_ack(r->worker->watch, r->key, r->attempt);
-			worker_release(&p->node->pool, r);
-		}
-	}
-	free(c);
-}
-
-static void
-confirm_reply(int err, const Cc__Frame *f, void *arg)
-{
-	if (err != CC_OK)
-		owner_stale(((struct confirm_call *)arg)->placer->node);
-	if (err == CC_OK)
-		err = f->body_case == CC__FRAME__BODY_ACK ? f->ack->error
-							  : CC_EPROTO;
-	confirmed(err, arg);
-}
-
-/* Tells the home that a member ended; repeated until it confirms. */
-static void
-report(struct placer *p, struct reservation *r)
-{
-	struct node *n = p->node;
-	struct confirm_call *c;
-	struct shard *home;
-	Cc__Frame f = CC__FRAME__INIT;
-	Cc__Ended m = CC__ENDED__INIT;
-	char id[TASK_KEY_LEN];
-	char *mark;
-
-	if (r->confirming)
-		return;
-	str_copy(id, r->key, sizeof(id));
-	mark = strrchr(id, '#');
-	if (mark == NULL)
-		return;
-	*mark = '\0';
-	r->confirming = true;
-	c = xcalloc(1, sizeof(*c));
-	c->placer = p;
-	str_copy(c->key, r->key, sizeof(c->key));
-	home = node_home(n, id);
-	m.id = id;
-	m.member = (uint32_t)strtoul(mark + 1, NULL, 10);
-	m.home = (uint32_t)home->index;
-	m.worker = r->worker->name;
-	m.exit_status = r->exit_status;
-	m.run_ms = r->run_ms;
-	m.lost = r->lost;
-	if (home->state == SHARD_OWNED) {
-		home_ended(n, &m, confirmed, c);
-		return;
-	}
-	f.body_case = CC__FRAME__BODY_ENDED;
-	f.ended = &m;
-	peer_call(
-	    n->peers, home->owner, &f, CONFIRM_TIMEOUT_MS, confirm_reply, c);
-}
-
-static int
-count_quarantined(const struct worker_pool *pool)
-{
-	int i, n = 0;
-
-	for (i = 0; i < pool->count; i++)
-		n += pool->workers[i]->health.state != HEALTH_OK;
-	return n;
-}
-
-static void
-judge_worker(struct placer *p, struct worker *w, const struct reservation *r)
-{
-	struct worker_pool *pool = &p->node->pool;
-	uint64_t task = XXH64(r->key, strlen(r->key), 0);
-
-	if (r->exit_status == 0) {
-		health_success(&w->health);
-	} else if (r->run_ms < HEALTH_EARLY_MS && r->state != STOPPING &&
-	    health_failure(&w->health, task, clock_boot_ms(),
-		count_quarantined(pool), pool->count)) {
-		p->node->stats.quarantines++;
-		kvlog(KVLOG_WARN, "quarantine", "worker=%s term_ms=%" PRId64,
-		    w->name, w->health.term_ms);
-	}
-	worker_refresh(pool, w);
-}
-
-void
-placer_task_ended(struct placer *p, struct worker *w, const char *key,
-    uint64_t attempt, int exit_status, uint64_t run_ms)
-{
-	struct reservation *r = worker_pool_reservation(&p->node->pool, key);
-
-	if (r == NULL || r->worker != w || r->attempt != attempt) {
-		/* The end of an earlier run, which its home heard of. */
-		watch_ack(w->watch, key, attempt);
-		return;
-	}
-	if (r->state == FINISHED)
-		return;
-	r->exit_status = exit_status;
-	r->run_ms = run_ms;
-	judge_worker(p, w, r);
-	set_state(r, FINISHED);
-	worker_uncharge(&p->node->pool, r);
-	report(p, r);
-	home_pump(p->node->home);
-}
-
-void
-placer_task_lost(struct placer *p, struct reservation *r)
-{
-	if (r->state == FINISHED || r->state == RESERVED)
-		return;
-	kvlog(KVLOG_WARN, "task_lost", "key=%s worker=%s", r->key,
-	    r->worker->name);
-	r->lost = true;
-	r->run_ms = 0;
-	set_state(r, FINISHED);
-	worker_uncharge(&p->node->pool, r);
-	report(p, r);
-}
-
-void
-placer_task_seen(struct placer *p, struct worker *w, const char *key,
-    uint64_t attempt, const char *class_name, const struct size *size)
-{
-	struct reservation *r = worker_pool_reservation(&p->node->pool, key);
-
-	if (r != NULL && (r->worker != w || attempt < r->attempt)) {
-		kvlog(KVLOG_ERROR, "task_twice", "key=%s worker=%s", key,
-		    w->name);
-		return;
-	}
-	if (r == NULL) {
-		r = worker_adopt(&p->node->pool, w, key, size);
-		str_copy(r->class_name, class_name, sizeof(r->class_name));
-	}
-	r->attempt = attempt;
-	if (r->state != FINISHED && r->state != STOPPING && r->state != RUNNING)
-		set_state(r, RUNNING);
-}
-
 /* ---- shards and workers coming and going ---- */
 
 void
@@ -594,7 +421,7 @@
 			worker_release(&p->node->pool, r);
 		else if (r->state == FINISHED && !r->confirming &&
 		    now - r->since_ms > CONFIRM_TIMEOUT_MS / 4)
-			report(p, r);
+			placer_report(p, r);
 	}
 }
 
--- a/src/daemon/watch.c
+++ b/src/daemon/watch.c
@@ -6,6 +6,7 @@
 #include <string.h>
 
 #include "../base/err.h"
+#include "../base/json_get.h"
 #include "../base/kvlog.h"
 #include "../base/xalloc.h"
 #include "../platform/clock.h"
@@ -70,14 +71,6 @@
 	return s;
 }
 
-static const char *
-text_of(const json_t *j, const char *name)
-{
-	const char *s = json_string_value(json_object_get(j, name));
-
-	return s != NULL ? s : "";
-}
-
 /*
  * Running tasks first come into the pool, then the ended ones are reported:
  * an end of an unknown task is adopted too, so that its home hears of it.
@@ -86,21 +79,21 @@
 take_task(struct watch *w, const json_t *t)
 {
 	struct placer *p = w->node->placer;
-	const char *key = text_of(t, "key");
+	const char *key = json_get_text(t, "key");
 	uint64_t attempt =
 	    (uint64_t)json_integer_value(json_object_get(t, "attempt"));
 	struct size size = json_size(t);
 
 	if (*key == '\0' || strlen(key) >= TASK_KEY_LEN)
 		return;
-	if (strcmp(text_of(t, "state"), "running") == 0) {
-		placer_task_seen(
-		    p, w->worker, key, attempt, text_of(t, "class"), &size);
+	if (strcmp(json_get_text(t, "state"), "running") == 0) {
+		placer_task_seen(p, w->worker, key, attempt,
+		    json_get_text(t, "class"), &size);
 		return;
 	}
 	if (worker_pool_reservation(&w->node->pool, key) == NULL)
-		placer_task_seen(
-		    p, w->worker, key, attempt, text_of(t, "class"), &size);
+		placer_task_seen(p, w->worker, key, attempt,
+		    json_get_text(t, "class"), &size);
 	placer_task_ended(p, w->worker, key, attempt,
 	    (int)json_integer_value(json_object_get(t, "exit")),
 	    (uint64_t)json_integer_value(json_object_get(t, "run_ms")));
@@ -112,7 +105,8 @@
 	size_t i;
 
 	for (i = 0; i < json_array_size(tasks); i++)
-		if (strcmp(text_of(json_array_get(tasks, i), "key"), key) == 0)
+		if (strcmp(json_get_text(json_array_get(tasks, i), "key"),
+			key) == 0)
 			return true;
 	return false;
 }
@@ -146,7 +140,7 @@
 take_answer(struct watch *w, const json_t *body)
 {
 	const json_t *tasks = json_object_get(body, "tasks");
-	const char *instance = text_of(body, "instance");
+	const char *instance = json_get_text(body, "instance");
 	bool full = w->full;
 	size_t i;
 
--- a/tests/scripts/bench.sh
+++ b/tests/scripts/bench.sh
@@ -181,6 +181,7 @@
 	local i t0
 	WORKERS=50 RUNNERS=50
 	fresh
+	sleep 15 # until every host has its shards
 	for i in 2 3 4; do
 		kill -KILL "${DAEMON[$i]}"
 		unset "DAEMON[$i]"
