--- a/tests/scripts/mutants.sh
+++ b/tests/scripts/mutants.sh
@@ -30,6 +30,30 @@
 	touch "$COPY/$1"
 }
 
+# daemon_mutant FILE SED-EXPRESSION SCRIPT: a scripted test must notice
+daemon_mutant() {
+	cp "$COPY/$1" "$COPY/saved"
+	sed -i "$2" "$COPY/$1"
+	if cmp -s "$COPY/$1" "$COPY/saved"; then
+		echo "not ok no such line any more: $1 $2"
+		FAILED=$((FAILED + 1))
+		return
+	fi
+	if make -s -C "$COPY" all > "$COPY/make.out" 2>&1 &&
+	    PLATFORM=14000 DRAIN=15 timeout 240 "$COPY/tests/scripts/$3.sh" \
+		> "$COPY/script.out" 2>&1; then
+		echo "not ok nobody noticed: $1 $2 ($3)"
+		FAILED=$((FAILED + 1))
+	else
+		echo "ok noticed: $1 $2 ($3: $(grep -E '^(not ok|BROKEN)' \
+		    "$COPY/script.out" | head -1))"
+		PASSED=$((PASSED + 1))
+	fi
+	cp "$COPY/saved" "$COPY/$1"
+	touch "$COPY/$1"
+}
+
+if [ "${1:-}" != daemons ]; then
 C=src/coordination
 mutant $C/lease.c 's/l->sent_ms + t->hold_ms/l->sent_ms + 2 * t->hold_ms/'
 mutant $C/lease.c 's/> t->take_ms/> t->take_ms \/ 4/'
@@ -53,5 +77,18 @@
 mutant $C/quarantine.c 's/if (h->failed\[i\] == task)/if (0)/'
 mutant $C/quarantine.c 's/return quarantined == 0 ||/return true ||/'
 mutant $C/retry.c 's/b->cents -= CENTS;//'
+fi
+if [ "${1:-}" != decisions ]; then
+cp -r "$ROOT/examples" "$COPY"
+daemon_mutant src/state/worker.c 's/!s->usable || !size_fits(size, \&s->free)/!s->usable/;s/if (s >= best_score ||/if (/' fail-worker
+daemon_mutant src/coordination/place.c 's/|| !size_fits(need, \&slots\[i\].free)//' fail-worker
+daemon_mutant src/daemon/router_submit.c 's/if (r->error == CC_OK \&\& r->created)/if (r->error == CC_OK)/' fail-twice
+daemon_mutant src/daemon/watch.c 's/s->worker_lease_ms + DELIVERY_MS/0/' fail-worker
+daemon_mutant src/daemon/router.c 's/rn->leaving = rn->leaving || h->leaving;//;s/d->runner->leaving = true;//' fail-runner
+daemon_mutant src/daemon/home.c 's/check_moved(h, \&n->shards\[i\]);//' fail-both
+daemon_mutant src/daemon/node.c 's/if (since < LEAVE_MAX_MS \&\&/if (0 \&\&/' fail-leave
+daemon_mutant src/daemon/conf_sync.c 's/if (!conf_follow_offer(\&c->follow, version))/if (version < 1)/' fail-config
+daemon_mutant src/state/ledger_pack.c 's/r.absolute = true;//' cost
+fi
 echo "$PASSED passed, $FAILED failed"
 [ "$FAILED" -eq 0 ]
