--- a/src/daemon/home_place.c
+++ b/src/daemon/home_place.c
@@ -77,7 +77,7 @@
 	member_key(m, key);
 	if (worker_reserve(&n->pool, w, key, &e->size, &out->local) != CC_OK)
 		return false;
-	placer_hold(n->placer, out->local, e->class_name);
+	placer_hold(out->local, e->class_name);
 	out->shard = (uint32_t)w->shard;
 	out->epoch = n->shards[w->shard].own_epoch;
 	return true;
--- a/src/daemon/placer.c
+++ b/src/daemon/placer.c
@@ -138,9 +138,8 @@
 }
 
 void
-placer_hold(struct placer *p, struct reservation *r, const char *class_name)
+placer_hold(struct reservation *r, const char *class_name)
 {
-	(void)p;
 	placer_set_state(r, RESERVED);
 	r->expires_ms = r->since_ms + HOLD_MS;
 	str_copy(r->class_name, class_name, sizeof(r->class_name));
@@ -213,7 +212,7 @@
 		reply_place(fn, arg, CC_EBUSY, "", epoch, false);
 		return;
 	}
-	placer_hold(p, r, m->class_name);
+	placer_hold(r, m->class_name);
 	place_existing(p, r, m, fn, arg);
 }
 
--- a/src/daemon/placer.h
+++ b/src/daemon/placer.h
@@ -21,8 +21,7 @@
 void placer_place(struct placer *p, const Cc__Place *m, place_fn fn, void *arg);
 void placer_stop(struct placer *p, const Cc__Stop *m, stop_fn fn, void *arg);
 /** Marks a reservation as held for a member that is about to be placed. */
-void placer_hold(
-    struct placer *p, struct reservation *r, const char *class_name);
+void placer_hold(struct reservation *r, const char *class_name);
 void placer_shard_owned(struct placer *p, struct shard *s);
 void placer_shard_lost(struct placer *p, struct shard *s);
 /** Whether no start or stop is under way in the shard. */
