--- a/Makefile
+++ b/Makefile
@@ -13,17 +13,19 @@
 	-largtable2 -llog4c -lxxhash -lssl -lcrypto -lm
 B = build
 
-BASE = $(wildcard src/base/*.c) src/platform/clock_linux.c
+BASE = $(wildcard src/base/*.c) src/sys/clock_linux.c
 STATE = $(wildcard src/state/*.c)
 COORD = $(wildcard src/coordination/*.c)
 PROTO = $(wildcard src/protocol/*.c)
 TRANS = $(wildcard src/transport/*.c)
+CELL = $(wildcard src/cell/*.c) $(wildcard src/member/*.c)
+PLATFORM = $(wildcard platform/*.c)
 DAEMON = $(wildcard src/daemon/*.c)
 CTL = $(wildcard src/ctl/*.c)
-LIBSRC = $(BASE) $(STATE) $(COORD) $(PROTO) $(TRANS)
+LIBSRC = $(BASE) $(STATE) $(COORD) $(PROTO) $(TRANS) $(CELL)
 
 LIBOBJ = $(LIBSRC:%.c=$(B)/%.o)
-DAEMONOBJ = $(DAEMON:%.c=$(B)/%.o)
+DAEMONOBJ = $(DAEMON:%.c=$(B)/%.o) $(PLATFORM:%.c=$(B)/%.o)
 CTLOBJ = $(CTL:%.c=$(B)/%.o)
 
 PACKAGES = gcc g++ make curl jq clang-format clang-tidy cppcheck libevent-dev \
@@ -90,9 +92,9 @@
 	@$(MAKE) -s all $(B)/bench-place
 	@tests/scripts/bench.sh
 
-OWN = $(filter-out %.pb-c.c,$(LIBSRC)) $(DAEMON) $(CTL) $(STANDIN) \
+OWN = $(filter-out %.pb-c.c,$(LIBSRC)) $(DAEMON) $(PLATFORM) $(CTL) $(STANDIN) \
 	$(wildcard tests/tools/*.c tests/unit/*.c bench/*.c)
-HEADERS = $(filter-out %.pb-c.h,$(wildcard src/*/*.h tests/*/*.h))
+HEADERS = $(filter-out %.pb-c.h,$(wildcard src/*/*.h platform/*.h tests/*/*.h))
 
 format:
 	@clang-format -i $(OWN) $(HEADERS) $(wildcard tests/prop/*.cc)
--- a/bench/bench.c
+++ b/bench/bench.c
@@ -11,7 +11,7 @@
 #include "../src/base/hist.h"
 #include "../src/base/xalloc.h"
 #include "../src/coordination/place.h"
-#include "../src/platform/clock.h"
+#include "../src/sys/clock.h"
 
 #define RUNS 5
 #define TASKS 7500
--- a/src/base/kvlog.c
+++ b/src/base/kvlog.c
@@ -1,16 +1,20 @@
 #include "kvlog.h"
 
+#include <fcntl.h>
 #include <log4c.h>
 #include <stdarg.h>
 #include <stdio.h>
 #include <string.h>
+#include <sys/stat.h>
+#include <unistd.h>
 
 #include "err.h"
-#include "../platform/clock.h"
+#include "../sys/clock.h"
 #include "xalloc.h"
 
 #define REPEATS_PER_SECOND 50
 #define LIMIT_SLOTS 64
+#define LINE_MAX_LEN 1400
 
 struct limit {
 	char event[32];
@@ -33,6 +37,9 @@
 	log4c_category_t *category;
 	char host[64];
 	struct limit limits[LIMIT_SLOTS];
+	char rest[LINE_MAX_LEN]; /**< of a line that was written in part */
+	size_t rest_len;
+	unsigned long lost; /**< lines that a full pipe didn't take */
 } logger;
 
 static const char *
@@ -42,16 +49,80 @@
 	return ev->evt_msg;
 }
 
+/* Writes without waiting; what a full pipe doesn't take is kept or counted. */
+static int
+write_bytes(const char *buf, size_t len)
+{
+	ssize_t n = write(STDOUT_FILENO, buf, len);
+
+	if (n < 0)
+		return 0;
+	if ((size_t)n < len) {
+		logger.rest_len = len - (size_t)n;
+		memcpy(logger.rest, buf + n, logger.rest_len);
+	}
+	return 1;
+}
+
+static int
+flush_rest(void)
+{
+	char buf[LINE_MAX_LEN];
+	size_t len = logger.rest_len;
+
+	if (len == 0)
+		return 1;
+	memcpy(buf, logger.rest, len);
+	logger.rest_len = 0;
+	if (write_bytes(buf, len))
+		return logger.rest_len == 0;
+	logger.rest_len = len;
+	return 0;
+}
+
 static int
 line_append(log4c_appender_t *appender, const log4c_logging_event_t *ev)
 {
+	char line[LINE_MAX_LEN];
+	int len;
+
 	(void)appender;
-	return fprintf(stderr, "%s\n", ev->evt_rendered_msg);
+	if (!flush_rest()) {
+		logger.lost++;
+		return 0;
+	}
+	if (logger.lost > 0)
+		len = snprintf(line, sizeof(line), "%s lines_lost=%lu\n",
+		    ev->evt_rendered_msg, logger.lost);
+	else
+		len = snprintf(
+		    line, sizeof(line), "%s\n", ev->evt_rendered_msg);
+	if (len >= (int)sizeof(line)) {
+		len = sizeof(line) - 1;
+		line[len - 1] = '\n';
+	}
+	if (write_bytes(line, (size_t)len))
+		logger.lost = 0;
+	else
+		logger.lost++;
+	return len;
+}
+
+/* A reader that stops reading must not stop this process. */
+static void
+set_nonblocking(void)
+{
+	struct stat st;
+	int flags = fcntl(STDOUT_FILENO, F_GETFL);
+
+	if (fstat(STDOUT_FILENO, &st) == 0 && S_ISFIFO(st.st_mode) &&
+	    flags >= 0)
+		fcntl(STDOUT_FILENO, F_SETFL, flags | O_NONBLOCK);
 }
 
 static const log4c_layout_type_t line_layout = {"kv", line_format};
 static const log4c_appender_type_t line_appender = {
-    "stderr_line", NULL, line_append, NULL};
+    "stdout_line", NULL, line_append, NULL};
 
 int
 kvlog_level_of(const char *name)
@@ -72,6 +143,7 @@
 
 	if (log4c_init() != 0)
 		return CC_EINVAL;
+	set_nonblocking();
 	str_copy(logger.host, host, sizeof(logger.host));
 	log4c_layout_type_set(&line_layout);
 	log4c_appender_type_set(&line_appender);
--- a/src/base/kvlog.h
+++ b/src/base/kvlog.h
@@ -9,7 +9,7 @@
 	KVLOG_DEBUG
 };
 
-/** Opens the log on standard error; @p host is put on every line. */
+/** Opens the log on standard output; @p host is put on every line. */
 int kvlog_open(const char *host, enum kvlog_level level);
 void kvlog_close(void);
 /**
--- /dev/null
+++ b/src/cell/advice.c
@@ -0,0 +1,479 @@
+/*
+ * Tickets of steps. Some queues allow a step on some runners only, and only
+ * the advice service knows which. It is asked ahead: for a new job at once,
+ * for a later step while the one before it runs; in the lane of a host whose
+ * queue is short. Whether a runner is allowed never changes, so a runner that
+ * was denied isn't named again.
+ */
+#include <stdlib.h>
+#include <string.h>
+
+#include "../base/err.h"
+#include "../base/kvlog.h"
+#include "../base/xalloc.h"
+#include "../coordination/placing.h"
+#include "parts.h"
+
+/** A ticket is used up to this long before its end. */
+#define TICKET_MARGIN_MS 150
+/** Runners named in one call. */
+#define NAMED_MAX 60
+#define NAMED_MIN 4
+/** Slots named beyond those that the step needs. */
+#define SPARE_FACTOR 1.3
+/** Beyond the call's own time, an answer may take this long. */
+#define CALL_MARGIN_MS 1500
+#define RETRY_MS 250
+/** A step that had an answer and has no place asks again after this. */
+#define AGAIN_MS 120
+/** A later step is asked for when this share of the one before has run. */
+#define AHEAD_SHARE 0.4
+/** Share of the runners that a queue allows, before any answer. */
+#define ALLOWED_FIRST 0.5
+
+enum standing {
+	STANDING_UNKNOWN,
+	STANDING_DENIED,
+	STANDING_ALLOWED,
+};
+
+struct grant {
+	UT_hash_handle hh;
+	char runner[RUNNER_ID_LEN];
+	enum standing standing;
+	char ticket[TICKET_LEN];
+	int64_t expires_ms;
+	int64_t born_ms;
+};
+
+struct advice {
+	struct grant *grants;
+	bool asking;
+	int64_t asked_ms;
+	int64_t retry_ms;
+	int answers;
+};
+
+struct call {
+	struct cell *cell;
+	uint64_t fence;
+	struct task_ref step; /**< index isn't used */
+	char host[64];
+	char **named;
+	int nnamed;
+	int64_t sent_ms;
+};
+
+struct choice {
+	struct runner *runner;
+	double score;
+	uint32_t slots;
+	enum standing standing;
+};
+
+static struct advice *
+advice_of(struct step *s)
+{
+	if (s->advice == NULL)
+		s->advice = xcalloc(1, sizeof(struct advice));
+	return s->advice;
+}
+
+static struct grant *
+find_grant(const struct advice *a, const char *runner)
+{
+	struct grant *g = NULL;
+
+	if (a != NULL)
+		HASH_FIND_STR(a->grants, runner, g);
+	return g;
+}
+
+static struct grant *
+get_grant(struct advice *a, const char *runner)
+{
+	struct grant *g = find_grant(a, runner);
+
+	if (g != NULL)
+		return g;
+	g = xcalloc(1, sizeof(*g));
+	str_copy(g->runner, runner, sizeof(g->runner));
+	HASH_ADD_STR(a->grants, runner, g);
+	return g;
+}
+
+void
+step_advice_free(struct step *s)
+{
+	struct advice *a = s->advice;
+	struct grant *g, *tmp;
+
+	if (a == NULL)
+		return;
+	HASH_ITER(hh, a->grants, g, tmp)
+	{
+		HASH_DEL(a->grants, g);
+		free(g);
+	}
+	free(a);
+	s->advice = NULL;
+}
+
+static bool
+grant_valid(const struct grant *g, const struct runner *r, int64_t now)
+{
+	return g != NULL && g->standing == STANDING_ALLOWED &&
+	    g->ticket[0] != '\0' && now < g->expires_ms - TICKET_MARGIN_MS &&
+	    g->born_ms == r->info.born_ms;
+}
+
+const char *
+step_ticket(const struct cell *c, const struct step *s, const struct runner *r,
+    int64_t now)
+{
+	const struct queue *q = job_queue(c, s->occurrence->job);
+	const struct grant *g;
+
+	if (q == NULL)
+		return NULL;
+	if (!q->advice.needed)
+		return "";
+	g = find_grant(s->advice, r->info.id);
+	return grant_valid(g, r, now) ? g->ticket : NULL;
+}
+
+void
+step_ticket_refused(struct step *s, const struct runner *r)
+{
+	struct grant *g = find_grant(s->advice, r->info.id);
+
+	if (g != NULL)
+		g->ticket[0] = '\0';
+}
+
+static double
+call_ms(const struct queue *q, int runners)
+{
+	return q->advice.decision_ms + q->advice.runner_ms * runners;
+}
+
+/* When the step's turn may come, as the steps before it tell. */
+static int64_t
+ask_from_ms(const struct step *s, const struct queue *q)
+{
+	const struct step *steps = s->occurrence->steps;
+	int64_t from = 0, at;
+	size_t i;
+
+	for (i = 0; i < s->spec->n_after; i++) {
+		const struct step *b = &steps[s->spec->after[i]];
+
+		if (b->ndone == b->spec->count)
+			continue;
+		if (b->first_start_ms == 0)
+			return INT64_MAX;
+		at = b->first_start_ms +
+		    (int64_t)(AHEAD_SHARE * b->spec->estimate_ms) -
+		    (int64_t)call_ms(q, NAMED_MIN);
+		from = at > from ? at : from;
+	}
+	return from;
+}
+
+/* Slots that valid tickets give now. */
+static uint32_t
+granted_slots(
+    const struct cell *c, const struct step *s, struct placing_want *w)
+{
+	const struct runner *r;
+	uint64_t sum = 0;
+
+	for (r = c->runners; r != NULL; r = r->hh.next)
+		if (placing_feasible(r, w) &&
+		    step_ticket(c, s, r, w->now_ms) != NULL)
+			sum += placing_slots(r, w);
+	return sum > UINT32_MAX ? UINT32_MAX : (uint32_t)sum;
+}
+
+static bool
+wants_advice(struct cell *c, struct step *s, const struct queue *q, int64_t now)
+{
+	struct advice *a = advice_of(s);
+	struct placing_want w = {
+	    .step = s, .service = q->service, .now_ms = now};
+	uint32_t waiting = s->spec->count - s->ndone - s->nheld;
+
+	if (a->asking || now < a->retry_ms || !step_has_waiting(s))
+		return false;
+	if (s->turn_ms == 0 && now < ask_from_ms(s, q))
+		return false;
+	return granted_slots(c, s, &w) < waiting;
+}
+
+static int
+compare_choices(const void *a, const void *b)
+{
+	const struct choice *x = a, *y = b;
+
+	if (x->standing != y->standing)
+		return x->standing == STANDING_ALLOWED ? -1 : 1;
+	return x->score < y->score ? -1 : x->score > y->score;
+}
+
+static int
+list_choices(struct cell *c, struct step *s, const struct queue *q,
+    int64_t now, struct choice *out)
+{
+	struct placing_want w = {.step = s, .service = q->service,
+	    .urgent = q->priority == 0, .now_ms = now};
+	const struct advice *a = s->advice;
+	struct runner *r;
+	int n = 0;
+
+	for (r = c->runners; r != NULL; r = r->hh.next) {
+		const struct grant *g = find_grant(a, r->info.id);
+
+		if (g != NULL && g->standing == STANDING_DENIED)
+			continue;
+		if (s->turn_ms != 0 ? !placing_feasible(r, &w)
+				    : !placing_allowed(r, &w))
+			continue;
+		out[n].runner = r;
+		out[n].slots = placing_slots(r, &w);
+		out[n].score = placing_score(r, &w);
+		out[n].standing = g != NULL ? g->standing : STANDING_UNKNOWN;
+		n++;
+	}
+	qsort(out, (size_t)n, sizeof(*out), compare_choices);
+	return n;
+}
+
+/* Enough runners that the step's tasks should find a place on them. */
+static int
+enough(const struct step *s, const struct choice *list, int n)
+{
+	double want = (s->spec->count - s->ndone - s->nheld) * SPARE_FACTOR;
+	double slots = 0;
+	int i;
+
+	for (i = 0; i < n && i < NAMED_MAX; i++) {
+		if (slots >= want && i >= NAMED_MIN)
+			break;
+		slots += list[i].slots *
+		    (list[i].standing == STANDING_ALLOWED ? 1.0
+							  : ALLOWED_FIRST);
+	}
+	return i;
+}
+
+static void
+call_free(struct call *k)
+{
+	int i;
+
+	for (i = 0; i < k->nnamed; i++)
+		free(k->named[i]);
+	free(k->named);
+	free(k);
+}
+
+static struct step *
+call_step(const struct call *k)
+{
+	struct job *j;
+
+	if (k->cell->phase != CELL_SERVING || k->cell->fence != k->fence)
+		return NULL;
+	j = cell_job(k->cell, k->step.id);
+	if (j == NULL || job_ended(j) ||
+	    k->step.occurrence >= j->noccurrences)
+		return NULL;
+	return &j->occurrences[k->step.occurrence]->steps[k->step.step];
+}
+
+static void
+take_rows(struct cell *c, struct advice *a, const struct call *k,
+    const struct advice_row *rows, int nrows, int64_t expires_ms)
+{
+	struct runner *r;
+	struct grant *g;
+	int i;
+
+	for (i = 0; i < k->nnamed; i++)
+		get_grant(a, k->named[i])->standing = STANDING_DENIED;
+	for (i = 0; i < nrows; i++) {
+		g = get_grant(a, rows[i].runner);
+		g->standing = STANDING_ALLOWED;
+		str_copy(g->ticket, rows[i].ticket, sizeof(g->ticket));
+		g->expires_ms = expires_ms;
+		r = cell_runner(c, rows[i].runner);
+		g->born_ms = r != NULL ? r->info.born_ms : 0;
+	}
+}
+
+static void
+on_advice(int err, const struct advice_row *rows, int nrows,
+    int64_t validity_ms, void *arg)
+{
+	struct call *k = arg;
+	struct cell *c = k->cell;
+	struct step *s = call_step(k);
+	int64_t now = c->ports.now();
+	struct advice *a;
+
+	lanes_answered(&c->lanes, k->host, now);
+	if (s != NULL) {
+		a = advice_of(s);
+		a->asking = false;
+		a->retry_ms = now + (err == CC_OK ? AGAIN_MS : RETRY_MS);
+		kvlog(KVLOG_INFO, "advice",
+		    "step=%s.%u.%u asked=%d allowed=%d err=%s took_ms=%lld "
+		    "lane=%s",
+		    k->step.id, k->step.occurrence, k->step.step, k->nnamed,
+		    nrows, cc_strerror(err), (long long)(now - k->sent_ms),
+		    k->host);
+		if (err == CC_OK) {
+			/* The ticket's time began when it was made out. */
+			a->answers++;
+			take_rows(c, a, k, rows, nrows, now + validity_ms);
+		}
+	}
+	call_free(k);
+	c->ports.wake(c->ports.arg);
+}
+
+static void
+send_call(struct cell *c, struct step *s, const struct queue *q,
+    const struct choice *list, int n, struct lane *lane, int64_t now)
+{
+	struct call *k = xcalloc(1, sizeof(*k));
+	struct advice *a = s->advice;
+	char name[TASK_NAME_LEN];
+	double ms = call_ms(q, n);
+	int i;
+
+	k->cell = c;
+	k->fence = c->fence;
+	k->sent_ms = now;
+	str_copy(k->step.id, s->occurrence->job->id, sizeof(k->step.id));
+	k->step.occurrence = s->occurrence->number;
+	k->step.step = s->index;
+	str_copy(k->host, lane->host, sizeof(k->host));
+	k->named = xcalloc((size_t)n, sizeof(*k->named));
+	for (i = 0; i < n; i++)
+		k->named[k->nnamed++] = xstrdup(list[i].runner->info.id);
+	a->asking = true;
+	a->asked_ms = now;
+	lane_sent(lane, ms, now);
+	c->counters.advice_calls++;
+	step_name(s, name, sizeof(name));
+	c->ports.advice->ops->ask(c->ports.advice, lane->host, name,
+	    (const char *const *)k->named, n,
+	    (int64_t)(ms * 2) + CALL_MARGIN_MS, on_advice, k);
+}
+
+/* @return whether another call of this kind may find a lane. */
+static bool
+ask_for(struct cell *c, struct step *s, const struct queue *q, int64_t now)
+{
+	struct choice *list;
+	struct lane *lane;
+	int n;
+
+	lane = lanes_pick(&c->lanes, call_ms(q, NAMED_MIN), now);
+	if (lane == NULL)
+		return false;
+	list = xcalloc(HASH_COUNT(c->runners) + 1, sizeof(*list));
+	n = list_choices(c, s, q, now, list);
+	n = enough(s, list, n);
+	if (n > 0)
+		send_call(c, s, q, list, n, lane, now);
+	else
+		advice_of(s)->retry_ms = now + AGAIN_MS;
+	free(list);
+	return true;
+}
+
+struct wish {
+	struct urgency urgency;
+	struct step *step;
+	const struct queue *queue;
+};
+
+static int
+compare_wishes(const void *a, const void *b)
+{
+	const struct wish *x = a, *y = b;
+
+	return urgency_compare(&x->urgency, &y->urgency);
+}
+
+struct wishes {
+	struct wish *list;
+	size_t n;
+	size_t size;
+};
+
+static void
+add_wish(struct cell *c, struct wishes *w, struct step *s, int64_t now)
+{
+	const struct queue *q = job_queue(c, s->occurrence->job);
+
+	if (q == NULL || !q->advice.needed || !wants_advice(c, s, q, now))
+		return;
+	if (w->n == w->size) {
+		w->size = w->size * 2 + 16;
+		w->list = xrealloc(w->list, w->size * sizeof(*w->list));
+	}
+	w->list[w->n].urgency = step_urgency(c, s, now);
+	w->list[w->n].queue = q;
+	w->list[w->n++].step = s;
+}
+
+/* Steps that wait for their turn stand behind one that has it. */
+static void
+add_later_wishes(struct cell *c, struct wishes *w, int64_t now)
+{
+	struct job *j;
+	uint32_t i;
+	size_t k;
+
+	for (j = c->jobs; j != NULL; j = j->hh.next) {
+		if (job_ended(j) || !j->started)
+			continue;
+		for (i = 0; i < j->noccurrences; i++)
+			for (k = 1; k < j->row->n_steps; k++) {
+				struct step *s = &j->occurrences[i]->steps[k];
+
+				if (s->turn_ms == 0)
+					add_wish(c, w, s, now);
+			}
+	}
+}
+
+void
+cell_ask_advice(struct cell *c)
+{
+	int64_t now = c->ports.now();
+	struct wishes w = {0};
+	struct step *s;
+	bool quick = true, slow = true;
+	size_t i;
+
+	if (c->manifest == NULL || c->lanes.n == 0)
+		return;
+	TAILQ_FOREACH (s, &c->steps, link)
+		add_wish(c, &w, s, now);
+	add_later_wishes(c, &w, now);
+	if (w.n > 0)
+		qsort(w.list, w.n, sizeof(*w.list), compare_wishes);
+	for (i = 0; i < w.n; i++) {
+		const struct queue *q = w.list[i].queue;
+		bool *lane =
+		    lanes_is_quick(call_ms(q, NAMED_MIN)) ? &quick : &slow;
+
+		if (*lane)
+			*lane = ask_for(c, w.list[i].step, q, now);
+	}
+	free(w.list);
+}
--- /dev/null
+++ b/src/cell/cell.c
@@ -0,0 +1,159 @@
+#include "cell.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "../base/err.h"
+#include "../base/kvlog.h"
+#include "../base/xalloc.h"
+#include "parts.h"
+
+/** Beyond its lease, what an unseen runner may still have been given. */
+#define BLIND_MARGIN_MS 1000
+
+void
+cell_init(struct cell *c, const struct cell_terms *t,
+    const struct cell_ports *p, const char *incarnation)
+{
+	memset(c, 0, sizeof(*c));
+	c->terms = *t;
+	c->ports = *p;
+	str_copy(c->incarnation, incarnation, sizeof(c->incarnation));
+	TAILQ_INIT(&c->steps);
+	TAILQ_INIT(&c->dirty);
+	TAILQ_INIT(&c->ended);
+	TAILQ_INIT(&c->timed);
+}
+
+static void
+drop_runners(struct cell *c)
+{
+	struct runner *r, *tmp;
+	struct run *run;
+
+	HASH_ITER(hh, c->runners, r, tmp)
+	{
+		while ((run = TAILQ_FIRST(&r->runs)) != NULL)
+			run_delete(run);
+		HASH_DEL(c->runners, r);
+		runner_delete(r);
+	}
+}
+
+static void
+drop_jobs(struct cell *c, const struct cell_answer *a)
+{
+	struct job *j, *tmp;
+
+	HASH_ITER(hh, c->jobs, j, tmp)
+	{
+		job_answer(j, a);
+		cell_forget_job(c, j);
+	}
+}
+
+void
+cell_resign(struct cell *c)
+{
+	struct cell_answer a = {.error = CC_ENOTOWNER};
+
+	if (c->phase == CELL_IDLE)
+		return;
+	kvlog(KVLOG_INFO, "resigned", "fence=%llu led_ms=%lld",
+	    (unsigned long long)c->fence,
+	    (long long)(c->ports.now() - c->led_ms));
+	c->phase = CELL_IDLE;
+	cell_commit_drop(c);
+	drop_jobs(c, &a);
+	drop_runners(c);
+}
+
+void
+cell_done(struct cell *c)
+{
+	cell_resign(c);
+	if (c->manifest != NULL) {
+		manifest_done(c->manifest);
+		free(c->manifest);
+	}
+}
+
+void
+cell_lead(struct cell *c, uint64_t fence, uint32_t generation,
+    uint64_t commit_version, uint64_t commit_seq)
+{
+	int64_t now = c->ports.now();
+
+	c->phase = CELL_LOADING;
+	c->fence = fence;
+	c->generation = generation;
+	c->store_version = commit_version;
+	c->commit_seq = commit_seq;
+	c->commit = NULL;
+	c->led_ms = c->committed_ms = c->commit_ms = now;
+	c->store_down_ms = c->registry_ms = 0;
+	c->blind = true;
+	c->blind_until_ms =
+	    now + c->terms.lease_ms * 100 / 98 + BLIND_MARGIN_MS;
+	cell_load(c);
+}
+
+static void
+apply_manifest_to_jobs(struct cell *c)
+{
+	struct job *j;
+	const struct queue *q;
+
+	for (j = c->jobs; j != NULL; j = j->hh.next) {
+		q = job_queue(c, j);
+		if (q == NULL)
+			continue;
+		j->priority = q->priority;
+		j->max_attempts = q->max_attempts;
+		j->due_ms = j->accepted_ms +
+		    urgency_objective_ms(
+			j->chain_ms, q->stretch, q->target_latency_ms);
+	}
+}
+
+void
+cell_set_manifest(struct cell *c, struct manifest *m)
+{
+	if (c->manifest != NULL) {
+		manifest_done(c->manifest);
+		free(c->manifest);
+	}
+	c->manifest = m;
+	c->room_version++;
+	apply_manifest_to_jobs(c);
+	c->ports.wake(c->ports.arg);
+}
+
+void
+cell_set_hosts(struct cell *c, const char (*hosts)[64], int n)
+{
+	lanes_set(&c->lanes, hosts, n);
+}
+
+void
+cell_tick(struct cell *c)
+{
+	cell_load_retry(c);
+	if (c->phase != CELL_SERVING)
+		return;
+	cell_due_occurrences(c);
+	cell_check_blind(c);
+	cell_drain(c);
+	cell_pass(c);
+}
+
+void
+cell_pass(struct cell *c)
+{
+	if (c->phase != CELL_SERVING)
+		return;
+	cell_place(c);
+	cell_ask_advice(c);
+	cell_commit(c);
+	cell_holds(c);
+}
--- /dev/null
+++ b/src/cell/cell.h
@@ -0,0 +1,154 @@
+/**
+ * @file One cell under its leader: jobs, runners, and what is decided on them.
+ *
+ * A cell reaches the outside through ports only and is told the time, so that
+ * tests drive it in memory. All state is derived: what must last is in the
+ * store (accepted jobs, their progress) or at the runners (what runs, what
+ * has ended and isn't acknowledged yet).
+ */
+#ifndef CELL_H
+#define CELL_H
+
+#include "../coordination/lanes.h"
+#include "../ports/ports.h"
+#include "../state/job.h"
+#include "../state/manifest.h"
+#include "../state/runner.h"
+
+#define CELL_TABLE "celerycart-jobs"
+#define MEMBER_TABLE "celerycart-members"
+#define CELL_PART "c0"
+#define MEMBER_PART "m"
+#define LEADER_KEY "leader"
+#define COMMIT_KEY "commit"
+#define RUNNERS_KEY "runners"
+#define JOB_PREFIX "j/"
+#define PROGRESS_PREFIX "p/"
+
+struct cell_terms {
+	int64_t lease_ms;      /**< of a run at its runner, renewed by holds */
+	int64_t start_ms;      /**< a start that arrives later is refused */
+	int64_t hold_wait_ms;  /**< a hold waits this long for an end */
+	int64_t stop_grace_ms; /**< a stop takes at most this long */
+	int64_t status_ms;     /**< ended jobs are known this long */
+	int64_t early_ms;
+	double remote_factor;
+	int64_t impact_ms;
+};
+
+struct cell_ports {
+	struct store *store;
+	struct runner_port *runners;
+	struct advice_port *advice;
+	int64_t (*now)(void);	   /**< steady clock, ms */
+	int64_t (*wall_now)(void); /**< ms since 1970 */
+	/** Asks for a cell_pass soon. */
+	void (*wake)(void *arg);
+	/** The leadership is lost. */
+	void (*deposed)(void *arg);
+	void *arg;
+};
+
+enum cell_phase {
+	CELL_IDLE,    /**< another host leads */
+	CELL_LOADING,
+	CELL_SERVING,
+};
+
+struct cell_counters {
+	uint64_t accepted;
+	uint64_t refused;
+	uint64_t completed;
+	uint64_t failed;
+	uint64_t canceled;
+	uint64_t starts;
+	uint64_t ends[END_LOST + 1];
+	uint64_t commits;
+	uint64_t commit_errors;
+	uint64_t holds;
+	uint64_t advice_calls;
+	uint64_t preempted;
+	uint64_t copies;
+};
+
+struct cell_answer {
+	int error; /**< CC_OK, CC_ENOENT, CC_EBUSY, CC_ETIMEOUT, CC_ENOTOWNER */
+	enum job_state state;
+	uint32_t pending;
+	uint32_t retry_after_ms;
+};
+typedef void (*cell_fn)(const struct cell_answer *a, void *arg);
+
+/** A caller that waits until its job's change is stored. */
+struct waiter {
+	TAILQ_ENTRY(waiter) link;
+	cell_fn fn;
+	void *arg;
+	bool cancels;
+};
+
+struct commit;
+struct load;
+
+TAILQ_HEAD(step_list, step);
+TAILQ_HEAD(job_list, job);
+
+struct cell {
+	struct cell_terms terms;
+	struct cell_ports ports;
+	enum cell_phase phase;
+	uint64_t fence;		 /**< version of the leader's row */
+	uint32_t generation;	 /**< of the claim; starts run numbers */
+	char incarnation[32];
+	struct manifest *manifest; /**< in force at this host */
+	struct job *jobs;
+	struct runner *runners;
+	struct step_list steps;	  /**< with work to place */
+	struct job_list dirty;
+	struct job_list ended;	  /**< oldest first */
+	struct job_list timed;	  /**< with occurrences to come */
+	struct lanes lanes;
+	uint64_t room_version;	  /**< rises whenever room may appear */
+	int64_t led_ms;		  /**< this host leads since */
+	int64_t blind_until_ms;	  /**< inherited work waits until then, or
+				   *   until all runners are adopted */
+	bool blind;
+	uint64_t store_version;	  /**< commit row's, as last written */
+	uint64_t commit_seq;
+	struct commit *commit;	  /**< under way */
+	struct load *load_stalled; /**< a read to be repeated */
+	int64_t commit_ms;	  /**< last sent */
+	int64_t committed_ms;	  /**< last known to be done */
+	int64_t store_down_ms;	  /**< since when it fails; 0: it doesn't */
+	bool runners_changed;	  /**< the row of runners is to be written */
+	int64_t registry_ms;	  /**< the registry was last read */
+	int64_t copies_ms;	  /**< slow runs were last looked for */
+	struct cell_counters counters;
+};
+
+void cell_init(struct cell *c, const struct cell_terms *t,
+    const struct cell_ports *p, const char *incarnation);
+void cell_done(struct cell *c);
+/** Begins to lead: reads jobs and runners, then serves. */
+void cell_lead(struct cell *c, uint64_t fence, uint32_t generation,
+    uint64_t commit_version, uint64_t commit_seq);
+/** Leads no longer; waiting callers are answered. */
+void cell_resign(struct cell *c);
+void cell_set_manifest(struct cell *c, struct manifest *m);
+void cell_set_hosts(struct cell *c, const char (*hosts)[64], int n);
+void cell_set_runners(struct cell *c, const struct runner_info *infos, int n);
+/** Every 50 ms: time limits, renewals, retries. */
+void cell_tick(struct cell *c);
+/** Places what can be placed and sends what is due. */
+void cell_pass(struct cell *c);
+
+/** Takes over @p row. */
+void cell_submit(
+    struct cell *c, const char *id, Cc__JobRow *row, cell_fn fn, void *arg);
+void cell_get(struct cell *c, const char *queue, const char *id,
+    struct cell_answer *a);
+void cell_cancel(struct cell *c, const char *queue, const char *id,
+    cell_fn fn, void *arg);
+void cell_pending(struct cell *c, const char *queue, struct cell_answer *a);
+
+#endif
--- /dev/null
+++ b/src/cell/commit.c
@@ -0,0 +1,471 @@
+/*
+ * Group commit. One transaction at a time carries all progress made since the
+ * last one. Each commit is conditional on the leader's row and on the commit
+ * row of the one before, so of a commit and its repetition only one can take
+ * effect, however late, and none after another leader's claim.
+ */
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "../base/err.h"
+#include "../base/kvlog.h"
+#include "../base/xalloc.h"
+#include "parts.h"
+
+/** Entries of a transaction: jobs need two, others three in all. */
+#define COMMIT_ENTRIES_MAX 90
+/** Bytes of a transaction, below the store's megabyte in base64. */
+#define COMMIT_BYTES_MAX (512 << 10)
+/** Commits are at least this far apart, so that each carries more. */
+#define COMMIT_GAP_MS 15
+/** A commit without changes shows that the leader lives. */
+#define RENEW_MS 400
+#define COMMIT_TIMEOUT_MS 1000
+#define RETRY_MS 60
+/** The store counts as down when commits have failed for this long. */
+#define STORE_DOWN_MS 350
+#define REFUSE_RETRY_MS 1000
+
+struct entry {
+	char key[JOB_ID_LEN + 4];
+	uint8_t *value;
+	size_t len;
+};
+
+struct commit {
+	struct cell *cell;
+	uint64_t fence;
+	uint64_t seq;
+	uint64_t base_version; /**< of the commit row it builds on */
+	struct entry writes[COMMIT_ENTRIES_MAX];
+	int nwrites;
+	struct entry removes[COMMIT_ENTRIES_MAX];
+	int nremoves;
+	size_t bytes;
+	struct job **jobs; /**< whose progress it carries */
+	enum job_state *states;
+	int njobs;
+	bool has_runners;
+	bool maybe_done; /**< an attempt had no answer */
+	bool sent;	 /**< an attempt is under way */
+	int64_t first_ms;
+	int64_t retry_ms;
+	int attempts;
+};
+
+void
+cell_mark_dirty(struct cell *c, struct job *j)
+{
+	if (j->dirty)
+		return;
+	j->dirty = true;
+	TAILQ_INSERT_TAIL(&c->dirty, j, dirty_link);
+}
+
+bool
+cell_store_down(const struct cell *c)
+{
+	return c->store_down_ms != 0 &&
+	    c->ports.now() - c->store_down_ms > STORE_DOWN_MS;
+}
+
+static struct entry *
+add_entry(struct commit *k, const char *prefix, const char *id, size_t len)
+{
+	struct entry *e = &k->writes[k->nwrites++];
+
+	snprintf(e->key, sizeof(e->key), "%s%s", prefix, id);
+	e->len = len;
+	e->value = xmalloc(len);
+	k->bytes += len;
+	return e;
+}
+
+static void
+add_job(struct commit *k, struct job *j)
+{
+	Cc__JobProgress *p = job_progress(j);
+	struct entry *e;
+
+	if (!j->stored) {
+		e = add_entry(k, JOB_PREFIX, j->id,
+		    cc__job_row__get_packed_size(j->row));
+		cc__job_row__pack(j->row, e->value);
+	}
+	if (j->stored || j->state != JOB_QUEUED) {
+		e = add_entry(k, PROGRESS_PREFIX, j->id,
+		    cc__job_progress__get_packed_size(p));
+		cc__job_progress__pack(p, e->value);
+	}
+	job_progress_free(p);
+	k->states[k->njobs] = j->state;
+	k->jobs[k->njobs++] = j;
+	j->dirty = false;
+	TAILQ_REMOVE(&k->cell->dirty, j, dirty_link);
+}
+
+static void
+add_runners(struct cell *c, struct commit *k)
+{
+	Cc__AdviseCall list = CC__ADVISE_CALL__INIT;
+	struct runner *r;
+	struct entry *e;
+	char **names = xcalloc(HASH_COUNT(c->runners) + 1, sizeof(*names));
+	size_t i;
+
+	for (r = c->runners; r != NULL; r = r->hh.next)
+		names[list.n_runners++] = xasprintf("%s %s %u", r->info.id,
+		    r->info.addr, (unsigned)r->info.port);
+	list.runners = names;
+	e = add_entry(
+	    k, "", RUNNERS_KEY, cc__advise_call__get_packed_size(&list));
+	cc__advise_call__pack(&list, e->value);
+	for (i = 0; i < list.n_runners; i++)
+		free(names[i]);
+	free(names);
+	k->has_runners = true;
+	c->runners_changed = false;
+}
+
+static void
+add_removes(struct cell *c, struct commit *k, int64_t now)
+{
+	struct job *j;
+
+	while ((j = TAILQ_FIRST(&c->ended)) != NULL && !j->dirty &&
+	    j->stored_state == j->state &&
+	    now - j->ended_ms > c->terms.status_ms &&
+	    k->nremoves + k->nwrites + 2 < COMMIT_ENTRIES_MAX) {
+		snprintf(k->removes[k->nremoves++].key, sizeof(k->removes->key),
+		    "%s%s", JOB_PREFIX, j->id);
+		snprintf(k->removes[k->nremoves++].key, sizeof(k->removes->key),
+		    "%s%s", PROGRESS_PREFIX, j->id);
+		cell_forget_job(c, j);
+	}
+}
+
+/* The ends processed so far are acknowledged when this commit is done. */
+static void
+note_acks(struct cell *c)
+{
+	struct runner *r;
+
+	for (r = c->runners; r != NULL; r = r->hh.next)
+		r->acking = r->taken;
+}
+
+static struct commit *
+commit_build(struct cell *c, int64_t now)
+{
+	struct commit *k = xcalloc(1, sizeof(*k));
+	struct job *j;
+
+	k->cell = c;
+	k->fence = c->fence;
+	k->seq = ++c->commit_seq;
+	k->base_version = c->store_version;
+	k->first_ms = now;
+	k->jobs = xcalloc(COMMIT_ENTRIES_MAX, sizeof(*k->jobs));
+	k->states = xcalloc(COMMIT_ENTRIES_MAX, sizeof(*k->states));
+	if (c->runners_changed)
+		add_runners(c, k);
+	while ((j = TAILQ_FIRST(&c->dirty)) != NULL &&
+	    k->nwrites + 2 < COMMIT_ENTRIES_MAX &&
+	    k->bytes < COMMIT_BYTES_MAX)
+		add_job(k, j);
+	add_removes(c, k, now);
+	if (TAILQ_EMPTY(&c->dirty))
+		note_acks(c);
+	return k;
+}
+
+static void
+commit_free(struct commit *k)
+{
+	int i;
+
+	for (i = 0; i < k->nwrites; i++)
+		free(k->writes[i].value);
+	free(k->jobs);
+	free(k->states);
+	free(k);
+}
+
+void
+job_answer(struct job *j, const struct cell_answer *a)
+{
+	struct waiter *w;
+
+	while ((w = TAILQ_FIRST(&j->waiters)) != NULL) {
+		TAILQ_REMOVE(&j->waiters, w, link);
+		w->fn(a, w->arg);
+		free(w);
+	}
+}
+
+static void
+job_committed(struct job *j, enum job_state state)
+{
+	struct cell_answer a = {.error = CC_OK, .state = state};
+	struct waiter *w, *next;
+
+	j->stored = true;
+	j->stored_state = state;
+	for (w = TAILQ_FIRST(&j->waiters); w != NULL; w = next) {
+		next = TAILQ_NEXT(w, link);
+		if (w->cancels && state < JOB_COMPLETED)
+			continue;
+		TAILQ_REMOVE(&j->waiters, w, link);
+		w->fn(&a, w->arg);
+		free(w);
+	}
+}
+
+static void
+commit_done(struct cell *c, struct commit *k, uint64_t version)
+{
+	struct runner *r;
+	int i;
+
+	c->store_version = version;
+	c->committed_ms = c->ports.now();
+	if (c->store_down_ms != 0)
+		kvlog(KVLOG_INFO, "store_back", "down_ms=%lld",
+		    (long long)(c->committed_ms - c->store_down_ms));
+	c->store_down_ms = 0;
+	c->counters.commits++;
+	for (i = 0; i < k->njobs; i++)
+		job_committed(k->jobs[i], k->states[i]);
+	for (r = c->runners; r != NULL; r = r->hh.next) {
+		if (k->has_runners && !c->runners_changed)
+			r->recorded = true;
+		if (r->acking > r->acked)
+			r->acked = r->acking;
+	}
+	c->commit = NULL;
+	commit_free(k);
+	c->ports.wake(c->ports.arg);
+}
+
+static const struct row *
+find_row(const struct store_result *r, const char *key)
+{
+	int i;
+
+	for (i = 0; i < r->nrows; i++)
+		if (strcmp(r->rows[i].key, key) == 0)
+			return &r->rows[i];
+	return NULL;
+}
+
+/* Whether the commit row shows that this commit took effect. */
+static bool
+shows_commit(const struct commit *k, const struct row *row)
+{
+	Cc__CommitRow *cr;
+	bool same;
+
+	if (row == NULL || row->version == 0)
+		return false;
+	cr = cc__commit_row__unpack(NULL, row->len, row->value);
+	if (cr == NULL)
+		return false;
+	same = cr->seq == k->seq &&
+	    strcmp(cr->incarnation, k->cell->incarnation) == 0;
+	cc__commit_row__free_unpacked(cr, NULL);
+	return same;
+}
+
+static void
+commit_conflict(
+    struct cell *c, struct commit *k, const struct store_result *r)
+{
+	const struct row *commit = find_row(r, COMMIT_KEY);
+	const struct row *leader = find_row(r, LEADER_KEY);
+
+	if (shows_commit(k, commit)) {
+		commit_done(c, k, commit->version);
+		if (leader != NULL && leader->version != c->fence)
+			c->ports.deposed(c->ports.arg);
+		return;
+	}
+	kvlog(KVLOG_WARN, "deposed", "fence=%llu leader_version=%llu why=commit",
+	    (unsigned long long)c->fence,
+	    (unsigned long long)(leader != NULL ? leader->version : 0));
+	c->ports.deposed(c->ports.arg);
+}
+
+/* New jobs whose commit certainly wasn't done are refused, not kept. */
+static void
+refuse_new_jobs(struct cell *c, struct commit *k)
+{
+	struct cell_answer a = {
+	    .error = CC_EBUSY, .retry_after_ms = REFUSE_RETRY_MS};
+	struct job *j;
+	int i;
+
+	for (i = 0; i < k->njobs; i++) {
+		j = k->jobs[i];
+		if (j->stored) {
+			cell_mark_dirty(c, j);
+			continue;
+		}
+		kvlog(KVLOG_INFO, "submit_refused",
+		    "id=%s why=store-down age_ms=%lld", j->id,
+		    (long long)(c->ports.now() - j->accepted_ms));
+		c->counters.refused++;
+		job_answer(j, &a);
+		cell_forget_job(c, j);
+	}
+}
+
+/* Nothing of it was done: it is taken apart, and built anew later. */
+static void
+commit_undo(struct cell *c, struct commit *k)
+{
+	refuse_new_jobs(c, k);
+	if (k->has_runners)
+		c->runners_changed = true;
+	c->commit_seq--;
+	c->commit = NULL;
+	commit_free(k);
+}
+
+static void
+on_commit(const struct store_result *r, void *arg)
+{
+	struct commit *k = arg;
+	struct cell *c = k->cell;
+	int64_t now = c->ports.now();
+
+	if (c->commit != k || c->fence != k->fence) {
+		commit_free(k);
+		return;
+	}
+	k->sent = false;
+	if (r->err == CC_OK) {
+		commit_done(c, k, r->version);
+		return;
+	}
+	if (r->err == CC_ECONFLICT) {
+		commit_conflict(c, k, r);
+		return;
+	}
+	c->counters.commit_errors++;
+	k->maybe_done |= r->err != CC_EUNAVAIL;
+	if (c->store_down_ms == 0) {
+		c->store_down_ms = k->first_ms;
+		kvlog(KVLOG_WARN, "store_failing", "why=%s seq=%llu",
+		    cc_strerror(r->err), (unsigned long long)k->seq);
+	}
+	k->retry_ms = now + RETRY_MS;
+	if (!k->maybe_done && cell_store_down(c)) {
+		commit_undo(c, k);
+		c->commit_ms = now;
+	}
+}
+
+static void
+fill_rows(struct row *rows, const struct entry *entries, int n)
+{
+	int i;
+
+	for (i = 0; i < n; i++) {
+		rows[i].table = CELL_TABLE;
+		rows[i].key = entries[i].key;
+		rows[i].value = entries[i].value;
+		rows[i].len = entries[i].len;
+	}
+}
+
+static void
+commit_send(struct cell *c, struct commit *k)
+{
+	struct row conds[2] = {
+	    {.table = MEMBER_TABLE, .key = LEADER_KEY, .version = k->fence},
+	    {.table = CELL_TABLE, .key = COMMIT_KEY,
+		.version = k->base_version},
+	};
+	struct row writes[COMMIT_ENTRIES_MAX + 1] = {0};
+	struct row removes[COMMIT_ENTRIES_MAX] = {0};
+	struct store_txn t = {.part = CELL_PART, .conditions = conds,
+	    .nconditions = 2, .writes = writes, .nwrites = k->nwrites + 1,
+	    .removes = removes, .nremoves = k->nremoves};
+	Cc__CommitRow cr = CC__COMMIT_ROW__INIT;
+	uint8_t buf[128];
+
+	cr.seq = k->seq;
+	cr.incarnation = c->incarnation;
+	writes[0] = (struct row){.table = CELL_TABLE, .key = COMMIT_KEY,
+	    .value = buf, .len = cc__commit_row__pack(&cr, buf)};
+	fill_rows(writes + 1, k->writes, k->nwrites);
+	fill_rows(removes, k->removes, k->nremoves);
+	k->sent = true;
+	k->attempts++;
+	c->ports.store->ops->txn(
+	    c->ports.store, &t, COMMIT_TIMEOUT_MS, on_commit, k);
+}
+
+static bool
+has_unacked(const struct cell *c)
+{
+	const struct runner *r;
+
+	for (r = c->runners; r != NULL; r = r->hh.next)
+		if (r->taken > r->acked)
+			return true;
+	return false;
+}
+
+/* Ends that changed nothing in the store need no write. */
+static void
+ack_plain_ends(struct cell *c)
+{
+	struct runner *r;
+
+	for (r = c->runners; r != NULL; r = r->hh.next)
+		r->acked = r->taken;
+}
+
+void
+cell_commit(struct cell *c)
+{
+	int64_t now = c->ports.now(), since = now - c->commit_ms;
+
+	if (c->phase == CELL_IDLE)
+		return;
+	if (c->commit != NULL) {
+		if (!c->commit->sent && now >= c->commit->retry_ms)
+			commit_send(c, c->commit);
+		return;
+	}
+	if (TAILQ_EMPTY(&c->dirty) && !c->runners_changed) {
+		if (has_unacked(c))
+			ack_plain_ends(c);
+		if (since < RENEW_MS)
+			return;
+	}
+	if (since < (c->store_down_ms != 0 ? RETRY_MS : COMMIT_GAP_MS))
+		return;
+	c->commit_ms = now;
+	c->commit = commit_build(c, now);
+	commit_send(c, c->commit);
+}
+
+/* The answer of a commit under way finds it gone and frees it. */
+void
+cell_commit_drop(struct cell *c)
+{
+	struct cell_answer a = {.error = CC_ETIMEOUT};
+	struct commit *k = c->commit;
+	int i;
+
+	if (k == NULL)
+		return;
+	for (i = 0; i < k->njobs; i++)
+		job_answer(k->jobs[i], &a);
+	c->commit = NULL;
+	if (!k->sent)
+		commit_free(k);
+}
--- /dev/null
+++ b/src/cell/ends.c
@@ -0,0 +1,215 @@
+/* What the end of a run means to its task, step and job. */
+#include <stdlib.h>
+#include <string.h>
+
+#include "../base/kvlog.h"
+#include "../base/xalloc.h"
+#include "parts.h"
+
+/** A task that failed is not started again before this. */
+#define FAILED_PAUSE_MS 50
+
+static const char *const end_names[] = {
+    "done", "failed", "stopped", "lapsed", "broken", "alone", "lost"};
+
+void
+task_save(struct task *t, const char *saved)
+{
+	struct task *keeper = t->step->spec->gang ? &t->step->tasks[0] : t;
+
+	if (saved[0] == '\0')
+		return;
+	if (keeper->saved != NULL && strcmp(keeper->saved, saved) == 0)
+		return;
+	free(keeper->saved);
+	keeper->saved = xstrdup(saved);
+}
+
+static void
+stop_if_running(struct cell *c, struct run *run, const char *why)
+{
+	if (run != NULL)
+		cell_stop(c, run, why);
+}
+
+/* The members of a gang work together or not at all. */
+static void
+stop_gang(struct cell *c, struct step *s)
+{
+	uint32_t i;
+
+	for (i = 0; i < s->spec->count; i++)
+		stop_if_running(c, s->tasks[i].run, "gang");
+}
+
+static void
+apply_done(struct cell *c, struct task *t)
+{
+	struct step *s = t->step;
+	struct occurrence *o = s->occurrence;
+
+	task_set_done(t);
+	stop_if_running(c, t->run, "copy-done");
+	stop_if_running(c, t->copy, "copy-done");
+	cell_mark_dirty(c, o->job);
+	if (s->ndone < s->spec->count)
+		return;
+	if (o->job->ndone == job_repeats(o->job))
+		cell_end_job(c, o->job, JOB_COMPLETED);
+	else
+		cell_list_steps(c, o);
+}
+
+static void
+apply_failed(struct cell *c, struct task *t)
+{
+	struct step *s = t->step;
+	struct task *counter = s->spec->gang ? &s->tasks[0] : t;
+	struct job *j = s->occurrence->job;
+
+	t->retry_ms = c->ports.now() + FAILED_PAUSE_MS;
+	if (s->spec->long_running)
+		return;
+	counter->failures++;
+	cell_mark_dirty(c, j);
+	if (counter->failures >= j->max_attempts && j->max_attempts > 0)
+		cell_end_job(c, j, JOB_FAILED);
+}
+
+static void
+apply_end(struct cell *c, struct task *t, enum run_end how)
+{
+	struct step *s = t->step;
+	struct job *j = s->occurrence->job;
+
+	if (job_ended(j) || t->done)
+		return;
+	if (how == END_DONE && !s->spec->long_running)
+		apply_done(c, t);
+	else if (how == END_FAILED)
+		apply_failed(c, t);
+	else if (t->saved != NULL)
+		cell_mark_dirty(c, j);
+	if (job_ended(j) || t->done)
+		return;
+	if (s->spec->gang)
+		stop_gang(c, s);
+	if (s->turn_ms != 0)
+		cell_list_step(c, s);
+}
+
+static void
+detach(struct run *run)
+{
+	struct task *t = run->task;
+
+	if (t->copy == run) {
+		t->copy = NULL;
+		return;
+	}
+	if (t->run != run)
+		return;
+	t->run = t->copy;
+	t->copy = NULL;
+	if (t->run != NULL)
+		t->run->is_copy = false;
+	else if (!t->done)
+		t->step->nheld--;
+}
+
+/* Runners that fail the tasks of several jobs in a row get no more work. */
+static void
+judge_runner(struct cell *c, struct run *run, enum run_end how)
+{
+	struct runner *r = run->runner;
+	const char *id;
+
+	if (how == END_DONE) {
+		r->failures = 0;
+		r->avoid_ms = 0;
+		r->failed_job[0] = '\0';
+	}
+	if (how != END_FAILED || run->task->step->spec->long_running)
+		return;
+	id = run->task->step->occurrence->job->id;
+	if (strcmp(r->failed_job, id) == 0)
+		return;
+	str_copy(r->failed_job, id, sizeof(r->failed_job));
+	r->failures++;
+	if (r->failures >= 2)
+		cell_runner_failed(c, r);
+}
+
+/* Run times beside the estimate tell how fast a runner is. */
+static void
+learn_speed(struct cell *c, struct run *run, enum run_end how)
+{
+	const Cc__StepSpec *s = run->task->step->spec;
+	struct runner *r = run->runner;
+	int64_t took = c->ports.now() - run->ordered_ms;
+	double v;
+
+	if (how != END_DONE || s->estimate_ms == 0 || took <= 0 ||
+	    run->task->saved != NULL)
+		return;
+	v = (double)s->estimate_ms / (double)took;
+	v = v < 0.2 ? 0.2 : v > 3.0 ? 3.0 : v;
+	r->samples++;
+	r->speed += (v - r->speed) * (r->samples < 8 ? 0.25 : 0.1);
+}
+
+void
+cell_run_ended(
+    struct cell *c, struct run *run, enum run_end how, const char *saved)
+{
+	struct task *t = run->task;
+
+	c->counters.ends[how]++;
+	c->room_version++;
+	kvlog(how == END_DONE ? KVLOG_DEBUG : KVLOG_INFO, "run_ended",
+	    "task=%s run=%u how=%s runner=%s took_ms=%lld", run->name,
+	    run->number, end_names[how], run->runner->info.id,
+	    (long long)(c->ports.now() - run->ordered_ms));
+	if (t == NULL) {
+		run_delete(run);
+		return;
+	}
+	judge_runner(c, run, how);
+	learn_speed(c, run, how);
+	task_save(t, saved);
+	if (how == END_DONE && !t->step->spec->long_running &&
+	    !job_ended(t->step->occurrence->job))
+		apply_done(c, t);
+	detach(run);
+	run_delete(run);
+	if (t->run == NULL && t->copy == NULL)
+		apply_end(c, t, how);
+	else if (how == END_FAILED)
+		apply_failed(c, t);
+}
+
+void
+cell_foreign_end(struct cell *c, const struct end_seen *e)
+{
+	struct task_ref ref;
+	struct job *j;
+	struct task *t;
+
+	if (!task_ref_parse(&ref, e->task))
+		return;
+	j = cell_job(c, ref.id);
+	if (j == NULL || (t = job_task(j, &ref)) == NULL)
+		return;
+	kvlog(KVLOG_INFO, "run_ended_before",
+	    "task=%s run=%u how=%s", e->task, e->run, end_names[e->how]);
+	if (e->run > t->last_run)
+		t->last_run = e->run;
+	j->started = true;
+	if (job_ended(j) || t->done)
+		return;
+	task_save(t, e->saved);
+	if (e->how == END_DONE && !t->step->spec->long_running)
+		apply_done(c, t);
+	else if (e->how == END_FAILED)
+		apply_failed(c, t);
+}
--- /dev/null
+++ b/src/cell/holds.c
@@ -0,0 +1,459 @@
+/*
+ * Holds renew the lease of all that runs on a runner and return its lists.
+ * They tell of ends, adopt what an earlier leader started, and settle orders
+ * whose answer was lost.
+ */
+#include <stdlib.h>
+#include <string.h>
+
+#include "../base/err.h"
+#include "../base/kvlog.h"
+#include "../base/xalloc.h"
+#include "parts.h"
+
+/** Pause before a hold is repeated that had no answer. */
+#define HOLD_RETRY_MS 200
+/** Ends wait at most this long for their commit before the next hold. */
+#define ACK_WAIT_MS 250
+/** A run that a list lacks this often in a row is gone. */
+#define MISSES_MAX 2
+/** A runner that isn't listed and runs nothing is forgotten after this. */
+#define FORGET_MS 4000
+/** Lists may lack live runners for this long after a store outage. */
+#define REGISTRY_GRACE_MS 2500
+
+struct hold {
+	struct cell *cell;
+	uint64_t fence;
+	char runner[RUNNER_ID_LEN];
+};
+
+static void
+lose_runs(struct cell *c, struct runner *r, enum run_end how, bool all)
+{
+	struct run *run, *next;
+
+	for (run = TAILQ_FIRST(&r->runs); run != NULL; run = next) {
+		next = TAILQ_NEXT(run, link);
+		if (all || run->confirmed_ms != 0)
+			cell_run_ended(c, run, how, "");
+	}
+}
+
+/* A new life knows nothing of the old one, and what ran there is gone. */
+void
+cell_runner_reset(struct cell *c, struct runner *r)
+{
+	kvlog(KVLOG_INFO, "runner_restarted", "runner=%s runs=%d", r->info.id,
+	    r->nruns);
+	r->taken = r->acking = r->acked = 0;
+	r->clock_ms = r->clock_at_ms = r->lease_ms = 0;
+	r->adopted = false;
+	r->speed = 1.0;
+	r->samples = r->failures = 0;
+	r->avoid_until_ms = r->avoid_ms = 0;
+	lose_runs(c, r, END_LOST, true);
+}
+
+static void
+bind_run(struct cell *c, struct runner *r, const struct run_seen *seen)
+{
+	struct task_ref ref;
+	struct job *j = NULL;
+	struct task *t = NULL;
+	struct run *run;
+
+	if (task_ref_parse(&ref, seen->task))
+		j = cell_job(c, ref.id);
+	if (j != NULL)
+		t = job_task(j, &ref);
+	run = run_new(r, t, seen->task, seen->run);
+	run->state = RUN_RUNNING;
+	run->ordered_ms = run->confirmed_ms = c->ports.now();
+	kvlog(KVLOG_INFO, "run_adopted", "task=%s run=%u runner=%s known=%d",
+	    seen->task, seen->run, r->info.id, t != NULL);
+	if (t == NULL) {
+		cell_stop(c, run, "unknown");
+		return;
+	}
+	if (seen->run > t->last_run)
+		t->last_run = seen->run;
+	j->started = true;
+	if (t->run == NULL) {
+		t->run = run;
+		if (!t->done)
+			t->step->nheld++;
+	} else if (t->copy == NULL) {
+		t->copy = run;
+		run->is_copy = true;
+	} else {
+		run->task = NULL;
+	}
+	if (t->done || job_ended(j) || run->task == NULL ||
+	    (run->is_copy && !t->step->spec->speculative))
+		cell_stop(c, run, "not-needed");
+}
+
+static void
+see_run(struct cell *c, struct runner *r, const struct run_seen *seen)
+{
+	struct run *run = runner_run(r, seen->task, seen->run);
+	int64_t now = c->ports.now();
+
+	if (run == NULL) {
+		bind_run(c, r, seen);
+		return;
+	}
+	run->misses = 0;
+	run->load = seen->load;
+	if (run->state == RUN_STARTING) {
+		run->state = RUN_RUNNING;
+		run->task->step->occurrence->job->started = true;
+	}
+	if (run->confirmed_ms == 0)
+		run->confirmed_ms = now;
+	if (run->at_work_ms == 0 && seen->percent >= 100)
+		run->at_work_ms = now;
+	if (run->task != NULL)
+		task_save(run->task, seen->saved);
+}
+
+static bool
+is_seen(const struct run *run, const struct hold_result *h)
+{
+	int i;
+
+	for (i = 0; i < h->nruns; i++)
+		if (h->runs[i].run == run->number &&
+		    strcmp(h->runs[i].task, run->name) == 0)
+			return true;
+	return false;
+}
+
+/* A run that a list sent after its confirmation lacks has come to its end. */
+static void
+find_missing(struct cell *c, struct runner *r, const struct hold_result *h)
+{
+	struct run *run, *next;
+
+	for (run = TAILQ_FIRST(&r->runs); run != NULL; run = next) {
+		bool settled = run->stop_ok_ms != 0 &&
+		    run->stop_ok_ms < r->hold_sent_ms;
+		bool running = run->state == RUN_RUNNING &&
+		    run->confirmed_ms != 0 &&
+		    run->confirmed_ms < r->hold_sent_ms;
+
+		next = TAILQ_NEXT(run, link);
+		if ((!settled && !running) || is_seen(run, h))
+			continue;
+		if (++run->misses < MISSES_MAX)
+			continue;
+		cell_run_ended(c, run, settled ? END_STOPPED : END_LOST, "");
+	}
+}
+
+static void
+take_ends(struct cell *c, struct runner *r, const struct hold_result *h)
+{
+	struct run *run;
+	int i;
+
+	for (i = 0; i < h->nends; i++) {
+		const struct end_seen *e = &h->ends[i];
+
+		if (e->number <= r->taken)
+			continue;
+		r->taken = e->number;
+		run = runner_run(r, e->task, e->run);
+		if (run != NULL)
+			cell_run_ended(c, run, e->how, e->saved);
+		else
+			cell_foreign_end(c, e);
+	}
+}
+
+static void
+adopted(struct cell *c, struct runner *r)
+{
+	if (r->adopted)
+		return;
+	r->adopted = true;
+	c->room_version++;
+	kvlog(KVLOG_INFO, "runner_adopted", "runner=%s runs=%d ends=%llu",
+	    r->info.id, r->nruns, (unsigned long long)r->taken);
+	cell_check_blind(c);
+}
+
+static void
+take_lists(struct cell *c, struct runner *r, const struct hold_result *h)
+{
+	int64_t now = c->ports.now();
+	int i;
+
+	if (h->born_ms != 0 && r->info.born_ms != 0 &&
+	    h->born_ms != r->info.born_ms)
+		cell_runner_reset(c, r);
+	if (h->born_ms != 0)
+		r->info.born_ms = h->born_ms;
+	if (h->clock_ms > 0) {
+		r->clock_ms = h->clock_ms;
+		r->clock_at_ms = now;
+	}
+	if (r->unheard_since_ms != 0)
+		kvlog(KVLOG_INFO, "runner_back", "runner=%s silent_ms=%lld",
+		    r->info.id, (long long)(now - r->unheard_since_ms));
+	r->heard_ms = now;
+	r->unheard_since_ms = 0;
+	r->hold_errors = 0;
+	take_ends(c, r, h);
+	for (i = 0; i < h->nruns; i++)
+		see_run(c, r, &h->runs[i]);
+	find_missing(c, r, h);
+	adopted(c, r);
+}
+
+static void
+hold_failed(struct cell *c, struct runner *r, enum order_result why)
+{
+	int64_t now = c->ports.now();
+
+	r->hold_errors++;
+	if (r->unheard_since_ms == 0 && r->hold_errors > 1) {
+		r->unheard_since_ms = now;
+		kvlog(KVLOG_WARN, "runner_silent",
+		    "runner=%s result=%d heard_ms_ago=%lld runs=%d",
+		    r->info.id, why, (long long)(now - r->heard_ms), r->nruns);
+	}
+	if (why == ORDER_OTHER_LIFE)
+		cell_runner_reset(c, r);
+}
+
+static void
+on_hold(const struct hold_result *h, void *arg)
+{
+	struct hold *o = arg;
+	struct cell *c = o->cell;
+	struct runner *r = NULL;
+
+	if (c->phase != CELL_IDLE && c->fence == o->fence)
+		r = cell_runner(c, o->runner);
+	free(o);
+	if (r == NULL)
+		return;
+	r->holding = false;
+	if (h->result == ORDER_FENCED) {
+		kvlog(KVLOG_WARN, "deposed", "fence=%llu why=hold runner=%s",
+		    (unsigned long long)c->fence, r->info.id);
+		c->ports.deposed(c->ports.arg);
+		return;
+	}
+	if (h->result == ORDER_OK)
+		take_lists(c, r, h);
+	else
+		hold_failed(c, r, h->result);
+	c->ports.wake(c->ports.arg);
+}
+
+static bool
+may_wait(const struct runner *r)
+{
+	const struct run *run;
+
+	if (!r->adopted || r->hold_errors > 0 || r->taken > r->acked)
+		return false;
+	TAILQ_FOREACH (run, &r->runs, link)
+		if (run->stop_ok_ms != 0 || run->state == RUN_UNSURE)
+			return false;
+	return r->nruns > 0;
+}
+
+static bool
+hold_due(const struct cell *c, const struct runner *r, int64_t now)
+{
+	int64_t since = now - r->hold_sent_ms;
+
+	if (r->holding)
+		return false;
+	if (r->hold_errors > 0)
+		return since >= HOLD_RETRY_MS;
+	if (!r->adopted)
+		return true;
+	if (r->taken > r->acked)
+		return since >= ACK_WAIT_MS;
+	if (r->nruns > 0 && !may_wait(r))
+		return since >= c->terms.stop_grace_ms / 4;
+	return r->nruns > 0;
+}
+
+void
+cell_hold(struct cell *c, struct runner *r)
+{
+	struct target t = {
+	    .addr = r->info.addr, .port = r->info.port, .id = r->info.id};
+	int64_t now = c->ports.now();
+	struct hold_order o = {.fence = c->fence, .seen = r->acked};
+	struct hold *h;
+
+	if (!hold_due(c, r, now))
+		return;
+	h = xcalloc(1, sizeof(*h));
+	h->cell = c;
+	h->fence = c->fence;
+	str_copy(h->runner, r->info.id, sizeof(h->runner));
+	if (r->clock_at_ms != 0 && r->adopted) {
+		o.until_ms = runner_clock(r, now) + c->terms.lease_ms;
+		if (o.until_ms > r->lease_ms)
+			r->lease_ms = o.until_ms;
+	}
+	if (may_wait(r))
+		o.wait_ms = c->terms.hold_wait_ms;
+	r->holding = true;
+	r->hold_sent_ms = now;
+	c->counters.holds++;
+	c->ports.runners->ops->hold(
+	    c->ports.runners, &t, &o, r->hold_errors > 0, on_hold, h);
+}
+
+/* Work of a silent runner is free again once its lease has lapsed there. */
+static void
+check_lapse(struct cell *c, struct runner *r, int64_t now)
+{
+	if (r->unheard_since_ms == 0 || r->nruns == 0)
+		return;
+	if (r->clock_at_ms == 0 || !runner_lapsed(r, now))
+		return;
+	kvlog(KVLOG_WARN, "runner_lapsed", "runner=%s runs=%d silent_ms=%lld",
+	    r->info.id, r->nruns, (long long)(now - r->unheard_since_ms));
+	lose_runs(c, r, END_LAPSED, true);
+}
+
+static bool
+runner_gone(const struct cell *c, const struct runner *r, int64_t now)
+{
+	return !r->listed && r->nruns == 0 && !r->holding &&
+	    r->missing_ms != 0 && now - r->missing_ms > FORGET_MS &&
+	    (!c->blind || r->adopted) && (r->adopted || !r->recorded ||
+	    now - c->led_ms > FORGET_MS);
+}
+
+void
+cell_holds(struct cell *c)
+{
+	int64_t now = c->ports.now();
+	struct runner *r, *tmp;
+
+	if (c->phase != CELL_SERVING)
+		return;
+	HASH_ITER(hh, c->runners, r, tmp)
+	{
+		cell_resend_stops(c, r);
+		cell_hold(c, r);
+		check_lapse(c, r, now);
+		if (!runner_gone(c, r, now))
+			continue;
+		kvlog(KVLOG_INFO, "runner_forgotten", "runner=%s", r->info.id);
+		HASH_DEL(c->runners, r);
+		runner_delete(r);
+		c->runners_changed = true;
+	}
+}
+
+/* Inherited work may start once no runner can hold it unseen. */
+void
+cell_check_blind(struct cell *c)
+{
+	const struct runner *r;
+	int missing = 0;
+
+	if (!c->blind || c->phase != CELL_SERVING)
+		return;
+	for (r = c->runners; r != NULL; r = r->hh.next)
+		missing += !r->adopted;
+	if (c->registry_ms == 0)
+		missing++;
+	if (missing > 0 && c->ports.now() < c->blind_until_ms)
+		return;
+	c->blind = false;
+	c->room_version++;
+	kvlog(KVLOG_INFO, "inherited_work_free",
+	    "after_ms=%lld unheard_runners=%d",
+	    (long long)(c->ports.now() - c->led_ms), missing);
+	c->ports.wake(c->ports.arg);
+}
+
+static void
+update_runner(struct cell *c, struct runner *r, const struct runner_info *in)
+{
+	bool other_life = in->born_ms != 0 && r->info.born_ms != 0 &&
+	    in->born_ms > r->info.born_ms;
+	int64_t born = r->info.born_ms;
+
+	if (in->draining && !r->info.draining) {
+		r->drain_since_ms = c->ports.now();
+		kvlog(KVLOG_INFO, "runner_draining",
+		    "runner=%s runs=%d remaining_ms=%lld", in->id, r->nruns,
+		    (long long)in->remaining_ms);
+	}
+	if (strcmp(r->info.addr, in->addr) != 0 || r->info.port != in->port)
+		c->runners_changed = true;
+	r->info = *in;
+	if (!other_life && born > in->born_ms)
+		r->info.born_ms = born;
+	if (other_life)
+		cell_runner_reset(c, r);
+	if (!r->listed)
+		c->room_version++;
+	r->listed = true;
+	r->missing_ms = 0;
+}
+
+static void
+add_runner(struct cell *c, const struct runner_info *in)
+{
+	struct runner *r = runner_new(in);
+
+	r->listed = true;
+	HASH_ADD_STR(c->runners, info.id, r);
+	c->runners_changed = true;
+	c->room_version++;
+	kvlog(KVLOG_INFO, "runner_found",
+	    "runner=%s service=%s rack=%s cpu=%lld mem_mb=%lld draining=%d",
+	    in->id, in->service, in->rack, (long long)in->cpu,
+	    (long long)in->mem_mb, in->draining);
+}
+
+static bool
+registry_doubtful(const struct cell *c, int64_t now)
+{
+	return cell_store_down(c) || now - c->registry_ms > REGISTRY_GRACE_MS ||
+	    c->store_down_ms != 0;
+}
+
+void
+cell_set_runners(struct cell *c, const struct runner_info *infos, int n)
+{
+	int64_t now = c->ports.now();
+	bool doubtful = c->registry_ms != 0 && registry_doubtful(c, now);
+	struct runner *r;
+	int i;
+
+	if (c->phase != CELL_SERVING)
+		return;
+	for (r = c->runners; r != NULL; r = r->hh.next)
+		if (r->missing_ms == 0)
+			r->missing_ms = now;
+	for (i = 0; i < n; i++) {
+		r = cell_runner(c, infos[i].id);
+		if (r != NULL)
+			update_runner(c, r, &infos[i]);
+		else
+			add_runner(c, &infos[i]);
+	}
+	for (r = c->runners; r != NULL; r = r->hh.next)
+		if (r->missing_ms != 0 && !doubtful &&
+		    now - r->missing_ms >= 0)
+			r->listed = r->listed &&
+			    now - r->missing_ms < REGISTRY_GRACE_MS;
+	c->registry_ms = now;
+	c->ports.wake(c->ports.arg);
+}
--- /dev/null
+++ b/src/cell/jobs.c
@@ -0,0 +1,308 @@
+/* The jobs of a cell, and the callers' calls on them. */
+#include <stdlib.h>
+#include <string.h>
+
+#include "../base/err.h"
+#include "../base/kvlog.h"
+#include "../base/xalloc.h"
+#include "parts.h"
+
+#define LOADING_RETRY_MS 1000
+/** Without a commit for this long, an unknown id may be another leader's. */
+#define KNOWS_ALL_MS 1500
+
+struct job *
+cell_job(struct cell *c, const char *id)
+{
+	struct job *j;
+
+	HASH_FIND_STR(c->jobs, id, j);
+	return j;
+}
+
+const struct queue *
+job_queue(const struct cell *c, const struct job *j)
+{
+	if (c->manifest == NULL)
+		return NULL;
+	return manifest_queue(c->manifest, j->row->queue);
+}
+
+static void
+apply_queue(struct cell *c, struct job *j)
+{
+	const struct queue *q = job_queue(c, j);
+
+	if (q == NULL)
+		return;
+	j->priority = q->priority;
+	j->max_attempts = q->max_attempts;
+	j->due_ms = j->accepted_ms +
+	    urgency_objective_ms(j->chain_ms, q->stretch, q->target_latency_ms);
+}
+
+void
+cell_list_step(struct cell *c, struct step *s)
+{
+	if (s->listed || !step_has_waiting(s))
+		return;
+	s->listed = true;
+	TAILQ_INSERT_TAIL(&c->steps, s, link);
+}
+
+void
+cell_list_steps(struct cell *c, struct occurrence *o)
+{
+	size_t i;
+
+	if (job_ended(o->job))
+		return;
+	for (i = 0; i < o->job->row->n_steps; i++) {
+		struct step *s = &o->steps[i];
+
+		if (!step_has_turn(s))
+			continue;
+		if (s->turn_ms == 0)
+			s->turn_ms = c->ports.now();
+		cell_list_step(c, s);
+	}
+}
+
+static bool
+occurrence_due(const struct cell *c, const struct job *j)
+{
+	if (j->noccurrences >= job_repeats(j))
+		return false;
+	return j->row->repeat_count == 0 ||
+	    c->ports.wall_now() >= job_due_wall_ms(j, j->noccurrences);
+}
+
+void
+cell_due_occurrences(struct cell *c)
+{
+	struct job *j;
+
+	TAILQ_FOREACH (j, &c->timed, timed_link)
+		while (!job_ended(j) && j->stored && occurrence_due(c, j))
+			cell_list_steps(c, job_add_occurrence(j));
+}
+
+void
+cell_add_job(struct cell *c, struct job *j)
+{
+	uint32_t i;
+
+	HASH_ADD_STR(c->jobs, id, j);
+	apply_queue(c, j);
+	if (job_ended(j)) {
+		TAILQ_INSERT_TAIL(&c->ended, j, ended_link);
+		return;
+	}
+	if (j->row->repeat_count > 0)
+		TAILQ_INSERT_TAIL(&c->timed, j, timed_link);
+	else if (j->noccurrences == 0)
+		job_add_occurrence(j);
+	for (i = 0; i < j->noccurrences; i++)
+		cell_list_steps(c, j->occurrences[i]);
+}
+
+static void
+unlist_job(struct cell *c, struct job *j)
+{
+	uint32_t i;
+	size_t k;
+
+	for (i = 0; i < j->noccurrences; i++)
+		for (k = 0; k < j->row->n_steps; k++) {
+			struct step *s = &j->occurrences[i]->steps[k];
+
+			if (s->listed)
+				TAILQ_REMOVE(&c->steps, s, link);
+			s->listed = false;
+			step_advice_free(s);
+		}
+	if (j->row->repeat_count > 0 && !job_ended(j))
+		TAILQ_REMOVE(&c->timed, j, timed_link);
+}
+
+static void
+detach_runs(struct job *j)
+{
+	uint32_t i, t;
+	size_t k;
+
+	for (i = 0; i < j->noccurrences; i++)
+		for (k = 0; k < j->row->n_steps; k++) {
+			struct step *s = &j->occurrences[i]->steps[k];
+
+			for (t = 0; t < s->spec->count; t++) {
+				if (s->tasks[t].run != NULL)
+					s->tasks[t].run->task = NULL;
+				if (s->tasks[t].copy != NULL)
+					s->tasks[t].copy->task = NULL;
+			}
+		}
+}
+
+void
+cell_end_job(struct cell *c, struct job *j, enum job_state state)
+{
+	if (job_ended(j))
+		return;
+	unlist_job(c, j);
+	j->state = state;
+	j->ended_ms = c->ports.now();
+	TAILQ_INSERT_TAIL(&c->ended, j, ended_link);
+	cell_mark_dirty(c, j);
+	c->counters.completed += state == JOB_COMPLETED;
+	c->counters.failed += state == JOB_FAILED;
+	c->counters.canceled += state == JOB_CANCELED;
+	kvlog(KVLOG_INFO, "job_ended",
+	    "id=%s queue=%s state=%s took_ms=%lld due_in_ms=%lld", j->id,
+	    j->row->queue, job_state_name(state),
+	    (long long)(j->ended_ms - j->accepted_ms),
+	    (long long)(j->due_ms - j->ended_ms));
+	cell_stop_job(c, j, job_state_name(state));
+}
+
+void
+cell_forget_job(struct cell *c, struct job *j)
+{
+	if (j->dirty)
+		TAILQ_REMOVE(&c->dirty, j, dirty_link);
+	if (job_ended(j))
+		TAILQ_REMOVE(&c->ended, j, ended_link);
+	else
+		unlist_job(c, j);
+	detach_runs(j);
+	HASH_DEL(c->jobs, j);
+	job_delete(j);
+}
+
+static void
+add_waiter(struct job *j, cell_fn fn, void *arg, bool cancels)
+{
+	struct waiter *w = xcalloc(1, sizeof(*w));
+
+	w->fn = fn;
+	w->arg = arg;
+	w->cancels = cancels;
+	TAILQ_INSERT_TAIL(&j->waiters, w, link);
+}
+
+static int
+refuse(struct cell *c, const char *id, const char *why, cell_fn fn, void *arg)
+{
+	struct cell_answer a = {
+	    .error = CC_EBUSY, .retry_after_ms = LOADING_RETRY_MS};
+
+	c->counters.refused++;
+	kvlog(KVLOG_INFO, "submit_refused", "id=%s why=%s", id, why);
+	fn(&a, arg);
+	return CC_EBUSY;
+}
+
+void
+cell_submit(
+    struct cell *c, const char *id, Cc__JobRow *row, cell_fn fn, void *arg)
+{
+	struct cell_answer ok = {.error = CC_OK};
+	struct job *j = cell_job(c, id);
+
+	if (c->phase != CELL_SERVING || j != NULL || cell_store_down(c)) {
+		cc__job_row__free_unpacked(row, NULL);
+		if (c->phase != CELL_SERVING)
+			refuse(c, id, "loading", fn, arg);
+		else if (j != NULL && j->stored)
+			fn(&ok, arg);
+		else if (j != NULL)
+			add_waiter(j, fn, arg, false);
+		else
+			refuse(c, id, "store-down", fn, arg);
+		return;
+	}
+	row->accepted_wall_ms = c->ports.wall_now();
+	j = job_new(id, row);
+	j->accepted_ms = c->ports.now();
+	cell_add_job(c, j);
+	add_waiter(j, fn, arg, false);
+	cell_mark_dirty(c, j);
+	c->counters.accepted++;
+	kvlog(KVLOG_INFO, "submit",
+	    "id=%s queue=%s steps=%zu tasks=%u chain_ms=%lld objective_ms=%lld",
+	    id, row->queue, row->n_steps, row->steps[0]->count,
+	    (long long)j->chain_ms, (long long)(j->due_ms - j->accepted_ms));
+	c->ports.wake(c->ports.arg);
+}
+
+static bool
+knows_all(const struct cell *c)
+{
+	return c->phase == CELL_SERVING &&
+	    c->ports.now() - c->committed_ms < KNOWS_ALL_MS;
+}
+
+void
+cell_get(struct cell *c, const char *queue, const char *id,
+    struct cell_answer *a)
+{
+	const struct job *j = cell_job(c, id);
+
+	*a = (struct cell_answer){
+	    .error = CC_EBUSY, .retry_after_ms = LOADING_RETRY_MS};
+	if (j == NULL || !j->stored || strcmp(j->row->queue, queue) != 0) {
+		if (j == NULL && knows_all(c))
+			a->error = CC_ENOENT;
+		return;
+	}
+	if (c->phase != CELL_SERVING)
+		return;
+	a->error = CC_OK;
+	a->state = j->stored_state;
+	if (!job_ended(j) || j->stored_state < JOB_COMPLETED)
+		a->state = j->started ? JOB_RUNNING : JOB_QUEUED;
+}
+
+void
+cell_cancel(struct cell *c, const char *queue, const char *id, cell_fn fn,
+    void *arg)
+{
+	struct cell_answer a = {
+	    .error = CC_EBUSY, .retry_after_ms = LOADING_RETRY_MS};
+	struct job *j = cell_job(c, id);
+
+	(void)queue;
+	if (j == NULL || c->phase != CELL_SERVING) {
+		if (knows_all(c))
+			a.error = CC_ENOENT;
+		fn(&a, arg);
+		return;
+	}
+	kvlog(KVLOG_INFO, "cancel", "id=%s state=%s age_ms=%lld", id,
+	    job_state_name(j->state),
+	    (long long)(c->ports.now() - j->accepted_ms));
+	cell_end_job(c, j, JOB_CANCELED);
+	if (j->stored_state >= JOB_COMPLETED) {
+		a.error = CC_OK;
+		a.state = j->stored_state;
+		fn(&a, arg);
+		return;
+	}
+	add_waiter(j, fn, arg, true);
+	c->ports.wake(c->ports.arg);
+}
+
+void
+cell_pending(struct cell *c, const char *queue, struct cell_answer *a)
+{
+	const struct job *j;
+
+	*a = (struct cell_answer){
+	    .error = CC_EBUSY, .retry_after_ms = LOADING_RETRY_MS};
+	if (!knows_all(c))
+		return;
+	a->error = CC_OK;
+	for (j = c->jobs; j != NULL; j = j->hh.next)
+		a->pending += j->stored && !j->started && !job_ended(j) &&
+		    strcmp(j->row->queue, queue) == 0;
+}
--- /dev/null
+++ b/src/cell/orders.c
@@ -0,0 +1,331 @@
+/* Starts and stops, and what their answers mean. */
+#include <stdlib.h>
+#include <string.h>
+
+#include "../base/err.h"
+#include "../base/kvlog.h"
+#include "../base/xalloc.h"
+#include "parts.h"
+
+/** A start is sent this often before a stop settles its fate. */
+#define START_TRIES 3
+/** Pause before a stop is sent again. */
+#define STOP_RETRY_MS 400
+/** A runner that refuses gets no more work for this long at first. */
+#define AVOID_FIRST_MS 500
+#define AVOID_MAX_MS 4000
+
+/** What an answer belongs to; the run may be gone by then. */
+struct order {
+	struct cell *cell;
+	uint64_t fence;
+	char runner[RUNNER_ID_LEN];
+	char task[TASK_NAME_LEN];
+	uint32_t number;
+};
+
+static const char *const result_names[] = {"ok", "fenced", "old", "late",
+    "no-room", "no-ticket", "unhealthy", "invalid", "other-life", "not-sent",
+    "unknown"};
+
+struct runner *
+cell_runner(struct cell *c, const char *id)
+{
+	struct runner *r;
+
+	HASH_FIND_STR(c->runners, id, r);
+	return r;
+}
+
+static struct target
+target_of(const struct runner *r)
+{
+	return (struct target){
+	    .addr = r->info.addr, .port = r->info.port, .id = r->info.id};
+}
+
+static struct order *
+order_new(struct cell *c, const struct run *run)
+{
+	struct order *o = xcalloc(1, sizeof(*o));
+
+	o->cell = c;
+	o->fence = c->fence;
+	o->number = run->number;
+	str_copy(o->runner, run->runner->info.id, sizeof(o->runner));
+	str_copy(o->task, run->name, sizeof(o->task));
+	return o;
+}
+
+/* The run that the order was about; NULL when it or the term is over. */
+static struct run *
+order_run(const struct order *o)
+{
+	struct runner *r;
+
+	if (o->cell->phase == CELL_IDLE || o->cell->fence != o->fence)
+		return NULL;
+	r = cell_runner(o->cell, o->runner);
+	return r != NULL ? runner_run(r, o->task, o->number) : NULL;
+}
+
+static void
+take_clock(struct runner *r, int64_t clock_ms, int64_t now)
+{
+	if (clock_ms <= 0 || clock_ms < runner_clock_least(r, now))
+		return;
+	r->clock_ms = clock_ms;
+	r->clock_at_ms = now;
+}
+
+static void
+deposed_by(struct cell *c, const char *runner)
+{
+	kvlog(KVLOG_WARN, "deposed", "fence=%llu why=runner runner=%s",
+	    (unsigned long long)c->fence, runner);
+	c->ports.deposed(c->ports.arg);
+}
+
+static void on_started(const struct order_answer *a, void *arg);
+
+static void
+send_start(struct cell *c, struct run *run)
+{
+	struct runner *r = run->runner;
+	const struct step *s = run->task->step;
+	const struct task *keeper =
+	    s->spec->gang ? &s->tasks[0] : run->task;
+	struct target t = target_of(r);
+	int64_t now = c->ports.now();
+	struct start_order o = {
+	    .task = run->name,
+	    .run = run->number,
+	    .spec = s->occurrence->job->row->spec,
+	    .until_ms = runner_clock(r, now) + c->terms.start_ms,
+	    .fence = c->fence,
+	    .saved = keeper->saved != NULL ? keeper->saved : "",
+	    .ticket = run->ticket,
+	};
+
+	run->until_ms = o.until_ms;
+	if (o.until_ms > r->lease_ms)
+		r->lease_ms = o.until_ms;
+	c->ports.runners->ops->start(c->ports.runners, &t, &o, run->orders > 0,
+	    on_started, order_new(c, run));
+	run->orders++;
+}
+
+static void
+avoid_runner(struct cell *c, struct runner *r)
+{
+	r->avoid_ms = r->avoid_ms == 0 ? AVOID_FIRST_MS : r->avoid_ms * 2;
+	if (r->avoid_ms > AVOID_MAX_MS)
+		r->avoid_ms = AVOID_MAX_MS;
+	r->avoid_until_ms = c->ports.now() + r->avoid_ms;
+	kvlog(KVLOG_INFO, "runner_avoided",
+	    "runner=%s failures=%d for_ms=%lld", r->info.id, r->failures,
+	    (long long)r->avoid_ms);
+}
+
+void
+cell_runner_failed(struct cell *c, struct runner *r)
+{
+	avoid_runner(c, r);
+}
+
+static void
+started_ok(struct cell *c, struct run *run)
+{
+	struct job *j = run->task->step->occurrence->job;
+	int64_t now = c->ports.now();
+
+	if (run->state == RUN_STARTING) {
+		run->state = RUN_RUNNING;
+		run->confirmed_ms = now;
+	}
+	if (!j->started) {
+		j->started = true;
+		kvlog(KVLOG_INFO, "job_started", "id=%s wait_ms=%lld", j->id,
+		    (long long)(now - j->accepted_ms));
+	}
+	cell_hold(c, run->runner);
+}
+
+/* Its fate is open: a stop and the next list settle it. */
+static void
+start_unsure(struct cell *c, struct run *run)
+{
+	run->state = RUN_UNSURE;
+	cell_stop(c, run, "start-unsure");
+	cell_hold(c, run->runner);
+}
+
+static void
+start_refused(struct cell *c, struct run *run, enum order_result why)
+{
+	if (why == ORDER_NO_TICKET)
+		step_ticket_refused(run->task->step, run->runner);
+	else if (why != ORDER_OTHER_LIFE)
+		avoid_runner(c, run->runner);
+	/* An earlier try of the same start may still arrive. */
+	if (run->orders > 1)
+		start_unsure(c, run);
+	else
+		cell_run_ended(c, run, END_LOST, "");
+}
+
+static void
+start_answered(struct cell *c, struct run *run, enum order_result result)
+{
+	kvlog(result == ORDER_OK ? KVLOG_DEBUG : KVLOG_INFO, "start_answered",
+	    "task=%s run=%u runner=%s result=%s tries=%d age_ms=%lld",
+	    run->name, run->number, run->runner->info.id, result_names[result],
+	    run->orders, (long long)(c->ports.now() - run->ordered_ms));
+	switch (result) {
+	case ORDER_OK:
+		started_ok(c, run);
+		return;
+	case ORDER_OLD:
+		start_unsure(c, run);
+		return;
+	case ORDER_LATE:
+	case ORDER_NOT_SENT:
+	case ORDER_UNKNOWN:
+		if (run->orders < START_TRIES && run->state == RUN_STARTING)
+			send_start(c, run);
+		else
+			start_unsure(c, run);
+		return;
+	case ORDER_FENCED:
+		return;
+	default:
+		start_refused(c, run, result);
+	}
+}
+
+static void
+on_started(const struct order_answer *a, void *arg)
+{
+	struct order *o = arg;
+	struct cell *c = o->cell;
+	struct run *run = order_run(o);
+
+	if (run != NULL && run->task != NULL) {
+		take_clock(run->runner, a->clock_ms, c->ports.now());
+		if (run->state == RUN_STARTING)
+			start_answered(c, run, a->result);
+		if (a->result == ORDER_FENCED)
+			deposed_by(c, o->runner);
+		else
+			c->ports.wake(c->ports.arg);
+	}
+	free(o);
+}
+
+void
+cell_start(struct cell *c, struct runner *r, struct task *t, uint32_t number,
+    const char *ticket, bool is_copy)
+{
+	char name[TASK_NAME_LEN];
+	struct step *s = t->step;
+	struct run *run;
+
+	task_name(t, name, sizeof(name));
+	run = run_new(r, t, name, number);
+	run->ordered_ms = c->ports.now();
+	run->is_copy = is_copy;
+	str_copy(run->ticket, ticket, sizeof(run->ticket));
+	t->last_run = number > t->last_run ? number : t->last_run;
+	if (is_copy) {
+		t->copy = run;
+	} else {
+		t->run = run;
+		s->nheld++;
+	}
+	if (s->first_start_ms == 0)
+		s->first_start_ms = run->ordered_ms;
+	c->counters.starts++;
+	c->counters.copies += is_copy;
+	kvlog(KVLOG_INFO, "placed",
+	    "task=%s run=%u runner=%s copy=%d turn_age_ms=%lld due_in_ms=%lld "
+	    "speed=%.2f",
+	    name, number, r->info.id, is_copy,
+	    (long long)(run->ordered_ms - s->turn_ms),
+	    (long long)(s->occurrence->job->due_ms - run->ordered_ms),
+	    r->speed);
+	send_start(c, run);
+}
+
+static void
+on_stopped(const struct order_answer *a, void *arg)
+{
+	struct order *o = arg;
+	struct cell *c = o->cell;
+	struct run *run = order_run(o);
+
+	if (run != NULL) {
+		take_clock(run->runner, a->clock_ms, c->ports.now());
+		if (a->result == ORDER_OK && run->stop_ok_ms == 0)
+			run->stop_ok_ms = c->ports.now();
+		if (a->result == ORDER_FENCED)
+			deposed_by(c, o->runner);
+		else if (a->result == ORDER_OK)
+			cell_hold(c, run->runner);
+	}
+	free(o);
+}
+
+static void
+send_stop(struct cell *c, struct run *run)
+{
+	struct target t = target_of(run->runner);
+
+	run->stop_sent_ms = c->ports.now();
+	c->ports.runners->ops->stop(c->ports.runners, &t, run->name,
+	    run->number, c->fence, on_stopped, order_new(c, run));
+}
+
+void
+cell_stop(struct cell *c, struct run *run, const char *why)
+{
+	if (run->stop_sent_ms != 0)
+		return;
+	kvlog(KVLOG_INFO, "stop", "task=%s run=%u runner=%s why=%s", run->name,
+	    run->number, run->runner->info.id, why);
+	if (run->state == RUN_RUNNING)
+		run->state = RUN_STOPPING;
+	else if (run->state == RUN_STARTING)
+		run->state = RUN_UNSURE;
+	send_stop(c, run);
+}
+
+void
+cell_resend_stops(struct cell *c, struct runner *r)
+{
+	int64_t now = c->ports.now();
+	struct run *run;
+
+	TAILQ_FOREACH (run, &r->runs, link)
+		if (run->stop_sent_ms != 0 && run->stop_ok_ms == 0 &&
+		    now - run->stop_sent_ms > STOP_RETRY_MS)
+			send_stop(c, run);
+}
+
+void
+cell_stop_job(struct cell *c, struct job *j, const char *why)
+{
+	uint32_t i, t;
+	size_t k;
+
+	for (i = 0; i < j->noccurrences; i++)
+		for (k = 0; k < j->row->n_steps; k++) {
+			struct step *s = &j->occurrences[i]->steps[k];
+
+			for (t = 0; t < s->spec->count; t++) {
+				if (s->tasks[t].run != NULL)
+					cell_stop(c, s->tasks[t].run, why);
+				if (s->tasks[t].copy != NULL)
+					cell_stop(c, s->tasks[t].copy, why);
+			}
+		}
+}
--- /dev/null
+++ b/src/cell/parts.h
@@ -0,0 +1,75 @@
+/** @file What the files of a cell need of each other. */
+#ifndef CELL_PARTS_H
+#define CELL_PARTS_H
+
+#include "../coordination/urgency.h"
+#include "cell.h"
+
+/* commit.c */
+void cell_mark_dirty(struct cell *c, struct job *j);
+/** Sends the next commit when one is due and none is under way. */
+void cell_commit(struct cell *c);
+void cell_commit_drop(struct cell *c);
+/** Whether the store has failed for long enough to refuse new work. */
+bool cell_store_down(const struct cell *c);
+/** Answers and frees every waiter of a job. */
+void job_answer(struct job *j, const struct cell_answer *a);
+
+/* load.c */
+void cell_load(struct cell *c);
+/** Repeats a read that failed. */
+void cell_load_retry(struct cell *c);
+
+/* jobs.c */
+struct job *cell_job(struct cell *c, const char *id);
+void cell_add_job(struct cell *c, struct job *j);
+/** Puts the steps whose turn has come on the list. */
+void cell_list_steps(struct cell *c, struct occurrence *o);
+void cell_list_step(struct cell *c, struct step *s);
+void cell_end_job(struct cell *c, struct job *j, enum job_state state);
+void cell_forget_job(struct cell *c, struct job *j);
+void cell_due_occurrences(struct cell *c);
+const struct queue *job_queue(const struct cell *c, const struct job *j);
+
+/* ends.c */
+/** A run has ended or is lost; applies what that means to its task. */
+void cell_run_ended(struct cell *c, struct run *run, enum run_end how,
+    const char *saved);
+/** An end that no known run belongs to. */
+void cell_foreign_end(struct cell *c, const struct end_seen *e);
+void task_save(struct task *t, const char *saved);
+
+/* orders.c */
+void cell_start(struct cell *c, struct runner *r, struct task *t,
+    uint32_t number, const char *ticket, bool is_copy);
+void cell_stop(struct cell *c, struct run *run, const char *why);
+void cell_stop_job(struct cell *c, struct job *j, const char *why);
+void cell_resend_stops(struct cell *c, struct runner *r);
+struct runner *cell_runner(struct cell *c, const char *id);
+
+/* holds.c */
+void cell_holds(struct cell *c);
+void cell_hold(struct cell *c, struct runner *r);
+void cell_runner_failed(struct cell *c, struct runner *r);
+void cell_runner_reset(struct cell *c, struct runner *r);
+void cell_check_blind(struct cell *c);
+
+/* drain.c */
+/** Moves work off runners that are about to leave. */
+void cell_drain(struct cell *c);
+
+/* place.c */
+void cell_place(struct cell *c);
+uint32_t cell_next_run(const struct cell *c, const struct task *t);
+struct urgency step_urgency(
+    const struct cell *c, const struct step *s, int64_t now);
+
+/* advice.c */
+void cell_ask_advice(struct cell *c);
+/** The ticket for a runner, "" when none is needed, NULL when it has none. */
+const char *step_ticket(const struct cell *c, const struct step *s,
+    const struct runner *r, int64_t now);
+void step_advice_free(struct step *s);
+void step_ticket_refused(struct step *s, const struct runner *r);
+
+#endif
--- /dev/null
+++ b/src/cell/place.c
@@ -0,0 +1,375 @@
+/* Which tasks start where, in the order of their urgency. */
+#include <stdlib.h>
+#include <string.h>
+
+#include "../base/xalloc.h"
+#include "../coordination/placing.h"
+#include "parts.h"
+
+/** Run numbers of a leader begin at its generation times this. */
+#define RUNS_PER_GENERATION 1024
+
+struct candidate {
+	struct runner *runner;
+	const char *ticket;
+	uint32_t slots;
+	double score;
+};
+
+struct pick {
+	struct cell *cell;
+	struct step *step;
+	struct placing_want want;
+	struct candidate *candidates;
+	int n;
+};
+
+struct ranked {
+	struct urgency urgency;
+	struct step *step;
+};
+
+/** The most room that any one runner has. */
+struct room {
+	int64_t cpu;
+	int64_t mem_mb;
+};
+
+uint32_t
+cell_next_run(const struct cell *c, const struct task *t)
+{
+	uint32_t first = c->generation * RUNS_PER_GENERATION + 1;
+
+	return t->last_run >= first ? t->last_run + 1 : first;
+}
+
+static int64_t
+remaining_ms(const struct step *s)
+{
+	const struct step *steps = s->occurrence->steps;
+	size_t i, n = s->occurrence->job->row->n_steps;
+	int64_t sum = 0;
+
+	for (i = s->index; i < n; i++)
+		sum += steps[i].ndone < steps[i].spec->count
+		    ? steps[i].spec->estimate_ms
+		    : 0;
+	return sum;
+}
+
+struct urgency
+step_urgency(const struct cell *c, const struct step *s, int64_t now)
+{
+	const struct job *j = s->occurrence->job;
+	struct urgency_job u = {
+	    .accepted_ms = j->accepted_ms,
+	    .due_ms = j->due_ms,
+	    .remaining_ms = remaining_ms(s),
+	    .priority = j->priority,
+	    .lasting = s->spec->long_running,
+	};
+
+	(void)c;
+	return urgency_of(&u, now);
+}
+
+static int
+compare_ranked(const void *a, const void *b)
+{
+	const struct ranked *x = a, *y = b;
+
+	return urgency_compare(&x->urgency, &y->urgency);
+}
+
+static bool
+may_start(const struct cell *c, const struct step *s)
+{
+	const struct job *j = s->occurrence->job;
+
+	if (!j->stored || job_ended(j) || s->turn_ms == 0)
+		return false;
+	return !(c->blind && j->inherited);
+}
+
+static bool
+pick_init(struct pick *p, struct cell *c, struct step *s, int64_t now)
+{
+	const struct queue *q = job_queue(c, s->occurrence->job);
+	struct runner *r;
+	const char *ticket;
+
+	memset(p, 0, sizeof(*p));
+	if (q == NULL)
+		return false;
+	p->cell = c;
+	p->step = s;
+	p->want = (struct placing_want){.step = s, .service = q->service,
+	    .urgent = q->priority == 0, .now_ms = now};
+	p->candidates =
+	    xcalloc(HASH_COUNT(c->runners) + 1, sizeof(*p->candidates));
+	for (r = c->runners; r != NULL; r = r->hh.next) {
+		if (!placing_feasible(r, &p->want))
+			continue;
+		ticket = step_ticket(c, s, r, now);
+		if (ticket == NULL)
+			continue;
+		p->candidates[p->n++] =
+		    (struct candidate){.runner = r, .ticket = ticket};
+	}
+	return true;
+}
+
+static struct candidate *
+best_candidate(struct pick *p)
+{
+	struct candidate *best = NULL;
+	double best_score = 0, score;
+	int i;
+
+	for (i = 0; i < p->n; i++) {
+		struct runner *r = p->candidates[i].runner;
+
+		if (!placing_feasible(r, &p->want))
+			continue;
+		score = placing_score(r, &p->want);
+		if (best == NULL || score < best_score) {
+			best = &p->candidates[i];
+			best_score = score;
+		}
+	}
+	return best;
+}
+
+static void
+place_tasks(struct pick *p)
+{
+	struct step *s = p->step;
+	struct candidate *best;
+	uint32_t i;
+
+	for (i = 0; i < s->spec->count && step_has_waiting(s); i++) {
+		struct task *t = &s->tasks[i];
+
+		if (t->done || t->run != NULL || t->retry_ms > p->want.now_ms)
+			continue;
+		best = best_candidate(p);
+		if (best == NULL)
+			return;
+		cell_start(p->cell, best->runner, t,
+		    cell_next_run(p->cell, t), best->ticket, false);
+	}
+}
+
+static int
+compare_candidates(const void *a, const void *b)
+{
+	const struct candidate *x = a, *y = b;
+
+	return x->score < y->score ? -1 : x->score > y->score;
+}
+
+/* Slots of the candidates on one rack, or on all where rack is NULL. */
+static uint32_t
+rack_slots(const struct pick *p, const char *rack)
+{
+	uint64_t sum = 0;
+	int i;
+
+	for (i = 0; i < p->n; i++)
+		if (rack == NULL ||
+		    strcmp(p->candidates[i].runner->info.rack, rack) == 0)
+			sum += p->candidates[i].slots;
+	return sum > UINT32_MAX ? UINT32_MAX : (uint32_t)sum;
+}
+
+static bool
+rack_could_ever_fit(const struct pick *p)
+{
+	const struct runner *r, *o;
+	uint64_t sum;
+
+	for (r = p->cell->runners; r != NULL; r = r->hh.next) {
+		sum = 0;
+		for (o = p->cell->runners; o != NULL; o = o->hh.next)
+			if (strcmp(r->info.rack, o->info.rack) == 0 &&
+			    p->step->spec->cpu > 0)
+				sum += (uint64_t)o->info.cpu /
+				    p->step->spec->cpu;
+		if (sum >= p->step->spec->count)
+			return true;
+	}
+	return false;
+}
+
+static const char *
+gang_rack(const struct pick *p)
+{
+	const char *best = NULL;
+	uint32_t best_slots = 0;
+	int i;
+
+	for (i = 0; i < p->n; i++) {
+		const char *rack = p->candidates[i].runner->info.rack;
+		uint32_t n = rack_slots(p, rack);
+
+		if (n < p->step->spec->count)
+			continue;
+		if (strcmp(rack, p->step->spec->affinity) == 0)
+			return rack;
+		if (best == NULL || n < best_slots) {
+			best = rack;
+			best_slots = n;
+		}
+	}
+	return best;
+}
+
+static uint32_t
+gang_run(const struct pick *p)
+{
+	uint32_t i, n, run = 0;
+
+	for (i = 0; i < p->step->spec->count; i++) {
+		n = cell_next_run(p->cell, &p->step->tasks[i]);
+		run = n > run ? n : run;
+	}
+	return run;
+}
+
+static bool
+gang_is_free(const struct pick *p)
+{
+	const struct step *s = p->step;
+	uint32_t i;
+
+	if (s->nheld > 0 || s->ndone > 0)
+		return false;
+	for (i = 0; i < s->spec->count; i++)
+		if (s->tasks[i].retry_ms > p->want.now_ms)
+			return false;
+	return true;
+}
+
+static void
+start_gang(struct pick *p, const char *rack)
+{
+	uint32_t k, next = 0, run = gang_run(p);
+	int i;
+
+	for (i = 0; i < p->n && next < p->step->spec->count; i++) {
+		struct candidate *d = &p->candidates[i];
+
+		if (rack != NULL && strcmp(d->runner->info.rack, rack) != 0)
+			continue;
+		for (k = 0; k < d->slots && next < p->step->spec->count; k++)
+			cell_start(p->cell, d->runner,
+			    &p->step->tasks[next++], run, d->ticket, false);
+	}
+}
+
+static void
+place_gang(struct pick *p)
+{
+	const char *rack = NULL;
+	int i;
+
+	if (!gang_is_free(p))
+		return;
+	for (i = 0; i < p->n; i++) {
+		struct candidate *d = &p->candidates[i];
+
+		d->slots = placing_slots(d->runner, &p->want);
+		d->score = placing_score(d->runner, &p->want);
+	}
+	qsort(p->candidates, (size_t)p->n, sizeof(*p->candidates),
+	    compare_candidates);
+	if (p->step->spec->same_rack) {
+		rack = gang_rack(p);
+		if (rack == NULL && rack_could_ever_fit(p))
+			return;
+	}
+	if (rack_slots(p, rack) >= p->step->spec->count)
+		start_gang(p, rack);
+}
+
+static void
+place_step(struct cell *c, struct step *s, int64_t now)
+{
+	struct pick p;
+
+	if (!pick_init(&p, c, s, now))
+		return;
+	if (p.n > 0 && s->spec->gang)
+		place_gang(&p);
+	else if (p.n > 0)
+		place_tasks(&p);
+	free(p.candidates);
+}
+
+static struct room
+most_room(const struct cell *c)
+{
+	const struct runner *r;
+	struct room room = {0, 0};
+
+	for (r = c->runners; r != NULL; r = r->hh.next) {
+		int64_t cpu = r->info.cpu - r->used_cpu;
+		int64_t mem = r->info.mem_mb - r->used_mem_mb;
+
+		if (!r->listed || r->info.draining)
+			continue;
+		room.cpu = cpu > room.cpu ? cpu : room.cpu;
+		room.mem_mb = mem > room.mem_mb ? mem : room.mem_mb;
+	}
+	return room;
+}
+
+static bool
+room_for(const struct room *room, const Cc__StepSpec *s)
+{
+	return (s->fills || s->cpu <= room->cpu) && s->mem_mb <= room->mem_mb;
+}
+
+static struct ranked *
+rank_steps(struct cell *c, int64_t now, size_t *n)
+{
+	struct ranked *ranked;
+	struct step *s, *next;
+	size_t all = 0;
+
+	TAILQ_FOREACH (s, &c->steps, link)
+		all++;
+	ranked = xcalloc(all + 1, sizeof(*ranked));
+	*n = 0;
+	for (s = TAILQ_FIRST(&c->steps); s != NULL; s = next) {
+		next = TAILQ_NEXT(s, link);
+		if (!step_has_waiting(s)) {
+			TAILQ_REMOVE(&c->steps, s, link);
+			s->listed = false;
+			continue;
+		}
+		if (!may_start(c, s))
+			continue;
+		ranked[*n].urgency = step_urgency(c, s, now);
+		ranked[(*n)++].step = s;
+	}
+	qsort(ranked, *n, sizeof(*ranked), compare_ranked);
+	return ranked;
+}
+
+void
+cell_place(struct cell *c)
+{
+	int64_t now = c->ports.now();
+	struct room room = most_room(c);
+	struct ranked *ranked;
+	size_t i, n;
+
+	if (TAILQ_EMPTY(&c->steps) || c->manifest == NULL)
+		return;
+	ranked = rank_steps(c, now, &n);
+	for (i = 0; i < n; i++)
+		if (room_for(&room, ranked[i].step->spec))
+			place_step(c, ranked[i].step, now);
+	free(ranked);
+}
--- /dev/null
+++ b/src/coordination/claim.c
@@ -0,0 +1,32 @@
+#include "claim.h"
+
+/** A leader not heard from for this long is doubted; it beats every 250 ms. */
+#define BEAT_LATE_MS 900
+/** Renewals come every 400 ms, or later when the store is slow. */
+#define UNCHANGED_MS 1200
+/** The same, when no connection to the leader is up. */
+#define UNCHANGED_UNLINKED_MS 800
+/** Hosts of the next rank wait this much longer, so that few collide. */
+#define RANK_MS 40
+
+bool
+claim_doubts(const struct claim_facts *f)
+{
+	if (!f->known)
+		return false;
+	if (f->no_leader || f->same_host || f->restarted || f->stalled)
+		return true;
+	return !f->linked || f->beat_age_ms > BEAT_LATE_MS;
+}
+
+bool
+claim_due(const struct claim_facts *f)
+{
+	int64_t term = f->linked ? UNCHANGED_MS : UNCHANGED_UNLINKED_MS;
+
+	if (!claim_doubts(f))
+		return false;
+	if (f->no_leader || f->same_host || f->restarted)
+		term = 0;
+	return f->unchanged_ms >= term + (int64_t)f->rank * RANK_MS;
+}
--- /dev/null
+++ b/src/coordination/lanes.c
@@ -0,0 +1,120 @@
+#include "lanes.h"
+
+#include <string.h>
+
+#include "../base/xalloc.h"
+
+/** Calls up to this long count as quick. */
+#define QUICK_CALL_MS 150
+/** Calls that may stand in a quick lane; one waits while one is served. */
+#define QUICK_OPEN_MAX 2
+/** Share of the hosts that take quick calls, in eighths. */
+#define QUICK_EIGHTHS 3
+
+bool
+lanes_is_quick(double call_ms)
+{
+	return call_ms <= QUICK_CALL_MS;
+}
+
+static struct lane *
+find_lane(struct lanes *l, const char *host)
+{
+	int i;
+
+	for (i = 0; i < l->n; i++)
+		if (strcmp(l->lanes[i].host, host) == 0)
+			return &l->lanes[i];
+	return NULL;
+}
+
+static void
+drop_unseen(struct lanes *l)
+{
+	int i, k = 0;
+
+	for (i = 0; i < l->n; i++)
+		if (l->lanes[i].seen)
+			l->lanes[k++] = l->lanes[i];
+	l->n = k;
+}
+
+void
+lanes_set(struct lanes *l, const char (*hosts)[64], int n)
+{
+	struct lane *lane;
+	int i;
+
+	for (i = 0; i < l->n; i++)
+		l->lanes[i].seen = false;
+	for (i = 0; i < n; i++) {
+		lane = find_lane(l, hosts[i]);
+		if (lane == NULL) {
+			if (l->n == LANES_MAX)
+				continue;
+			lane = &l->lanes[l->n++];
+			memset(lane, 0, sizeof(*lane));
+			str_copy(lane->host, hosts[i], sizeof(lane->host));
+		}
+		lane->seen = true;
+	}
+	drop_unseen(l);
+}
+
+static int
+quick_lanes(const struct lanes *l)
+{
+	return (l->n * QUICK_EIGHTHS + 7) / 8;
+}
+
+static struct lane *
+least_busy(struct lanes *l, int from, int to, int open_max)
+{
+	struct lane *best = NULL;
+	int i;
+
+	for (i = from; i < to; i++) {
+		struct lane *lane = &l->lanes[i];
+
+		if (lane->open >= open_max)
+			continue;
+		if (best == NULL || lane->open < best->open ||
+		    (lane->open == best->open &&
+			lane->free_ms < best->free_ms))
+			best = lane;
+	}
+	return best;
+}
+
+struct lane *
+lanes_pick(struct lanes *l, double call_ms, int64_t now)
+{
+	int quick = quick_lanes(l);
+
+	(void)now;
+	if (lanes_is_quick(call_ms))
+		return least_busy(l, 0, quick, QUICK_OPEN_MAX);
+	if (l->n == 1)
+		return least_busy(l, 0, 1, 1);
+	return least_busy(l, quick, l->n, 1);
+}
+
+void
+lane_sent(struct lane *lane, double call_ms, int64_t now)
+{
+	lane->open++;
+	if (lane->free_ms < now)
+		lane->free_ms = now;
+	lane->free_ms += (int64_t)call_ms;
+}
+
+void
+lanes_answered(struct lanes *l, const char *host, int64_t now)
+{
+	struct lane *lane = find_lane(l, host);
+
+	if (lane == NULL || lane->open == 0)
+		return;
+	if (--lane->open == 0)
+		lane->free_ms = now;
+}
--- /dev/null
+++ b/src/coordination/placing.c
@@ -0,0 +1,117 @@
+#include "placing.h"
+
+#include <string.h>
+
+/** Weight of a rack far from the data; far outweighs speed. */
+#define FAR_WEIGHT 2.0
+/** Weight of the share in use: urgent work spreads, the rest packs. */
+#define SPREAD_WEIGHT 0.1
+#define PACK_WEIGHT 0.3
+/** Weight of a run that fills beside one that serves. */
+#define DISTURB_WEIGHT 1.0
+
+bool
+placing_allowed(const struct runner *r, const struct placing_want *w)
+{
+	const Cc__StepSpec *s = w->step->spec;
+
+	if (!r->listed || r->info.draining || !r->adopted || !r->recorded)
+		return false;
+	if (r == w->other || r->unheard_since_ms != 0 ||
+	    w->now_ms < r->avoid_until_ms)
+		return false;
+	if (strcmp(r->info.service, w->service) != 0)
+		return false;
+	if (s->requires[0] != '\0' && !runner_has_label(r, s->requires))
+		return false;
+	if (w->rack != NULL && strcmp(r->info.rack, w->rack) != 0)
+		return false;
+	return runner_could_fit(r, s);
+}
+
+bool
+placing_feasible(const struct runner *r, const struct placing_want *w)
+{
+	const Cc__StepSpec *s = w->step->spec;
+
+	if (!placing_allowed(r, w) || !runner_fits(r, s))
+		return false;
+	return s->anti_affinity == 0 ||
+	    runner_runs_of(r, w->step) < s->anti_affinity;
+}
+
+static int64_t
+times(int64_t room, int64_t size)
+{
+	return size > 0 ? room / size : INT32_MAX;
+}
+
+uint32_t
+placing_slots(const struct runner *r, const struct placing_want *w)
+{
+	const Cc__StepSpec *s = w->step->spec;
+	int64_t n = s->fills ? INT32_MAX
+			     : times(r->info.cpu - r->used_cpu, s->cpu);
+	int64_t m = times(r->info.mem_mb - r->used_mem_mb, s->mem_mb);
+	uint32_t own;
+
+	n = m < n ? m : n;
+	m = times(r->info.gpu - r->used_gpu, s->gpu);
+	n = m < n ? m : n;
+	if (s->anti_affinity > 0) {
+		own = runner_runs_of(r, w->step);
+		m = own < s->anti_affinity ? s->anti_affinity - own : 0;
+		n = m < n ? m : n;
+	}
+	return n > 0 ? (uint32_t)n : 0;
+}
+
+static double
+share_used(const struct runner *r)
+{
+	double cpu = r->info.cpu > 0
+	    ? (double)r->used_cpu / (double)r->info.cpu
+	    : 1.0;
+	double mem = r->info.mem_mb > 0
+	    ? (double)r->used_mem_mb / (double)r->info.mem_mb
+	    : 1.0;
+
+	return cpu > mem ? cpu : mem;
+}
+
+/* Runs there that fill, beside a step that serves, or the other way round. */
+static int
+disturbances(const struct runner *r, const struct step *step)
+{
+	bool serves = step->spec->target_ms > 0;
+	const struct run *run;
+	int n = 0;
+
+	if (!serves && !step->spec->fills)
+		return 0;
+	TAILQ_FOREACH (run, &r->runs, link) {
+		if (run->task == NULL)
+			continue;
+		if (serves)
+			n += run->task->step->spec->fills;
+		else
+			n += run->task->step->spec->target_ms > 0;
+	}
+	return n;
+}
+
+double
+placing_score(const struct runner *r, const struct placing_want *w)
+{
+	const Cc__StepSpec *s = w->step->spec;
+	double slow = 1.0 / r->speed, used = share_used(r);
+	double score = disturbances(r, w->step) * DISTURB_WEIGHT;
+
+	if (s->affinity[0] != '\0' && strcmp(s->affinity, r->info.rack) != 0)
+		score += FAR_WEIGHT;
+	if (s->long_running)
+		return score - slow * 0.5 - used * PACK_WEIGHT;
+	if (w->urgent)
+		return score + slow + used * SPREAD_WEIGHT;
+	return score + slow * 0.5 - used * PACK_WEIGHT;
+}
--- /dev/null
+++ b/src/coordination/urgency.c
@@ -0,0 +1,37 @@
+#include "urgency.h"
+
+#define LATE_RANK 1000
+#define HOPELESS_RANK 2000
+
+struct urgency
+urgency_of(const struct urgency_job *j, int64_t now)
+{
+	int64_t objective = j->due_ms - j->accepted_ms;
+	int64_t end = now + j->remaining_ms;
+	struct urgency u = {.rank = j->priority, .due_ms = j->due_ms};
+
+	if (j->lasting)
+		return u;
+	if (end > j->accepted_ms + OBJECTIVE_LATE_FACTOR * objective)
+		u.rank += HOPELESS_RANK;
+	else if (now > j->due_ms)
+		u.rank += LATE_RANK;
+	return u;
+}
+
+int
+urgency_compare(const struct urgency *a, const struct urgency *b)
+{
+	if (a->rank != b->rank)
+		return a->rank < b->rank ? -1 : 1;
+	if (a->due_ms != b->due_ms)
+		return a->due_ms < b->due_ms ? -1 : 1;
+	return 0;
+}
+
+int64_t
+urgency_objective_ms(
+    int64_t chain_ms, double stretch, int64_t target_latency_ms)
+{
+	return (int64_t)((double)chain_ms * stretch) + target_latency_ms;
+}
--- a/src/daemon/caller_api.c
+++ b/src/daemon/caller_api.c
@@ -9,7 +9,7 @@
 
 #include "../base/err.h"
 #include "../base/xalloc.h"
-#include "../platform/clock.h"
+#include "../sys/clock.h"
 #include "../protocol/caller.h"
 #include "home_ops.h"
 #include "router.h"
--- a/src/daemon/conf_sync.c
+++ b/src/daemon/conf_sync.c
@@ -10,7 +10,7 @@
 #include "../base/kvlog.h"
 #include "../base/xalloc.h"
 #include "../coordination/conf_follow.h"
-#include "../platform/clock.h"
+#include "../sys/clock.h"
 #include "peers.h"
 
 #define POLL_MS 2000
--- a/src/daemon/home_answer.c
+++ b/src/daemon/home_answer.c
@@ -5,7 +5,7 @@
 
 #include "../base/err.h"
 #include "../base/kvlog.h"
-#include "../platform/clock.h"
+#include "../sys/clock.h"
 #include "home_ask.h"
 
 #define REQUEUE_WAIT_MS 100
--- a/src/daemon/home_call.c
+++ b/src/daemon/home_call.c
@@ -4,7 +4,7 @@
 
 #include "../base/err.h"
 #include "../base/xalloc.h"
-#include "../platform/clock.h"
+#include "../sys/clock.h"
 #include "home_ops.h"
 #include "owner.h"
 
--- a/src/daemon/home_settle.c
+++ b/src/daemon/home_settle.c
@@ -8,7 +8,7 @@
 #include "../base/kvlog.h"
 #include "../base/xalloc.h"
 #include "../coordination/settle.h"
-#include "../platform/clock.h"
+#include "../sys/clock.h"
 #include "home_ask.h"
 
 struct end_call {
--- a/src/daemon/journal.c
+++ b/src/daemon/journal.c
@@ -10,7 +10,7 @@
 #include "../base/kvlog.h"
 #include "../base/xalloc.h"
 #include "../coordination/retry.h"
-#include "../platform/clock.h"
+#include "../sys/clock.h"
 #include "node.h"
 #include "owner.h"
 #include "snapshot.h"
--- a/src/daemon/main.c
+++ b/src/daemon/main.c
@@ -8,11 +8,15 @@
 
 #include "../base/err.h"
 #include "../base/kvlog.h"
+#include "../../platform/adapter.h"
+#include "../state/cell_settings.h"
 #include "../state/settings.h"
 #include "../state/yaml_doc.h"
 #include "node.h"
 
-#define VERSION "0.1.0"
+#define VERSION "0.2.0"
+/** Names the settings file when -c doesn't. */
+#define SETTINGS_VARIABLE "CELERYCART_BOOT"
 
 enum exit_code {
 	EXIT_OK,
@@ -29,8 +33,25 @@
 	node_leave(arg);
 }
 
+/** Parses settings of one sort into @p out. */
+typedef void (*parse_fn)(
+    void *out, const char *text, size_t len, struct findings *fs);
+
+static void
+parse_settings(void *out, const char *text, size_t len, struct findings *fs)
+{
+	settings_parse(out, text, len, fs);
+}
+
+static void
+parse_cell_settings(
+    void *out, const char *text, size_t len, struct findings *fs)
+{
+	cell_settings_parse(out, text, len, fs);
+}
+
 static int
-read_settings(const char *path, struct settings *s)
+read_settings(const char *path, parse_fn parse, void *s)
 {
 	struct findings fs;
 	size_t len;
@@ -42,7 +63,7 @@
 		return CC_ENOENT;
 	}
 	findings_init(&fs, path);
-	settings_parse(s, text, len, &fs);
+	parse(s, text, len, &fs);
 	free(text);
 	bad = fs.count;
 	report = findings_text(&fs);
@@ -81,18 +102,100 @@
 	return EXIT_OK;
 }
 
+struct cell_daemon {
+	struct adapter *adapter;
+	const char *path;
+};
+
+static void
+on_term(evutil_socket_t sig, short what, void *arg)
+{
+	struct cell_daemon *d = arg;
+
+	(void)sig;
+	(void)what;
+	adapter_leave(d->adapter);
+}
+
+/* Addresses and bounds are fixed for a process; a change is only reported. */
+static void
+on_reload(evutil_socket_t sig, short what, void *arg)
+{
+	const struct cell_daemon *d = arg;
+	struct cell_settings s;
+	int rc = read_settings(d->path, parse_cell_settings, &s);
+
+	(void)sig;
+	(void)what;
+	kvlog(KVLOG_INFO, "reload", "file=%s result=%s", d->path,
+	    cc_strerror(rc));
+}
+
+static int
+run_cell(const struct cell_settings *s, const char *path)
+{
+	struct event_base *base;
+	struct event *term, *intr, *hup;
+	struct cell_daemon d = {.path = path};
+
+	signal(SIGPIPE, SIG_IGN);
+	kvlog_open(s->host, (enum kvlog_level)kvlog_level_of(s->log_level));
+	base = event_base_new();
+	d.adapter = adapter_new(base, s);
+	if (d.adapter == NULL)
+		return EXIT_LISTEN;
+	term = evsignal_new(base, SIGTERM, on_term, &d);
+	intr = evsignal_new(base, SIGINT, on_term, &d);
+	hup = evsignal_new(base, SIGHUP, on_reload, &d);
+	event_add(term, NULL);
+	event_add(intr, NULL);
+	event_add(hup, NULL);
+	kvlog(KVLOG_INFO, "started", "version=%s addr=%s callers=%s store=%s",
+	    VERSION, s->addr, s->callers, s->store);
+	event_base_dispatch(base);
+	kvlog(KVLOG_INFO, "stopped", "version=%s", VERSION);
+	event_free(term);
+	event_free(intr);
+	event_free(hup);
+	adapter_delete(d.adapter);
+	event_base_free(base);
+	kvlog_close();
+	return EXIT_OK;
+}
+
+static int
+cell_main(const char *path, bool check)
+{
+	struct cell_settings s;
+
+	if (path == NULL) {
+		fprintf(stderr, "celerycartd: needs -c FILE or %s\n",
+		    SETTINGS_VARIABLE);
+		return EXIT_USAGE;
+	}
+	if (read_settings(path, parse_cell_settings, &s) != CC_OK)
+		return EXIT_SETTINGS;
+	if (check) {
+		printf("%s: no findings\n", path);
+		return EXIT_OK;
+	}
+	return run_cell(&s, path);
+}
+
 int
 main(int argc, char **argv)
 {
 	struct arg_file *conf =
 	    arg_file0("c", "config", "FILE", "settings in YAML");
+	struct arg_lit *cell = arg_lit0(
+	    NULL, "cell", "serve a cell on the platform");
 	struct arg_lit *check =
 	    arg_lit0(NULL, "check", "check the settings and end");
 	struct arg_lit *help = arg_lit0("h", "help", "print this and end");
 	struct arg_lit *version =
 	    arg_lit0(NULL, "version", "print the version and end");
 	struct arg_end *end = arg_end(8);
-	void *table[] = {conf, check, help, version, end};
+	void *table[] = {conf, cell, check, help, version, end};
 	struct settings s;
 	int errors = arg_parse(argc, argv, table), rc;
 
@@ -105,11 +208,15 @@
 	} else if (version->count > 0) {
 		printf("celerycartd %s\n", VERSION);
 		rc = EXIT_OK;
+	} else if (errors == 0 && cell->count > 0) {
+		rc = cell_main(conf->count > 0 ? conf->filename[0]
+					       : getenv(SETTINGS_VARIABLE),
+		    check->count > 0);
 	} else if (errors > 0 || conf->count == 0) {
 		arg_print_errors(stderr, end, "celerycartd");
 		fprintf(stderr, "celerycartd: needs -c FILE; try --help\n");
 		rc = EXIT_USAGE;
-	} else if (read_settings(conf->filename[0], &s) != CC_OK) {
+	} else if (read_settings(conf->filename[0], parse_settings, &s) != CC_OK) {
 		rc = EXIT_SETTINGS;
 	} else if (check->count > 0) {
 		printf("%s: no findings\n", conf->filename[0]);
--- a/src/daemon/node.c
+++ b/src/daemon/node.c
@@ -10,7 +10,7 @@
 #include "../base/err.h"
 #include "../base/kvlog.h"
 #include "../base/xalloc.h"
-#include "../platform/clock.h"
+#include "../sys/clock.h"
 #include "../transport/front.h"
 #include "caller_api.h"
 #include "conf_sync.h"
--- a/src/daemon/oper_api.c
+++ b/src/daemon/oper_api.c
@@ -12,7 +12,7 @@
 #include "../base/err.h"
 #include "../base/kvlog.h"
 #include "../base/xalloc.h"
-#include "../platform/clock.h"
+#include "../sys/clock.h"
 #include "../transport/peer_auth.h"
 #include "conf_sync.h"
 #include "gather.h"
--- a/src/daemon/oper_json.c
+++ b/src/daemon/oper_json.c
@@ -3,7 +3,7 @@
 #include <string.h>
 
 #include "../coordination/route.h"
-#include "../platform/clock.h"
+#include "../sys/clock.h"
 #include "../transport/front.h"
 #include "owner.h"
 #include "router.h"
--- a/src/daemon/owner_hosts.c
+++ b/src/daemon/owner_hosts.c
@@ -6,7 +6,7 @@
 #include "../base/err.h"
 #include "../base/kvlog.h"
 #include "../base/xalloc.h"
-#include "../platform/clock.h"
+#include "../sys/clock.h"
 
 static void
 put_host_row(
--- a/src/daemon/peers.c
+++ b/src/daemon/peers.c
@@ -5,7 +5,7 @@
 
 #include "../base/err.h"
 #include "../base/xalloc.h"
-#include "../platform/clock.h"
+#include "../sys/clock.h"
 #include "conf_sync.h"
 #include "home.h"
 #include "home_ops.h"
--- a/src/daemon/placer.c
+++ b/src/daemon/placer.c
@@ -9,7 +9,7 @@
 #include "../base/kvlog.h"
 #include "../base/xalloc.h"
 #include "../coordination/place.h"
-#include "../platform/clock.h"
+#include "../sys/clock.h"
 #include "home.h"
 #include "hostlist.h"
 #include "watch.h"
--- a/src/daemon/placer_report.c
+++ b/src/daemon/placer_report.c
@@ -8,7 +8,7 @@
 #include "../base/err.h"
 #include "../base/kvlog.h"
 #include "../base/xalloc.h"
-#include "../platform/clock.h"
+#include "../sys/clock.h"
 #include "home.h"
 #include "owner.h"
 #include "watch.h"
--- a/src/daemon/rec.c
+++ b/src/daemon/rec.c
@@ -1,7 +1,7 @@
 #include "rec.h"
 
 #include "../base/err.h"
-#include "../platform/clock.h"
+#include "../sys/clock.h"
 
 int
 rec_write(struct shard *s, enum journal_when when, const Cc__Rec *rec,
--- a/src/daemon/request_cost.c
+++ b/src/daemon/request_cost.c
@@ -5,7 +5,7 @@
 
 #include "../base/err.h"
 #include "../base/xalloc.h"
-#include "../platform/clock.h"
+#include "../sys/clock.h"
 
 #define FLUSH_MS 5000
 #define DAY_MS 86400000LL
--- a/src/daemon/router.c
+++ b/src/daemon/router.c
@@ -13,7 +13,7 @@
 #include "../coordination/route.h"
 #include "../coordination/settle.h"
 #include "../coordination/shard_plan.h"
-#include "../platform/clock.h"
+#include "../sys/clock.h"
 #include "hostlist.h"
 #include "router_send.h"
 
--- a/src/daemon/router_submit.c
+++ b/src/daemon/router_submit.c
@@ -8,7 +8,7 @@
 #include "../base/kvlog.h"
 #include "../base/xalloc.h"
 #include "../coordination/route.h"
-#include "../platform/clock.h"
+#include "../sys/clock.h"
 #include "home_ops.h"
 #include "request_cost.h"
 #include "router_send.h"
--- a/src/daemon/stats.c
+++ b/src/daemon/stats.c
@@ -5,7 +5,7 @@
 #include <stdlib.h>
 
 #include "../base/xalloc.h"
-#include "../platform/clock.h"
+#include "../sys/clock.h"
 #include "node.h"
 #include "owner.h"
 
--- a/src/daemon/usage.c
+++ b/src/daemon/usage.c
@@ -4,7 +4,7 @@
 #include <stdlib.h>
 
 #include "../base/xalloc.h"
-#include "../platform/clock.h"
+#include "../sys/clock.h"
 #include "node.h"
 
 #define USAGE_FRESH_MS 15000
--- a/src/daemon/watch.c
+++ b/src/daemon/watch.c
@@ -9,7 +9,7 @@
 #include "../base/json_get.h"
 #include "../base/kvlog.h"
 #include "../base/xalloc.h"
-#include "../platform/clock.h"
+#include "../sys/clock.h"
 #include "hostlist.h"
 #include "placer.h"
 
--- /dev/null
+++ b/src/member/calls.c
@@ -0,0 +1,313 @@
+/*
+ * Callers' calls on their way to the leader.
+ *
+ * Every call is idempotent by the job's id, so it may be passed on again when
+ * the leader changes. A submission that was passed on and has no answer may
+ * have been accepted: it is never refused, only left without an outcome.
+ */
+#include <stdlib.h>
+#include <string.h>
+
+#include "../base/err.h"
+#include "../base/kvlog.h"
+#include "../base/xalloc.h"
+#include "../sys/clock.h"
+#include "parts.h"
+
+/** A call that found no leader is refused after this. */
+#define PATIENCE_MS 400
+#define SUBMIT_PATIENCE_MS 250
+/** The answer is on its way to the caller this long before its deadline. */
+#define ANSWER_MARGIN_MS 150
+#define REFUSED_RETRY_MS 1000
+#define RETRY_MS 50
+
+struct pending_call {
+	TAILQ_ENTRY(pending_call) link;
+	struct member *member;
+	enum call_verb verb;
+	char queue[QUEUE_NAME_LEN];
+	char id[JOB_ID_LEN];
+	Cc__JobRow *job;
+	int64_t since_ms;
+	int64_t deadline_ms;
+	int64_t again_ms;    /**< passed on again at this time; 0: under way */
+	bool open;	     /**< an attempt is under way */
+	bool maybe_accepted; /**< an attempt had no answer */
+	cell_fn fn;
+	void *arg;
+};
+
+static void
+finish(struct pending_call *k, const struct cell_answer *a)
+{
+	struct member *m = k->member;
+	int64_t took = clock_boot_ms() - k->since_ms;
+
+	TAILQ_REMOVE(&m->calls, k, link);
+	if (k->verb == CALL_SUBMIT)
+		hist_add(&m->submit_ms, (uint64_t)took);
+	else
+		hist_add(&m->get_ms, (uint64_t)took);
+	if (a->error == CC_ETIMEOUT || a->error == CC_EBUSY)
+		m->unanswered++;
+	k->fn(a, k->arg);
+	if (k->job != NULL)
+		cc__job_row__free_unpacked(k->job, NULL);
+	free(k);
+}
+
+static void
+give_up(struct pending_call *k)
+{
+	struct cell_answer a = {
+	    .error = CC_EBUSY, .retry_after_ms = REFUSED_RETRY_MS};
+
+	if (k->maybe_accepted || k->open)
+		a.error = CC_ETIMEOUT;
+	kvlog(KVLOG_INFO, "call_given_up",
+	    "id=%s verb=%d outcome=%s age_ms=%lld leader=%s linked=%d", k->id,
+	    k->verb, cc_strerror(a.error),
+	    (long long)(clock_boot_ms() - k->since_ms),
+	    k->member->leader.host,
+	    member_linked(k->member, k->member->leader.host));
+	finish(k, &a);
+}
+
+static void
+again_later(struct pending_call *k)
+{
+	k->open = false;
+	k->again_ms = clock_boot_ms() + RETRY_MS;
+}
+
+static void
+take_answer(struct pending_call *k, const struct cell_answer *a)
+{
+	switch (a->error) {
+	case CC_OK:
+	case CC_ENOENT:
+	case CC_EINVAL:
+		finish(k, a);
+		return;
+	case CC_ENOTOWNER:
+	case CC_ENOTSENT:
+		again_later(k);
+		return;
+	case CC_EBUSY:
+		if (k->verb != CALL_SUBMIT || k->maybe_accepted) {
+			again_later(k);
+			return;
+		}
+		finish(k, a);
+		return;
+	default:
+		k->maybe_accepted = k->verb == CALL_SUBMIT;
+		again_later(k);
+	}
+}
+
+static Cc__JobRow *
+copy_job(const Cc__JobRow *job)
+{
+	size_t len = cc__job_row__get_packed_size(job);
+	uint8_t *buf = xmalloc(len);
+	Cc__JobRow *copy;
+
+	cc__job_row__pack(job, buf);
+	copy = cc__job_row__unpack(NULL, len, buf);
+	free(buf);
+	return copy;
+}
+
+/* The call is gone when its answer comes after its deadline. */
+struct attempt {
+	struct member *member;
+	struct pending_call *call;
+};
+
+static bool
+still_open(const struct attempt *t)
+{
+	struct pending_call *k;
+
+	TAILQ_FOREACH (k, &t->member->calls, link)
+		if (k == t->call)
+			return k->open;
+	return false;
+}
+
+static void
+on_local(const struct cell_answer *a, void *arg)
+{
+	struct attempt *t = arg;
+
+	if (still_open(t))
+		take_answer(t->call, a);
+	free(t);
+}
+
+static void
+on_remote(int err, const Cc__Frame *f, void *arg)
+{
+	struct attempt *t = arg;
+	struct cell_answer a = {.error = err};
+
+	if (err == CC_OK && f->body_case == CC__FRAME__BODY_CELL_REPLY) {
+		a.error = f->cell_reply->error;
+		a.state = f->cell_reply->state <= JOB_CANCELED
+		    ? (enum job_state)f->cell_reply->state
+		    : JOB_QUEUED;
+		a.pending = f->cell_reply->pending;
+		a.retry_after_ms = f->cell_reply->retry_after_ms;
+	} else if (err == CC_OK) {
+		a.error = CC_EPROTO;
+	}
+	if (still_open(t))
+		take_answer(t->call, &a);
+	free(t);
+}
+
+static void
+call_cell(struct member *m, enum call_verb verb, const char *queue,
+    const char *id, Cc__JobRow *job, cell_fn fn, void *arg)
+{
+	struct cell_answer a;
+
+	switch (verb) {
+	case CALL_SUBMIT:
+		cell_submit(&m->cell, id, job, fn, arg);
+		return;
+	case CALL_CANCEL:
+		cell_cancel(&m->cell, queue, id, fn, arg);
+		return;
+	case CALL_GET:
+		cell_get(&m->cell, queue, id, &a);
+		break;
+	case CALL_PENDING:
+		cell_pending(&m->cell, queue, &a);
+		break;
+	}
+	fn(&a, arg);
+}
+
+static void
+pass_on(struct pending_call *k)
+{
+	struct member *m = k->member;
+	struct attempt *t;
+	Cc__Frame f = CC__FRAME__INIT;
+	Cc__CellCall c = CC__CELL_CALL__INIT;
+	int64_t left = k->deadline_ms - clock_boot_ms();
+
+	if (!member_leads(m) &&
+	    (!m->leader.known || !member_linked(m, m->leader.host))) {
+		again_later(k);
+		return;
+	}
+	t = xcalloc(1, sizeof(*t));
+	t->member = m;
+	t->call = k;
+	k->open = true;
+	k->again_ms = 0;
+	if (member_leads(m)) {
+		call_cell(m, k->verb, k->queue, k->id,
+		    k->job != NULL ? copy_job(k->job) : NULL, on_local, t);
+		return;
+	}
+	m->forwarded++;
+	c.verb = k->verb;
+	c.queue = k->queue;
+	c.id = k->id;
+	c.job = k->job;
+	f.body_case = CC__FRAME__BODY_CELL_CALL;
+	f.cell_call = &c;
+	peer_call(m->peers, m->leader.host, &f, left > 0 ? left : 1, on_remote,
+	    t);
+}
+
+void
+member_call(struct member *m, const struct member_call *call, cell_fn fn,
+    void *arg)
+{
+	struct pending_call *k = xcalloc(1, sizeof(*k));
+
+	k->member = m;
+	k->verb = call->verb;
+	str_copy(k->queue, call->queue, sizeof(k->queue));
+	str_copy(k->id, call->id, sizeof(k->id));
+	k->job = call->job;
+	k->since_ms = clock_boot_ms();
+	k->deadline_ms = k->since_ms + call->timeout_ms - ANSWER_MARGIN_MS;
+	k->fn = fn;
+	k->arg = arg;
+	TAILQ_INSERT_TAIL(&m->calls, k, link);
+	pass_on(k);
+}
+
+void
+member_calls_tick(struct member *m)
+{
+	int64_t now = clock_boot_ms(), patience;
+	struct pending_call *k, *next;
+
+	for (k = TAILQ_FIRST(&m->calls); k != NULL; k = next) {
+		next = TAILQ_NEXT(k, link);
+		patience = k->verb == CALL_SUBMIT ? SUBMIT_PATIENCE_MS
+						  : PATIENCE_MS;
+		if (now >= k->deadline_ms)
+			give_up(k);
+		else if (!k->open && !k->maybe_accepted &&
+		    now - k->since_ms > patience)
+			give_up(k);
+		else if (!k->open && now >= k->again_ms)
+			pass_on(k);
+	}
+}
+
+void
+member_calls_done(struct member *m)
+{
+	while (!TAILQ_EMPTY(&m->calls))
+		give_up(TAILQ_FIRST(&m->calls));
+}
+
+struct served {
+	struct member *member;
+	struct peer_request rq;
+};
+
+static void
+on_served(const struct cell_answer *a, void *arg)
+{
+	struct served *s = arg;
+	Cc__Frame f = CC__FRAME__INIT;
+	Cc__CellReply r = CC__CELL_REPLY__INIT;
+
+	r.error = a->error;
+	r.state = a->state;
+	r.pending = a->pending;
+	r.retry_after_ms = a->retry_after_ms;
+	f.body_case = CC__FRAME__BODY_CELL_REPLY;
+	f.cell_reply = &r;
+	peer_reply(s->member->peers, &s->rq, &f);
+	free(s);
+}
+
+void
+member_serve_call(
+    struct member *m, const struct peer_request *rq, const Cc__CellCall *call)
+{
+	struct served *s = xcalloc(1, sizeof(*s));
+	struct cell_answer a = {.error = CC_ENOTOWNER};
+
+	s->member = m;
+	s->rq = *rq;
+	if (!member_leads(m) || call->verb > CALL_PENDING ||
+	    (call->verb == CALL_SUBMIT && call->job == NULL)) {
+		on_served(&a, s);
+		return;
+	}
+	call_cell(m, (enum call_verb)call->verb, call->queue, call->id,
+	    call->job != NULL ? copy_job(call->job) : NULL, on_served, s);
+}
--- /dev/null
+++ b/src/member/follow.c
@@ -0,0 +1,220 @@
+#include "follow.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <uthash.h>
+
+#include "../base/err.h"
+#include "../base/kvlog.h"
+#include "../base/xalloc.h"
+#include "../sys/clock.h"
+
+#define RETRY_MS 150
+#define PAGE_ROWS 500
+#define KEY_LEN_MAX 201
+
+/** Newest version reported of a key. */
+struct reported {
+	UT_hash_handle hh;
+	char key[KEY_LEN_MAX];
+	uint64_t version;
+};
+
+struct follow {
+	struct store *store;
+	const char *table;
+	const char *const *parts;
+	int part;	  /**< being read */
+	char from[KEY_LEN_MAX + 1];
+	uint64_t version; /**< watched from here */
+	uint64_t first;	  /**< version of the first page of this reading */
+	int64_t wait_ms;
+	int64_t heard_ms;
+	int64_t lost_ms;  /**< since when it fails; 0: it doesn't */
+	bool reading;
+	bool ready;
+	bool dead;	  /**< freed when the call under way returns */
+	struct reported *reported;
+	struct event *retry;
+	follow_fn fn;
+	void *arg;
+};
+
+static void follow_next(struct follow *f);
+
+static void
+report(struct follow *f, const struct row *row)
+{
+	struct reported *p;
+
+	HASH_FIND_STR(f->reported, row->key, p);
+	if (p == NULL) {
+		p = xcalloc(1, sizeof(*p));
+		str_copy(p->key, row->key, sizeof(p->key));
+		HASH_ADD_STR(f->reported, key, p);
+	} else if (row->version <= p->version) {
+		return;
+	}
+	p->version = row->version;
+	f->fn(row, f->arg);
+}
+
+static void
+follow_free(struct follow *f)
+{
+	struct reported *p, *tmp;
+
+	HASH_ITER(hh, f->reported, p, tmp)
+	{
+		HASH_DEL(f->reported, p);
+		free(p);
+	}
+	event_free(f->retry);
+	free(f);
+}
+
+static void
+start_reading(struct follow *f)
+{
+	f->reading = true;
+	f->part = 0;
+	f->from[0] = '\0';
+	f->first = 0;
+}
+
+static void
+retry_later(struct follow *f, int err)
+{
+	struct timeval tv = {0, RETRY_MS * 1000};
+
+	if (f->lost_ms == 0) {
+		f->lost_ms = clock_boot_ms();
+		kvlog(KVLOG_WARN, "follow_lost", "table=%s why=%s version=%llu",
+		    f->table, cc_strerror(err), (unsigned long long)f->version);
+	}
+	evtimer_add(f->retry, &tv);
+}
+
+static void
+heard(struct follow *f)
+{
+	f->heard_ms = clock_boot_ms();
+	if (f->lost_ms != 0)
+		kvlog(KVLOG_INFO, "follow_back", "table=%s after_ms=%lld",
+		    f->table, (long long)(f->heard_ms - f->lost_ms));
+	f->lost_ms = 0;
+}
+
+static void
+page_read(struct follow *f, const struct store_result *r)
+{
+	if (f->first == 0)
+		f->first = r->version;
+	if (r->has_more && r->nrows > 0) {
+		snprintf(f->from, sizeof(f->from), "%s!",
+		    r->rows[r->nrows - 1].key);
+		return;
+	}
+	f->from[0] = '\0';
+	if (f->parts[++f->part] != NULL)
+		return;
+	f->reading = false;
+	f->ready = true;
+	f->version = f->first;
+}
+
+static void
+on_rows(const struct store_result *r, void *arg)
+{
+	struct follow *f = arg;
+	int i;
+
+	if (f->dead) {
+		follow_free(f);
+		return;
+	}
+	if (r->err == CC_ENOENT && !f->reading) {
+		kvlog(KVLOG_INFO, "follow_reread", "table=%s version=%llu",
+		    f->table, (unsigned long long)f->version);
+		start_reading(f);
+		follow_next(f);
+		return;
+	}
+	if (r->err != CC_OK) {
+		retry_later(f, r->err);
+		return;
+	}
+	heard(f);
+	for (i = 0; i < r->nrows && !f->dead; i++)
+		report(f, &r->rows[i]);
+	if (f->dead) {
+		follow_free(f);
+		return;
+	}
+	if (f->reading)
+		page_read(f, r);
+	else if (r->version > f->version)
+		f->version = r->version;
+	follow_next(f);
+}
+
+static void
+follow_next(struct follow *f)
+{
+	if (f->reading)
+		f->store->ops->list(f->store, f->table, f->parts[f->part],
+		    f->from, PAGE_ROWS, on_rows, f);
+	else
+		f->store->ops->watch(f->store, f->table, f->version, f->wait_ms,
+		    on_rows, f);
+}
+
+static void
+on_retry(evutil_socket_t fd, short what, void *arg)
+{
+	struct follow *f = arg;
+
+	(void)fd;
+	(void)what;
+	if (f->dead)
+		follow_free(f);
+	else
+		follow_next(f);
+}
+
+struct follow *
+follow_new(struct event_base *base, struct store *s, const char *table,
+    const char *const *parts, int64_t wait_ms, follow_fn fn, void *arg)
+{
+	struct follow *f = xcalloc(1, sizeof(*f));
+
+	f->store = s;
+	f->table = table;
+	f->parts = parts;
+	f->wait_ms = wait_ms;
+	f->fn = fn;
+	f->arg = arg;
+	f->retry = evtimer_new(base, on_retry, f);
+	start_reading(f);
+	follow_next(f);
+	return f;
+}
+
+void
+follow_delete(struct follow *f)
+{
+	f->dead = true;
+}
+
+bool
+follow_ready(const struct follow *f)
+{
+	return f->ready;
+}
+
+int64_t
+follow_age_ms(const struct follow *f)
+{
+	return clock_boot_ms() - f->heard_ms;
+}
--- /dev/null
+++ b/src/member/lead.c
@@ -0,0 +1,324 @@
+/* Claims, keeps and gives up the lead of the cell. */
+#include <stdlib.h>
+#include <string.h>
+
+#include "../base/err.h"
+#include "../base/kvlog.h"
+#include "../base/xalloc.h"
+#include "../coordination/claim.h"
+#include "../sys/clock.h"
+#include "parts.h"
+
+#define WATCH_EVERY_MS 120
+#define CLAIM_TIMEOUT_MS 1200
+
+bool
+member_leads(const struct member *m)
+{
+	return m->state == MEMBER_LEADING;
+}
+
+static void
+unwatch(struct member *m)
+{
+	m->watched_ms = 0;
+	m->watched_version = 0;
+}
+
+void
+member_leader_row(struct member *m, const struct row *row)
+{
+	Cc__LeaderRow *lr;
+
+	if (row->version <= m->leader.version)
+		return;
+	lr = row->deleted ? NULL
+			  : cc__leader_row__unpack(NULL, row->len, row->value);
+	memset(&m->leader, 0, sizeof(m->leader));
+	m->leader.version = row->version;
+	if (lr == NULL)
+		return;
+	m->leader.known = true;
+	str_copy(m->leader.host, lr->host, sizeof(m->leader.host));
+	str_copy(m->leader.incarnation, lr->incarnation,
+	    sizeof(m->leader.incarnation));
+	m->leader.generation = lr->generation;
+	m->leader.released = lr->released;
+	cc__leader_row__free_unpacked(lr, NULL);
+	unwatch(m);
+	kvlog(KVLOG_INFO, "leader_seen",
+	    "leader=%s version=%llu generation=%u released=%d", m->leader.host,
+	    (unsigned long long)m->leader.version, m->leader.generation,
+	    m->leader.released);
+	if (member_leads(m) && row->version > m->cell.fence) {
+		kvlog(KVLOG_WARN, "deposed", "fence=%llu why=row by=%s",
+		    (unsigned long long)m->cell.fence, m->leader.host);
+		member_deposed(m);
+	}
+}
+
+void
+member_deposed(void *arg)
+{
+	struct member *m = arg;
+
+	cell_resign(&m->cell);
+	m->state = MEMBER_FOLLOWING;
+	m->led_last_ms = clock_boot_ms();
+	unwatch(m);
+}
+
+static void
+start_leading(struct member *m, uint64_t fence, uint64_t commit_version)
+{
+	m->state = MEMBER_LEADING;
+	m->leader.known = true;
+	m->leader.released = false;
+	m->leader.version = fence;
+	str_copy(m->leader.host, m->settings->host, sizeof(m->leader.host));
+	str_copy(m->leader.incarnation, m->incarnation,
+	    sizeof(m->leader.incarnation));
+	kvlog(KVLOG_INFO, "claimed", "fence=%llu generation=%u",
+	    (unsigned long long)fence, m->leader.generation);
+	m->beat_ms = 0;
+	m->registry_ms = 0;
+	cell_lead(&m->cell, fence, m->leader.generation, commit_version, 0);
+}
+
+static bool
+row_is_mine(const struct member *m, const struct row *row)
+{
+	Cc__LeaderRow *lr =
+	    cc__leader_row__unpack(NULL, row->len, row->value);
+	bool mine = lr != NULL && !lr->released &&
+	    strcmp(lr->incarnation, m->incarnation) == 0;
+
+	if (lr != NULL)
+		cc__leader_row__free_unpacked(lr, NULL);
+	return mine;
+}
+
+/* A claim without an answer is settled by the row that it would write. */
+static void
+on_settle(const struct store_result *r, void *arg)
+{
+	struct member *m = arg;
+	int i;
+
+	if (m->state != MEMBER_CLAIMING)
+		return;
+	m->state = MEMBER_FOLLOWING;
+	unwatch(m);
+	if (r->err != CC_OK)
+		return;
+	for (i = 0; i < r->nrows; i++) {
+		if (strcmp(r->rows[i].key, LEADER_KEY) != 0)
+			continue;
+		if (row_is_mine(m, &r->rows[i])) {
+			m->leader.generation++;
+			start_leading(
+			    m, r->rows[i].version, r->rows[i].version);
+		} else {
+			member_leader_row(m, &r->rows[i]);
+		}
+	}
+}
+
+static void
+settle_claim(struct member *m)
+{
+	m->ports.store->ops->list(m->ports.store, MEMBER_TABLE, CELL_PART,
+	    LEADER_KEY, 1, on_settle, m);
+}
+
+static void
+on_claim(const struct store_result *r, void *arg)
+{
+	struct member *m = arg;
+	int i;
+
+	if (m->state != MEMBER_CLAIMING)
+		return;
+	if (r->err == CC_OK) {
+		m->leader.generation++;
+		start_leading(m, r->version, r->version);
+		return;
+	}
+	kvlog(KVLOG_INFO, "claim_failed", "why=%s", cc_strerror(r->err));
+	if (r->err != CC_EUNAVAIL && r->err != CC_ECONFLICT) {
+		settle_claim(m);
+		return;
+	}
+	m->state = MEMBER_FOLLOWING;
+	unwatch(m);
+	for (i = 0; i < r->nrows; i++)
+		if (strcmp(r->rows[i].key, LEADER_KEY) == 0 &&
+		    r->rows[i].version > 0)
+			member_leader_row(m, &r->rows[i]);
+}
+
+static void
+claim(struct member *m)
+{
+	struct row conds[2] = {
+	    {.table = MEMBER_TABLE, .key = LEADER_KEY,
+		.version = m->leader.version},
+	    {.table = CELL_TABLE, .key = COMMIT_KEY,
+		.version = m->watched_version},
+	};
+	Cc__LeaderRow lr = CC__LEADER_ROW__INIT;
+	Cc__CommitRow cr = CC__COMMIT_ROW__INIT;
+	uint8_t leader[256], commit[128];
+	struct row writes[2] = {
+	    {.table = MEMBER_TABLE, .key = LEADER_KEY, .value = leader},
+	    {.table = CELL_TABLE, .key = COMMIT_KEY, .value = commit},
+	};
+	struct store_txn t = {.part = CELL_PART, .conditions = conds,
+	    .nconditions = 2, .writes = writes, .nwrites = 2};
+
+	lr.host = (char *)(uintptr_t)m->settings->host;
+	lr.incarnation = m->incarnation;
+	/* The first leader of all has generation 0. */
+	lr.generation =
+	    m->leader.version == 0 ? 0 : m->leader.generation + 1;
+	if (m->leader.version == 0)
+		m->leader.generation = UINT32_MAX;
+	cr.incarnation = m->incarnation;
+	writes[0].len = cc__leader_row__pack(&lr, leader);
+	writes[1].len = cc__commit_row__pack(&cr, commit);
+	m->state = MEMBER_CLAIMING;
+	kvlog(KVLOG_INFO, "claiming",
+	    "leader=%s version=%llu commit_version=%llu unchanged_ms=%lld",
+	    m->leader.host, (unsigned long long)m->leader.version,
+	    (unsigned long long)m->watched_version,
+	    (long long)(clock_boot_ms() - m->watched_ms));
+	m->ports.store->ops->txn(
+	    m->ports.store, &t, CLAIM_TIMEOUT_MS, on_claim, m);
+}
+
+/* Position of this host among those that could claim, by name. */
+static int
+claim_rank(const struct member *m)
+{
+	const struct other *o;
+	int i, n = 0;
+
+	for (i = 0; i < m->nothers; i++) {
+		o = &m->others[i];
+		n += member_linked(m, o->host) && !o->leaving &&
+		    strcmp(o->host, m->leader.host) != 0 &&
+		    strcmp(o->host, m->settings->host) < 0;
+	}
+	return n;
+}
+
+static struct claim_facts
+gather_facts(struct member *m)
+{
+	int64_t now = clock_boot_ms();
+	const struct other *o = member_other(m, m->leader.host);
+	struct claim_facts f = {
+	    .known = follow_ready(m->members),
+	    .no_leader = !m->leader.known || m->leader.released,
+	    .rank = claim_rank(m),
+	    .beat_age_ms = INT64_MAX,
+	};
+
+	f.same_host = m->leader.known &&
+	    strcmp(m->leader.host, m->settings->host) == 0;
+	if (o != NULL) {
+		f.linked = member_linked(m, o->host);
+		f.stalled = f.linked && o->leads && o->stalled;
+		f.beat_age_ms = now - o->beat_ms;
+		f.restarted = o->beat_incarnation[0] != '\0' &&
+		    now - o->beat_ms < 1000 &&
+		    strcmp(o->beat_incarnation, m->leader.incarnation) != 0;
+	}
+	if (m->watched_ms != 0)
+		f.unchanged_ms = now - m->watched_ms;
+	return f;
+}
+
+static void
+on_watch(const struct store_result *r, void *arg)
+{
+	struct member *m = arg;
+	uint64_t version = 0;
+	int i;
+
+	m->watching = false;
+	if (r->err != CC_OK) {
+		unwatch(m);
+		return;
+	}
+	for (i = 0; i < r->nrows; i++)
+		if (strcmp(r->rows[i].key, COMMIT_KEY) == 0)
+			version = r->rows[i].version;
+	if (m->watched_ms != 0 && version == m->watched_version)
+		return;
+	m->watched_version = version;
+	m->watched_ms = clock_boot_ms();
+}
+
+static void
+watch_commits(struct member *m)
+{
+	int64_t now = clock_boot_ms();
+
+	if (m->watching || now - m->watch_sent_ms < WATCH_EVERY_MS)
+		return;
+	m->watching = true;
+	m->watch_sent_ms = now;
+	m->ports.store->ops->list(m->ports.store, CELL_TABLE, CELL_PART,
+	    COMMIT_KEY, 1, on_watch, m);
+}
+
+void
+member_lead_tick(struct member *m)
+{
+	struct claim_facts f;
+
+	if (m->state != MEMBER_FOLLOWING || m->leaving)
+		return;
+	f = gather_facts(m);
+	if (!claim_doubts(&f)) {
+		unwatch(m);
+		return;
+	}
+	watch_commits(m);
+	if (m->watched_ms != 0 && !m->watching && claim_due(&f))
+		claim(m);
+}
+
+static void
+on_released(const struct store_result *r, void *arg)
+{
+	struct member *m = arg;
+
+	kvlog(KVLOG_INFO, "lead_released", "result=%s", cc_strerror(r->err));
+	if (m->state == MEMBER_RELEASING)
+		m->state = MEMBER_FOLLOWING;
+}
+
+void
+member_release(struct member *m)
+{
+	Cc__LeaderRow lr = CC__LEADER_ROW__INIT;
+	uint8_t buf[256];
+	struct row cond = {.table = MEMBER_TABLE, .key = LEADER_KEY,
+	    .version = m->cell.fence};
+	struct row row = {
+	    .table = MEMBER_TABLE, .key = LEADER_KEY, .value = buf};
+	struct store_txn t = {.part = CELL_PART, .conditions = &cond,
+	    .nconditions = 1, .writes = &row, .nwrites = 1};
+
+	lr.host = (char *)(uintptr_t)m->settings->host;
+	lr.incarnation = m->incarnation;
+	lr.generation = m->leader.generation;
+	lr.released = true;
+	row.len = cc__leader_row__pack(&lr, buf);
+	m->state = MEMBER_RELEASING;
+	cell_resign(&m->cell);
+	m->ports.store->ops->txn(
+	    m->ports.store, &t, CLAIM_TIMEOUT_MS, on_released, m);
+}
--- /dev/null
+++ b/src/member/member.c
@@ -0,0 +1,199 @@
+#include "member.h"
+
+#include <openssl/rand.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "../base/err.h"
+#include "../base/kvlog.h"
+#include "../base/xalloc.h"
+#include "../sys/clock.h"
+#include "parts.h"
+
+#define TICK_MS 25
+/** Decisions of a burst of events are taken together. */
+#define WAKE_MS 2
+#define FOLLOW_WAIT_MS 900
+/** Lease of runs at their runner, and of a start until the first hold. */
+#define LEASE_MS 4500
+#define START_MS 2500
+#define HOLD_WAIT_MS 1200
+#define NO_ADVICE_LANE NULL
+
+static const char *const member_parts[] = {CELL_PART, MEMBER_PART, NULL};
+
+static void
+on_wake(evutil_socket_t fd, short what, void *arg)
+{
+	struct member *m = arg;
+
+	(void)fd;
+	(void)what;
+	m->wake_set = false;
+	cell_pass(&m->cell);
+}
+
+static void
+wake(void *arg)
+{
+	struct member *m = arg;
+	struct timeval tv = {0, WAKE_MS * 1000};
+
+	if (m->wake_set)
+		return;
+	m->wake_set = true;
+	evtimer_add(m->wake, &tv);
+}
+
+static void
+on_tick(evutil_socket_t fd, short what, void *arg)
+{
+	struct member *m = arg;
+
+	(void)fd;
+	(void)what;
+	member_write_row(m);
+	member_lead_tick(m);
+	member_beat(m);
+	member_ask_manifest(m);
+	member_registry_tick(m);
+	member_calls_tick(m);
+	if (member_leads(m)) {
+		member_lanes(m);
+		cell_tick(&m->cell);
+	}
+}
+
+static int64_t
+min_of(int64_t a, int64_t b)
+{
+	return a < b ? a : b;
+}
+
+static void
+init_cell(struct member *m)
+{
+	const struct cell_settings *s = m->settings;
+	struct cell_terms terms = {
+	    .lease_ms = min_of(LEASE_MS, s->max_hold_ms),
+	    .start_ms = min_of(START_MS, s->max_hold_ms),
+	    .hold_wait_ms = HOLD_WAIT_MS,
+	    .stop_grace_ms = s->stop_grace_ms,
+	    .status_ms = s->status_s * 1000,
+	    .early_ms = s->early_ms,
+	    .remote_factor = s->remote_factor,
+	    .impact_ms = s->impact_ms,
+	};
+	struct cell_ports ports = {
+	    .store = m->ports.store,
+	    .runners = m->ports.runners,
+	    .advice = &m->advice,
+	    .now = clock_boot_ms,
+	    .wall_now = clock_wall_ms,
+	    .wake = wake,
+	    .deposed = member_deposed,
+	    .arg = m,
+	};
+
+	cell_init(&m->cell, &terms, &ports, m->incarnation);
+}
+
+static void
+set_incarnation(struct member *m)
+{
+	uint64_t r;
+
+	RAND_bytes((unsigned char *)&r, sizeof(r));
+	snprintf(m->incarnation, sizeof(m->incarnation), "%016llx",
+	    (unsigned long long)r);
+}
+
+static void
+set_peer_settings(struct member *m)
+{
+	const struct cell_settings *s = m->settings;
+
+	str_copy(m->peer_settings.host, s->host, sizeof(m->peer_settings.host));
+	str_copy(m->peer_settings.addr, s->addr, sizeof(m->peer_settings.addr));
+	str_copy(m->peer_settings.key, s->key, sizeof(m->peer_settings.key));
+	m->peer_settings.peer_port = s->peer_port;
+}
+
+struct member *
+member_new(struct event_base *base, const struct cell_settings *s,
+    const struct member_ports *p)
+{
+	struct member *m = xcalloc(1, sizeof(*m));
+	struct timeval tv = {0, TICK_MS * 1000};
+	static const char *manifest_parts[2];
+
+	m->base = base;
+	m->settings = s;
+	m->ports = *p;
+	m->advice.ops = &member_advice_ops;
+	TAILQ_INIT(&m->calls);
+	set_incarnation(m);
+	set_peer_settings(m);
+	init_cell(m);
+	m->peers = peer_net_new(
+	    base, &m->peer_settings, m->incarnation, member_frame, m);
+	if (m->peers == NULL) {
+		free(m);
+		return NULL;
+	}
+	m->member_row_ms = 1;
+	manifest_parts[0] = p->manifest_part;
+	m->wake = evtimer_new(base, on_wake, m);
+	m->tick = event_new(base, -1, EV_PERSIST, on_tick, m);
+	event_add(m->tick, &tv);
+	m->members = follow_new(base, p->store, MEMBER_TABLE, member_parts,
+	    FOLLOW_WAIT_MS, member_row, m);
+	m->manifests = follow_new(base, p->store, p->manifest_table,
+	    manifest_parts, FOLLOW_WAIT_MS, member_manifest_row, m);
+	return m;
+}
+
+void
+member_delete(struct member *m)
+{
+	member_calls_done(m);
+	cell_done(&m->cell);
+	event_free(m->tick);
+	event_free(m->wake);
+	follow_delete(m->members);
+	follow_delete(m->manifests);
+	peer_net_delete(m->peers);
+	if (m->manifest != NULL) {
+		manifest_done(m->manifest);
+		free(m->manifest);
+	}
+	free(m->manifest_text);
+	free(m);
+}
+
+void
+member_leave(struct member *m)
+{
+	if (m->leaving)
+		return;
+	m->leaving = true;
+	m->beat_ms = 0;
+	if (member_leads(m))
+		member_release(m);
+}
+
+bool
+member_ready(const struct member *m)
+{
+	if (m->leaving || m->manifest == NULL)
+		return false;
+	return member_leads(m) ||
+	    (m->leader.known && member_linked(m, m->leader.host));
+}
+
+const struct manifest *
+member_manifest(const struct member *m)
+{
+	return m->manifest;
+}
--- /dev/null
+++ b/src/member/members.c
@@ -0,0 +1,261 @@
+/* The members of the cell: their rows, links and beats. */
+#include <stdio.h>
+#include <string.h>
+
+#include "../base/err.h"
+#include "../base/kvlog.h"
+#include "../base/xalloc.h"
+#include "../sys/clock.h"
+#include "parts.h"
+
+#define LEADER_BEAT_MS 250
+#define FOLLOWER_BEAT_MS 900
+#define BEAT_TIMEOUT_MS 1500
+#define ROW_RETRY_MS 300
+#define ROW_TIMEOUT_MS 1000
+#define STALLED_MS 1200
+
+struct other *
+member_other(struct member *m, const char *host)
+{
+	int i;
+
+	for (i = 0; i < m->nothers; i++)
+		if (strcmp(m->others[i].host, host) == 0)
+			return &m->others[i];
+	return NULL;
+}
+
+static struct other *
+get_other(struct member *m, const char *host)
+{
+	struct other *o = member_other(m, host);
+
+	if (o != NULL || m->nothers == MEMBERS_MAX)
+		return o;
+	o = &m->others[m->nothers++];
+	memset(o, 0, sizeof(*o));
+	str_copy(o->host, host, sizeof(o->host));
+	return o;
+}
+
+static void
+remove_other(struct member *m, const char *host)
+{
+	struct other *o = member_other(m, host);
+
+	if (o == NULL)
+		return;
+	peer_net_remove(m->peers, host);
+	*o = m->others[--m->nothers];
+}
+
+static void
+take_member(struct member *m, const Cc__MemberRow *mr)
+{
+	struct other *o;
+
+	if (strcmp(mr->host, m->settings->host) == 0)
+		return;
+	o = get_other(m, mr->host);
+	if (o == NULL)
+		return;
+	if (strcmp(o->incarnation, mr->incarnation) != 0)
+		kvlog(KVLOG_INFO, "member_found",
+		    "peer=%s addr=%s incarnation=%s", mr->host, mr->addr,
+		    mr->incarnation);
+	str_copy(o->incarnation, mr->incarnation, sizeof(o->incarnation));
+	peer_net_add(m->peers, mr->host, mr->addr, (uint16_t)mr->peer_port);
+}
+
+void
+member_row(const struct row *row, void *arg)
+{
+	struct member *m = arg;
+	Cc__MemberRow *mr;
+
+	if (strcmp(row->key, LEADER_KEY) == 0) {
+		member_leader_row(m, row);
+		return;
+	}
+	if (row->deleted) {
+		remove_other(m, row->key);
+		return;
+	}
+	mr = cc__member_row__unpack(NULL, row->len, row->value);
+	if (mr == NULL) {
+		kvlog(KVLOG_WARN, "row_unreadable", "key=%s", row->key);
+		return;
+	}
+	take_member(m, mr);
+	cc__member_row__free_unpacked(mr, NULL);
+}
+
+static void
+on_row_written(const struct store_result *r, void *arg)
+{
+	struct member *m = arg;
+
+	m->member_row_open = false;
+	if (r->err == CC_OK)
+		m->member_row_ms = 0;
+}
+
+void
+member_write_row(struct member *m)
+{
+	Cc__MemberRow mr = CC__MEMBER_ROW__INIT;
+	uint8_t buf[512];
+	struct row row = {.table = MEMBER_TABLE, .key = m->settings->host};
+	struct store_txn t = {
+	    .part = MEMBER_PART, .writes = &row, .nwrites = 1};
+	int64_t now = clock_boot_ms();
+
+	if (m->member_row_ms == 0 || m->member_row_open || m->leaving ||
+	    now - m->member_row_ms < ROW_RETRY_MS)
+		return;
+	m->member_row_ms = now;
+	m->member_row_open = true;
+	mr.host = (char *)(uintptr_t)m->settings->host;
+	mr.addr = (char *)(uintptr_t)m->settings->addr;
+	mr.zone = (char *)(uintptr_t)m->settings->zone;
+	mr.peer_port = (uint32_t)m->settings->peer_port;
+	mr.incarnation = m->incarnation;
+	row.value = buf;
+	row.len = cc__member_row__pack(&mr, buf);
+	m->ports.store->ops->txn(
+	    m->ports.store, &t, ROW_TIMEOUT_MS, on_row_written, m);
+}
+
+bool
+member_linked(const struct member *m, const char *host)
+{
+	return peer_net_up(m->peers, host);
+}
+
+static void
+on_beat_answer(int err, const Cc__Frame *f, void *arg)
+{
+	(void)err;
+	(void)f;
+	(void)arg;
+}
+
+void
+member_beat(struct member *m)
+{
+	int64_t now = clock_boot_ms(), every = FOLLOWER_BEAT_MS;
+	int i;
+
+	if (member_leads(m))
+		every = LEADER_BEAT_MS;
+	if (now - m->beat_ms < every)
+		return;
+	m->beat_ms = now;
+	for (i = 0; i < m->nothers; i++) {
+		Cc__Frame f = CC__FRAME__INIT;
+		Cc__CellBeat b = CC__CELL_BEAT__INIT;
+
+		if (!member_linked(m, m->others[i].host))
+			continue;
+		b.incarnation = m->incarnation;
+		b.leads = member_leads(m);
+		b.fence = m->cell.fence;
+		b.leaving = m->leaving;
+		b.stalled = b.leads && now - m->cell.committed_ms > STALLED_MS;
+		b.manifest_version =
+		    m->manifest != NULL ? m->manifest->version : 0;
+		f.body_case = CC__FRAME__BODY_CELL_BEAT;
+		f.cell_beat = &b;
+		peer_call(m->peers, m->others[i].host, &f, BEAT_TIMEOUT_MS,
+		    on_beat_answer, m);
+	}
+}
+
+static void
+take_beat(struct member *m, const char *host, const Cc__CellBeat *b)
+{
+	struct other *o = get_other(m, host);
+
+	if (o == NULL)
+		return;
+	o->beat_ms = clock_boot_ms();
+	str_copy(o->beat_incarnation, b->incarnation,
+	    sizeof(o->beat_incarnation));
+	o->leads = b->leads;
+	o->stalled = b->stalled;
+	o->leaving = b->leaving;
+	o->fence = b->fence;
+	o->manifest_version = b->manifest_version;
+	if (b->leads && member_leads(m) && b->fence > m->cell.fence) {
+		kvlog(KVLOG_WARN, "deposed", "fence=%llu why=beat by=%s:%llu",
+		    (unsigned long long)m->cell.fence, host,
+		    (unsigned long long)b->fence);
+		member_deposed(m);
+	}
+}
+
+static void
+reply_ack(struct member *m, const struct peer_request *rq)
+{
+	Cc__Frame f = CC__FRAME__INIT;
+	Cc__Ack a = CC__ACK__INIT;
+
+	f.body_case = CC__FRAME__BODY_ACK;
+	f.ack = &a;
+	peer_reply(m->peers, rq, &f);
+}
+
+static void
+reply_manifest(struct member *m, const struct peer_request *rq)
+{
+	Cc__Frame f = CC__FRAME__INIT;
+	Cc__Conf c = CC__CONF__INIT;
+
+	c.version = m->manifest != NULL ? m->manifest->version : 0;
+	if (m->manifest_text != NULL)
+		c.text = m->manifest_text;
+	f.body_case = CC__FRAME__BODY_CONF;
+	f.conf = &c;
+	peer_reply(m->peers, rq, &f);
+}
+
+void
+member_frame(const struct peer_request *rq, const Cc__Frame *f, void *arg)
+{
+	struct member *m = arg;
+
+	switch (f->body_case) {
+	case CC__FRAME__BODY_CELL_BEAT:
+		take_beat(m, rq->host, f->cell_beat);
+		reply_ack(m, rq);
+		break;
+	case CC__FRAME__BODY_CELL_CALL:
+		member_serve_call(m, rq, f->cell_call);
+		break;
+	case CC__FRAME__BODY_ADVISE_CALL:
+		member_serve_advise(m, rq, f->advise_call);
+		break;
+	case CC__FRAME__BODY_CONF_GET:
+		reply_manifest(m, rq);
+		break;
+	default:
+		reply_ack(m, rq);
+	}
+}
+
+/* Hosts that may ask for advice: this one and those linked. */
+void
+member_lanes(struct member *m)
+{
+	char hosts[LANES_MAX][64];
+	int i, n = 0;
+
+	if (!m->leaving)
+		str_copy(hosts[n++], m->settings->host, 64);
+	for (i = 0; i < m->nothers && n < LANES_MAX; i++)
+		if (member_linked(m, m->others[i].host) &&
+		    !m->others[i].leaving)
+			str_copy(hosts[n++], m->others[i].host, 64);
+	cell_set_hosts(&m->cell, (const char(*)[64])hosts, n);
+}
--- /dev/null
+++ b/src/member/metrics.c
@@ -0,0 +1,92 @@
+/* Counters and latency quantiles of a member, as text. */
+#include <stdio.h>
+#include <stdlib.h>
+
+#include "../base/xalloc.h"
+#include "../sys/clock.h"
+#include "parts.h"
+
+#define TEXT_MAX 8192
+
+struct metric {
+	const char *name;
+	uint64_t value;
+};
+
+static size_t
+put(char *buf, size_t at, const char *name, uint64_t value)
+{
+	if (at >= TEXT_MAX)
+		return at;
+	return at +
+	    (size_t)snprintf(buf + at, TEXT_MAX - at, "celerycart_%s %llu\n",
+		name, (unsigned long long)value);
+}
+
+static size_t
+put_hist(char *buf, size_t at, const char *name, const struct hist *h)
+{
+	static const struct {
+		const char *name;
+		double q;
+	} quantiles[] = {{"0.5", 0.5}, {"0.9", 0.9}, {"0.99", 0.99}};
+	char label[96];
+	size_t i;
+
+	for (i = 0; i < sizeof(quantiles) / sizeof(quantiles[0]); i++) {
+		snprintf(label, sizeof(label), "%s{quantile=\"%s\"}", name,
+		    quantiles[i].name);
+		at = put(buf, at, label, hist_quantile(h, quantiles[i].q));
+	}
+	snprintf(label, sizeof(label), "%s_count", name);
+	return put(buf, at, label, h->total);
+}
+
+static uint64_t
+count_jobs(const struct cell *c)
+{
+	return HASH_COUNT(c->jobs);
+}
+
+char *
+member_metrics(const struct member *m)
+{
+	const struct cell_counters *k = &m->cell.counters;
+	const struct metric rows[] = {
+	    {"leads", member_leads(m)},
+	    {"ready", member_ready(m)},
+	    {"fence", m->cell.fence},
+	    {"manifest_version",
+		m->manifest != NULL ? m->manifest->version : 0},
+	    {"jobs", count_jobs(&m->cell)},
+	    {"runners", HASH_COUNT(m->cell.runners)},
+	    {"accepted_total", k->accepted},
+	    {"refused_total", k->refused},
+	    {"completed_total", k->completed},
+	    {"failed_total", k->failed},
+	    {"canceled_total", k->canceled},
+	    {"starts_total", k->starts},
+	    {"copies_total", k->copies},
+	    {"ends_done_total", k->ends[END_DONE]},
+	    {"ends_failed_total", k->ends[END_FAILED]},
+	    {"ends_stopped_total", k->ends[END_STOPPED]},
+	    {"ends_lapsed_total", k->ends[END_LAPSED]},
+	    {"ends_lost_total", k->ends[END_LOST]},
+	    {"commits_total", k->commits},
+	    {"commit_errors_total", k->commit_errors},
+	    {"holds_total", k->holds},
+	    {"advice_calls_total", k->advice_calls},
+	    {"calls_forwarded_total", m->forwarded},
+	    {"calls_unanswered_total", m->unanswered},
+	    {"cpu_us_total", (uint64_t)clock_cpu_us()},
+	    {"rss_kb", (uint64_t)clock_rss_kb()},
+	};
+	char *buf = xmalloc(TEXT_MAX);
+	size_t at = 0, i;
+
+	for (i = 0; i < sizeof(rows) / sizeof(rows[0]); i++)
+		at = put(buf, at, rows[i].name, rows[i].value);
+	at = put_hist(buf, at, "submit_ms", &m->submit_ms);
+	put_hist(buf, at, "get_ms", &m->get_ms);
+	return buf;
+}
--- /dev/null
+++ b/src/member/parts.h
@@ -0,0 +1,129 @@
+/** @file What the files of a member share. */
+#ifndef MEMBER_PARTS_H
+#define MEMBER_PARTS_H
+
+#include <sys/queue.h>
+
+#include "../base/hist.h"
+#include "follow.h"
+#include "member.h"
+
+#define MEMBERS_MAX 128
+
+/** Another host of the cell. */
+struct other {
+	char host[64];
+	char incarnation[32];	/**< of its row */
+	char beat_incarnation[32];
+	int64_t beat_ms;	/**< last beat from it; 0: none */
+	int64_t up_ms;		/**< link up since; 0: it is down */
+	bool leads;
+	bool stalled;
+	bool leaving;
+	uint64_t fence;
+	uint64_t manifest_version;
+};
+
+/** The leader's row as last read. */
+struct leader {
+	bool known;
+	char host[64];
+	char incarnation[32];
+	uint32_t generation;
+	bool released;
+	uint64_t version;
+};
+
+enum member_state {
+	MEMBER_FOLLOWING,
+	MEMBER_CLAIMING,
+	MEMBER_LEADING,
+	MEMBER_RELEASING,
+};
+
+struct pending_call;
+TAILQ_HEAD(pending_list, pending_call);
+
+struct member {
+	struct event_base *base;
+	const struct cell_settings *settings;
+	struct settings peer_settings;
+	struct member_ports ports;
+	struct advice_port advice; /**< asks in the lanes of members */
+	char incarnation[32];
+	struct peer_net *peers;
+	struct follow *members;
+	struct follow *manifests;
+	struct cell cell;
+	enum member_state state;
+	struct leader leader;
+	struct other others[MEMBERS_MAX];
+	int nothers;
+	/* manifest */
+	char *manifest_text;
+	size_t manifest_len;
+	struct manifest *manifest; /**< of this host; the cell has its own */
+	int64_t manifest_asked_ms;
+	/* watch of the leader's commits */
+	bool watching;
+	uint64_t watched_version;
+	uint64_t watched_seq;
+	int64_t watched_ms;   /**< when that version was first seen */
+	int64_t watch_sent_ms;
+	int64_t member_row_ms; /**< own row last tried; 0: it is written */
+	bool member_row_open;
+	bool registry_open;
+	int64_t registry_ms;
+	bool leaving;
+	int64_t led_last_ms;
+	int64_t beat_ms;
+	struct event *tick;
+	struct event *wake;
+	bool wake_set;
+	struct pending_list calls;
+	struct hist submit_ms;
+	struct hist get_ms;
+	uint64_t forwarded;
+	uint64_t unanswered;
+};
+
+struct member_event_arg;
+
+/* members.c */
+struct other *member_other(struct member *m, const char *host);
+void member_row(const struct row *row, void *arg);
+void member_write_row(struct member *m);
+void member_beat(struct member *m);
+void member_lanes(struct member *m);
+void member_frame(
+    const struct peer_request *rq, const Cc__Frame *f, void *arg);
+bool member_linked(const struct member *m, const char *host);
+
+/* lead.c */
+void member_leader_row(struct member *m, const struct row *row);
+void member_lead_tick(struct member *m);
+void member_release(struct member *m);
+void member_deposed(void *arg);
+bool member_leads(const struct member *m);
+
+/* manifest.c */
+void member_manifest_row(const struct row *row, void *arg);
+void member_take_manifest(struct member *m, const void *value, size_t len,
+    const char *from);
+void member_ask_manifest(struct member *m);
+
+/* registry.c */
+void member_registry_tick(struct member *m);
+
+/* calls.c */
+void member_calls_tick(struct member *m);
+void member_serve_call(
+    struct member *m, const struct peer_request *rq, const Cc__CellCall *call);
+void member_calls_done(struct member *m);
+
+/* lanes.c */
+extern const struct advice_ops member_advice_ops;
+void member_serve_advise(struct member *m, const struct peer_request *rq,
+    const Cc__AdviseCall *call);
+
+#endif
