--- a/src/protocol/peer.pb-c.c
+++ b/src/protocol/peer.pb-c.c
@@ -1582,2982 +1582,4750 @@
   assert(message->base.descriptor == &cc__ack__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void   cc__frame__init
-                     (Cc__Frame         *message)
+void   cc__step_spec__init
+                     (Cc__StepSpec         *message)
 {
-  static const Cc__Frame init_value = CC__FRAME__INIT;
+  static const Cc__StepSpec init_value = CC__STEP_SPEC__INIT;
   *message = init_value;
 }
-size_t cc__frame__get_packed_size
-                     (const Cc__Frame *message)
+size_t cc__step_spec__get_packed_size
+                     (const Cc__StepSpec *message)
 {
-  assert(message->base.descriptor == &cc__frame__descriptor);
+  assert(message->base.descriptor == &cc__step_spec__descriptor);
   return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t cc__frame__pack
-                     (const Cc__Frame *message,
+size_t cc__step_spec__pack
+                     (const Cc__StepSpec *message,
                       uint8_t       *out)
 {
-  assert(message->base.descriptor == &cc__frame__descriptor);
+  assert(message->base.descriptor == &cc__step_spec__descriptor);
   return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t cc__frame__pack_to_buffer
-                     (const Cc__Frame *message,
+size_t cc__step_spec__pack_to_buffer
+                     (const Cc__StepSpec *message,
                       ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &cc__frame__descriptor);
+  assert(message->base.descriptor == &cc__step_spec__descriptor);
   return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
-Cc__Frame *
-       cc__frame__unpack
+Cc__StepSpec *
+       cc__step_spec__unpack
                      (ProtobufCAllocator  *allocator,
                       size_t               len,
                       const uint8_t       *data)
 {
-  return (Cc__Frame *)
-     protobuf_c_message_unpack (&cc__frame__descriptor,
+  return (Cc__StepSpec *)
+     protobuf_c_message_unpack (&cc__step_spec__descriptor,
                                 allocator, len, data);
 }
-void   cc__frame__free_unpacked
-                     (Cc__Frame *message,
+void   cc__step_spec__free_unpacked
+                     (Cc__StepSpec *message,
                       ProtobufCAllocator *allocator)
 {
   if(!message)
     return;
-  assert(message->base.descriptor == &cc__frame__descriptor);
+  assert(message->base.descriptor == &cc__step_spec__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor cc__size__field_descriptors[3] =
+void   cc__job_row__init
+                     (Cc__JobRow         *message)
+{
+  static const Cc__JobRow init_value = CC__JOB_ROW__INIT;
+  *message = init_value;
+}
+size_t cc__job_row__get_packed_size
+                     (const Cc__JobRow *message)
+{
+  assert(message->base.descriptor == &cc__job_row__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t cc__job_row__pack
+                     (const Cc__JobRow *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &cc__job_row__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t cc__job_row__pack_to_buffer
+                     (const Cc__JobRow *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &cc__job_row__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Cc__JobRow *
+       cc__job_row__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Cc__JobRow *)
+     protobuf_c_message_unpack (&cc__job_row__descriptor,
+                                allocator, len, data);
+}
+void   cc__job_row__free_unpacked
+                     (Cc__JobRow *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &cc__job_row__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   cc__task_progress__init
+                     (Cc__TaskProgress         *message)
+{
+  static const Cc__TaskProgress init_value = CC__TASK_PROGRESS__INIT;
+  *message = init_value;
+}
+size_t cc__task_progress__get_packed_size
+                     (const Cc__TaskProgress *message)
+{
+  assert(message->base.descriptor == &cc__task_progress__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t cc__task_progress__pack
+                     (const Cc__TaskProgress *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &cc__task_progress__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t cc__task_progress__pack_to_buffer
+                     (const Cc__TaskProgress *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &cc__task_progress__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Cc__TaskProgress *
+       cc__task_progress__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Cc__TaskProgress *)
+     protobuf_c_message_unpack (&cc__task_progress__descriptor,
+                                allocator, len, data);
+}
+void   cc__task_progress__free_unpacked
+                     (Cc__TaskProgress *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &cc__task_progress__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   cc__step_progress__init
+                     (Cc__StepProgress         *message)
+{
+  static const Cc__StepProgress init_value = CC__STEP_PROGRESS__INIT;
+  *message = init_value;
+}
+size_t cc__step_progress__get_packed_size
+                     (const Cc__StepProgress *message)
+{
+  assert(message->base.descriptor == &cc__step_progress__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t cc__step_progress__pack
+                     (const Cc__StepProgress *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &cc__step_progress__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t cc__step_progress__pack_to_buffer
+                     (const Cc__StepProgress *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &cc__step_progress__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Cc__StepProgress *
+       cc__step_progress__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Cc__StepProgress *)
+     protobuf_c_message_unpack (&cc__step_progress__descriptor,
+                                allocator, len, data);
+}
+void   cc__step_progress__free_unpacked
+                     (Cc__StepProgress *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &cc__step_progress__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   cc__job_progress__init
+                     (Cc__JobProgress         *message)
+{
+  static const Cc__JobProgress init_value = CC__JOB_PROGRESS__INIT;
+  *message = init_value;
+}
+size_t cc__job_progress__get_packed_size
+                     (const Cc__JobProgress *message)
+{
+  assert(message->base.descriptor == &cc__job_progress__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t cc__job_progress__pack
+                     (const Cc__JobProgress *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &cc__job_progress__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t cc__job_progress__pack_to_buffer
+                     (const Cc__JobProgress *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &cc__job_progress__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Cc__JobProgress *
+       cc__job_progress__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Cc__JobProgress *)
+     protobuf_c_message_unpack (&cc__job_progress__descriptor,
+                                allocator, len, data);
+}
+void   cc__job_progress__free_unpacked
+                     (Cc__JobProgress *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &cc__job_progress__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   cc__leader_row__init
+                     (Cc__LeaderRow         *message)
+{
+  static const Cc__LeaderRow init_value = CC__LEADER_ROW__INIT;
+  *message = init_value;
+}
+size_t cc__leader_row__get_packed_size
+                     (const Cc__LeaderRow *message)
+{
+  assert(message->base.descriptor == &cc__leader_row__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t cc__leader_row__pack
+                     (const Cc__LeaderRow *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &cc__leader_row__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t cc__leader_row__pack_to_buffer
+                     (const Cc__LeaderRow *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &cc__leader_row__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Cc__LeaderRow *
+       cc__leader_row__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Cc__LeaderRow *)
+     protobuf_c_message_unpack (&cc__leader_row__descriptor,
+                                allocator, len, data);
+}
+void   cc__leader_row__free_unpacked
+                     (Cc__LeaderRow *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &cc__leader_row__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   cc__commit_row__init
+                     (Cc__CommitRow         *message)
+{
+  static const Cc__CommitRow init_value = CC__COMMIT_ROW__INIT;
+  *message = init_value;
+}
+size_t cc__commit_row__get_packed_size
+                     (const Cc__CommitRow *message)
+{
+  assert(message->base.descriptor == &cc__commit_row__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t cc__commit_row__pack
+                     (const Cc__CommitRow *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &cc__commit_row__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t cc__commit_row__pack_to_buffer
+                     (const Cc__CommitRow *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &cc__commit_row__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Cc__CommitRow *
+       cc__commit_row__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Cc__CommitRow *)
+     protobuf_c_message_unpack (&cc__commit_row__descriptor,
+                                allocator, len, data);
+}
+void   cc__commit_row__free_unpacked
+                     (Cc__CommitRow *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &cc__commit_row__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   cc__member_row__init
+                     (Cc__MemberRow         *message)
+{
+  static const Cc__MemberRow init_value = CC__MEMBER_ROW__INIT;
+  *message = init_value;
+}
+size_t cc__member_row__get_packed_size
+                     (const Cc__MemberRow *message)
+{
+  assert(message->base.descriptor == &cc__member_row__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t cc__member_row__pack
+                     (const Cc__MemberRow *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &cc__member_row__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t cc__member_row__pack_to_buffer
+                     (const Cc__MemberRow *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &cc__member_row__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Cc__MemberRow *
+       cc__member_row__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Cc__MemberRow *)
+     protobuf_c_message_unpack (&cc__member_row__descriptor,
+                                allocator, len, data);
+}
+void   cc__member_row__free_unpacked
+                     (Cc__MemberRow *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &cc__member_row__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   cc__cell_call__init
+                     (Cc__CellCall         *message)
+{
+  static const Cc__CellCall init_value = CC__CELL_CALL__INIT;
+  *message = init_value;
+}
+size_t cc__cell_call__get_packed_size
+                     (const Cc__CellCall *message)
+{
+  assert(message->base.descriptor == &cc__cell_call__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t cc__cell_call__pack
+                     (const Cc__CellCall *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &cc__cell_call__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t cc__cell_call__pack_to_buffer
+                     (const Cc__CellCall *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &cc__cell_call__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Cc__CellCall *
+       cc__cell_call__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Cc__CellCall *)
+     protobuf_c_message_unpack (&cc__cell_call__descriptor,
+                                allocator, len, data);
+}
+void   cc__cell_call__free_unpacked
+                     (Cc__CellCall *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &cc__cell_call__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   cc__cell_reply__init
+                     (Cc__CellReply         *message)
+{
+  static const Cc__CellReply init_value = CC__CELL_REPLY__INIT;
+  *message = init_value;
+}
+size_t cc__cell_reply__get_packed_size
+                     (const Cc__CellReply *message)
+{
+  assert(message->base.descriptor == &cc__cell_reply__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t cc__cell_reply__pack
+                     (const Cc__CellReply *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &cc__cell_reply__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t cc__cell_reply__pack_to_buffer
+                     (const Cc__CellReply *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &cc__cell_reply__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Cc__CellReply *
+       cc__cell_reply__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Cc__CellReply *)
+     protobuf_c_message_unpack (&cc__cell_reply__descriptor,
+                                allocator, len, data);
+}
+void   cc__cell_reply__free_unpacked
+                     (Cc__CellReply *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &cc__cell_reply__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   cc__cell_beat__init
+                     (Cc__CellBeat         *message)
 {
+  static const Cc__CellBeat init_value = CC__CELL_BEAT__INIT;
+  *message = init_value;
+}
+size_t cc__cell_beat__get_packed_size
+                     (const Cc__CellBeat *message)
+{
+  assert(message->base.descriptor == &cc__cell_beat__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t cc__cell_beat__pack
+                     (const Cc__CellBeat *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &cc__cell_beat__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t cc__cell_beat__pack_to_buffer
+                     (const Cc__CellBeat *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &cc__cell_beat__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Cc__CellBeat *
+       cc__cell_beat__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Cc__CellBeat *)
+     protobuf_c_message_unpack (&cc__cell_beat__descriptor,
+                                allocator, len, data);
+}
+void   cc__cell_beat__free_unpacked
+                     (Cc__CellBeat *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &cc__cell_beat__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   cc__advise_call__init
+                     (Cc__AdviseCall         *message)
+{
+  static const Cc__AdviseCall init_value = CC__ADVISE_CALL__INIT;
+  *message = init_value;
+}
+size_t cc__advise_call__get_packed_size
+                     (const Cc__AdviseCall *message)
+{
+  assert(message->base.descriptor == &cc__advise_call__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t cc__advise_call__pack
+                     (const Cc__AdviseCall *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &cc__advise_call__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t cc__advise_call__pack_to_buffer
+                     (const Cc__AdviseCall *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &cc__advise_call__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Cc__AdviseCall *
+       cc__advise_call__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Cc__AdviseCall *)
+     protobuf_c_message_unpack (&cc__advise_call__descriptor,
+                                allocator, len, data);
+}
+void   cc__advise_call__free_unpacked
+                     (Cc__AdviseCall *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &cc__advise_call__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   cc__advise_reply__init
+                     (Cc__AdviseReply         *message)
+{
+  static const Cc__AdviseReply init_value = CC__ADVISE_REPLY__INIT;
+  *message = init_value;
+}
+size_t cc__advise_reply__get_packed_size
+                     (const Cc__AdviseReply *message)
+{
+  assert(message->base.descriptor == &cc__advise_reply__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t cc__advise_reply__pack
+                     (const Cc__AdviseReply *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &cc__advise_reply__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t cc__advise_reply__pack_to_buffer
+                     (const Cc__AdviseReply *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &cc__advise_reply__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Cc__AdviseReply *
+       cc__advise_reply__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Cc__AdviseReply *)
+     protobuf_c_message_unpack (&cc__advise_reply__descriptor,
+                                allocator, len, data);
+}
+void   cc__advise_reply__free_unpacked
+                     (Cc__AdviseReply *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &cc__advise_reply__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   cc__frame__init
+                     (Cc__Frame         *message)
+{
+  static const Cc__Frame init_value = CC__FRAME__INIT;
+  *message = init_value;
+}
+size_t cc__frame__get_packed_size
+                     (const Cc__Frame *message)
+{
+  assert(message->base.descriptor == &cc__frame__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t cc__frame__pack
+                     (const Cc__Frame *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &cc__frame__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t cc__frame__pack_to_buffer
+                     (const Cc__Frame *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &cc__frame__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Cc__Frame *
+       cc__frame__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Cc__Frame *)
+     protobuf_c_message_unpack (&cc__frame__descriptor,
+                                allocator, len, data);
+}
+void   cc__frame__free_unpacked
+                     (Cc__Frame *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &cc__frame__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+static const ProtobufCFieldDescriptor cc__size__field_descriptors[3] =
+{
+  {
+    "cpus",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cc__Size, cpus),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "memory_mb",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cc__Size, memory_mb),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "accelerators",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cc__Size, accelerators),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned cc__size__field_indices_by_name[] = {
+  2,   /* field[2] = accelerators */
+  0,   /* field[0] = cpus */
+  1,   /* field[1] = memory_mb */
+};
+static const ProtobufCIntRange cc__size__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor cc__size__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "cc.Size",
+  "Size",
+  "Cc__Size",
+  "cc",
+  sizeof(Cc__Size),
+  3,
+  cc__size__field_descriptors,
+  cc__size__field_indices_by_name,
+  1,  cc__size__number_ranges,
+  (ProtobufCMessageInit) cc__size__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor cc__rec_accept__field_descriptors[12] =
+{
+  {
+    "id",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Cc__RecAccept, id),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "class_name",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Cc__RecAccept, class_name),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "team",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Cc__RecAccept, team),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "size",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Cc__RecAccept, size),
+    &cc__size__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "count",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cc__RecAccept, count),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "run_ms",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Cc__RecAccept, run_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "body_hash",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Cc__RecAccept, body_hash),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "wall_ms",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Cc__RecAccept, wall_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "routed",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Cc__RecAccept, routed),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "repeatable",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Cc__RecAccept, repeatable),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "maybe_ran",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Cc__RecAccept, maybe_ran),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "nonce",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Cc__RecAccept, nonce),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned cc__rec_accept__field_indices_by_name[] = {
+  6,   /* field[6] = body_hash */
+  1,   /* field[1] = class_name */
+  4,   /* field[4] = count */
+  0,   /* field[0] = id */
+  10,   /* field[10] = maybe_ran */
+  11,   /* field[11] = nonce */
+  9,   /* field[9] = repeatable */
+  8,   /* field[8] = routed */
+  5,   /* field[5] = run_ms */
+  3,   /* field[3] = size */
+  2,   /* field[2] = team */
+  7,   /* field[7] = wall_ms */
+};
+static const ProtobufCIntRange cc__rec_accept__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 12 }
+};
+const ProtobufCMessageDescriptor cc__rec_accept__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "cc.RecAccept",
+  "RecAccept",
+  "Cc__RecAccept",
+  "cc",
+  sizeof(Cc__RecAccept),
+  12,
+  cc__rec_accept__field_descriptors,
+  cc__rec_accept__field_indices_by_name,
+  1,  cc__rec_accept__number_ranges,
+  (ProtobufCMessageInit) cc__rec_accept__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor cc__rec_site__field_descriptors[4] =
+{
+  {
+    "id",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Cc__RecSite, id),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "member",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cc__RecSite, member),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "shard",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cc__RecSite, shard),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "shard_epoch",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Cc__RecSite, shard_epoch),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned cc__rec_site__field_indices_by_name[] = {
+  0,   /* field[0] = id */
+  1,   /* field[1] = member */
+  2,   /* field[2] = shard */
+  3,   /* field[3] = shard_epoch */
+};
+static const ProtobufCIntRange cc__rec_site__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor cc__rec_site__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "cc.RecSite",
+  "RecSite",
+  "Cc__RecSite",
+  "cc",
+  sizeof(Cc__RecSite),
+  4,
+  cc__rec_site__field_descriptors,
+  cc__rec_site__field_indices_by_name,
+  1,  cc__rec_site__number_ranges,
+  (ProtobufCMessageInit) cc__rec_site__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor cc__rec_start__field_descriptors[4] =
+{
+  {
+    "id",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Cc__RecStart, id),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "member",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cc__RecStart, member),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "worker",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Cc__RecStart, worker),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "wall_ms",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Cc__RecStart, wall_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned cc__rec_start__field_indices_by_name[] = {
+  0,   /* field[0] = id */
+  1,   /* field[1] = member */
+  3,   /* field[3] = wall_ms */
+  2,   /* field[2] = worker */
+};
+static const ProtobufCIntRange cc__rec_start__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor cc__rec_start__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "cc.RecStart",
+  "RecStart",
+  "Cc__RecStart",
+  "cc",
+  sizeof(Cc__RecStart),
+  4,
+  cc__rec_start__field_descriptors,
+  cc__rec_start__field_indices_by_name,
+  1,  cc__rec_start__number_ranges,
+  (ProtobufCMessageInit) cc__rec_start__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor cc__rec_end__field_descriptors[8] =
+{
+  {
+    "id",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Cc__RecEnd, id),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "outcome",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cc__RecEnd, outcome),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "reason",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Cc__RecEnd, reason),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "wall_ms",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Cc__RecEnd, wall_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "run_ms",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Cc__RecEnd, run_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "status",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT32,
+    0,   /* quantifier_offset */
+    offsetof(Cc__RecEnd, status),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "answer",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Cc__RecEnd, answer),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "content_type",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Cc__RecEnd, content_type),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned cc__rec_end__field_indices_by_name[] = {
+  6,   /* field[6] = answer */
+  7,   /* field[7] = content_type */
+  0,   /* field[0] = id */
+  1,   /* field[1] = outcome */
+  2,   /* field[2] = reason */
+  4,   /* field[4] = run_ms */
+  5,   /* field[5] = status */
+  3,   /* field[3] = wall_ms */
+};
+static const ProtobufCIntRange cc__rec_end__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 8 }
+};
+const ProtobufCMessageDescriptor cc__rec_end__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "cc.RecEnd",
+  "RecEnd",
+  "Cc__RecEnd",
+  "cc",
+  sizeof(Cc__RecEnd),
+  8,
+  cc__rec_end__field_descriptors,
+  cc__rec_end__field_indices_by_name,
+  1,  cc__rec_end__number_ranges,
+  (ProtobufCMessageInit) cc__rec_end__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor cc__rec_cancel__field_descriptors[1] =
+{
+  {
+    "id",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Cc__RecCancel, id),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned cc__rec_cancel__field_indices_by_name[] = {
+  0,   /* field[0] = id */
+};
+static const ProtobufCIntRange cc__rec_cancel__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor cc__rec_cancel__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "cc.RecCancel",
+  "RecCancel",
+  "Cc__RecCancel",
+  "cc",
+  sizeof(Cc__RecCancel),
+  1,
+  cc__rec_cancel__field_descriptors,
+  cc__rec_cancel__field_indices_by_name,
+  1,  cc__rec_cancel__number_ranges,
+  (ProtobufCMessageInit) cc__rec_cancel__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor cc__rec_requeue__field_descriptors[3] =
+{
+  {
+    "id",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Cc__RecRequeue, id),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "member",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cc__RecRequeue, member),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "maybe_ran",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Cc__RecRequeue, maybe_ran),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned cc__rec_requeue__field_indices_by_name[] = {
+  0,   /* field[0] = id */
+  2,   /* field[2] = maybe_ran */
+  1,   /* field[1] = member */
+};
+static const ProtobufCIntRange cc__rec_requeue__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor cc__rec_requeue__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "cc.RecRequeue",
+  "RecRequeue",
+  "Cc__RecRequeue",
+  "cc",
+  sizeof(Cc__RecRequeue),
+  3,
+  cc__rec_requeue__field_descriptors,
+  cc__rec_requeue__field_indices_by_name,
+  1,  cc__rec_requeue__number_ranges,
+  (ProtobufCMessageInit) cc__rec_requeue__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor cc__rec_member_end__field_descriptors[4] =
+{
+  {
+    "id",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Cc__RecMemberEnd, id),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "member",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cc__RecMemberEnd, member),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "run_ms",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Cc__RecMemberEnd, run_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "status",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT32,
+    0,   /* quantifier_offset */
+    offsetof(Cc__RecMemberEnd, status),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned cc__rec_member_end__field_indices_by_name[] = {
+  0,   /* field[0] = id */
+  1,   /* field[1] = member */
+  2,   /* field[2] = run_ms */
+  3,   /* field[3] = status */
+};
+static const ProtobufCIntRange cc__rec_member_end__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor cc__rec_member_end__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "cc.RecMemberEnd",
+  "RecMemberEnd",
+  "Cc__RecMemberEnd",
+  "cc",
+  sizeof(Cc__RecMemberEnd),
+  4,
+  cc__rec_member_end__field_descriptors,
+  cc__rec_member_end__field_indices_by_name,
+  1,  cc__rec_member_end__number_ranges,
+  (ProtobufCMessageInit) cc__rec_member_end__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor cc__rec_cost__field_descriptors[9] =
+{
+  {
+    "day",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Cc__RecCost, day),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "class_name",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Cc__RecCost, class_name),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "team",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Cc__RecCost, team),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "tasks",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Cc__RecCost, tasks),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
   {
-    "cpus",
-    1,
+    "cpu_ms",
+    5,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Cc__Size, cpus),
+    offsetof(Cc__RecCost, cpu_ms),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "memory_mb",
-    2,
+    "memory_mb_ms",
+    6,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Cc__Size, memory_mb),
+    offsetof(Cc__RecCost, memory_mb_ms),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "accelerators",
+    "accelerator_ms",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Cc__RecCost, accelerator_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "control_us",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Cc__RecCost, control_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "absolute",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Cc__RecCost, absolute),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned cc__rec_cost__field_indices_by_name[] = {
+  8,   /* field[8] = absolute */
+  6,   /* field[6] = accelerator_ms */
+  1,   /* field[1] = class_name */
+  7,   /* field[7] = control_us */
+  4,   /* field[4] = cpu_ms */
+  0,   /* field[0] = day */
+  5,   /* field[5] = memory_mb_ms */
+  3,   /* field[3] = tasks */
+  2,   /* field[2] = team */
+};
+static const ProtobufCIntRange cc__rec_cost__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 9 }
+};
+const ProtobufCMessageDescriptor cc__rec_cost__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "cc.RecCost",
+  "RecCost",
+  "Cc__RecCost",
+  "cc",
+  sizeof(Cc__RecCost),
+  9,
+  cc__rec_cost__field_descriptors,
+  cc__rec_cost__field_indices_by_name,
+  1,  cc__rec_cost__number_ranges,
+  (ProtobufCMessageInit) cc__rec_cost__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor cc__rec__field_descriptors[8] =
+{
+  {
+    "accept",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Cc__Rec, body_case),
+    offsetof(Cc__Rec, accept),
+    &cc__rec_accept__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "site",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Cc__Rec, body_case),
+    offsetof(Cc__Rec, site),
+    &cc__rec_site__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "start",
     3,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Cc__Rec, body_case),
+    offsetof(Cc__Rec, start),
+    &cc__rec_start__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "end",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Cc__Rec, body_case),
+    offsetof(Cc__Rec, end),
+    &cc__rec_end__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "cancel",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Cc__Rec, body_case),
+    offsetof(Cc__Rec, cancel),
+    &cc__rec_cancel__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "requeue",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Cc__Rec, body_case),
+    offsetof(Cc__Rec, requeue),
+    &cc__rec_requeue__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "cost",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Cc__Rec, body_case),
+    offsetof(Cc__Rec, cost),
+    &cc__rec_cost__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "member_end",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Cc__Rec, body_case),
+    offsetof(Cc__Rec, member_end),
+    &cc__rec_member_end__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned cc__rec__field_indices_by_name[] = {
+  0,   /* field[0] = accept */
+  4,   /* field[4] = cancel */
+  6,   /* field[6] = cost */
+  3,   /* field[3] = end */
+  7,   /* field[7] = member_end */
+  5,   /* field[5] = requeue */
+  1,   /* field[1] = site */
+  2,   /* field[2] = start */
+};
+static const ProtobufCIntRange cc__rec__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 8 }
+};
+const ProtobufCMessageDescriptor cc__rec__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "cc.Rec",
+  "Rec",
+  "Cc__Rec",
+  "cc",
+  sizeof(Cc__Rec),
+  8,
+  cc__rec__field_descriptors,
+  cc__rec__field_indices_by_name,
+  1,  cc__rec__number_ranges,
+  (ProtobufCMessageInit) cc__rec__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor cc__batch__field_descriptors[2] =
+{
+  {
+    "commit_id",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Cc__Size, accelerators),
+    offsetof(Cc__Batch, commit_id),
+    NULL,
     NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "recs",
+    2,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Cc__Batch, n_recs),
+    offsetof(Cc__Batch, recs),
+    &cc__rec__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned cc__size__field_indices_by_name[] = {
-  2,   /* field[2] = accelerators */
-  0,   /* field[0] = cpus */
-  1,   /* field[1] = memory_mb */
+static const unsigned cc__batch__field_indices_by_name[] = {
+  0,   /* field[0] = commit_id */
+  1,   /* field[1] = recs */
 };
-static const ProtobufCIntRange cc__size__number_ranges[1 + 1] =
+static const ProtobufCIntRange cc__batch__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 2 }
 };
-const ProtobufCMessageDescriptor cc__size__descriptor =
+const ProtobufCMessageDescriptor cc__batch__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "cc.Size",
-  "Size",
-  "Cc__Size",
+  "cc.Batch",
+  "Batch",
+  "Cc__Batch",
   "cc",
-  sizeof(Cc__Size),
-  3,
-  cc__size__field_descriptors,
-  cc__size__field_indices_by_name,
-  1,  cc__size__number_ranges,
-  (ProtobufCMessageInit) cc__size__init,
+  sizeof(Cc__Batch),
+  2,
+  cc__batch__field_descriptors,
+  cc__batch__field_indices_by_name,
+  1,  cc__batch__number_ranges,
+  (ProtobufCMessageInit) cc__batch__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cc__rec_accept__field_descriptors[12] =
+static const ProtobufCFieldDescriptor cc__hello__field_descriptors[3] =
 {
   {
-    "id",
+    "host",
     1,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Cc__RecAccept, id),
+    offsetof(Cc__Hello, host),
     NULL,
     &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "class_name",
+    "incarnation",
     2,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Cc__RecAccept, class_name),
+    offsetof(Cc__Hello, incarnation),
     NULL,
     &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "team",
+    "nonce",
     3,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
+    PROTOBUF_C_TYPE_BYTES,
     0,   /* quantifier_offset */
-    offsetof(Cc__RecAccept, team),
+    offsetof(Cc__Hello, nonce),
     NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "size",
-    4,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    0,   /* quantifier_offset */
-    offsetof(Cc__RecAccept, size),
-    &cc__size__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+};
+static const unsigned cc__hello__field_indices_by_name[] = {
+  0,   /* field[0] = host */
+  1,   /* field[1] = incarnation */
+  2,   /* field[2] = nonce */
+};
+static const ProtobufCIntRange cc__hello__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor cc__hello__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "cc.Hello",
+  "Hello",
+  "Cc__Hello",
+  "cc",
+  sizeof(Cc__Hello),
+  3,
+  cc__hello__field_descriptors,
+  cc__hello__field_indices_by_name,
+  1,  cc__hello__number_ranges,
+  (ProtobufCMessageInit) cc__hello__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor cc__auth__field_descriptors[1] =
+{
   {
-    "count",
-    5,
+    "mac",
+    1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_BYTES,
     0,   /* quantifier_offset */
-    offsetof(Cc__RecAccept, count),
+    offsetof(Cc__Auth, mac),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+};
+static const unsigned cc__auth__field_indices_by_name[] = {
+  0,   /* field[0] = mac */
+};
+static const ProtobufCIntRange cc__auth__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor cc__auth__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "cc.Auth",
+  "Auth",
+  "Cc__Auth",
+  "cc",
+  sizeof(Cc__Auth),
+  1,
+  cc__auth__field_descriptors,
+  cc__auth__field_indices_by_name,
+  1,  cc__auth__number_ranges,
+  (ProtobufCMessageInit) cc__auth__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor cc__shard_load__field_descriptors[6] =
+{
   {
-    "run_ms",
-    6,
+    "shard",
+    1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Cc__RecAccept, run_ms),
+    offsetof(Cc__ShardLoad, shard),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "body_hash",
-    7,
+    "epoch",
+    2,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Cc__RecAccept, body_hash),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "wall_ms",
-    8,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_INT64,
-    0,   /* quantifier_offset */
-    offsetof(Cc__RecAccept, wall_ms),
+    offsetof(Cc__ShardLoad, epoch),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "routed",
-    9,
+    "free_cpus",
+    3,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Cc__RecAccept, routed),
+    offsetof(Cc__ShardLoad, free_cpus),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "repeatable",
-    10,
+    "free_memory_mb",
+    4,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Cc__RecAccept, repeatable),
+    offsetof(Cc__ShardLoad, free_memory_mb),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "maybe_ran",
-    11,
+    "free_accelerators",
+    5,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Cc__RecAccept, maybe_ran),
+    offsetof(Cc__ShardLoad, free_accelerators),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "nonce",
-    12,
+    "largest_free_cpus",
+    6,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Cc__RecAccept, nonce),
+    offsetof(Cc__ShardLoad, largest_free_cpus),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned cc__rec_accept__field_indices_by_name[] = {
-  6,   /* field[6] = body_hash */
-  1,   /* field[1] = class_name */
-  4,   /* field[4] = count */
-  0,   /* field[0] = id */
-  10,   /* field[10] = maybe_ran */
-  11,   /* field[11] = nonce */
-  9,   /* field[9] = repeatable */
-  8,   /* field[8] = routed */
-  5,   /* field[5] = run_ms */
-  3,   /* field[3] = size */
-  2,   /* field[2] = team */
-  7,   /* field[7] = wall_ms */
+static const unsigned cc__shard_load__field_indices_by_name[] = {
+  1,   /* field[1] = epoch */
+  4,   /* field[4] = free_accelerators */
+  2,   /* field[2] = free_cpus */
+  3,   /* field[3] = free_memory_mb */
+  5,   /* field[5] = largest_free_cpus */
+  0,   /* field[0] = shard */
 };
-static const ProtobufCIntRange cc__rec_accept__number_ranges[1 + 1] =
+static const ProtobufCIntRange cc__shard_load__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 12 }
+  { 0, 6 }
 };
-const ProtobufCMessageDescriptor cc__rec_accept__descriptor =
+const ProtobufCMessageDescriptor cc__shard_load__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "cc.RecAccept",
-  "RecAccept",
-  "Cc__RecAccept",
+  "cc.ShardLoad",
+  "ShardLoad",
+  "Cc__ShardLoad",
   "cc",
-  sizeof(Cc__RecAccept),
-  12,
-  cc__rec_accept__field_descriptors,
-  cc__rec_accept__field_indices_by_name,
-  1,  cc__rec_accept__number_ranges,
-  (ProtobufCMessageInit) cc__rec_accept__init,
+  sizeof(Cc__ShardLoad),
+  6,
+  cc__shard_load__field_descriptors,
+  cc__shard_load__field_indices_by_name,
+  1,  cc__shard_load__number_ranges,
+  (ProtobufCMessageInit) cc__shard_load__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cc__rec_site__field_descriptors[4] =
+static const ProtobufCFieldDescriptor cc__class_load__field_descriptors[2] =
 {
   {
-    "id",
+    "class_name",
     1,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Cc__RecSite, id),
+    offsetof(Cc__ClassLoad, class_name),
     NULL,
     &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "member",
+    "cpus",
     2,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Cc__RecSite, member),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "shard",
-    3,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Cc__RecSite, shard),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "shard_epoch",
-    4,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Cc__RecSite, shard_epoch),
+    offsetof(Cc__ClassLoad, cpus),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned cc__rec_site__field_indices_by_name[] = {
-  0,   /* field[0] = id */
-  1,   /* field[1] = member */
-  2,   /* field[2] = shard */
-  3,   /* field[3] = shard_epoch */
+static const unsigned cc__class_load__field_indices_by_name[] = {
+  0,   /* field[0] = class_name */
+  1,   /* field[1] = cpus */
 };
-static const ProtobufCIntRange cc__rec_site__number_ranges[1 + 1] =
+static const ProtobufCIntRange cc__class_load__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 2 }
 };
-const ProtobufCMessageDescriptor cc__rec_site__descriptor =
+const ProtobufCMessageDescriptor cc__class_load__descriptor =
 {
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "cc.RecSite",
-  "RecSite",
-  "Cc__RecSite",
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "cc.ClassLoad",
+  "ClassLoad",
+  "Cc__ClassLoad",
   "cc",
-  sizeof(Cc__RecSite),
-  4,
-  cc__rec_site__field_descriptors,
-  cc__rec_site__field_indices_by_name,
-  1,  cc__rec_site__number_ranges,
-  (ProtobufCMessageInit) cc__rec_site__init,
+  sizeof(Cc__ClassLoad),
+  2,
+  cc__class_load__field_descriptors,
+  cc__class_load__field_indices_by_name,
+  1,  cc__class_load__number_ranges,
+  (ProtobufCMessageInit) cc__class_load__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cc__rec_start__field_descriptors[4] =
+static const ProtobufCFieldDescriptor cc__beat__field_descriptors[10] =
 {
   {
-    "id",
+    "host",
     1,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Cc__RecStart, id),
+    offsetof(Cc__Beat, host),
     NULL,
     &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "member",
+    "conf_version",
     2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Cc__RecStart, member),
+    offsetof(Cc__Beat, conf_version),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "worker",
+    "runner_free",
     3,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Cc__RecStart, worker),
+    offsetof(Cc__Beat, runner_free),
+    NULL,
     NULL,
-    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "wall_ms",
+    "runner_queue",
     4,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_INT64,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Cc__RecStart, wall_ms),
+    offsetof(Cc__Beat, runner_queue),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-};
-static const unsigned cc__rec_start__field_indices_by_name[] = {
-  0,   /* field[0] = id */
-  1,   /* field[1] = member */
-  3,   /* field[3] = wall_ms */
-  2,   /* field[2] = worker */
-};
-static const ProtobufCIntRange cc__rec_start__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 4 }
-};
-const ProtobufCMessageDescriptor cc__rec_start__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "cc.RecStart",
-  "RecStart",
-  "Cc__RecStart",
-  "cc",
-  sizeof(Cc__RecStart),
-  4,
-  cc__rec_start__field_descriptors,
-  cc__rec_start__field_indices_by_name,
-  1,  cc__rec_start__number_ranges,
-  (ProtobufCMessageInit) cc__rec_start__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor cc__rec_end__field_descriptors[8] =
-{
   {
-    "id",
-    1,
+    "leaving",
+    5,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
+    PROTOBUF_C_TYPE_BOOL,
     0,   /* quantifier_offset */
-    offsetof(Cc__RecEnd, id),
+    offsetof(Cc__Beat, leaving),
+    NULL,
     NULL,
-    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "outcome",
-    2,
+    "shards",
+    6,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Cc__Beat, n_shards),
+    offsetof(Cc__Beat, shards),
+    &cc__shard_load__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "classes",
+    7,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Cc__Beat, n_classes),
+    offsetof(Cc__Beat, classes),
+    &cc__class_load__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "total_cpus",
+    8,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Cc__RecEnd, outcome),
+    offsetof(Cc__Beat, total_cpus),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "reason",
-    3,
+    "has_usage",
+    9,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
+    PROTOBUF_C_TYPE_BOOL,
     0,   /* quantifier_offset */
-    offsetof(Cc__RecEnd, reason),
+    offsetof(Cc__Beat, has_usage),
+    NULL,
     NULL,
-    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "wall_ms",
-    4,
+    "conf_took_ms",
+    10,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_INT64,
     0,   /* quantifier_offset */
-    offsetof(Cc__RecEnd, wall_ms),
+    offsetof(Cc__Beat, conf_took_ms),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+};
+static const unsigned cc__beat__field_indices_by_name[] = {
+  6,   /* field[6] = classes */
+  9,   /* field[9] = conf_took_ms */
+  1,   /* field[1] = conf_version */
+  8,   /* field[8] = has_usage */
+  0,   /* field[0] = host */
+  4,   /* field[4] = leaving */
+  2,   /* field[2] = runner_free */
+  3,   /* field[3] = runner_queue */
+  5,   /* field[5] = shards */
+  7,   /* field[7] = total_cpus */
+};
+static const ProtobufCIntRange cc__beat__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 10 }
+};
+const ProtobufCMessageDescriptor cc__beat__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "cc.Beat",
+  "Beat",
+  "Cc__Beat",
+  "cc",
+  sizeof(Cc__Beat),
+  10,
+  cc__beat__field_descriptors,
+  cc__beat__field_indices_by_name,
+  1,  cc__beat__number_ranges,
+  (ProtobufCMessageInit) cc__beat__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor cc__conf__field_descriptors[4] =
+{
   {
-    "run_ms",
-    5,
+    "version",
+    1,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Cc__RecEnd, run_ms),
+    offsetof(Cc__Conf, version),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "status",
-    6,
+    "text",
+    2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_INT32,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Cc__RecEnd, status),
-    NULL,
+    offsetof(Cc__Conf, text),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "answer",
-    7,
+    "wall_ms",
+    3,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BYTES,
+    PROTOBUF_C_TYPE_INT64,
     0,   /* quantifier_offset */
-    offsetof(Cc__RecEnd, answer),
+    offsetof(Cc__Conf, wall_ms),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "content_type",
-    8,
+    "who",
+    4,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Cc__RecEnd, content_type),
+    offsetof(Cc__Conf, who),
     NULL,
     &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned cc__rec_end__field_indices_by_name[] = {
-  6,   /* field[6] = answer */
-  7,   /* field[7] = content_type */
-  0,   /* field[0] = id */
-  1,   /* field[1] = outcome */
-  2,   /* field[2] = reason */
-  4,   /* field[4] = run_ms */
-  5,   /* field[5] = status */
-  3,   /* field[3] = wall_ms */
+static const unsigned cc__conf__field_indices_by_name[] = {
+  1,   /* field[1] = text */
+  0,   /* field[0] = version */
+  2,   /* field[2] = wall_ms */
+  3,   /* field[3] = who */
 };
-static const ProtobufCIntRange cc__rec_end__number_ranges[1 + 1] =
+static const ProtobufCIntRange cc__conf__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 8 }
+  { 0, 4 }
 };
-const ProtobufCMessageDescriptor cc__rec_end__descriptor =
+const ProtobufCMessageDescriptor cc__conf__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "cc.RecEnd",
-  "RecEnd",
-  "Cc__RecEnd",
+  "cc.Conf",
+  "Conf",
+  "Cc__Conf",
   "cc",
-  sizeof(Cc__RecEnd),
-  8,
-  cc__rec_end__field_descriptors,
-  cc__rec_end__field_indices_by_name,
-  1,  cc__rec_end__number_ranges,
-  (ProtobufCMessageInit) cc__rec_end__init,
+  sizeof(Cc__Conf),
+  4,
+  cc__conf__field_descriptors,
+  cc__conf__field_indices_by_name,
+  1,  cc__conf__number_ranges,
+  (ProtobufCMessageInit) cc__conf__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cc__rec_cancel__field_descriptors[1] =
+static const ProtobufCFieldDescriptor cc__conf_get__field_descriptors[1] =
 {
   {
-    "id",
+    "have",
     1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
+    PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Cc__RecCancel, id),
+    offsetof(Cc__ConfGet, have),
+    NULL,
     NULL,
-    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned cc__rec_cancel__field_indices_by_name[] = {
-  0,   /* field[0] = id */
+static const unsigned cc__conf_get__field_indices_by_name[] = {
+  0,   /* field[0] = have */
 };
-static const ProtobufCIntRange cc__rec_cancel__number_ranges[1 + 1] =
+static const ProtobufCIntRange cc__conf_get__number_ranges[1 + 1] =
 {
   { 1, 0 },
   { 0, 1 }
 };
-const ProtobufCMessageDescriptor cc__rec_cancel__descriptor =
+const ProtobufCMessageDescriptor cc__conf_get__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "cc.RecCancel",
-  "RecCancel",
-  "Cc__RecCancel",
+  "cc.ConfGet",
+  "ConfGet",
+  "Cc__ConfGet",
   "cc",
-  sizeof(Cc__RecCancel),
+  sizeof(Cc__ConfGet),
   1,
-  cc__rec_cancel__field_descriptors,
-  cc__rec_cancel__field_indices_by_name,
-  1,  cc__rec_cancel__number_ranges,
-  (ProtobufCMessageInit) cc__rec_cancel__init,
+  cc__conf_get__field_descriptors,
+  cc__conf_get__field_indices_by_name,
+  1,  cc__conf_get__number_ranges,
+  (ProtobufCMessageInit) cc__conf_get__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cc__rec_requeue__field_descriptors[3] =
+static const ProtobufCFieldDescriptor cc__route__field_descriptors[6] =
 {
   {
-    "id",
+    "class_name",
     1,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Cc__RecRequeue, id),
+    offsetof(Cc__Route, class_name),
     NULL,
     &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "member",
+    "request",
     2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Cc__RecRequeue, member),
-    NULL,
+    offsetof(Cc__Route, request),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "maybe_ran",
+    "body",
     3,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
+    PROTOBUF_C_TYPE_BYTES,
     0,   /* quantifier_offset */
-    offsetof(Cc__RecRequeue, maybe_ran),
+    offsetof(Cc__Route, body),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-};
-static const unsigned cc__rec_requeue__field_indices_by_name[] = {
-  0,   /* field[0] = id */
-  2,   /* field[2] = maybe_ran */
-  1,   /* field[1] = member */
-};
-static const ProtobufCIntRange cc__rec_requeue__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 3 }
-};
-const ProtobufCMessageDescriptor cc__rec_requeue__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "cc.RecRequeue",
-  "RecRequeue",
-  "Cc__RecRequeue",
-  "cc",
-  sizeof(Cc__RecRequeue),
-  3,
-  cc__rec_requeue__field_descriptors,
-  cc__rec_requeue__field_indices_by_name,
-  1,  cc__rec_requeue__number_ranges,
-  (ProtobufCMessageInit) cc__rec_requeue__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor cc__rec_member_end__field_descriptors[4] =
-{
   {
-    "id",
-    1,
+    "content_type",
+    4,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Cc__RecMemberEnd, id),
+    offsetof(Cc__Route, content_type),
     NULL,
     &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "member",
-    2,
+    "budget_ms",
+    5,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Cc__RecMemberEnd, member),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "run_ms",
-    3,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Cc__RecMemberEnd, run_ms),
+    offsetof(Cc__Route, budget_ms),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "status",
-    4,
+    "once",
+    6,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_INT32,
+    PROTOBUF_C_TYPE_BOOL,
     0,   /* quantifier_offset */
-    offsetof(Cc__RecMemberEnd, status),
+    offsetof(Cc__Route, once),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned cc__rec_member_end__field_indices_by_name[] = {
-  0,   /* field[0] = id */
-  1,   /* field[1] = member */
-  2,   /* field[2] = run_ms */
-  3,   /* field[3] = status */
+static const unsigned cc__route__field_indices_by_name[] = {
+  2,   /* field[2] = body */
+  4,   /* field[4] = budget_ms */
+  0,   /* field[0] = class_name */
+  3,   /* field[3] = content_type */
+  5,   /* field[5] = once */
+  1,   /* field[1] = request */
 };
-static const ProtobufCIntRange cc__rec_member_end__number_ranges[1 + 1] =
+static const ProtobufCIntRange cc__route__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 6 }
 };
-const ProtobufCMessageDescriptor cc__rec_member_end__descriptor =
+const ProtobufCMessageDescriptor cc__route__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "cc.RecMemberEnd",
-  "RecMemberEnd",
-  "Cc__RecMemberEnd",
+  "cc.Route",
+  "Route",
+  "Cc__Route",
   "cc",
-  sizeof(Cc__RecMemberEnd),
-  4,
-  cc__rec_member_end__field_descriptors,
-  cc__rec_member_end__field_indices_by_name,
-  1,  cc__rec_member_end__number_ranges,
-  (ProtobufCMessageInit) cc__rec_member_end__init,
+  sizeof(Cc__Route),
+  6,
+  cc__route__field_descriptors,
+  cc__route__field_indices_by_name,
+  1,  cc__route__number_ranges,
+  (ProtobufCMessageInit) cc__route__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cc__rec_cost__field_descriptors[9] =
+static const ProtobufCFieldDescriptor cc__route_reply__field_descriptors[7] =
 {
   {
-    "day",
+    "outcome",
     1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_INT64,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Cc__RecCost, day),
+    offsetof(Cc__RouteReply, outcome),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "class_name",
+    "reason",
     2,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Cc__RecCost, class_name),
+    offsetof(Cc__RouteReply, reason),
     NULL,
     &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "team",
+    "status",
     3,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
+    PROTOBUF_C_TYPE_INT32,
     0,   /* quantifier_offset */
-    offsetof(Cc__RecCost, team),
+    offsetof(Cc__RouteReply, status),
+    NULL,
     NULL,
-    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "tasks",
+    "body",
     4,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_BYTES,
     0,   /* quantifier_offset */
-    offsetof(Cc__RecCost, tasks),
+    offsetof(Cc__RouteReply, body),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "cpu_ms",
+    "content_type",
     5,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Cc__RecCost, cpu_ms),
-    NULL,
+    offsetof(Cc__RouteReply, content_type),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "memory_mb_ms",
+    "wait_ms",
     6,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Cc__RecCost, memory_mb_ms),
+    offsetof(Cc__RouteReply, wait_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "refused",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Cc__RouteReply, refused),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned cc__route_reply__field_indices_by_name[] = {
+  3,   /* field[3] = body */
+  4,   /* field[4] = content_type */
+  0,   /* field[0] = outcome */
+  1,   /* field[1] = reason */
+  6,   /* field[6] = refused */
+  2,   /* field[2] = status */
+  5,   /* field[5] = wait_ms */
+};
+static const ProtobufCIntRange cc__route_reply__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 7 }
+};
+const ProtobufCMessageDescriptor cc__route_reply__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "cc.RouteReply",
+  "RouteReply",
+  "Cc__RouteReply",
+  "cc",
+  sizeof(Cc__RouteReply),
+  7,
+  cc__route_reply__field_descriptors,
+  cc__route_reply__field_indices_by_name,
+  1,  cc__route_reply__number_ranges,
+  (ProtobufCMessageInit) cc__route_reply__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor cc__submit__field_descriptors[1] =
+{
+  {
+    "accept",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Cc__Submit, accept),
+    &cc__rec_accept__descriptor,
     NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned cc__submit__field_indices_by_name[] = {
+  0,   /* field[0] = accept */
+};
+static const ProtobufCIntRange cc__submit__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor cc__submit__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "cc.Submit",
+  "Submit",
+  "Cc__Submit",
+  "cc",
+  sizeof(Cc__Submit),
+  1,
+  cc__submit__field_descriptors,
+  cc__submit__field_indices_by_name,
+  1,  cc__submit__number_ranges,
+  (ProtobufCMessageInit) cc__submit__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor cc__get__field_descriptors[2] =
+{
+  {
+    "id",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Cc__Get, id),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "accelerator_ms",
-    7,
+    "wait_ms",
+    2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Cc__RecCost, accelerator_ms),
+    offsetof(Cc__Get, wait_ms),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+};
+static const unsigned cc__get__field_indices_by_name[] = {
+  0,   /* field[0] = id */
+  1,   /* field[1] = wait_ms */
+};
+static const ProtobufCIntRange cc__get__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor cc__get__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "cc.Get",
+  "Get",
+  "Cc__Get",
+  "cc",
+  sizeof(Cc__Get),
+  2,
+  cc__get__field_descriptors,
+  cc__get__field_indices_by_name,
+  1,  cc__get__number_ranges,
+  (ProtobufCMessageInit) cc__get__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor cc__cancel__field_descriptors[1] =
+{
   {
-    "control_us",
-    8,
+    "id",
+    1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Cc__RecCost, control_us),
-    NULL,
+    offsetof(Cc__Cancel, id),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+};
+static const unsigned cc__cancel__field_indices_by_name[] = {
+  0,   /* field[0] = id */
+};
+static const ProtobufCIntRange cc__cancel__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor cc__cancel__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "cc.Cancel",
+  "Cancel",
+  "Cc__Cancel",
+  "cc",
+  sizeof(Cc__Cancel),
+  1,
+  cc__cancel__field_descriptors,
+  cc__cancel__field_indices_by_name,
+  1,  cc__cancel__number_ranges,
+  (ProtobufCMessageInit) cc__cancel__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor cc__settle__field_descriptors[1] =
+{
   {
-    "absolute",
-    9,
+    "end",
+    1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
+    PROTOBUF_C_TYPE_MESSAGE,
     0,   /* quantifier_offset */
-    offsetof(Cc__RecCost, absolute),
-    NULL,
+    offsetof(Cc__Settle, end),
+    &cc__rec_end__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned cc__rec_cost__field_indices_by_name[] = {
-  8,   /* field[8] = absolute */
-  6,   /* field[6] = accelerator_ms */
-  1,   /* field[1] = class_name */
-  7,   /* field[7] = control_us */
-  4,   /* field[4] = cpu_ms */
-  0,   /* field[0] = day */
-  5,   /* field[5] = memory_mb_ms */
-  3,   /* field[3] = tasks */
-  2,   /* field[2] = team */
+static const unsigned cc__settle__field_indices_by_name[] = {
+  0,   /* field[0] = end */
 };
-static const ProtobufCIntRange cc__rec_cost__number_ranges[1 + 1] =
+static const ProtobufCIntRange cc__settle__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 9 }
+  { 0, 1 }
 };
-const ProtobufCMessageDescriptor cc__rec_cost__descriptor =
+const ProtobufCMessageDescriptor cc__settle__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "cc.RecCost",
-  "RecCost",
-  "Cc__RecCost",
+  "cc.Settle",
+  "Settle",
+  "Cc__Settle",
   "cc",
-  sizeof(Cc__RecCost),
-  9,
-  cc__rec_cost__field_descriptors,
-  cc__rec_cost__field_indices_by_name,
-  1,  cc__rec_cost__number_ranges,
-  (ProtobufCMessageInit) cc__rec_cost__init,
+  sizeof(Cc__Settle),
+  1,
+  cc__settle__field_descriptors,
+  cc__settle__field_indices_by_name,
+  1,  cc__settle__number_ranges,
+  (ProtobufCMessageInit) cc__settle__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cc__rec__field_descriptors[8] =
+static const ProtobufCFieldDescriptor cc__list_tasks__field_descriptors[2] =
 {
   {
-    "accept",
+    "class_name",
     1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Cc__Rec, body_case),
-    offsetof(Cc__Rec, accept),
-    &cc__rec_accept__descriptor,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Cc__ListTasks, class_name),
     NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    &protobuf_c_empty_string,
+    0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "site",
+    "state",
     2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Cc__Rec, body_case),
-    offsetof(Cc__Rec, site),
-    &cc__rec_site__descriptor,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Cc__ListTasks, state),
     NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    &protobuf_c_empty_string,
+    0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+};
+static const unsigned cc__list_tasks__field_indices_by_name[] = {
+  0,   /* field[0] = class_name */
+  1,   /* field[1] = state */
+};
+static const ProtobufCIntRange cc__list_tasks__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor cc__list_tasks__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "cc.ListTasks",
+  "ListTasks",
+  "Cc__ListTasks",
+  "cc",
+  sizeof(Cc__ListTasks),
+  2,
+  cc__list_tasks__field_descriptors,
+  cc__list_tasks__field_indices_by_name,
+  1,  cc__list_tasks__number_ranges,
+  (ProtobufCMessageInit) cc__list_tasks__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor cc__cost_get__field_descriptors[2] =
+{
   {
-    "start",
-    3,
+    "from_day",
+    1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Cc__Rec, body_case),
-    offsetof(Cc__Rec, start),
-    &cc__rec_start__descriptor,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Cc__CostGet, from_day),
     NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "end",
-    4,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Cc__Rec, body_case),
-    offsetof(Cc__Rec, end),
-    &cc__rec_end__descriptor,
     NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "cancel",
-    5,
+    "to_day",
+    2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Cc__Rec, body_case),
-    offsetof(Cc__Rec, cancel),
-    &cc__rec_cancel__descriptor,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Cc__CostGet, to_day),
     NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "requeue",
-    6,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Cc__Rec, body_case),
-    offsetof(Cc__Rec, requeue),
-    &cc__rec_requeue__descriptor,
     NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+};
+static const unsigned cc__cost_get__field_indices_by_name[] = {
+  0,   /* field[0] = from_day */
+  1,   /* field[1] = to_day */
+};
+static const ProtobufCIntRange cc__cost_get__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor cc__cost_get__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "cc.CostGet",
+  "CostGet",
+  "Cc__CostGet",
+  "cc",
+  sizeof(Cc__CostGet),
+  2,
+  cc__cost_get__field_descriptors,
+  cc__cost_get__field_indices_by_name,
+  1,  cc__cost_get__number_ranges,
+  (ProtobufCMessageInit) cc__cost_get__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor cc__stop_reply__field_descriptors[2] =
+{
   {
-    "cost",
-    7,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Cc__Rec, body_case),
-    offsetof(Cc__Rec, cost),
-    &cc__rec_cost__descriptor,
+    "error",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT32,
+    0,   /* quantifier_offset */
+    offsetof(Cc__StopReply, error),
     NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    NULL,
+    0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "member_end",
-    8,
+    "shard_epoch",
+    2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Cc__Rec, body_case),
-    offsetof(Cc__Rec, member_end),
-    &cc__rec_member_end__descriptor,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Cc__StopReply, shard_epoch),
     NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    NULL,
+    0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned cc__rec__field_indices_by_name[] = {
-  0,   /* field[0] = accept */
-  4,   /* field[4] = cancel */
-  6,   /* field[6] = cost */
-  3,   /* field[3] = end */
-  7,   /* field[7] = member_end */
-  5,   /* field[5] = requeue */
-  1,   /* field[1] = site */
-  2,   /* field[2] = start */
+static const unsigned cc__stop_reply__field_indices_by_name[] = {
+  0,   /* field[0] = error */
+  1,   /* field[1] = shard_epoch */
 };
-static const ProtobufCIntRange cc__rec__number_ranges[1 + 1] =
+static const ProtobufCIntRange cc__stop_reply__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 8 }
+  { 0, 2 }
 };
-const ProtobufCMessageDescriptor cc__rec__descriptor =
+const ProtobufCMessageDescriptor cc__stop_reply__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "cc.Rec",
-  "Rec",
-  "Cc__Rec",
+  "cc.StopReply",
+  "StopReply",
+  "Cc__StopReply",
   "cc",
-  sizeof(Cc__Rec),
-  8,
-  cc__rec__field_descriptors,
-  cc__rec__field_indices_by_name,
-  1,  cc__rec__number_ranges,
-  (ProtobufCMessageInit) cc__rec__init,
+  sizeof(Cc__StopReply),
+  2,
+  cc__stop_reply__field_descriptors,
+  cc__stop_reply__field_indices_by_name,
+  1,  cc__stop_reply__number_ranges,
+  (ProtobufCMessageInit) cc__stop_reply__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cc__batch__field_descriptors[2] =
+static const ProtobufCFieldDescriptor cc__member_view__field_descriptors[2] =
 {
   {
-    "commit_id",
+    "worker",
     1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Cc__Batch, commit_id),
-    NULL,
+    offsetof(Cc__MemberView, worker),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "recs",
+    "state",
     2,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Cc__Batch, n_recs),
-    offsetof(Cc__Batch, recs),
-    &cc__rec__descriptor,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cc__MemberView, state),
+    NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned cc__batch__field_indices_by_name[] = {
-  0,   /* field[0] = commit_id */
-  1,   /* field[1] = recs */
+static const unsigned cc__member_view__field_indices_by_name[] = {
+  1,   /* field[1] = state */
+  0,   /* field[0] = worker */
 };
-static const ProtobufCIntRange cc__batch__number_ranges[1 + 1] =
+static const ProtobufCIntRange cc__member_view__number_ranges[1 + 1] =
 {
   { 1, 0 },
   { 0, 2 }
 };
-const ProtobufCMessageDescriptor cc__batch__descriptor =
+const ProtobufCMessageDescriptor cc__member_view__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "cc.Batch",
-  "Batch",
-  "Cc__Batch",
+  "cc.MemberView",
+  "MemberView",
+  "Cc__MemberView",
   "cc",
-  sizeof(Cc__Batch),
+  sizeof(Cc__MemberView),
   2,
-  cc__batch__field_descriptors,
-  cc__batch__field_indices_by_name,
-  1,  cc__batch__number_ranges,
-  (ProtobufCMessageInit) cc__batch__init,
+  cc__member_view__field_descriptors,
+  cc__member_view__field_indices_by_name,
+  1,  cc__member_view__number_ranges,
+  (ProtobufCMessageInit) cc__member_view__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cc__hello__field_descriptors[3] =
+static const ProtobufCFieldDescriptor cc__task_view__field_descriptors[17] =
 {
   {
-    "host",
+    "id",
     1,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Cc__Hello, host),
+    offsetof(Cc__TaskView, id),
     NULL,
     &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "incarnation",
+    "class_name",
     2,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Cc__Hello, incarnation),
+    offsetof(Cc__TaskView, class_name),
     NULL,
     &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "nonce",
+    "team",
     3,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BYTES,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Cc__Hello, nonce),
+    offsetof(Cc__TaskView, team),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "size",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Cc__TaskView, size),
+    &cc__size__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "count",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cc__TaskView, count),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-};
-static const unsigned cc__hello__field_indices_by_name[] = {
-  0,   /* field[0] = host */
-  1,   /* field[1] = incarnation */
-  2,   /* field[2] = nonce */
-};
-static const ProtobufCIntRange cc__hello__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 3 }
-};
-const ProtobufCMessageDescriptor cc__hello__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "cc.Hello",
-  "Hello",
-  "Cc__Hello",
-  "cc",
-  sizeof(Cc__Hello),
-  3,
-  cc__hello__field_descriptors,
-  cc__hello__field_indices_by_name,
-  1,  cc__hello__number_ranges,
-  (ProtobufCMessageInit) cc__hello__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor cc__auth__field_descriptors[1] =
-{
   {
-    "mac",
-    1,
+    "state",
+    6,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BYTES,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Cc__Auth, mac),
+    offsetof(Cc__TaskView, state),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-};
-static const unsigned cc__auth__field_indices_by_name[] = {
-  0,   /* field[0] = mac */
-};
-static const ProtobufCIntRange cc__auth__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 1 }
-};
-const ProtobufCMessageDescriptor cc__auth__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "cc.Auth",
-  "Auth",
-  "Cc__Auth",
-  "cc",
-  sizeof(Cc__Auth),
-  1,
-  cc__auth__field_descriptors,
-  cc__auth__field_indices_by_name,
-  1,  cc__auth__number_ranges,
-  (ProtobufCMessageInit) cc__auth__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor cc__shard_load__field_descriptors[6] =
-{
   {
-    "shard",
-    1,
+    "outcome",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cc__TaskView, outcome),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "reason",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Cc__TaskView, reason),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "run_ms",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Cc__TaskView, run_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "accepted_wall_ms",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Cc__TaskView, accepted_wall_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "started_wall_ms",
+    11,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_INT64,
     0,   /* quantifier_offset */
-    offsetof(Cc__ShardLoad, shard),
+    offsetof(Cc__TaskView, started_wall_ms),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "epoch",
-    2,
+    "ended_wall_ms",
+    12,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_INT64,
     0,   /* quantifier_offset */
-    offsetof(Cc__ShardLoad, epoch),
+    offsetof(Cc__TaskView, ended_wall_ms),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "free_cpus",
-    3,
+    "status",
+    13,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_INT32,
     0,   /* quantifier_offset */
-    offsetof(Cc__ShardLoad, free_cpus),
+    offsetof(Cc__TaskView, status),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "free_memory_mb",
-    4,
+    "answer",
+    14,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_BYTES,
     0,   /* quantifier_offset */
-    offsetof(Cc__ShardLoad, free_memory_mb),
+    offsetof(Cc__TaskView, answer),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "free_accelerators",
-    5,
+    "content_type",
+    15,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Cc__ShardLoad, free_accelerators),
+    offsetof(Cc__TaskView, content_type),
     NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "members",
+    16,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Cc__TaskView, n_members),
+    offsetof(Cc__TaskView, members),
+    &cc__member_view__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "largest_free_cpus",
-    6,
+    "body_hash",
+    17,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Cc__ShardLoad, largest_free_cpus),
+    offsetof(Cc__TaskView, body_hash),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned cc__shard_load__field_indices_by_name[] = {
-  1,   /* field[1] = epoch */
-  4,   /* field[4] = free_accelerators */
-  2,   /* field[2] = free_cpus */
-  3,   /* field[3] = free_memory_mb */
-  5,   /* field[5] = largest_free_cpus */
-  0,   /* field[0] = shard */
+static const unsigned cc__task_view__field_indices_by_name[] = {
+  9,   /* field[9] = accepted_wall_ms */
+  13,   /* field[13] = answer */
+  16,   /* field[16] = body_hash */
+  1,   /* field[1] = class_name */
+  14,   /* field[14] = content_type */
+  4,   /* field[4] = count */
+  11,   /* field[11] = ended_wall_ms */
+  0,   /* field[0] = id */
+  15,   /* field[15] = members */
+  6,   /* field[6] = outcome */
+  7,   /* field[7] = reason */
+  8,   /* field[8] = run_ms */
+  3,   /* field[3] = size */
+  10,   /* field[10] = started_wall_ms */
+  5,   /* field[5] = state */
+  12,   /* field[12] = status */
+  2,   /* field[2] = team */
 };
-static const ProtobufCIntRange cc__shard_load__number_ranges[1 + 1] =
+static const ProtobufCIntRange cc__task_view__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 17 }
 };
-const ProtobufCMessageDescriptor cc__shard_load__descriptor =
+const ProtobufCMessageDescriptor cc__task_view__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "cc.ShardLoad",
-  "ShardLoad",
-  "Cc__ShardLoad",
+  "cc.TaskView",
+  "TaskView",
+  "Cc__TaskView",
   "cc",
-  sizeof(Cc__ShardLoad),
-  6,
-  cc__shard_load__field_descriptors,
-  cc__shard_load__field_indices_by_name,
-  1,  cc__shard_load__number_ranges,
-  (ProtobufCMessageInit) cc__shard_load__init,
+  sizeof(Cc__TaskView),
+  17,
+  cc__task_view__field_descriptors,
+  cc__task_view__field_indices_by_name,
+  1,  cc__task_view__number_ranges,
+  (ProtobufCMessageInit) cc__task_view__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cc__class_load__field_descriptors[2] =
+static const ProtobufCFieldDescriptor cc__home_reply__field_descriptors[5] =
 {
   {
-    "class_name",
+    "error",
     1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
+    PROTOBUF_C_TYPE_INT32,
     0,   /* quantifier_offset */
-    offsetof(Cc__ClassLoad, class_name),
+    offsetof(Cc__HomeReply, error),
+    NULL,
     NULL,
-    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "cpus",
+    "created",
     2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_BOOL,
     0,   /* quantifier_offset */
-    offsetof(Cc__ClassLoad, cpus),
+    offsetof(Cc__HomeReply, created),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "task",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Cc__HomeReply, task),
+    &cc__task_view__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "tasks",
+    4,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Cc__HomeReply, n_tasks),
+    offsetof(Cc__HomeReply, tasks),
+    &cc__task_view__descriptor,
     NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "costs",
+    5,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Cc__HomeReply, n_costs),
+    offsetof(Cc__HomeReply, costs),
+    &cc__rec_cost__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned cc__class_load__field_indices_by_name[] = {
-  0,   /* field[0] = class_name */
-  1,   /* field[1] = cpus */
+static const unsigned cc__home_reply__field_indices_by_name[] = {
+  4,   /* field[4] = costs */
+  1,   /* field[1] = created */
+  0,   /* field[0] = error */
+  2,   /* field[2] = task */
+  3,   /* field[3] = tasks */
 };
-static const ProtobufCIntRange cc__class_load__number_ranges[1 + 1] =
+static const ProtobufCIntRange cc__home_reply__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 5 }
 };
-const ProtobufCMessageDescriptor cc__class_load__descriptor =
+const ProtobufCMessageDescriptor cc__home_reply__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "cc.ClassLoad",
-  "ClassLoad",
-  "Cc__ClassLoad",
+  "cc.HomeReply",
+  "HomeReply",
+  "Cc__HomeReply",
   "cc",
-  sizeof(Cc__ClassLoad),
-  2,
-  cc__class_load__field_descriptors,
-  cc__class_load__field_indices_by_name,
-  1,  cc__class_load__number_ranges,
-  (ProtobufCMessageInit) cc__class_load__init,
+  sizeof(Cc__HomeReply),
+  5,
+  cc__home_reply__field_descriptors,
+  cc__home_reply__field_indices_by_name,
+  1,  cc__home_reply__number_ranges,
+  (ProtobufCMessageInit) cc__home_reply__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cc__beat__field_descriptors[10] =
+static const ProtobufCFieldDescriptor cc__place__field_descriptors[12] =
 {
   {
-    "host",
+    "id",
     1,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Cc__Beat, host),
+    offsetof(Cc__Place, id),
     NULL,
     &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "conf_version",
+    "member",
     2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Cc__Beat, conf_version),
+    offsetof(Cc__Place, member),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "runner_free",
+    "home",
     3,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Cc__Beat, runner_free),
+    offsetof(Cc__Place, home),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "runner_queue",
+    "shard",
     4,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Cc__Beat, runner_queue),
+    offsetof(Cc__Place, shard),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "leaving",
+    "size",
     5,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
+    PROTOBUF_C_TYPE_MESSAGE,
     0,   /* quantifier_offset */
-    offsetof(Cc__Beat, leaving),
-    NULL,
+    offsetof(Cc__Place, size),
+    &cc__size__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "shards",
+    "run_ms",
     6,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Cc__Beat, n_shards),
-    offsetof(Cc__Beat, shards),
-    &cc__shard_load__descriptor,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Cc__Place, run_ms),
+    NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "classes",
+    "class_name",
     7,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Cc__Beat, n_classes),
-    offsetof(Cc__Beat, classes),
-    &cc__class_load__descriptor,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Cc__Place, class_name),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "attempt",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Cc__Place, attempt),
+    NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "total_cpus",
-    8,
+    "reserve_only",
+    9,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_BOOL,
     0,   /* quantifier_offset */
-    offsetof(Cc__Beat, total_cpus),
+    offsetof(Cc__Place, reserve_only),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "has_usage",
-    9,
+    "repeatable",
+    10,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_BOOL,
     0,   /* quantifier_offset */
-    offsetof(Cc__Beat, has_usage),
+    offsetof(Cc__Place, repeatable),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "conf_took_ms",
-    10,
+    "site_epoch",
+    11,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_INT64,
+    PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Cc__Beat, conf_took_ms),
+    offsetof(Cc__Place, site_epoch),
+    NULL,
     NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "avoid",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Cc__Place, avoid),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned cc__beat__field_indices_by_name[] = {
-  6,   /* field[6] = classes */
-  9,   /* field[9] = conf_took_ms */
-  1,   /* field[1] = conf_version */
-  8,   /* field[8] = has_usage */
-  0,   /* field[0] = host */
-  4,   /* field[4] = leaving */
-  2,   /* field[2] = runner_free */
-  3,   /* field[3] = runner_queue */
-  5,   /* field[5] = shards */
-  7,   /* field[7] = total_cpus */
+static const unsigned cc__place__field_indices_by_name[] = {
+  7,   /* field[7] = attempt */
+  11,   /* field[11] = avoid */
+  6,   /* field[6] = class_name */
+  2,   /* field[2] = home */
+  0,   /* field[0] = id */
+  1,   /* field[1] = member */
+  9,   /* field[9] = repeatable */
+  8,   /* field[8] = reserve_only */
+  5,   /* field[5] = run_ms */
+  3,   /* field[3] = shard */
+  10,   /* field[10] = site_epoch */
+  4,   /* field[4] = size */
 };
-static const ProtobufCIntRange cc__beat__number_ranges[1 + 1] =
+static const ProtobufCIntRange cc__place__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 10 }
+  { 0, 12 }
 };
-const ProtobufCMessageDescriptor cc__beat__descriptor =
+const ProtobufCMessageDescriptor cc__place__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "cc.Beat",
-  "Beat",
-  "Cc__Beat",
+  "cc.Place",
+  "Place",
+  "Cc__Place",
   "cc",
-  sizeof(Cc__Beat),
-  10,
-  cc__beat__field_descriptors,
-  cc__beat__field_indices_by_name,
-  1,  cc__beat__number_ranges,
-  (ProtobufCMessageInit) cc__beat__init,
+  sizeof(Cc__Place),
+  12,
+  cc__place__field_descriptors,
+  cc__place__field_indices_by_name,
+  1,  cc__place__number_ranges,
+  (ProtobufCMessageInit) cc__place__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cc__conf__field_descriptors[4] =
+static const ProtobufCFieldDescriptor cc__place_reply__field_descriptors[4] =
 {
   {
-    "version",
+    "error",
     1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_INT32,
     0,   /* quantifier_offset */
-    offsetof(Cc__Conf, version),
+    offsetof(Cc__PlaceReply, error),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "text",
+    "worker",
     2,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Cc__Conf, text),
+    offsetof(Cc__PlaceReply, worker),
     NULL,
     &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "wall_ms",
+    "shard_epoch",
     3,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_INT64,
+    PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Cc__Conf, wall_ms),
+    offsetof(Cc__PlaceReply, shard_epoch),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "who",
+    "reserved",
     4,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
+    PROTOBUF_C_TYPE_BOOL,
     0,   /* quantifier_offset */
-    offsetof(Cc__Conf, who),
+    offsetof(Cc__PlaceReply, reserved),
+    NULL,
     NULL,
-    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned cc__conf__field_indices_by_name[] = {
-  1,   /* field[1] = text */
-  0,   /* field[0] = version */
-  2,   /* field[2] = wall_ms */
-  3,   /* field[3] = who */
+static const unsigned cc__place_reply__field_indices_by_name[] = {
+  0,   /* field[0] = error */
+  3,   /* field[3] = reserved */
+  2,   /* field[2] = shard_epoch */
+  1,   /* field[1] = worker */
 };
-static const ProtobufCIntRange cc__conf__number_ranges[1 + 1] =
+static const ProtobufCIntRange cc__place_reply__number_ranges[1 + 1] =
 {
   { 1, 0 },
   { 0, 4 }
 };
-const ProtobufCMessageDescriptor cc__conf__descriptor =
+const ProtobufCMessageDescriptor cc__place_reply__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "cc.Conf",
-  "Conf",
-  "Cc__Conf",
+  "cc.PlaceReply",
+  "PlaceReply",
+  "Cc__PlaceReply",
   "cc",
-  sizeof(Cc__Conf),
+  sizeof(Cc__PlaceReply),
   4,
-  cc__conf__field_descriptors,
-  cc__conf__field_indices_by_name,
-  1,  cc__conf__number_ranges,
-  (ProtobufCMessageInit) cc__conf__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor cc__conf_get__field_descriptors[1] =
-{
-  {
-    "have",
-    1,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Cc__ConfGet, have),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-};
-static const unsigned cc__conf_get__field_indices_by_name[] = {
-  0,   /* field[0] = have */
-};
-static const ProtobufCIntRange cc__conf_get__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 1 }
-};
-const ProtobufCMessageDescriptor cc__conf_get__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "cc.ConfGet",
-  "ConfGet",
-  "Cc__ConfGet",
-  "cc",
-  sizeof(Cc__ConfGet),
-  1,
-  cc__conf_get__field_descriptors,
-  cc__conf_get__field_indices_by_name,
-  1,  cc__conf_get__number_ranges,
-  (ProtobufCMessageInit) cc__conf_get__init,
+  cc__place_reply__field_descriptors,
+  cc__place_reply__field_indices_by_name,
+  1,  cc__place_reply__number_ranges,
+  (ProtobufCMessageInit) cc__place_reply__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cc__route__field_descriptors[6] =
+static const ProtobufCFieldDescriptor cc__stop__field_descriptors[4] =
 {
   {
-    "class_name",
+    "id",
     1,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Cc__Route, class_name),
+    offsetof(Cc__Stop, id),
     NULL,
     &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "request",
+    "member",
     2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Cc__Route, request),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "body",
-    3,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BYTES,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Cc__Route, body),
-    NULL,
+    offsetof(Cc__Stop, member),
     NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "content_type",
-    4,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Cc__Route, content_type),
     NULL,
-    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "budget_ms",
-    5,
+    "shard",
+    3,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Cc__Route, budget_ms),
+    offsetof(Cc__Stop, shard),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "once",
-    6,
+    "attempt",
+    4,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
+    PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Cc__Route, once),
+    offsetof(Cc__Stop, attempt),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned cc__route__field_indices_by_name[] = {
-  2,   /* field[2] = body */
-  4,   /* field[4] = budget_ms */
-  0,   /* field[0] = class_name */
-  3,   /* field[3] = content_type */
-  5,   /* field[5] = once */
-  1,   /* field[1] = request */
+static const unsigned cc__stop__field_indices_by_name[] = {
+  3,   /* field[3] = attempt */
+  0,   /* field[0] = id */
+  1,   /* field[1] = member */
+  2,   /* field[2] = shard */
 };
-static const ProtobufCIntRange cc__route__number_ranges[1 + 1] =
+static const ProtobufCIntRange cc__stop__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 4 }
 };
-const ProtobufCMessageDescriptor cc__route__descriptor =
+const ProtobufCMessageDescriptor cc__stop__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "cc.Route",
-  "Route",
-  "Cc__Route",
-  "cc",
-  sizeof(Cc__Route),
-  6,
-  cc__route__field_descriptors,
-  cc__route__field_indices_by_name,
-  1,  cc__route__number_ranges,
-  (ProtobufCMessageInit) cc__route__init,
+  "cc.Stop",
+  "Stop",
+  "Cc__Stop",
+  "cc",
+  sizeof(Cc__Stop),
+  4,
+  cc__stop__field_descriptors,
+  cc__stop__field_indices_by_name,
+  1,  cc__stop__number_ranges,
+  (ProtobufCMessageInit) cc__stop__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cc__route_reply__field_descriptors[7] =
+static const ProtobufCFieldDescriptor cc__ended__field_descriptors[7] =
 {
   {
-    "outcome",
+    "id",
     1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Cc__RouteReply, outcome),
-    NULL,
+    offsetof(Cc__Ended, id),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "reason",
+    "member",
     2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Cc__RouteReply, reason),
+    offsetof(Cc__Ended, member),
+    NULL,
     NULL,
-    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "status",
+    "home",
     3,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_INT32,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Cc__RouteReply, status),
+    offsetof(Cc__Ended, home),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "body",
+    "worker",
     4,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BYTES,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Cc__RouteReply, body),
-    NULL,
+    offsetof(Cc__Ended, worker),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "content_type",
+    "exit_status",
     5,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
+    PROTOBUF_C_TYPE_INT32,
     0,   /* quantifier_offset */
-    offsetof(Cc__RouteReply, content_type),
+    offsetof(Cc__Ended, exit_status),
+    NULL,
     NULL,
-    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "wait_ms",
+    "run_ms",
     6,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Cc__RouteReply, wait_ms),
+    offsetof(Cc__Ended, run_ms),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "refused",
+    "lost",
     7,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_BOOL,
     0,   /* quantifier_offset */
-    offsetof(Cc__RouteReply, refused),
+    offsetof(Cc__Ended, lost),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned cc__route_reply__field_indices_by_name[] = {
-  3,   /* field[3] = body */
-  4,   /* field[4] = content_type */
-  0,   /* field[0] = outcome */
-  1,   /* field[1] = reason */
-  6,   /* field[6] = refused */
-  2,   /* field[2] = status */
-  5,   /* field[5] = wait_ms */
+static const unsigned cc__ended__field_indices_by_name[] = {
+  4,   /* field[4] = exit_status */
+  2,   /* field[2] = home */
+  0,   /* field[0] = id */
+  6,   /* field[6] = lost */
+  1,   /* field[1] = member */
+  5,   /* field[5] = run_ms */
+  3,   /* field[3] = worker */
 };
-static const ProtobufCIntRange cc__route_reply__number_ranges[1 + 1] =
+static const ProtobufCIntRange cc__ended__number_ranges[1 + 1] =
 {
   { 1, 0 },
   { 0, 7 }
 };
-const ProtobufCMessageDescriptor cc__route_reply__descriptor =
+const ProtobufCMessageDescriptor cc__ended__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "cc.RouteReply",
-  "RouteReply",
-  "Cc__RouteReply",
+  "cc.Ended",
+  "Ended",
+  "Cc__Ended",
   "cc",
-  sizeof(Cc__RouteReply),
+  sizeof(Cc__Ended),
   7,
-  cc__route_reply__field_descriptors,
-  cc__route_reply__field_indices_by_name,
-  1,  cc__route_reply__number_ranges,
-  (ProtobufCMessageInit) cc__route_reply__init,
+  cc__ended__field_descriptors,
+  cc__ended__field_indices_by_name,
+  1,  cc__ended__number_ranges,
+  (ProtobufCMessageInit) cc__ended__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cc__submit__field_descriptors[1] =
+static const ProtobufCFieldDescriptor cc__ack__field_descriptors[2] =
 {
   {
-    "accept",
+    "error",
     1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
+    PROTOBUF_C_TYPE_INT32,
     0,   /* quantifier_offset */
-    offsetof(Cc__Submit, accept),
-    &cc__rec_accept__descriptor,
+    offsetof(Cc__Ack, error),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "conf_version",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Cc__Ack, conf_version),
+    NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned cc__submit__field_indices_by_name[] = {
-  0,   /* field[0] = accept */
+static const unsigned cc__ack__field_indices_by_name[] = {
+  1,   /* field[1] = conf_version */
+  0,   /* field[0] = error */
 };
-static const ProtobufCIntRange cc__submit__number_ranges[1 + 1] =
+static const ProtobufCIntRange cc__ack__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 1 }
+  { 0, 2 }
 };
-const ProtobufCMessageDescriptor cc__submit__descriptor =
+const ProtobufCMessageDescriptor cc__ack__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "cc.Submit",
-  "Submit",
-  "Cc__Submit",
+  "cc.Ack",
+  "Ack",
+  "Cc__Ack",
   "cc",
-  sizeof(Cc__Submit),
-  1,
-  cc__submit__field_descriptors,
-  cc__submit__field_indices_by_name,
-  1,  cc__submit__number_ranges,
-  (ProtobufCMessageInit) cc__submit__init,
+  sizeof(Cc__Ack),
+  2,
+  cc__ack__field_descriptors,
+  cc__ack__field_indices_by_name,
+  1,  cc__ack__number_ranges,
+  (ProtobufCMessageInit) cc__ack__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cc__get__field_descriptors[2] =
+static const ProtobufCFieldDescriptor cc__step_spec__field_descriptors[18] =
 {
   {
-    "id",
+    "count",
     1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Cc__Get, id),
+    offsetof(Cc__StepSpec, count),
+    NULL,
     NULL,
-    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "wait_ms",
+    "cpu",
     2,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Cc__Get, wait_ms),
+    offsetof(Cc__StepSpec, cpu),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-};
-static const unsigned cc__get__field_indices_by_name[] = {
-  0,   /* field[0] = id */
-  1,   /* field[1] = wait_ms */
-};
-static const ProtobufCIntRange cc__get__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 2 }
-};
-const ProtobufCMessageDescriptor cc__get__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "cc.Get",
-  "Get",
-  "Cc__Get",
-  "cc",
-  sizeof(Cc__Get),
-  2,
-  cc__get__field_descriptors,
-  cc__get__field_indices_by_name,
-  1,  cc__get__number_ranges,
-  (ProtobufCMessageInit) cc__get__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor cc__cancel__field_descriptors[1] =
-{
   {
-    "id",
-    1,
+    "mem_mb",
+    3,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Cc__Cancel, id),
+    offsetof(Cc__StepSpec, mem_mb),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "gpu",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cc__StepSpec, gpu),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "estimate_ms",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cc__StepSpec, estimate_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "after",
+    6,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Cc__StepSpec, n_after),
+    offsetof(Cc__StepSpec, after),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "saves_progress",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Cc__StepSpec, saves_progress),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "gang",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Cc__StepSpec, gang),
+    NULL,
     NULL,
-    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-};
-static const unsigned cc__cancel__field_indices_by_name[] = {
-  0,   /* field[0] = id */
-};
-static const ProtobufCIntRange cc__cancel__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 1 }
-};
-const ProtobufCMessageDescriptor cc__cancel__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "cc.Cancel",
-  "Cancel",
-  "Cc__Cancel",
-  "cc",
-  sizeof(Cc__Cancel),
-  1,
-  cc__cancel__field_descriptors,
-  cc__cancel__field_indices_by_name,
-  1,  cc__cancel__number_ranges,
-  (ProtobufCMessageInit) cc__cancel__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor cc__settle__field_descriptors[1] =
-{
   {
-    "end",
-    1,
+    "same_rack",
+    9,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
+    PROTOBUF_C_TYPE_BOOL,
     0,   /* quantifier_offset */
-    offsetof(Cc__Settle, end),
-    &cc__rec_end__descriptor,
+    offsetof(Cc__StepSpec, same_rack),
+    NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-};
-static const unsigned cc__settle__field_indices_by_name[] = {
-  0,   /* field[0] = end */
-};
-static const ProtobufCIntRange cc__settle__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 1 }
-};
-const ProtobufCMessageDescriptor cc__settle__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "cc.Settle",
-  "Settle",
-  "Cc__Settle",
-  "cc",
-  sizeof(Cc__Settle),
-  1,
-  cc__settle__field_descriptors,
-  cc__settle__field_indices_by_name,
-  1,  cc__settle__number_ranges,
-  (ProtobufCMessageInit) cc__settle__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor cc__list_tasks__field_descriptors[2] =
-{
   {
-    "class_name",
-    1,
+    "requires",
+    10,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Cc__ListTasks, class_name),
+    offsetof(Cc__StepSpec, requires),
     NULL,
     &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "state",
-    2,
+    "affinity",
+    11,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Cc__ListTasks, state),
+    offsetof(Cc__StepSpec, affinity),
     NULL,
     &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-};
-static const unsigned cc__list_tasks__field_indices_by_name[] = {
-  0,   /* field[0] = class_name */
-  1,   /* field[1] = state */
-};
-static const ProtobufCIntRange cc__list_tasks__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 2 }
-};
-const ProtobufCMessageDescriptor cc__list_tasks__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "cc.ListTasks",
-  "ListTasks",
-  "Cc__ListTasks",
-  "cc",
-  sizeof(Cc__ListTasks),
-  2,
-  cc__list_tasks__field_descriptors,
-  cc__list_tasks__field_indices_by_name,
-  1,  cc__list_tasks__number_ranges,
-  (ProtobufCMessageInit) cc__list_tasks__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor cc__cost_get__field_descriptors[2] =
-{
   {
-    "from_day",
-    1,
+    "anti_affinity",
+    12,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_INT64,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Cc__CostGet, from_day),
+    offsetof(Cc__StepSpec, anti_affinity),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "to_day",
-    2,
+    "speculative",
+    13,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_INT64,
+    PROTOBUF_C_TYPE_BOOL,
     0,   /* quantifier_offset */
-    offsetof(Cc__CostGet, to_day),
+    offsetof(Cc__StepSpec, speculative),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-};
-static const unsigned cc__cost_get__field_indices_by_name[] = {
-  0,   /* field[0] = from_day */
-  1,   /* field[1] = to_day */
-};
-static const ProtobufCIntRange cc__cost_get__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 2 }
-};
-const ProtobufCMessageDescriptor cc__cost_get__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "cc.CostGet",
-  "CostGet",
-  "Cc__CostGet",
-  "cc",
-  sizeof(Cc__CostGet),
-  2,
-  cc__cost_get__field_descriptors,
-  cc__cost_get__field_indices_by_name,
-  1,  cc__cost_get__number_ranges,
-  (ProtobufCMessageInit) cc__cost_get__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor cc__stop_reply__field_descriptors[2] =
-{
   {
-    "error",
-    1,
+    "long_running",
+    14,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_INT32,
+    PROTOBUF_C_TYPE_BOOL,
     0,   /* quantifier_offset */
-    offsetof(Cc__StopReply, error),
+    offsetof(Cc__StepSpec, long_running),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "shard_epoch",
-    2,
+    "image",
+    15,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Cc__StopReply, shard_epoch),
+    offsetof(Cc__StepSpec, image),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "target_ms",
+    16,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cc__StepSpec, target_ms),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-};
-static const unsigned cc__stop_reply__field_indices_by_name[] = {
-  0,   /* field[0] = error */
-  1,   /* field[1] = shard_epoch */
-};
-static const ProtobufCIntRange cc__stop_reply__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 2 }
-};
-const ProtobufCMessageDescriptor cc__stop_reply__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "cc.StopReply",
-  "StopReply",
-  "Cc__StopReply",
-  "cc",
-  sizeof(Cc__StopReply),
-  2,
-  cc__stop_reply__field_descriptors,
-  cc__stop_reply__field_indices_by_name,
-  1,  cc__stop_reply__number_ranges,
-  (ProtobufCMessageInit) cc__stop_reply__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor cc__member_view__field_descriptors[2] =
-{
   {
-    "worker",
-    1,
+    "fills",
+    17,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
+    PROTOBUF_C_TYPE_BOOL,
     0,   /* quantifier_offset */
-    offsetof(Cc__MemberView, worker),
+    offsetof(Cc__StepSpec, fills),
+    NULL,
     NULL,
-    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "state",
-    2,
+    "may_miss",
+    18,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Cc__MemberView, state),
+    offsetof(Cc__StepSpec, may_miss),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned cc__member_view__field_indices_by_name[] = {
-  1,   /* field[1] = state */
-  0,   /* field[0] = worker */
+static const unsigned cc__step_spec__field_indices_by_name[] = {
+  10,   /* field[10] = affinity */
+  5,   /* field[5] = after */
+  11,   /* field[11] = anti_affinity */
+  0,   /* field[0] = count */
+  1,   /* field[1] = cpu */
+  4,   /* field[4] = estimate_ms */
+  16,   /* field[16] = fills */
+  7,   /* field[7] = gang */
+  3,   /* field[3] = gpu */
+  14,   /* field[14] = image */
+  13,   /* field[13] = long_running */
+  17,   /* field[17] = may_miss */
+  2,   /* field[2] = mem_mb */
+  9,   /* field[9] = requires */
+  8,   /* field[8] = same_rack */
+  6,   /* field[6] = saves_progress */
+  12,   /* field[12] = speculative */
+  15,   /* field[15] = target_ms */
 };
-static const ProtobufCIntRange cc__member_view__number_ranges[1 + 1] =
+static const ProtobufCIntRange cc__step_spec__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 18 }
 };
-const ProtobufCMessageDescriptor cc__member_view__descriptor =
+const ProtobufCMessageDescriptor cc__step_spec__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "cc.MemberView",
-  "MemberView",
-  "Cc__MemberView",
+  "cc.StepSpec",
+  "StepSpec",
+  "Cc__StepSpec",
   "cc",
-  sizeof(Cc__MemberView),
-  2,
-  cc__member_view__field_descriptors,
-  cc__member_view__field_indices_by_name,
-  1,  cc__member_view__number_ranges,
-  (ProtobufCMessageInit) cc__member_view__init,
+  sizeof(Cc__StepSpec),
+  18,
+  cc__step_spec__field_descriptors,
+  cc__step_spec__field_indices_by_name,
+  1,  cc__step_spec__number_ranges,
+  (ProtobufCMessageInit) cc__step_spec__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cc__task_view__field_descriptors[17] =
+static const ProtobufCFieldDescriptor cc__job_row__field_descriptors[7] =
 {
   {
-    "id",
+    "queue",
     1,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Cc__TaskView, id),
+    offsetof(Cc__JobRow, queue),
     NULL,
     &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "class_name",
+    "spec",
     2,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Cc__TaskView, class_name),
+    offsetof(Cc__JobRow, spec),
     NULL,
     &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "team",
+    "steps",
     3,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Cc__TaskView, team),
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Cc__JobRow, n_steps),
+    offsetof(Cc__JobRow, steps),
+    &cc__step_spec__descriptor,
     NULL,
-    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "size",
+    "repeat_count",
     4,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Cc__TaskView, size),
-    &cc__size__descriptor,
+    offsetof(Cc__JobRow, repeat_count),
+    NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "count",
+    "start_at_ms",
     5,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_INT64,
     0,   /* quantifier_offset */
-    offsetof(Cc__TaskView, count),
+    offsetof(Cc__JobRow, start_at_ms),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "state",
+    "interval_ms",
     6,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_INT64,
     0,   /* quantifier_offset */
-    offsetof(Cc__TaskView, state),
+    offsetof(Cc__JobRow, interval_ms),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "outcome",
+    "accepted_wall_ms",
     7,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_INT64,
     0,   /* quantifier_offset */
-    offsetof(Cc__TaskView, outcome),
-    NULL,
+    offsetof(Cc__JobRow, accepted_wall_ms),
     NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "reason",
-    8,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Cc__TaskView, reason),
     NULL,
-    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+};
+static const unsigned cc__job_row__field_indices_by_name[] = {
+  6,   /* field[6] = accepted_wall_ms */
+  5,   /* field[5] = interval_ms */
+  0,   /* field[0] = queue */
+  3,   /* field[3] = repeat_count */
+  1,   /* field[1] = spec */
+  4,   /* field[4] = start_at_ms */
+  2,   /* field[2] = steps */
+};
+static const ProtobufCIntRange cc__job_row__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 7 }
+};
+const ProtobufCMessageDescriptor cc__job_row__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "cc.JobRow",
+  "JobRow",
+  "Cc__JobRow",
+  "cc",
+  sizeof(Cc__JobRow),
+  7,
+  cc__job_row__field_descriptors,
+  cc__job_row__field_indices_by_name,
+  1,  cc__job_row__number_ranges,
+  (ProtobufCMessageInit) cc__job_row__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor cc__task_progress__field_descriptors[4] =
+{
   {
-    "run_ms",
-    9,
+    "index",
+    1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Cc__TaskView, run_ms),
+    offsetof(Cc__TaskProgress, index),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "accepted_wall_ms",
-    10,
+    "last_run",
+    2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_INT64,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Cc__TaskView, accepted_wall_ms),
+    offsetof(Cc__TaskProgress, last_run),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "started_wall_ms",
-    11,
+    "failures",
+    3,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_INT64,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Cc__TaskView, started_wall_ms),
+    offsetof(Cc__TaskProgress, failures),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "ended_wall_ms",
-    12,
+    "saved",
+    4,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_INT64,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Cc__TaskView, ended_wall_ms),
-    NULL,
+    offsetof(Cc__TaskProgress, saved),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+};
+static const unsigned cc__task_progress__field_indices_by_name[] = {
+  2,   /* field[2] = failures */
+  0,   /* field[0] = index */
+  1,   /* field[1] = last_run */
+  3,   /* field[3] = saved */
+};
+static const ProtobufCIntRange cc__task_progress__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor cc__task_progress__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "cc.TaskProgress",
+  "TaskProgress",
+  "Cc__TaskProgress",
+  "cc",
+  sizeof(Cc__TaskProgress),
+  4,
+  cc__task_progress__field_descriptors,
+  cc__task_progress__field_indices_by_name,
+  1,  cc__task_progress__number_ranges,
+  (ProtobufCMessageInit) cc__task_progress__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor cc__step_progress__field_descriptors[4] =
+{
   {
-    "status",
-    13,
+    "occurrence",
+    1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_INT32,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Cc__TaskView, status),
+    offsetof(Cc__StepProgress, occurrence),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "answer",
-    14,
+    "step",
+    2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BYTES,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Cc__TaskView, answer),
+    offsetof(Cc__StepProgress, step),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "content_type",
-    15,
+    "done",
+    3,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
+    PROTOBUF_C_TYPE_BYTES,
     0,   /* quantifier_offset */
-    offsetof(Cc__TaskView, content_type),
+    offsetof(Cc__StepProgress, done),
+    NULL,
     NULL,
-    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "members",
-    16,
+    "tasks",
+    4,
     PROTOBUF_C_LABEL_REPEATED,
     PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Cc__TaskView, n_members),
-    offsetof(Cc__TaskView, members),
-    &cc__member_view__descriptor,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "body_hash",
-    17,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Cc__TaskView, body_hash),
-    NULL,
+    offsetof(Cc__StepProgress, n_tasks),
+    offsetof(Cc__StepProgress, tasks),
+    &cc__task_progress__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned cc__task_view__field_indices_by_name[] = {
-  9,   /* field[9] = accepted_wall_ms */
-  13,   /* field[13] = answer */
-  16,   /* field[16] = body_hash */
-  1,   /* field[1] = class_name */
-  14,   /* field[14] = content_type */
-  4,   /* field[4] = count */
-  11,   /* field[11] = ended_wall_ms */
-  0,   /* field[0] = id */
-  15,   /* field[15] = members */
-  6,   /* field[6] = outcome */
-  7,   /* field[7] = reason */
-  8,   /* field[8] = run_ms */
-  3,   /* field[3] = size */
-  10,   /* field[10] = started_wall_ms */
-  5,   /* field[5] = state */
-  12,   /* field[12] = status */
-  2,   /* field[2] = team */
+static const unsigned cc__step_progress__field_indices_by_name[] = {
+  2,   /* field[2] = done */
+  0,   /* field[0] = occurrence */
+  1,   /* field[1] = step */
+  3,   /* field[3] = tasks */
 };
-static const ProtobufCIntRange cc__task_view__number_ranges[1 + 1] =
+static const ProtobufCIntRange cc__step_progress__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 17 }
+  { 0, 4 }
 };
-const ProtobufCMessageDescriptor cc__task_view__descriptor =
+const ProtobufCMessageDescriptor cc__step_progress__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "cc.TaskView",
-  "TaskView",
-  "Cc__TaskView",
+  "cc.StepProgress",
+  "StepProgress",
+  "Cc__StepProgress",
   "cc",
-  sizeof(Cc__TaskView),
-  17,
-  cc__task_view__field_descriptors,
-  cc__task_view__field_indices_by_name,
-  1,  cc__task_view__number_ranges,
-  (ProtobufCMessageInit) cc__task_view__init,
+  sizeof(Cc__StepProgress),
+  4,
+  cc__step_progress__field_descriptors,
+  cc__step_progress__field_indices_by_name,
+  1,  cc__step_progress__number_ranges,
+  (ProtobufCMessageInit) cc__step_progress__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cc__home_reply__field_descriptors[5] =
+static const ProtobufCFieldDescriptor cc__job_progress__field_descriptors[4] =
 {
   {
-    "error",
+    "state",
     1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_INT32,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Cc__HomeReply, error),
+    offsetof(Cc__JobProgress, state),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "created",
+    "started",
     2,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_BOOL,
     0,   /* quantifier_offset */
-    offsetof(Cc__HomeReply, created),
+    offsetof(Cc__JobProgress, started),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "task",
+    "ended_wall_ms",
     3,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
+    PROTOBUF_C_TYPE_INT64,
     0,   /* quantifier_offset */
-    offsetof(Cc__HomeReply, task),
-    &cc__task_view__descriptor,
+    offsetof(Cc__JobProgress, ended_wall_ms),
     NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "tasks",
-    4,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Cc__HomeReply, n_tasks),
-    offsetof(Cc__HomeReply, tasks),
-    &cc__task_view__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "costs",
-    5,
+    "steps",
+    4,
     PROTOBUF_C_LABEL_REPEATED,
     PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Cc__HomeReply, n_costs),
-    offsetof(Cc__HomeReply, costs),
-    &cc__rec_cost__descriptor,
+    offsetof(Cc__JobProgress, n_steps),
+    offsetof(Cc__JobProgress, steps),
+    &cc__step_progress__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned cc__home_reply__field_indices_by_name[] = {
-  4,   /* field[4] = costs */
-  1,   /* field[1] = created */
-  0,   /* field[0] = error */
-  2,   /* field[2] = task */
-  3,   /* field[3] = tasks */
+static const unsigned cc__job_progress__field_indices_by_name[] = {
+  2,   /* field[2] = ended_wall_ms */
+  1,   /* field[1] = started */
+  0,   /* field[0] = state */
+  3,   /* field[3] = steps */
 };
-static const ProtobufCIntRange cc__home_reply__number_ranges[1 + 1] =
+static const ProtobufCIntRange cc__job_progress__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 4 }
 };
-const ProtobufCMessageDescriptor cc__home_reply__descriptor =
+const ProtobufCMessageDescriptor cc__job_progress__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "cc.HomeReply",
-  "HomeReply",
-  "Cc__HomeReply",
+  "cc.JobProgress",
+  "JobProgress",
+  "Cc__JobProgress",
   "cc",
-  sizeof(Cc__HomeReply),
-  5,
-  cc__home_reply__field_descriptors,
-  cc__home_reply__field_indices_by_name,
-  1,  cc__home_reply__number_ranges,
-  (ProtobufCMessageInit) cc__home_reply__init,
+  sizeof(Cc__JobProgress),
+  4,
+  cc__job_progress__field_descriptors,
+  cc__job_progress__field_indices_by_name,
+  1,  cc__job_progress__number_ranges,
+  (ProtobufCMessageInit) cc__job_progress__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cc__place__field_descriptors[12] =
+static const ProtobufCFieldDescriptor cc__leader_row__field_descriptors[4] =
 {
   {
-    "id",
+    "host",
     1,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Cc__Place, id),
+    offsetof(Cc__LeaderRow, host),
     NULL,
     &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "member",
+    "incarnation",
     2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Cc__Place, member),
-    NULL,
+    offsetof(Cc__LeaderRow, incarnation),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "home",
+    "generation",
     3,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Cc__Place, home),
+    offsetof(Cc__LeaderRow, generation),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "shard",
+    "released",
     4,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_BOOL,
     0,   /* quantifier_offset */
-    offsetof(Cc__Place, shard),
-    NULL,
+    offsetof(Cc__LeaderRow, released),
     NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "size",
-    5,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    0,   /* quantifier_offset */
-    offsetof(Cc__Place, size),
-    &cc__size__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+};
+static const unsigned cc__leader_row__field_indices_by_name[] = {
+  2,   /* field[2] = generation */
+  0,   /* field[0] = host */
+  1,   /* field[1] = incarnation */
+  3,   /* field[3] = released */
+};
+static const ProtobufCIntRange cc__leader_row__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor cc__leader_row__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "cc.LeaderRow",
+  "LeaderRow",
+  "Cc__LeaderRow",
+  "cc",
+  sizeof(Cc__LeaderRow),
+  4,
+  cc__leader_row__field_descriptors,
+  cc__leader_row__field_indices_by_name,
+  1,  cc__leader_row__number_ranges,
+  (ProtobufCMessageInit) cc__leader_row__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor cc__commit_row__field_descriptors[2] =
+{
   {
-    "run_ms",
-    6,
+    "seq",
+    1,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Cc__Place, run_ms),
+    offsetof(Cc__CommitRow, seq),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "class_name",
-    7,
+    "incarnation",
+    2,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Cc__Place, class_name),
+    offsetof(Cc__CommitRow, incarnation),
     NULL,
     &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+};
+static const unsigned cc__commit_row__field_indices_by_name[] = {
+  1,   /* field[1] = incarnation */
+  0,   /* field[0] = seq */
+};
+static const ProtobufCIntRange cc__commit_row__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor cc__commit_row__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "cc.CommitRow",
+  "CommitRow",
+  "Cc__CommitRow",
+  "cc",
+  sizeof(Cc__CommitRow),
+  2,
+  cc__commit_row__field_descriptors,
+  cc__commit_row__field_indices_by_name,
+  1,  cc__commit_row__number_ranges,
+  (ProtobufCMessageInit) cc__commit_row__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor cc__member_row__field_descriptors[5] =
+{
   {
-    "attempt",
-    8,
+    "host",
+    1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Cc__Place, attempt),
-    NULL,
+    offsetof(Cc__MemberRow, host),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "reserve_only",
-    9,
+    "addr",
+    2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Cc__Place, reserve_only),
-    NULL,
+    offsetof(Cc__MemberRow, addr),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "repeatable",
-    10,
+    "peer_port",
+    3,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Cc__Place, repeatable),
+    offsetof(Cc__MemberRow, peer_port),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "site_epoch",
-    11,
+    "zone",
+    4,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Cc__Place, site_epoch),
-    NULL,
+    offsetof(Cc__MemberRow, zone),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "avoid",
-    12,
+    "incarnation",
+    5,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Cc__Place, avoid),
+    offsetof(Cc__MemberRow, incarnation),
     NULL,
     &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned cc__place__field_indices_by_name[] = {
-  7,   /* field[7] = attempt */
-  11,   /* field[11] = avoid */
-  6,   /* field[6] = class_name */
-  2,   /* field[2] = home */
-  0,   /* field[0] = id */
-  1,   /* field[1] = member */
-  9,   /* field[9] = repeatable */
-  8,   /* field[8] = reserve_only */
-  5,   /* field[5] = run_ms */
-  3,   /* field[3] = shard */
-  10,   /* field[10] = site_epoch */
-  4,   /* field[4] = size */
+static const unsigned cc__member_row__field_indices_by_name[] = {
+  1,   /* field[1] = addr */
+  0,   /* field[0] = host */
+  4,   /* field[4] = incarnation */
+  2,   /* field[2] = peer_port */
+  3,   /* field[3] = zone */
 };
-static const ProtobufCIntRange cc__place__number_ranges[1 + 1] =
+static const ProtobufCIntRange cc__member_row__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 12 }
+  { 0, 5 }
 };
-const ProtobufCMessageDescriptor cc__place__descriptor =
+const ProtobufCMessageDescriptor cc__member_row__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "cc.Place",
-  "Place",
-  "Cc__Place",
+  "cc.MemberRow",
+  "MemberRow",
+  "Cc__MemberRow",
   "cc",
-  sizeof(Cc__Place),
-  12,
-  cc__place__field_descriptors,
-  cc__place__field_indices_by_name,
-  1,  cc__place__number_ranges,
-  (ProtobufCMessageInit) cc__place__init,
+  sizeof(Cc__MemberRow),
+  5,
+  cc__member_row__field_descriptors,
+  cc__member_row__field_indices_by_name,
+  1,  cc__member_row__number_ranges,
+  (ProtobufCMessageInit) cc__member_row__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cc__place_reply__field_descriptors[4] =
+static const ProtobufCFieldDescriptor cc__cell_call__field_descriptors[4] =
 {
   {
-    "error",
+    "verb",
     1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_INT32,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Cc__PlaceReply, error),
+    offsetof(Cc__CellCall, verb),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "worker",
+    "queue",
     2,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Cc__PlaceReply, worker),
+    offsetof(Cc__CellCall, queue),
     NULL,
     &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "shard_epoch",
+    "id",
     3,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Cc__PlaceReply, shard_epoch),
-    NULL,
+    offsetof(Cc__CellCall, id),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "reserved",
+    "job",
     4,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
+    PROTOBUF_C_TYPE_MESSAGE,
     0,   /* quantifier_offset */
-    offsetof(Cc__PlaceReply, reserved),
-    NULL,
+    offsetof(Cc__CellCall, job),
+    &cc__job_row__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned cc__place_reply__field_indices_by_name[] = {
-  0,   /* field[0] = error */
-  3,   /* field[3] = reserved */
-  2,   /* field[2] = shard_epoch */
-  1,   /* field[1] = worker */
+static const unsigned cc__cell_call__field_indices_by_name[] = {
+  2,   /* field[2] = id */
+  3,   /* field[3] = job */
+  1,   /* field[1] = queue */
+  0,   /* field[0] = verb */
 };
-static const ProtobufCIntRange cc__place_reply__number_ranges[1 + 1] =
+static const ProtobufCIntRange cc__cell_call__number_ranges[1 + 1] =
 {
   { 1, 0 },
   { 0, 4 }
 };
-const ProtobufCMessageDescriptor cc__place_reply__descriptor =
+const ProtobufCMessageDescriptor cc__cell_call__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "cc.PlaceReply",
-  "PlaceReply",
-  "Cc__PlaceReply",
+  "cc.CellCall",
+  "CellCall",
+  "Cc__CellCall",
   "cc",
-  sizeof(Cc__PlaceReply),
+  sizeof(Cc__CellCall),
   4,
-  cc__place_reply__field_descriptors,
-  cc__place_reply__field_indices_by_name,
-  1,  cc__place_reply__number_ranges,
-  (ProtobufCMessageInit) cc__place_reply__init,
+  cc__cell_call__field_descriptors,
+  cc__cell_call__field_indices_by_name,
+  1,  cc__cell_call__number_ranges,
+  (ProtobufCMessageInit) cc__cell_call__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cc__stop__field_descriptors[4] =
+static const ProtobufCFieldDescriptor cc__cell_reply__field_descriptors[4] =
 {
   {
-    "id",
+    "error",
     1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
+    PROTOBUF_C_TYPE_INT32,
     0,   /* quantifier_offset */
-    offsetof(Cc__Stop, id),
+    offsetof(Cc__CellReply, error),
+    NULL,
     NULL,
-    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "member",
+    "state",
     2,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Cc__Stop, member),
+    offsetof(Cc__CellReply, state),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "shard",
+    "pending",
     3,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Cc__Stop, shard),
+    offsetof(Cc__CellReply, pending),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "attempt",
+    "retry_after_ms",
     4,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Cc__Stop, attempt),
+    offsetof(Cc__CellReply, retry_after_ms),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned cc__stop__field_indices_by_name[] = {
-  3,   /* field[3] = attempt */
-  0,   /* field[0] = id */
-  1,   /* field[1] = member */
-  2,   /* field[2] = shard */
+static const unsigned cc__cell_reply__field_indices_by_name[] = {
+  0,   /* field[0] = error */
+  2,   /* field[2] = pending */
+  3,   /* field[3] = retry_after_ms */
+  1,   /* field[1] = state */
 };
-static const ProtobufCIntRange cc__stop__number_ranges[1 + 1] =
+static const ProtobufCIntRange cc__cell_reply__number_ranges[1 + 1] =
 {
   { 1, 0 },
   { 0, 4 }
 };
-const ProtobufCMessageDescriptor cc__stop__descriptor =
+const ProtobufCMessageDescriptor cc__cell_reply__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "cc.Stop",
-  "Stop",
-  "Cc__Stop",
+  "cc.CellReply",
+  "CellReply",
+  "Cc__CellReply",
   "cc",
-  sizeof(Cc__Stop),
+  sizeof(Cc__CellReply),
   4,
-  cc__stop__field_descriptors,
-  cc__stop__field_indices_by_name,
-  1,  cc__stop__number_ranges,
-  (ProtobufCMessageInit) cc__stop__init,
+  cc__cell_reply__field_descriptors,
+  cc__cell_reply__field_indices_by_name,
+  1,  cc__cell_reply__number_ranges,
+  (ProtobufCMessageInit) cc__cell_reply__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cc__ended__field_descriptors[7] =
+static const ProtobufCFieldDescriptor cc__cell_beat__field_descriptors[6] =
 {
   {
-    "id",
+    "incarnation",
     1,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Cc__Ended, id),
+    offsetof(Cc__CellBeat, incarnation),
     NULL,
     &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "member",
+    "leads",
     2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_BOOL,
     0,   /* quantifier_offset */
-    offsetof(Cc__Ended, member),
+    offsetof(Cc__CellBeat, leads),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "home",
+    "fence",
     3,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Cc__Ended, home),
+    offsetof(Cc__CellBeat, fence),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "worker",
+    "leaving",
     4,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
+    PROTOBUF_C_TYPE_BOOL,
     0,   /* quantifier_offset */
-    offsetof(Cc__Ended, worker),
+    offsetof(Cc__CellBeat, leaving),
+    NULL,
     NULL,
-    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "exit_status",
+    "manifest_version",
     5,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_INT32,
+    PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Cc__Ended, exit_status),
+    offsetof(Cc__CellBeat, manifest_version),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "run_ms",
+    "stalled",
     6,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_BOOL,
     0,   /* quantifier_offset */
-    offsetof(Cc__Ended, run_ms),
+    offsetof(Cc__CellBeat, stalled),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+};
+static const unsigned cc__cell_beat__field_indices_by_name[] = {
+  2,   /* field[2] = fence */
+  0,   /* field[0] = incarnation */
+  1,   /* field[1] = leads */
+  3,   /* field[3] = leaving */
+  4,   /* field[4] = manifest_version */
+  5,   /* field[5] = stalled */
+};
+static const ProtobufCIntRange cc__cell_beat__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 6 }
+};
+const ProtobufCMessageDescriptor cc__cell_beat__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "cc.CellBeat",
+  "CellBeat",
+  "Cc__CellBeat",
+  "cc",
+  sizeof(Cc__CellBeat),
+  6,
+  cc__cell_beat__field_descriptors,
+  cc__cell_beat__field_indices_by_name,
+  1,  cc__cell_beat__number_ranges,
+  (ProtobufCMessageInit) cc__cell_beat__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor cc__advise_call__field_descriptors[2] =
+{
   {
-    "lost",
-    7,
+    "step",
+    1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Cc__Ended, lost),
+    offsetof(Cc__AdviseCall, step),
     NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "runners",
+    2,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_STRING,
+    offsetof(Cc__AdviseCall, n_runners),
+    offsetof(Cc__AdviseCall, runners),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned cc__ended__field_indices_by_name[] = {
-  4,   /* field[4] = exit_status */
-  2,   /* field[2] = home */
-  0,   /* field[0] = id */
-  6,   /* field[6] = lost */
-  1,   /* field[1] = member */
-  5,   /* field[5] = run_ms */
-  3,   /* field[3] = worker */
+static const unsigned cc__advise_call__field_indices_by_name[] = {
+  1,   /* field[1] = runners */
+  0,   /* field[0] = step */
 };
-static const ProtobufCIntRange cc__ended__number_ranges[1 + 1] =
+static const ProtobufCIntRange cc__advise_call__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 0, 2 }
 };
-const ProtobufCMessageDescriptor cc__ended__descriptor =
+const ProtobufCMessageDescriptor cc__advise_call__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "cc.Ended",
-  "Ended",
-  "Cc__Ended",
+  "cc.AdviseCall",
+  "AdviseCall",
+  "Cc__AdviseCall",
   "cc",
-  sizeof(Cc__Ended),
-  7,
-  cc__ended__field_descriptors,
-  cc__ended__field_indices_by_name,
-  1,  cc__ended__number_ranges,
-  (ProtobufCMessageInit) cc__ended__init,
+  sizeof(Cc__AdviseCall),
+  2,
+  cc__advise_call__field_descriptors,
+  cc__advise_call__field_indices_by_name,
+  1,  cc__advise_call__number_ranges,
+  (ProtobufCMessageInit) cc__advise_call__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cc__ack__field_descriptors[2] =
+static const ProtobufCFieldDescriptor cc__advise_reply__field_descriptors[4] =
 {
   {
     "error",
@@ -4565,50 +6333,76 @@
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_INT32,
     0,   /* quantifier_offset */
-    offsetof(Cc__Ack, error),
+    offsetof(Cc__AdviseReply, error),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "conf_version",
+    "runners",
     2,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_STRING,
+    offsetof(Cc__AdviseReply, n_runners),
+    offsetof(Cc__AdviseReply, runners),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "tickets",
+    3,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_STRING,
+    offsetof(Cc__AdviseReply, n_tickets),
+    offsetof(Cc__AdviseReply, tickets),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "validity_ms",
+    4,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Cc__Ack, conf_version),
+    offsetof(Cc__AdviseReply, validity_ms),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned cc__ack__field_indices_by_name[] = {
-  1,   /* field[1] = conf_version */
+static const unsigned cc__advise_reply__field_indices_by_name[] = {
   0,   /* field[0] = error */
+  1,   /* field[1] = runners */
+  2,   /* field[2] = tickets */
+  3,   /* field[3] = validity_ms */
 };
-static const ProtobufCIntRange cc__ack__number_ranges[1 + 1] =
+static const ProtobufCIntRange cc__advise_reply__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 4 }
 };
-const ProtobufCMessageDescriptor cc__ack__descriptor =
+const ProtobufCMessageDescriptor cc__advise_reply__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "cc.Ack",
-  "Ack",
-  "Cc__Ack",
+  "cc.AdviseReply",
+  "AdviseReply",
+  "Cc__AdviseReply",
   "cc",
-  sizeof(Cc__Ack),
-  2,
-  cc__ack__field_descriptors,
-  cc__ack__field_indices_by_name,
-  1,  cc__ack__number_ranges,
-  (ProtobufCMessageInit) cc__ack__init,
+  sizeof(Cc__AdviseReply),
+  4,
+  cc__advise_reply__field_descriptors,
+  cc__advise_reply__field_indices_by_name,
+  1,  cc__advise_reply__number_ranges,
+  (ProtobufCMessageInit) cc__advise_reply__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cc__frame__field_descriptors[22] =
+static const ProtobufCFieldDescriptor cc__frame__field_descriptors[27] =
 {
   {
     "id",
@@ -4874,12 +6668,77 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "cell_call",
+    23,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Cc__Frame, body_case),
+    offsetof(Cc__Frame, cell_call),
+    &cc__cell_call__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "cell_reply",
+    24,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Cc__Frame, body_case),
+    offsetof(Cc__Frame, cell_reply),
+    &cc__cell_reply__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "cell_beat",
+    25,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Cc__Frame, body_case),
+    offsetof(Cc__Frame, cell_beat),
+    &cc__cell_beat__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "advise_call",
+    26,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Cc__Frame, body_case),
+    offsetof(Cc__Frame, advise_call),
+    &cc__advise_call__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "advise_reply",
+    27,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Cc__Frame, body_case),
+    offsetof(Cc__Frame, advise_reply),
+    &cc__advise_reply__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cc__frame__field_indices_by_name[] = {
   18,   /* field[18] = ack */
+  25,   /* field[25] = advise_call */
+  26,   /* field[26] = advise_reply */
   3,   /* field[3] = auth */
   4,   /* field[4] = beat */
   11,   /* field[11] = cancel */
+  24,   /* field[24] = cell_beat */
+  22,   /* field[22] = cell_call */
+  23,   /* field[23] = cell_reply */
   5,   /* field[5] = conf */
   6,   /* field[6] = conf_get */
   20,   /* field[20] = cost_get */
@@ -4902,7 +6761,7 @@
 static const ProtobufCIntRange cc__frame__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 22 }
+  { 0, 27 }
 };
 const ProtobufCMessageDescriptor cc__frame__descriptor =
 {
@@ -4912,7 +6771,7 @@
   "Cc__Frame",
   "cc",
   sizeof(Cc__Frame),
-  22,
+  27,
   cc__frame__field_descriptors,
   cc__frame__field_indices_by_name,
   1,  cc__frame__number_ranges,
--- a/src/protocol/peer.pb-c.h
+++ b/src/protocol/peer.pb-c.h
@@ -50,6 +50,19 @@
 typedef struct Cc__Stop Cc__Stop;
 typedef struct Cc__Ended Cc__Ended;
 typedef struct Cc__Ack Cc__Ack;
+typedef struct Cc__StepSpec Cc__StepSpec;
+typedef struct Cc__JobRow Cc__JobRow;
+typedef struct Cc__TaskProgress Cc__TaskProgress;
+typedef struct Cc__StepProgress Cc__StepProgress;
+typedef struct Cc__JobProgress Cc__JobProgress;
+typedef struct Cc__LeaderRow Cc__LeaderRow;
+typedef struct Cc__CommitRow Cc__CommitRow;
+typedef struct Cc__MemberRow Cc__MemberRow;
+typedef struct Cc__CellCall Cc__CellCall;
+typedef struct Cc__CellReply Cc__CellReply;
+typedef struct Cc__CellBeat Cc__CellBeat;
+typedef struct Cc__AdviseCall Cc__AdviseCall;
+typedef struct Cc__AdviseReply Cc__AdviseReply;
 typedef struct Cc__Frame Cc__Frame;
 
 
@@ -608,6 +621,249 @@
     , 0, 0 }
 
 
+/*
+ * One step of a job: tasks of one shape.
+ */
+struct  Cc__StepSpec
+{
+  ProtobufCMessage base;
+  uint32_t count;
+  /*
+   * thousandths of a core, a task
+   */
+  uint32_t cpu;
+  uint32_t mem_mb;
+  uint32_t gpu;
+  uint32_t estimate_ms;
+  /*
+   * steps whose tasks must be done first
+   */
+  size_t n_after;
+  uint32_t *after;
+  protobuf_c_boolean saves_progress;
+  protobuf_c_boolean gang;
+  protobuf_c_boolean same_rack;
+  /*
+   * label that the runner must have
+   */
+  char *requires;
+  /*
+   * rack near the data
+   */
+  char *affinity;
+  /*
+   * most tasks of the step on one runner; 0: any
+   */
+  uint32_t anti_affinity;
+  protobuf_c_boolean speculative;
+  protobuf_c_boolean long_running;
+  char *image;
+  /*
+   * tail of its own users' latency
+   */
+  uint32_t target_ms;
+  /*
+   * uses what others leave; its cpu isn't counted
+   */
+  protobuf_c_boolean fills;
+  uint32_t may_miss;
+};
+#define CC__STEP_SPEC__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&cc__step_spec__descriptor) \
+    , 0, 0, 0, 0, 0, 0,NULL, 0, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, (char *)protobuf_c_empty_string, 0, 0, 0 }
+
+
+/*
+ * A job as it was accepted; never changed afterwards.
+ */
+struct  Cc__JobRow
+{
+  ProtobufCMessage base;
+  char *queue;
+  char *spec;
+  size_t n_steps;
+  Cc__StepSpec **steps;
+  uint32_t repeat_count;
+  /*
+   * wall clock
+   */
+  int64_t start_at_ms;
+  int64_t interval_ms;
+  int64_t accepted_wall_ms;
+};
+#define CC__JOB_ROW__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&cc__job_row__descriptor) \
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0,NULL, 0, 0, 0, 0 }
+
+
+struct  Cc__TaskProgress
+{
+  ProtobufCMessage base;
+  uint32_t index;
+  uint32_t last_run;
+  uint32_t failures;
+  char *saved;
+};
+#define CC__TASK_PROGRESS__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&cc__task_progress__descriptor) \
+    , 0, 0, 0, (char *)protobuf_c_empty_string }
+
+
+struct  Cc__StepProgress
+{
+  ProtobufCMessage base;
+  uint32_t occurrence;
+  uint32_t step;
+  /*
+   * a bit a task
+   */
+  ProtobufCBinaryData done;
+  size_t n_tasks;
+  Cc__TaskProgress **tasks;
+};
+#define CC__STEP_PROGRESS__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&cc__step_progress__descriptor) \
+    , 0, 0, {0,NULL}, 0,NULL }
+
+
+/*
+ * What must not be forgotten about a job.
+ */
+struct  Cc__JobProgress
+{
+  ProtobufCMessage base;
+  uint32_t state;
+  protobuf_c_boolean started;
+  int64_t ended_wall_ms;
+  size_t n_steps;
+  Cc__StepProgress **steps;
+};
+#define CC__JOB_PROGRESS__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&cc__job_progress__descriptor) \
+    , 0, 0, 0, 0,NULL }
+
+
+/*
+ * Rows of the store that settle who leads the cell.
+ */
+struct  Cc__LeaderRow
+{
+  ProtobufCMessage base;
+  char *host;
+  char *incarnation;
+  /*
+   * rises with each claim
+   */
+  uint32_t generation;
+  protobuf_c_boolean released;
+};
+#define CC__LEADER_ROW__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&cc__leader_row__descriptor) \
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0 }
+
+
+struct  Cc__CommitRow
+{
+  ProtobufCMessage base;
+  uint64_t seq;
+  char *incarnation;
+};
+#define CC__COMMIT_ROW__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&cc__commit_row__descriptor) \
+    , 0, (char *)protobuf_c_empty_string }
+
+
+struct  Cc__MemberRow
+{
+  ProtobufCMessage base;
+  char *host;
+  char *addr;
+  uint32_t peer_port;
+  char *zone;
+  char *incarnation;
+};
+#define CC__MEMBER_ROW__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&cc__member_row__descriptor) \
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string }
+
+
+/*
+ * A caller's call on a job, on its way to the leader.
+ */
+struct  Cc__CellCall
+{
+  ProtobufCMessage base;
+  uint32_t verb;
+  char *queue;
+  char *id;
+  Cc__JobRow *job;
+};
+#define CC__CELL_CALL__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&cc__cell_call__descriptor) \
+    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, NULL }
+
+
+struct  Cc__CellReply
+{
+  ProtobufCMessage base;
+  int32_t error;
+  uint32_t state;
+  uint32_t pending;
+  uint32_t retry_after_ms;
+};
+#define CC__CELL_REPLY__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&cc__cell_reply__descriptor) \
+    , 0, 0, 0, 0 }
+
+
+struct  Cc__CellBeat
+{
+  ProtobufCMessage base;
+  char *incarnation;
+  protobuf_c_boolean leads;
+  uint64_t fence;
+  protobuf_c_boolean leaving;
+  uint64_t manifest_version;
+  /*
+   * the store doesn't answer its commits
+   */
+  protobuf_c_boolean stalled;
+};
+#define CC__CELL_BEAT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&cc__cell_beat__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0 }
+
+
+/*
+ * Asks a member to call the advice service in its own lane.
+ */
+struct  Cc__AdviseCall
+{
+  ProtobufCMessage base;
+  char *step;
+  size_t n_runners;
+  char **runners;
+};
+#define CC__ADVISE_CALL__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&cc__advise_call__descriptor) \
+    , (char *)protobuf_c_empty_string, 0,NULL }
+
+
+struct  Cc__AdviseReply
+{
+  ProtobufCMessage base;
+  int32_t error;
+  size_t n_runners;
+  char **runners;
+  size_t n_tickets;
+  char **tickets;
+  uint32_t validity_ms;
+};
+#define CC__ADVISE_REPLY__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&cc__advise_reply__descriptor) \
+    , 0, 0,NULL, 0,NULL, 0 }
+
+
 typedef enum {
   CC__FRAME__BODY__NOT_SET = 0,
   CC__FRAME__BODY_HELLO = 3,
@@ -629,7 +885,12 @@
   CC__FRAME__BODY_ACK = 19,
   CC__FRAME__BODY_LIST_TASKS = 20,
   CC__FRAME__BODY_COST_GET = 21,
-  CC__FRAME__BODY_STOP_REPLY = 22
+  CC__FRAME__BODY_STOP_REPLY = 22,
+  CC__FRAME__BODY_CELL_CALL = 23,
+  CC__FRAME__BODY_CELL_REPLY = 24,
+  CC__FRAME__BODY_CELL_BEAT = 25,
+  CC__FRAME__BODY_ADVISE_CALL = 26,
+  CC__FRAME__BODY_ADVISE_REPLY = 27
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(CC__FRAME__BODY__CASE)
 } Cc__Frame__BodyCase;
 
@@ -660,6 +921,11 @@
     Cc__ListTasks *list_tasks;
     Cc__CostGet *cost_get;
     Cc__StopReply *stop_reply;
+    Cc__CellCall *cell_call;
+    Cc__CellReply *cell_reply;
+    Cc__CellBeat *cell_beat;
+    Cc__AdviseCall *advise_call;
+    Cc__AdviseReply *advise_reply;
   };
 };
 #define CC__FRAME__INIT \
@@ -1332,6 +1598,253 @@
 void   cc__ack__free_unpacked
                      (Cc__Ack *message,
                       ProtobufCAllocator *allocator);
+/* Cc__StepSpec methods */
+void   cc__step_spec__init
+                     (Cc__StepSpec         *message);
+size_t cc__step_spec__get_packed_size
+                     (const Cc__StepSpec   *message);
+size_t cc__step_spec__pack
+                     (const Cc__StepSpec   *message,
+                      uint8_t             *out);
+size_t cc__step_spec__pack_to_buffer
+                     (const Cc__StepSpec   *message,
+                      ProtobufCBuffer     *buffer);
+Cc__StepSpec *
+       cc__step_spec__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   cc__step_spec__free_unpacked
+                     (Cc__StepSpec *message,
+                      ProtobufCAllocator *allocator);
+/* Cc__JobRow methods */
+void   cc__job_row__init
+                     (Cc__JobRow         *message);
+size_t cc__job_row__get_packed_size
+                     (const Cc__JobRow   *message);
+size_t cc__job_row__pack
+                     (const Cc__JobRow   *message,
+                      uint8_t             *out);
+size_t cc__job_row__pack_to_buffer
+                     (const Cc__JobRow   *message,
+                      ProtobufCBuffer     *buffer);
+Cc__JobRow *
+       cc__job_row__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   cc__job_row__free_unpacked
+                     (Cc__JobRow *message,
+                      ProtobufCAllocator *allocator);
+/* Cc__TaskProgress methods */
+void   cc__task_progress__init
+                     (Cc__TaskProgress         *message);
+size_t cc__task_progress__get_packed_size
+                     (const Cc__TaskProgress   *message);
+size_t cc__task_progress__pack
+                     (const Cc__TaskProgress   *message,
+                      uint8_t             *out);
+size_t cc__task_progress__pack_to_buffer
+                     (const Cc__TaskProgress   *message,
+                      ProtobufCBuffer     *buffer);
+Cc__TaskProgress *
+       cc__task_progress__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   cc__task_progress__free_unpacked
+                     (Cc__TaskProgress *message,
+                      ProtobufCAllocator *allocator);
+/* Cc__StepProgress methods */
+void   cc__step_progress__init
+                     (Cc__StepProgress         *message);
+size_t cc__step_progress__get_packed_size
+                     (const Cc__StepProgress   *message);
+size_t cc__step_progress__pack
+                     (const Cc__StepProgress   *message,
+                      uint8_t             *out);
+size_t cc__step_progress__pack_to_buffer
+                     (const Cc__StepProgress   *message,
+                      ProtobufCBuffer     *buffer);
+Cc__StepProgress *
+       cc__step_progress__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   cc__step_progress__free_unpacked
+                     (Cc__StepProgress *message,
+                      ProtobufCAllocator *allocator);
+/* Cc__JobProgress methods */
+void   cc__job_progress__init
+                     (Cc__JobProgress         *message);
+size_t cc__job_progress__get_packed_size
+                     (const Cc__JobProgress   *message);
+size_t cc__job_progress__pack
+                     (const Cc__JobProgress   *message,
+                      uint8_t             *out);
+size_t cc__job_progress__pack_to_buffer
+                     (const Cc__JobProgress   *message,
+                      ProtobufCBuffer     *buffer);
+Cc__JobProgress *
+       cc__job_progress__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   cc__job_progress__free_unpacked
+                     (Cc__JobProgress *message,
+                      ProtobufCAllocator *allocator);
+/* Cc__LeaderRow methods */
+void   cc__leader_row__init
+                     (Cc__LeaderRow         *message);
+size_t cc__leader_row__get_packed_size
+                     (const Cc__LeaderRow   *message);
+size_t cc__leader_row__pack
+                     (const Cc__LeaderRow   *message,
+                      uint8_t             *out);
+size_t cc__leader_row__pack_to_buffer
+                     (const Cc__LeaderRow   *message,
+                      ProtobufCBuffer     *buffer);
+Cc__LeaderRow *
+       cc__leader_row__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   cc__leader_row__free_unpacked
+                     (Cc__LeaderRow *message,
+                      ProtobufCAllocator *allocator);
+/* Cc__CommitRow methods */
+void   cc__commit_row__init
+                     (Cc__CommitRow         *message);
+size_t cc__commit_row__get_packed_size
+                     (const Cc__CommitRow   *message);
+size_t cc__commit_row__pack
+                     (const Cc__CommitRow   *message,
+                      uint8_t             *out);
+size_t cc__commit_row__pack_to_buffer
+                     (const Cc__CommitRow   *message,
+                      ProtobufCBuffer     *buffer);
+Cc__CommitRow *
+       cc__commit_row__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   cc__commit_row__free_unpacked
+                     (Cc__CommitRow *message,
+                      ProtobufCAllocator *allocator);
+/* Cc__MemberRow methods */
+void   cc__member_row__init
+                     (Cc__MemberRow         *message);
+size_t cc__member_row__get_packed_size
+                     (const Cc__MemberRow   *message);
+size_t cc__member_row__pack
+                     (const Cc__MemberRow   *message,
+                      uint8_t             *out);
+size_t cc__member_row__pack_to_buffer
+                     (const Cc__MemberRow   *message,
+                      ProtobufCBuffer     *buffer);
+Cc__MemberRow *
+       cc__member_row__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   cc__member_row__free_unpacked
+                     (Cc__MemberRow *message,
+                      ProtobufCAllocator *allocator);
+/* Cc__CellCall methods */
+void   cc__cell_call__init
+                     (Cc__CellCall         *message);
+size_t cc__cell_call__get_packed_size
+                     (const Cc__CellCall   *message);
+size_t cc__cell_call__pack
+                     (const Cc__CellCall   *message,
+                      uint8_t             *out);
+size_t cc__cell_call__pack_to_buffer
+                     (const Cc__CellCall   *message,
+                      ProtobufCBuffer     *buffer);
+Cc__CellCall *
+       cc__cell_call__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   cc__cell_call__free_unpacked
+                     (Cc__CellCall *message,
+                      ProtobufCAllocator *allocator);
+/* Cc__CellReply methods */
+void   cc__cell_reply__init
+                     (Cc__CellReply         *message);
+size_t cc__cell_reply__get_packed_size
+                     (const Cc__CellReply   *message);
+size_t cc__cell_reply__pack
+                     (const Cc__CellReply   *message,
+                      uint8_t             *out);
+size_t cc__cell_reply__pack_to_buffer
+                     (const Cc__CellReply   *message,
+                      ProtobufCBuffer     *buffer);
+Cc__CellReply *
+       cc__cell_reply__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   cc__cell_reply__free_unpacked
+                     (Cc__CellReply *message,
+                      ProtobufCAllocator *allocator);
+/* Cc__CellBeat methods */
+void   cc__cell_beat__init
+                     (Cc__CellBeat         *message);
+size_t cc__cell_beat__get_packed_size
+                     (const Cc__CellBeat   *message);
+size_t cc__cell_beat__pack
+                     (const Cc__CellBeat   *message,
+                      uint8_t             *out);
+size_t cc__cell_beat__pack_to_buffer
+                     (const Cc__CellBeat   *message,
+                      ProtobufCBuffer     *buffer);
+Cc__CellBeat *
+       cc__cell_beat__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   cc__cell_beat__free_unpacked
+                     (Cc__CellBeat *message,
+                      ProtobufCAllocator *allocator);
+/* Cc__AdviseCall methods */
+void   cc__advise_call__init
+                     (Cc__AdviseCall         *message);
+size_t cc__advise_call__get_packed_size
+                     (const Cc__AdviseCall   *message);
+size_t cc__advise_call__pack
+                     (const Cc__AdviseCall   *message,
+                      uint8_t             *out);
+size_t cc__advise_call__pack_to_buffer
+                     (const Cc__AdviseCall   *message,
+                      ProtobufCBuffer     *buffer);
+Cc__AdviseCall *
+       cc__advise_call__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   cc__advise_call__free_unpacked
+                     (Cc__AdviseCall *message,
+                      ProtobufCAllocator *allocator);
+/* Cc__AdviseReply methods */
+void   cc__advise_reply__init
+                     (Cc__AdviseReply         *message);
+size_t cc__advise_reply__get_packed_size
+                     (const Cc__AdviseReply   *message);
+size_t cc__advise_reply__pack
+                     (const Cc__AdviseReply   *message,
+                      uint8_t             *out);
+size_t cc__advise_reply__pack_to_buffer
+                     (const Cc__AdviseReply   *message,
+                      ProtobufCBuffer     *buffer);
+Cc__AdviseReply *
+       cc__advise_reply__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   cc__advise_reply__free_unpacked
+                     (Cc__AdviseReply *message,
+                      ProtobufCAllocator *allocator);
 /* Cc__Frame methods */
 void   cc__frame__init
                      (Cc__Frame         *message);
@@ -1458,6 +1971,45 @@
 typedef void (*Cc__Ack_Closure)
                  (const Cc__Ack *message,
                   void *closure_data);
+typedef void (*Cc__StepSpec_Closure)
+                 (const Cc__StepSpec *message,
+                  void *closure_data);
+typedef void (*Cc__JobRow_Closure)
+                 (const Cc__JobRow *message,
+                  void *closure_data);
+typedef void (*Cc__TaskProgress_Closure)
+                 (const Cc__TaskProgress *message,
+                  void *closure_data);
+typedef void (*Cc__StepProgress_Closure)
+                 (const Cc__StepProgress *message,
+                  void *closure_data);
+typedef void (*Cc__JobProgress_Closure)
+                 (const Cc__JobProgress *message,
+                  void *closure_data);
+typedef void (*Cc__LeaderRow_Closure)
+                 (const Cc__LeaderRow *message,
+                  void *closure_data);
+typedef void (*Cc__CommitRow_Closure)
+                 (const Cc__CommitRow *message,
+                  void *closure_data);
+typedef void (*Cc__MemberRow_Closure)
+                 (const Cc__MemberRow *message,
+                  void *closure_data);
+typedef void (*Cc__CellCall_Closure)
+                 (const Cc__CellCall *message,
+                  void *closure_data);
+typedef void (*Cc__CellReply_Closure)
+                 (const Cc__CellReply *message,
+                  void *closure_data);
+typedef void (*Cc__CellBeat_Closure)
+                 (const Cc__CellBeat *message,
+                  void *closure_data);
+typedef void (*Cc__AdviseCall_Closure)
+                 (const Cc__AdviseCall *message,
+                  void *closure_data);
+typedef void (*Cc__AdviseReply_Closure)
+                 (const Cc__AdviseReply *message,
+                  void *closure_data);
 typedef void (*Cc__Frame_Closure)
                  (const Cc__Frame *message,
                   void *closure_data);
@@ -1502,6 +2054,19 @@
 extern const ProtobufCMessageDescriptor cc__stop__descriptor;
 extern const ProtobufCMessageDescriptor cc__ended__descriptor;
 extern const ProtobufCMessageDescriptor cc__ack__descriptor;
+extern const ProtobufCMessageDescriptor cc__step_spec__descriptor;
+extern const ProtobufCMessageDescriptor cc__job_row__descriptor;
+extern const ProtobufCMessageDescriptor cc__task_progress__descriptor;
+extern const ProtobufCMessageDescriptor cc__step_progress__descriptor;
+extern const ProtobufCMessageDescriptor cc__job_progress__descriptor;
+extern const ProtobufCMessageDescriptor cc__leader_row__descriptor;
+extern const ProtobufCMessageDescriptor cc__commit_row__descriptor;
+extern const ProtobufCMessageDescriptor cc__member_row__descriptor;
+extern const ProtobufCMessageDescriptor cc__cell_call__descriptor;
+extern const ProtobufCMessageDescriptor cc__cell_reply__descriptor;
+extern const ProtobufCMessageDescriptor cc__cell_beat__descriptor;
+extern const ProtobufCMessageDescriptor cc__advise_call__descriptor;
+extern const ProtobufCMessageDescriptor cc__advise_reply__descriptor;
 extern const ProtobufCMessageDescriptor cc__frame__descriptor;
 
 PROTOBUF_C__END_DECLS
--- /dev/null
+++ b/src/state/cell_settings.c
@@ -0,0 +1,120 @@
+#include "cell_settings.h"
+
+#include <arpa/inet.h>
+#include <stddef.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "../base/kvlog.h"
+#include "../base/xalloc.h"
+#include "yaml_doc.h"
+
+#define S(field) offsetof(struct cell_settings, field)
+#define PORT_MAX 65535
+#define MINUTE_MS 60000
+#define DAY_S 86400
+#define KEY_MIN 16
+#define MAX_HOLD_MIN_MS 1000
+
+static const struct yaml_field fields[] = {
+    {"host", YAML_NAME, S(host), 64, 0, 0, true, NULL, NULL},
+    {"zone", YAML_NAME, S(zone), 64, 0, 0, true, NULL, NULL},
+    {"addr", YAML_IP, S(addr), ADDR_LEN, 0, 0, true, NULL, NULL},
+    {"callers", YAML_TEXT, S(callers), ADDR_LEN, 0, 0, true, NULL, NULL},
+    {"readiness", YAML_TEXT, S(readiness), ADDR_LEN, 0, 0, true, NULL, NULL},
+    {"store", YAML_TEXT, S(store), ADDR_LEN, 0, 0, true, NULL, NULL},
+    {"advice", YAML_TEXT, S(advice), ADDR_LEN, 0, 0, false, NULL, NULL},
+    {"key", YAML_TEXT, S(key), KEY_LEN, 0, 0, true, NULL, NULL},
+    {"log_level", YAML_TEXT, S(log_level), 16, 0, 0, false, NULL, NULL},
+    {"peer_port", YAML_INT, S(peer_port), 0, 1, PORT_MAX, true, NULL, NULL},
+    {"metrics_port", YAML_INT, S(metrics_port), 0, 1, PORT_MAX, false, NULL,
+	NULL},
+    {"max_hold_ms", YAML_INT, S(max_hold_ms), 0, MAX_HOLD_MIN_MS, MINUTE_MS,
+	false, NULL, NULL},
+    {"stop_grace_ms", YAML_INT, S(stop_grace_ms), 0, 1, MINUTE_MS, false, NULL,
+	NULL},
+    {"status_s", YAML_INT, S(status_s), 0, 1, DAY_S, false, NULL, NULL},
+    {"grace_s", YAML_INT, S(grace_s), 0, 1, 600, false, NULL, NULL},
+    {"early_ms", YAML_INT, S(early_ms), 0, 0, MINUTE_MS, false, NULL, NULL},
+    {"drain_ms", YAML_INT, S(drain_ms), 0, 0, MINUTE_MS, false, NULL, NULL},
+    {"impact_ms", YAML_INT, S(impact_ms), 0, 0, MINUTE_MS, false, NULL, NULL},
+    {"remote_factor", YAML_MONEY, S(remote_factor), 0, 0, 0, false, NULL,
+	NULL},
+    {NULL, YAML_TEXT, 0, 0, 0, 0, false, NULL, NULL},
+};
+
+static void
+set_defaults(struct cell_settings *s)
+{
+	memset(s, 0, sizeof(*s));
+	str_copy(s->log_level, "info", sizeof(s->log_level));
+	s->max_hold_ms = 10000;
+	s->stop_grace_ms = 400;
+	s->status_s = 120;
+	s->grace_s = 6;
+	s->drain_ms = 2000;
+	s->impact_ms = 4000;
+	s->remote_factor = 1.0;
+}
+
+static bool
+is_endpoint(const char *text)
+{
+	const char *colon = strrchr(text, ':');
+	char ip[ADDR_LEN];
+	struct in_addr in;
+	long port;
+	char *end;
+
+	if (colon == NULL)
+		return false;
+	str_copy(ip, text, (size_t)(colon - text) + 1);
+	port = strtol(colon + 1, &end, 10);
+	return *end == '\0' && port > 0 && port <= PORT_MAX &&
+	    inet_pton(AF_INET, ip, &in) == 1;
+}
+
+static void
+check_endpoint(struct yaml_doc *d, const char *name, const char *value)
+{
+	if (value[0] != '\0' && !is_endpoint(value))
+		yaml_find(d, yaml_doc_root(d), name,
+		    "'%s' must have the form IP:PORT", value);
+}
+
+static void
+check_together(struct yaml_doc *d, const struct cell_settings *s)
+{
+	yaml_node_t *root = yaml_doc_root(d);
+
+	check_endpoint(d, "callers", s->callers);
+	check_endpoint(d, "readiness", s->readiness);
+	check_endpoint(d, "store", s->store);
+	check_endpoint(d, "advice", s->advice);
+	if (s->key[0] != '\0' && strlen(s->key) < KEY_MIN)
+		yaml_find(
+		    d, root, "key", "needs at least %d characters", KEY_MIN);
+	if (kvlog_level_of(s->log_level) < 0)
+		yaml_find(d, root, "log_level",
+		    "'%s' is unknown, allowed are "
+		    "error, warn, info, debug",
+		    s->log_level);
+}
+
+void
+cell_settings_parse(
+    struct cell_settings *s, const char *text, size_t len, struct findings *fs)
+{
+	struct yaml_doc d;
+
+	set_defaults(s);
+	if (!yaml_doc_init(&d, text, len, fs))
+		return;
+	if (yaml_doc_root(&d) == NULL) {
+		findings_add(fs, 1, 1, "host", "the file is empty");
+	} else {
+		yaml_read_map(&d, yaml_doc_root(&d), "", fields, s);
+		check_together(&d, s);
+	}
+	yaml_doc_done(&d);
+}
