--- /dev/null
+++ b/src/state/job.h
@@ -0,0 +1,143 @@
+/**
+ * @file Job, occurrence, step and task, and what has happened to them.
+ *
+ * A job is accepted whole and never changes; its progress does. Occurrences
+ * of a repeated job are made when they are due.
+ */
+#ifndef JOB_H
+#define JOB_H
+
+#include <stdbool.h>
+#include <stdint.h>
+#include <sys/queue.h>
+#include <uthash.h>
+
+#include "../protocol/peer.pb-c.h"
+
+#define JOB_ID_LEN 32
+#define JOB_STEPS_MAX 64
+#define JOB_TASKS_MAX 20000
+#define JOB_OCCURRENCES_MAX 1000
+
+struct run;
+struct job;
+struct occurrence;
+
+enum job_state {
+	JOB_QUEUED,
+	JOB_RUNNING,
+	JOB_COMPLETED,
+	JOB_FAILED,
+	JOB_CANCELED,
+};
+
+struct task {
+	struct step *step;
+	uint32_t index;
+	bool done;
+	uint32_t last_run; /**< highest run number used; 0: never started */
+	uint32_t failures;
+	char *saved;	   /**< last checkpoint; NULL for none */
+	struct run *run;   /**< where it is, or may be */
+	struct run *copy;  /**< a second run of a speculative task */
+	int64_t retry_ms;  /**< no start before this time */
+};
+
+struct step {
+	struct occurrence *occurrence;
+	const Cc__StepSpec *spec;
+	uint32_t index;
+	struct task *tasks;
+	uint32_t ndone;
+	uint32_t nheld;	       /**< tasks that have a run */
+	uint32_t gang_failures;
+	int64_t turn_ms;       /**< its turn came; 0: it hasn't yet */
+	int64_t first_start_ms;
+	bool listed;	       /**< on the list of steps with work to place */
+	TAILQ_ENTRY(step) link;
+	void *advice;	       /**< owned by the module that asks for advice */
+	uint64_t room_seen;    /**< room's version at the last failed attempt */
+};
+
+struct occurrence {
+	struct job *job;
+	uint32_t number;
+	struct step *steps;
+	uint32_t nsteps_done;
+};
+
+struct job {
+	UT_hash_handle hh;
+	char id[JOB_ID_LEN];
+	Cc__JobRow *row;
+	struct occurrence **occurrences;
+	uint32_t noccurrences; /**< made so far */
+	uint32_t ndone;	       /**< occurrences that are done */
+	enum job_state state;
+	enum job_state stored_state; /**< what the store has */
+	bool stored;	  /**< the accepted job is in the store */
+	bool started;	  /**< a task has begun, now or earlier */
+	bool inherited;	  /**< accepted under an earlier leader */
+	bool dirty;	  /**< its progress is to be written */
+	int64_t accepted_ms;
+	int64_t ended_ms;
+	int64_t due_ms;	  /**< latency objective, absolute */
+	int64_t chain_ms; /**< estimate of its longest chain */
+	int priority;
+	uint32_t max_attempts;
+	TAILQ_ENTRY(job) dirty_link;
+	TAILQ_ENTRY(job) ended_link;
+	TAILQ_ENTRY(job) timed_link;
+	TAILQ_HEAD(waiter_list, waiter) waiters;
+};
+
+/** Takes over @p row, which is freed with the job. */
+struct job *job_new(const char *id, Cc__JobRow *row);
+void job_delete(struct job *j);
+/** CC_EINVAL with a text of what is wrong, or CC_OK. */
+int job_check(const Cc__JobRow *row, const char **why);
+
+/** Number of occurrences in all; at least 1. */
+uint32_t job_repeats(const struct job *j);
+/** Wall clock at which an occurrence is due; 0 when it has no time. */
+int64_t job_due_wall_ms(const struct job *j, uint32_t number);
+/** Makes the next occurrence. */
+struct occurrence *job_add_occurrence(struct job *j);
+
+bool job_ended(const struct job *j);
+/** Whether the tasks of all earlier steps are done. */
+bool step_has_turn(const struct step *s);
+/** Whether the step has tasks that are neither done nor held by a run. */
+bool step_has_waiting(const struct step *s);
+/** Marks a task done and counts it; all tasks of a gang together. */
+void task_set_done(struct task *t);
+/** Longest chain of estimates over the steps, ms. */
+int64_t job_chain_ms(const Cc__JobRow *row);
+/** Work of all tasks of one occurrence, core-ms by the estimates. */
+int64_t job_work(const Cc__JobRow *row);
+
+/** "ID.K.STEP.INDEX". */
+void task_name(const struct task *t, char *buf, size_t len);
+/** "ID.K.STEP". */
+void step_name(const struct step *s, char *buf, size_t len);
+
+struct task_ref {
+	char id[JOB_ID_LEN];
+	uint32_t occurrence;
+	uint32_t step;
+	uint32_t index;
+};
+/** @return whether @p name has the form of a task's name. */
+bool task_ref_parse(struct task_ref *ref, const char *name);
+/** The task of that name in this job; NULL when there is none. */
+struct task *job_task(struct job *j, const struct task_ref *ref);
+
+/** Progress as a row; free with job_progress_free. */
+Cc__JobProgress *job_progress(const struct job *j);
+void job_progress_free(Cc__JobProgress *p);
+/** Sets a fresh job to a stored progress. */
+void job_load_progress(struct job *j, const Cc__JobProgress *p);
+
+const char *job_state_name(enum job_state s);
+
+#endif
--- /dev/null
+++ b/src/state/runner.c
@@ -0,0 +1,134 @@
+#include "runner.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "../base/xalloc.h"
+
+/** A runner's steady clock runs at least this fast, percent. */
+#define CLOCK_RATE_MIN 98
+
+struct runner *
+runner_new(const struct runner_info *info)
+{
+	struct runner *r = xcalloc(1, sizeof(*r));
+
+	r->info = *info;
+	r->speed = 1.0;
+	TAILQ_INIT(&r->runs);
+	return r;
+}
+
+void
+runner_delete(struct runner *r)
+{
+	free(r);
+}
+
+struct run *
+run_new(struct runner *r, struct task *t, const char *name, uint32_t number)
+{
+	struct run *run = xcalloc(1, sizeof(*run));
+
+	run->runner = r;
+	run->task = t;
+	run->number = number;
+	run->percent = 100;
+	str_copy(run->name, name, sizeof(run->name));
+	if (t != NULL) {
+		const Cc__StepSpec *s = t->step->spec;
+
+		run->cpu = s->fills ? 0 : s->cpu;
+		run->mem_mb = s->mem_mb;
+		run->gpu = s->gpu;
+	}
+	r->used_cpu += run->cpu;
+	r->used_mem_mb += run->mem_mb;
+	r->used_gpu += run->gpu;
+	r->nruns++;
+	TAILQ_INSERT_TAIL(&r->runs, run, link);
+	return run;
+}
+
+void
+run_delete(struct run *run)
+{
+	struct runner *r = run->runner;
+
+	r->used_cpu -= run->cpu;
+	r->used_mem_mb -= run->mem_mb;
+	r->used_gpu -= run->gpu;
+	r->nruns--;
+	TAILQ_REMOVE(&r->runs, run, link);
+	free(run);
+}
+
+struct run *
+runner_run(const struct runner *r, const char *task, uint32_t number)
+{
+	struct run *run;
+
+	TAILQ_FOREACH (run, &r->runs, link)
+		if (run->number == number && strcmp(run->name, task) == 0)
+			return run;
+	return NULL;
+}
+
+bool
+runner_fits(const struct runner *r, const Cc__StepSpec *s)
+{
+	int64_t cpu = s->fills ? 0 : s->cpu;
+
+	return r->used_cpu + cpu <= r->info.cpu &&
+	    r->used_mem_mb + s->mem_mb <= r->info.mem_mb &&
+	    r->used_gpu + s->gpu <= r->info.gpu;
+}
+
+bool
+runner_could_fit(const struct runner *r, const Cc__StepSpec *s)
+{
+	return (s->fills || s->cpu <= r->info.cpu) &&
+	    s->mem_mb <= r->info.mem_mb && s->gpu <= r->info.gpu;
+}
+
+bool
+runner_has_label(const struct runner *r, const char *label)
+{
+	int i;
+
+	for (i = 0; i < r->info.nlabels; i++)
+		if (strcmp(r->info.labels[i], label) == 0)
+			return true;
+	return false;
+}
+
+uint32_t
+runner_runs_of(const struct runner *r, const struct step *s)
+{
+	const struct run *run;
+	uint32_t n = 0;
+
+	TAILQ_FOREACH (run, &r->runs, link)
+		n += run->task != NULL && run->task->step == s;
+	return n;
+}
+
+int64_t
+runner_clock_least(const struct runner *r, int64_t now)
+{
+	return r->clock_ms + (now - r->clock_at_ms) * CLOCK_RATE_MIN / 100;
+}
+
+int64_t
+runner_clock(const struct runner *r, int64_t now)
+{
+	return r->clock_ms + (now - r->clock_at_ms);
+}
+
+bool
+runner_lapsed(const struct runner *r, int64_t now)
+{
+	if (r->clock_at_ms == 0)
+		return r->nruns == 0;
+	return runner_clock_least(r, now) > r->lease_ms;
+}
--- /dev/null
+++ b/src/state/runner.h
@@ -0,0 +1,103 @@
+/**
+ * @file Runners of a cell, the runs on them, and their room.
+ */
+#ifndef RUNNER_H
+#define RUNNER_H
+
+#include <stdbool.h>
+#include <stdint.h>
+#include <sys/queue.h>
+#include <uthash.h>
+
+#include "../ports/ports.h"
+#include "job.h"
+
+enum run_state {
+	RUN_STARTING, /**< ordered, no answer yet */
+	RUN_RUNNING,
+	RUN_STOPPING,
+	RUN_UNSURE, /**< the start's fate is open; a stop settles it */
+};
+
+struct run {
+	TAILQ_ENTRY(run) link; /**< on its runner */
+	struct runner *runner;
+	struct task *task; /**< NULL: unknown here, to be stopped */
+	char name[TASK_NAME_LEN];
+	uint32_t number;
+	enum run_state state;
+	bool is_copy;
+	int64_t cpu; /**< held of the runner's room, thousandths of a core */
+	int64_t mem_mb;
+	int64_t gpu;
+	int64_t ordered_ms;   /**< first order sent */
+	int64_t confirmed_ms; /**< known to run since; 0: not known */
+	int64_t until_ms;     /**< of the start order, runner's clock */
+	int64_t stop_sent_ms; /**< 0: no stop is asked for */
+	int64_t stop_ok_ms;   /**< the runner took the stop; 0: not yet */
+	int64_t at_work_ms;   /**< first seen at 100 percent */
+	int orders;	      /**< starts sent */
+	int misses;	      /**< lists in a row that lack it */
+	int percent;	      /**< share at which it may work */
+	int load;
+	char ticket[TICKET_LEN];
+};
+
+struct runner {
+	UT_hash_handle hh;
+	struct runner_info info;
+	TAILQ_HEAD(run_list, run) runs;
+	int nruns;
+	int64_t used_cpu;
+	int64_t used_mem_mb;
+	int64_t used_gpu;
+	bool listed;	       /**< in the newest list of the registry */
+	int64_t missing_ms;    /**< since when it isn't listed */
+	bool recorded;	       /**< the store lists it as one that may hold runs */
+	bool adopted;	       /**< its lists were read under this leader */
+	int64_t clock_ms;      /**< runner's clock ... */
+	int64_t clock_at_ms;   /**< ... read no later than this time */
+	int64_t lease_ms;      /**< latest end of lease given, its clock */
+	uint64_t taken;	       /**< number of the last end processed */
+	uint64_t acking;       /**< in the commit under way */
+	uint64_t acked;	       /**< what the ends up to it mean is stored */
+	bool holding;	       /**< a hold is under way */
+	int64_t hold_sent_ms;
+	int64_t heard_ms;      /**< last answer */
+	int64_t unheard_since_ms; /**< first failure since; 0: none */
+	int hold_errors;       /**< in a row */
+	int64_t drain_since_ms;
+	double speed;	       /**< of its run times to the usual; 1 is usual */
+	int samples;
+	int failures;	       /**< in a row, of distinct jobs */
+	char failed_job[JOB_ID_LEN];
+	int64_t avoid_until_ms;
+	int64_t avoid_ms;      /**< length of the next avoidance */
+};
+
+struct runner *runner_new(const struct runner_info *info);
+/** Its runs must have been taken away before. */
+void runner_delete(struct runner *r);
+/** Takes room at once. */
+struct run *run_new(struct runner *r, struct task *t, const char *name,
+    uint32_t number);
+/** Gives the room back; the task must have let go of it. */
+void run_delete(struct run *run);
+struct run *runner_run(
+    const struct runner *r, const char *task, uint32_t number);
+
+bool runner_fits(const struct runner *r, const Cc__StepSpec *s);
+/** Whether it could hold a task of the step when empty. */
+bool runner_could_fit(const struct runner *r, const Cc__StepSpec *s);
+bool runner_has_label(const struct runner *r, const char *label);
+/** Runs of this step on the runner. */
+uint32_t runner_runs_of(const struct runner *r, const struct step *s);
+
+/** The runner's clock now, at least. Its rate may be 2% slow. */
+int64_t runner_clock_least(const struct runner *r, int64_t now);
+/** The runner's clock now, about. */
+int64_t runner_clock(const struct runner *r, int64_t now);
+/** Whether every lease given to this life has certainly lapsed. */
+bool runner_lapsed(const struct runner *r, int64_t now);
+
+#endif
--- a/src/transport/front.c
+++ b/src/transport/front.c
@@ -11,7 +11,7 @@
 #include "../base/err.h"
 #include "../base/kvlog.h"
 #include "../base/xalloc.h"
-#include "../platform/clock.h"
+#include "../sys/clock.h"
 
 #define BACKLOG 512
 #define READ_TIMEOUT_S 10
--- a/src/transport/http_call.c
+++ b/src/transport/http_call.c
@@ -13,7 +13,7 @@
 
 #include "../base/err.h"
 #include "../base/xalloc.h"
-#include "../platform/clock.h"
+#include "../sys/clock.h"
 
 /** An idle connection is used again only this long after its last answer. */
 #define IDLE_REUSE_MS 1000
--- a/src/transport/peer_net.c
+++ b/src/transport/peer_net.c
@@ -17,7 +17,7 @@
 #include "../base/err.h"
 #include "../base/kvlog.h"
 #include "../base/xalloc.h"
-#include "../platform/clock.h"
+#include "../sys/clock.h"
 #include "peer_auth.h"
 
 #define FRAME_MAX (66u << 20)
--- a/tests/scripts/lib.sh
+++ b/tests/scripts/lib.sh
@@ -102,7 +102,7 @@
 daemon() {
 	local i=$1
 	settings "$i" > "$RUN/e$i.yaml"
-	"$BIN/celerycartd" -c "$RUN/e$i.yaml" 2>> "$RUN/e$i.log" &
+	"$BIN/celerycartd" -c "$RUN/e$i.yaml" >> "$RUN/e$i.log" 2>&1 &
 	PIDS+=($!)
 	DAEMON[$i]=$!
 }
--- a/tests/tools/caller.c
+++ b/tests/tools/caller.c
@@ -13,7 +13,7 @@
 #include "../../src/base/err.h"
 #include "../../src/base/hist.h"
 #include "../../src/base/xalloc.h"
-#include "../../src/platform/clock.h"
+#include "../../src/sys/clock.h"
 #include "../../src/transport/http_call.h"
 
 #define TARGETS_MAX 16
