--- a/src/cell/cell.c
+++ b/src/cell/cell.c
@@ -50,6 +50,11 @@
 		job_answer(j, a);
 		cell_forget_job(c, j);
 	}
+	HASH_ITER(hh, c->loading, j, tmp)
+	{
+		HASH_DEL(c->loading, j);
+		job_delete(j);
+	}
 }
 
 void
--- a/src/cell/cell.h
+++ b/src/cell/cell.h
@@ -102,6 +102,7 @@
 	char incarnation[32];
 	struct manifest *manifest; /**< in force at this host */
 	struct job *jobs;
+	struct job *loading;	  /**< read from the store, on no list yet */
 	struct runner *runners;
 	struct step_list steps;	  /**< with work to place */
 	struct job_list dirty;
--- a/src/cell/ends.c
+++ b/src/cell/ends.c
@@ -60,16 +60,21 @@
 		cell_list_steps(c, o);
 }
 
+/*
+ * A failure counts once. A new leader sees ends again that the one before had
+ * stored but not yet acknowledged to the runner.
+ */
 static void
-apply_failed(struct cell *c, struct task *t)
+apply_failed(struct cell *c, struct task *t, uint32_t number)
 {
 	struct step *s = t->step;
 	struct task *counter = s->spec->gang ? &s->tasks[0] : t;
 	struct job *j = s->occurrence->job;
 
 	t->retry_ms = c->ports.now() + FAILED_PAUSE_MS;
-	if (s->spec->long_running)
+	if (s->spec->long_running || number <= counter->failed_run)
 		return;
+	counter->failed_run = number;
 	counter->failures++;
 	cell_mark_dirty(c, j);
 	if (counter->failures >= j->max_attempts && j->max_attempts > 0)
@@ -77,7 +82,7 @@
 }
 
 static void
-apply_end(struct cell *c, struct task *t, enum run_end how)
+apply_end(struct cell *c, struct task *t, uint32_t number, enum run_end how)
 {
 	struct step *s = t->step;
 	struct job *j = s->occurrence->job;
@@ -87,7 +92,7 @@
 	if (how == END_DONE && !s->spec->long_running)
 		apply_done(c, t);
 	else if (how == END_FAILED)
-		apply_failed(c, t);
+		apply_failed(c, t, number);
 	else if (t->saved != NULL)
 		cell_mark_dirty(c, j);
 	if (job_ended(j) || t->done)
@@ -163,6 +168,7 @@
     struct cell *c, struct run *run, enum run_end how, const char *saved)
 {
 	struct task *t = run->task;
+	uint32_t number = run->number;
 
 	c->counters.ends[how]++;
 	c->room_version++;
@@ -183,9 +189,9 @@
 	detach(run);
 	run_delete(run);
 	if (t->run == NULL && t->copy == NULL)
-		apply_end(c, t, how);
-	else if (how == END_FAILED)
-		apply_failed(c, t);
+		apply_end(c, t, number, how);
+	else if (how == END_FAILED && !t->done)
+		apply_failed(c, t, number);
 }
 
 void
@@ -211,5 +217,5 @@
 	if (e->how == END_DONE && !t->step->spec->long_running)
 		apply_done(c, t);
 	else if (e->how == END_FAILED)
-		apply_failed(c, t);
+		apply_failed(c, t, e->run);
 }
--- a/src/cell/holds.c
+++ b/src/cell/holds.c
@@ -108,7 +108,8 @@
 	run->load = seen->load;
 	if (run->state == RUN_STARTING) {
 		run->state = RUN_RUNNING;
-		run->task->step->occurrence->job->started = true;
+		if (run->task != NULL)
+			run->task->step->occurrence->job->started = true;
 	}
 	if (run->confirmed_ms == 0)
 		run->confirmed_ms = now;
--- a/src/cell/load.c
+++ b/src/cell/load.c
@@ -38,7 +38,7 @@
 	    (c->ports.wall_now() - jr->accepted_wall_ms);
 	if (j->accepted_ms > c->ports.now())
 		j->accepted_ms = c->ports.now();
-	HASH_ADD_STR(c->jobs, id, j);
+	HASH_ADD_STR(c->loading, id, j);
 }
 
 static void
@@ -46,8 +46,9 @@
 {
 	Cc__JobProgress *p =
 	    cc__job_progress__unpack(NULL, row->len, row->value);
-	struct job *j = cell_job(c, id);
+	struct job *j;
 
+	HASH_FIND_STR(c->loading, id, j);
 	if (p == NULL || j == NULL) {
 		kvlog(KVLOG_ERROR, "row_unreadable", "key=%s", row->key);
 	} else {
@@ -106,12 +107,11 @@
 static void
 loaded(struct cell *c)
 {
-	struct job *j, *jobs = c->jobs, *tmp;
+	struct job *j, *tmp;
 
-	c->jobs = NULL;
-	HASH_ITER(hh, jobs, j, tmp)
+	HASH_ITER(hh, c->loading, j, tmp)
 	{
-		HASH_DEL(jobs, j);
+		HASH_DEL(c->loading, j);
 		cell_add_job(c, j);
 	}
 	c->phase = CELL_SERVING;
--- a/src/member/calls.c
+++ b/src/member/calls.c
@@ -24,6 +24,7 @@
 
 struct pending_call {
 	TAILQ_ENTRY(pending_call) link;
+	uint64_t serial;
 	struct member *member;
 	enum call_verb verb;
 	char queue[QUEUE_NAME_LEN];
@@ -123,27 +124,29 @@
 /* The call is gone when its answer comes after its deadline. */
 struct attempt {
 	struct member *member;
-	struct pending_call *call;
+	uint64_t serial;
 };
 
-static bool
-still_open(const struct attempt *t)
+/* The call that still waits for this attempt; NULL when it was given up. */
+static struct pending_call *
+open_call(const struct attempt *t)
 {
 	struct pending_call *k;
 
 	TAILQ_FOREACH (k, &t->member->calls, link)
-		if (k == t->call)
-			return k->open;
-	return false;
+		if (k->serial == t->serial)
+			return k->open ? k : NULL;
+	return NULL;
 }
 
 static void
 on_local(const struct cell_answer *a, void *arg)
 {
 	struct attempt *t = arg;
+	struct pending_call *k = open_call(t);
 
-	if (still_open(t))
-		take_answer(t->call, a);
+	if (k != NULL)
+		take_answer(k, a);
 	free(t);
 }
 
@@ -151,6 +154,7 @@
 on_remote(int err, const Cc__Frame *f, void *arg)
 {
 	struct attempt *t = arg;
+	struct pending_call *k = open_call(t);
 	struct cell_answer a = {.error = err};
 
 	if (err == CC_OK && f->body_case == CC__FRAME__BODY_CELL_REPLY) {
@@ -163,8 +167,8 @@
 	} else if (err == CC_OK) {
 		a.error = CC_EPROTO;
 	}
-	if (still_open(t))
-		take_answer(t->call, &a);
+	if (k != NULL)
+		take_answer(k, &a);
 	free(t);
 }
 
@@ -207,7 +211,7 @@
 	}
 	t = xcalloc(1, sizeof(*t));
 	t->member = m;
-	t->call = k;
+	t->serial = k->serial;
 	k->open = true;
 	k->again_ms = 0;
 	if (member_leads(m)) {
@@ -233,6 +237,7 @@
 	struct pending_call *k = xcalloc(1, sizeof(*k));
 
 	k->member = m;
+	k->serial = ++m->call_serial;
 	k->verb = call->verb;
 	str_copy(k->queue, call->queue, sizeof(k->queue));
 	str_copy(k->id, call->id, sizeof(k->id));
@@ -245,14 +250,27 @@
 	pass_on(k);
 }
 
+static struct pending_call *
+next_call(const struct member *m, uint64_t after)
+{
+	struct pending_call *k;
+
+	TAILQ_FOREACH (k, &m->calls, link)
+		if (k->serial > after)
+			return k;
+	return NULL;
+}
+
 void
 member_calls_tick(struct member *m)
 {
 	int64_t now = clock_boot_ms(), patience;
-	struct pending_call *k, *next;
+	struct pending_call *k;
+	uint64_t last = m->call_serial, serial = 0;
 
-	for (k = TAILQ_FIRST(&m->calls); k != NULL; k = next) {
-		next = TAILQ_NEXT(k, link);
+	/* Serving one call may end others, so each is looked up anew. */
+	while ((k = next_call(m, serial)) != NULL && k->serial <= last) {
+		serial = k->serial;
 		patience = k->verb == CALL_SUBMIT ? SUBMIT_PATIENCE_MS
 						  : PATIENCE_MS;
 		if (now >= k->deadline_ms)
--- a/src/member/parts.h
+++ b/src/member/parts.h
@@ -81,6 +81,7 @@
 	struct event *wake;
 	bool wake_set;
 	struct pending_list calls;
+	uint64_t call_serial;
 	struct hist submit_ms;
 	struct hist get_ms;
 	uint64_t forwarded;
--- a/src/protocol/peer.pb-c.c
+++ b/src/protocol/peer.pb-c.c
@@ -5568,7 +5568,7 @@
   (ProtobufCMessageInit) cc__job_row__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cc__task_progress__field_descriptors[4] =
+static const ProtobufCFieldDescriptor cc__task_progress__field_descriptors[5] =
 {
   {
     "index",
@@ -5618,8 +5618,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "failed_run",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cc__TaskProgress, failed_run),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cc__task_progress__field_indices_by_name[] = {
+  4,   /* field[4] = failed_run */
   2,   /* field[2] = failures */
   0,   /* field[0] = index */
   1,   /* field[1] = last_run */
@@ -5628,7 +5641,7 @@
 static const ProtobufCIntRange cc__task_progress__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor cc__task_progress__descriptor =
 {
@@ -5638,7 +5651,7 @@
   "Cc__TaskProgress",
   "cc",
   sizeof(Cc__TaskProgress),
-  4,
+  5,
   cc__task_progress__field_descriptors,
   cc__task_progress__field_indices_by_name,
   1,  cc__task_progress__number_ranges,
--- a/src/protocol/peer.pb-c.h
+++ b/src/protocol/peer.pb-c.h
@@ -703,10 +703,14 @@
   uint32_t last_run;
   uint32_t failures;
   char *saved;
+  /*
+   * the last run whose failure was counted
+   */
+  uint32_t failed_run;
 };
 #define CC__TASK_PROGRESS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cc__task_progress__descriptor) \
-    , 0, 0, 0, (char *)protobuf_c_empty_string }
+    , 0, 0, 0, (char *)protobuf_c_empty_string, 0 }
 
 
 struct  Cc__StepProgress
--- a/src/state/job.h
+++ b/src/state/job.h
@@ -37,6 +37,7 @@
 	bool done;
 	uint32_t last_run; /**< highest run number used; 0: never started */
 	uint32_t failures;
+	uint32_t failed_run; /**< last run whose failure was counted */
 	char *saved;	   /**< last checkpoint; NULL for none */
 	struct run *run;   /**< where it is, or may be */
 	struct run *copy;  /**< a second run of a speculative task */
--- a/src/state/job_progress.c
+++ b/src/state/job_progress.c
@@ -20,6 +20,7 @@
 	p->index = t->index;
 	p->last_run = t->last_run;
 	p->failures = t->failures;
+	p->failed_run = t->failed_run;
 	p->saved = xstrdup(t->saved != NULL ? t->saved : "");
 	return p;
 }
@@ -101,6 +102,7 @@
 		return;
 	t->last_run = tp->last_run;
 	t->failures = tp->failures;
+	t->failed_run = tp->failed_run;
 	if (tp->saved[0] != '\0')
 		t->saved = xstrdup(tp->saved);
 }
