Failures counted by run, silent runners lapse, a run that ended isn't stopped

The runs whose failures counted are kept. A hold after a failed one doesn't prolong the lease. Cause 3: the run that ended was asked to stop. It is detached first.

--- a/src/cell/commit.c
+++ b/src/cell/commit.c
@@ -324,6 +324,10 @@
 static void
 commit_undo(struct cell *c, struct commit *k)
 {
+	struct runner *r;
+
+	for (r = c->runners; r != NULL; r = r->hh.next)
+		r->acking = r->acked;
 	refuse_new_jobs(c, k);
 	if (k->has_runners)
 		c->runners_changed = true;
--- a/src/cell/ends.c
+++ b/src/cell/ends.c
@@ -72,10 +72,8 @@
 	struct job *j = s->occurrence->job;
 
 	t->retry_ms = c->ports.now() + FAILED_PAUSE_MS;
-	if (s->spec->long_running || number <= counter->failed_run)
+	if (s->spec->long_running || !task_add_failure(counter, number))
 		return;
-	counter->failed_run = number;
-	counter->failures++;
 	cell_mark_dirty(c, j);
 	if (counter->failures >= j->max_attempts && j->max_attempts > 0)
 		cell_end_job(c, j, JOB_FAILED);
@@ -183,14 +181,14 @@
 	judge_runner(c, run, how);
 	learn_speed(c, run, how);
 	task_save(t, saved);
-	if (how == END_DONE && !t->step->spec->long_running &&
-	    !job_ended(t->step->occurrence->job))
-		apply_done(c, t);
+	if (how == END_FAILED)
+		str_copy(t->avoid, run->runner->info.id, sizeof(t->avoid));
 	detach(run);
 	run_delete(run);
-	if (t->run == NULL && t->copy == NULL)
+	if (t->run == NULL || how == END_DONE)
 		apply_end(c, t, number, how);
-	else if (how == END_FAILED && !t->done)
+	else if (how == END_FAILED && !t->done &&
+	    !job_ended(t->step->occurrence->job))
 		apply_failed(c, t, number);
 }
 
--- a/src/cell/holds.c
+++ b/src/cell/holds.c
@@ -301,7 +301,8 @@
 	h->cell = c;
 	h->fence = c->fence;
 	str_copy(h->runner, r->info.id, sizeof(h->runner));
-	if (r->clock_at_ms != 0 && r->adopted) {
+	/* A hold without an answer may yet prolong the lease: only one does. */
+	if (r->clock_at_ms != 0 && r->adopted && r->hold_errors == 0) {
 		o.until_ms = runner_clock(r, now) + c->terms.lease_ms;
 		if (o.until_ms > r->lease_ms)
 			r->lease_ms = o.until_ms;
--- a/src/cell/place.c
+++ b/src/cell/place.c
@@ -152,6 +152,7 @@
 
 		if (t->done || t->run != NULL || t->retry_ms > p->want.now_ms)
 			continue;
+		p->want.avoid = t->avoid;
 		best = best_candidate(p);
 		if (best == NULL)
 			return;
--- a/src/coordination/placing.c
+++ b/src/coordination/placing.c
@@ -7,6 +7,8 @@
 /** Weight of the share in use: urgent work spreads, the rest packs. */
 #define SPREAD_WEIGHT 0.1
 #define PACK_WEIGHT 0.3
+/** Weight of the runner on which the task failed last. */
+#define AVOID_WEIGHT 4.0
 /** Weight of a run that fills beside one that serves. */
 #define DISTURB_WEIGHT 1.0
 
@@ -17,8 +19,7 @@
 
 	if (!r->listed || r->info.draining || !r->adopted || !r->recorded)
 		return false;
-	if (r == w->other || r->unheard_since_ms != 0 ||
-	    w->now_ms < r->avoid_until_ms)
+	if (r->unheard_since_ms != 0 || w->now_ms < r->avoid_until_ms)
 		return false;
 	if (strcmp(r->info.service, w->service) != 0)
 		return false;
@@ -109,6 +110,8 @@
 
 	if (s->affinity[0] != '\0' && strcmp(s->affinity, r->info.rack) != 0)
 		score += FAR_WEIGHT;
+	if (w->avoid != NULL && strcmp(w->avoid, r->info.id) == 0)
+		score += AVOID_WEIGHT;
 	if (s->long_running)
 		return score - slow * 0.5 - used * PACK_WEIGHT;
 	if (w->urgent)
--- a/src/coordination/placing.h
+++ b/src/coordination/placing.h
@@ -12,7 +12,7 @@
 	const char *service;
 	bool urgent;
 	const char *rack;	    /**< NULL: any */
-	const struct runner *other; /**< not on this one; NULL: any */
+	const char *avoid;	    /**< only if no other; "" for none */
 	int64_t now_ms;
 };
 
--- a/src/protocol/peer.pb-c.c
+++ b/src/protocol/peer.pb-c.c
@@ -5619,20 +5619,20 @@
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "failed_run",
+    "failed_runs",
     5,
-    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_LABEL_REPEATED,
     PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Cc__TaskProgress, failed_run),
+    offsetof(Cc__TaskProgress, n_failed_runs),
+    offsetof(Cc__TaskProgress, failed_runs),
     NULL,
     NULL,
-    0,             /* flags */
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
 static const unsigned cc__task_progress__field_indices_by_name[] = {
-  4,   /* field[4] = failed_run */
+  4,   /* field[4] = failed_runs */
   2,   /* field[2] = failures */
   0,   /* field[0] = index */
   1,   /* field[1] = last_run */
--- a/src/protocol/peer.pb-c.h
+++ b/src/protocol/peer.pb-c.h
@@ -704,13 +704,14 @@
   uint32_t failures;
   char *saved;
   /*
-   * the last run whose failure was counted
+   * whose failures were counted
    */
-  uint32_t failed_run;
+  size_t n_failed_runs;
+  uint32_t *failed_runs;
 };
 #define CC__TASK_PROGRESS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cc__task_progress__descriptor) \
-    , 0, 0, 0, (char *)protobuf_c_empty_string, 0 }
+    , 0, 0, 0, (char *)protobuf_c_empty_string, 0,NULL }
 
 
 struct  Cc__StepProgress
--- a/src/state/job.c
+++ b/src/state/job.c
@@ -57,8 +57,10 @@
 {
 	uint32_t i;
 
-	for (i = 0; i < s->spec->count; i++)
+	for (i = 0; i < s->spec->count; i++) {
 		free(s->tasks[i].saved);
+		free(s->tasks[i].failed_runs);
+	}
 	free(s->tasks);
 }
 
@@ -188,6 +190,20 @@
 		o->job->ndone++;
 }
 
+bool
+task_add_failure(struct task *t, uint32_t run)
+{
+	uint32_t i;
+
+	for (i = 0; i < t->failures; i++)
+		if (t->failed_runs[i] == run)
+			return false;
+	t->failed_runs = xrealloc(
+	    t->failed_runs, (t->failures + 1) * sizeof(*t->failed_runs));
+	t->failed_runs[t->failures++] = run;
+	return true;
+}
+
 int64_t
 job_chain_ms(const Cc__JobRow *row)
 {
--- a/src/state/job.h
+++ b/src/state/job.h
@@ -37,7 +37,8 @@
 	bool done;
 	uint32_t last_run; /**< highest run number used; 0: never started */
 	uint32_t failures;
-	uint32_t failed_run; /**< last run whose failure was counted */
+	uint32_t *failed_runs; /**< the runs that failed, one each failure */
+	char avoid[64];	   /**< runner on which it failed last */
 	char *saved;	   /**< last checkpoint; NULL for none */
 	struct run *run;   /**< where it is, or may be */
 	struct run *copy;  /**< a second run of a speculative task */
@@ -117,6 +118,9 @@
 /** Work of all tasks of one occurrence, core-ms by the estimates. */
 int64_t job_work(const Cc__JobRow *row);
 
+/** Counts a failure; false when that of this run was counted before. */
+bool task_add_failure(struct task *t, uint32_t run);
+
 /** "ID.K.STEP.INDEX". */
 void task_name(const struct task *t, char *buf, size_t len);
 /** "ID.K.STEP". */
--- a/src/state/job_progress.c
+++ b/src/state/job_progress.c
@@ -20,7 +20,9 @@
 	p->index = t->index;
 	p->last_run = t->last_run;
 	p->failures = t->failures;
-	p->failed_run = t->failed_run;
+	p->n_failed_runs = t->failures;
+	p->failed_runs = xmemdup(
+	    t->failed_runs, t->failures * sizeof(*t->failed_runs));
 	p->saved = xstrdup(t->saved != NULL ? t->saved : "");
 	return p;
 }
@@ -97,12 +99,13 @@
 	struct task_ref ref = {.occurrence = sp->occurrence,
 	    .step = sp->step, .index = tp->index};
 	struct task *t = job_task(j, &ref);
+	size_t i;
 
 	if (t == NULL)
 		return;
 	t->last_run = tp->last_run;
-	t->failures = tp->failures;
-	t->failed_run = tp->failed_run;
+	for (i = 0; i < tp->n_failed_runs; i++)
+		task_add_failure(t, tp->failed_runs[i]);
 	if (tp->saved[0] != '\0')
 		t->saved = xstrdup(tp->saved);
 }
