--- a/Makefile
+++ b/Makefile
@@ -55,10 +55,16 @@
 $(B)/checker: $(B)/tests/tools/checker.o $(B)/libcc.a
 	$(CC) -o $@ $^ $(LIBS)
 
-$(B)/unit: $(patsubst %.c,$(B)/%.o,$(wildcard tests/unit/*.c)) $(B)/libcc.a
+$(B)/unit: $(patsubst %.c,$(B)/%.o,$(wildcard tests/unit/*.c)) \
+    $(B)/tests/world/world.o $(B)/libcc.a
 	$(CC) -o $@ $^ -lcunit $(LIBS)
 
-$(B)/prop: $(patsubst %.cc,$(B)/%.o,$(wildcard tests/prop/*.cc)) $(B)/libcc.a
+PROP = $(filter-out tests/prop/cells%,$(wildcard tests/prop/*.cc))
+$(B)/prop: $(PROP:%.cc=$(B)/%.o) $(B)/libcc.a
+	$(CXX) -o $@ $^ -lrapidcheck $(LIBS)
+
+$(B)/prop-cells: $(B)/tests/prop/cells.o $(B)/tests/prop/cells_main.o \
+    $(B)/tests/world/world.o $(B)/libcc.a
 	$(CXX) -o $@ $^ -lrapidcheck $(LIBS)
 
 $(B)/bench-place: $(patsubst %.c,$(B)/%.o,$(wildcard bench/*.c)) $(B)/libcc.a
@@ -85,7 +91,7 @@
 	@tests/scripts/demo.sh
 
 check: deps
-	@$(MAKE) -s all $(B)/unit $(B)/prop
+	@$(MAKE) -s all $(B)/unit $(B)/prop $(B)/prop-cells
 	@tests/scripts/run-all.sh
 
 bench: deps
@@ -93,7 +99,7 @@
 	@tests/scripts/bench.sh
 
 OWN = $(filter-out %.pb-c.c,$(LIBSRC)) $(DAEMON) $(PLATFORM) $(CTL) $(STANDIN) \
-	$(wildcard tests/tools/*.c tests/unit/*.c bench/*.c)
+	$(wildcard tests/tools/*.c tests/unit/*.c tests/world/*.c bench/*.c)
 HEADERS = $(filter-out %.pb-c.h,$(wildcard src/*/*.h platform/*.h tests/*/*.h))
 
 format:
--- a/src/base/kvlog.c
+++ b/src/base/kvlog.c
@@ -95,8 +95,8 @@
 		len = snprintf(line, sizeof(line), "%s lines_lost=%lu\n",
 		    ev->evt_rendered_msg, logger.lost);
 	else
-		len = snprintf(
-		    line, sizeof(line), "%s\n", ev->evt_rendered_msg);
+		len =
+		    snprintf(line, sizeof(line), "%s\n", ev->evt_rendered_msg);
 	if (len >= (int)sizeof(line)) {
 		len = sizeof(line) - 1;
 		line[len - 1] = '\n';
--- a/src/cell/advice.c
+++ b/src/cell/advice.c
@@ -221,11 +221,13 @@
 }
 
 static int
-list_choices(struct cell *c, struct step *s, const struct queue *q,
-    int64_t now, struct choice *out)
+list_choices(struct cell *c, struct step *s, const struct queue *q, int64_t now,
+    struct choice *out)
 {
-	struct placing_want w = {.step = s, .service = q->service,
-	    .urgent = q->priority == 0, .now_ms = now};
+	struct placing_want w = {.step = s,
+	    .service = q->service,
+	    .urgent = q->priority == 0,
+	    .now_ms = now};
 	const struct advice *a = s->advice;
 	struct runner *r;
 	int n = 0;
@@ -285,8 +287,7 @@
 	if (k->cell->phase != CELL_SERVING || k->cell->fence != k->fence)
 		return NULL;
 	j = cell_job(k->cell, k->step.id);
-	if (j == NULL || job_ended(j) ||
-	    k->step.occurrence >= j->noccurrences)
+	if (j == NULL || job_ended(j) || k->step.occurrence >= j->noccurrences)
 		return NULL;
 	return &j->occurrences[k->step.occurrence]->steps[k->step.step];
 }
--- a/src/cell/cell.h
+++ b/src/cell/cell.h
@@ -26,6 +26,7 @@
 #define PROGRESS_PREFIX "p/"
 
 struct cell_terms {
+	int64_t max_hold_ms;   /**< longest lease that a runner grants */
 	int64_t lease_ms;      /**< of a run at its runner, renewed by holds */
 	int64_t start_ms;      /**< a start that arrives later is refused */
 	int64_t hold_wait_ms;  /**< a hold waits this long for an end */
@@ -50,7 +51,7 @@
 };
 
 enum cell_phase {
-	CELL_IDLE,    /**< another host leads */
+	CELL_IDLE, /**< another host leads */
 	CELL_LOADING,
 	CELL_SERVING,
 };
@@ -97,33 +98,33 @@
 	struct cell_terms terms;
 	struct cell_ports ports;
 	enum cell_phase phase;
-	uint64_t fence;		 /**< version of the leader's row */
-	uint32_t generation;	 /**< of the claim; starts run numbers */
+	uint64_t fence;	     /**< version of the leader's row */
+	uint32_t generation; /**< of the claim; starts run numbers */
 	char incarnation[32];
 	struct manifest *manifest; /**< in force at this host */
 	struct job *jobs;
-	struct job *loading;	  /**< read from the store, on no list yet */
+	struct job *loading; /**< read from the store, on no list yet */
 	struct runner *runners;
-	struct step_list steps;	  /**< with work to place */
+	struct step_list steps; /**< with work to place */
 	struct job_list dirty;
-	struct job_list ended;	  /**< oldest first */
-	struct job_list timed;	  /**< with occurrences to come */
+	struct job_list ended; /**< oldest first */
+	struct job_list timed; /**< with occurrences to come */
 	struct lanes lanes;
-	uint64_t room_version;	  /**< rises whenever room may appear */
-	int64_t led_ms;		  /**< this host leads since */
-	int64_t blind_until_ms;	  /**< inherited work waits until then, or
-				   *   until all runners are adopted */
+	uint64_t room_version;	/**< rises whenever room may appear */
+	int64_t led_ms;		/**< this host leads since */
+	int64_t blind_until_ms; /**< inherited work waits until then, or
+				 *   until all runners are adopted */
 	bool blind;
-	uint64_t store_version;	  /**< commit row's, as last written */
+	uint64_t store_version; /**< commit row's, as last written */
 	uint64_t commit_seq;
-	struct commit *commit;	  /**< under way */
+	struct commit *commit;	   /**< under way */
 	struct load *load_stalled; /**< a read to be repeated */
-	int64_t commit_ms;	  /**< last sent */
-	int64_t committed_ms;	  /**< last known to be done */
-	int64_t store_down_ms;	  /**< since when it fails; 0: it doesn't */
-	bool runners_changed;	  /**< the row of runners is to be written */
-	int64_t registry_ms;	  /**< the registry was last read */
-	int64_t copies_ms;	  /**< slow runs were last looked for */
+	int64_t commit_ms;	   /**< last sent */
+	int64_t committed_ms;	   /**< last known to be done */
+	int64_t store_down_ms;	   /**< since when it fails; 0: it doesn't */
+	bool runners_changed;	   /**< the row of runners is to be written */
+	int64_t registry_ms;	   /**< the registry was last read */
+	int64_t copies_ms;	   /**< slow runs were last looked for */
 	struct cell_counters counters;
 };
 
@@ -146,10 +147,10 @@
 /** Takes over @p row. */
 void cell_submit(
     struct cell *c, const char *id, Cc__JobRow *row, cell_fn fn, void *arg);
-void cell_get(struct cell *c, const char *queue, const char *id,
-    struct cell_answer *a);
-void cell_cancel(struct cell *c, const char *queue, const char *id,
-    cell_fn fn, void *arg);
+void cell_get(
+    struct cell *c, const char *queue, const char *id, struct cell_answer *a);
+void cell_cancel(
+    struct cell *c, const char *queue, const char *id, cell_fn fn, void *arg);
 void cell_pending(struct cell *c, const char *queue, struct cell_answer *a);
 
 #endif
--- a/src/cell/commit.c
+++ b/src/cell/commit.c
@@ -89,8 +89,8 @@
 	struct entry *e;
 
 	if (!j->stored) {
-		e = add_entry(k, JOB_PREFIX, j->id,
-		    cc__job_row__get_packed_size(j->row));
+		e = add_entry(
+		    k, JOB_PREFIX, j->id, cc__job_row__get_packed_size(j->row));
 		cc__job_row__pack(j->row, e->value);
 	}
 	if (j->stored || j->state != JOB_QUEUED) {
@@ -171,8 +171,7 @@
 	if (c->runners_changed)
 		add_runners(c, k);
 	while ((j = TAILQ_FIRST(&c->dirty)) != NULL &&
-	    k->nwrites + 2 < COMMIT_ENTRIES_MAX &&
-	    k->bytes < COMMIT_BYTES_MAX)
+	    k->nwrites + 2 < COMMIT_ENTRIES_MAX && k->bytes < COMMIT_BYTES_MAX)
 		add_job(k, j);
 	add_removes(c, k, now);
 	if (TAILQ_EMPTY(&c->dirty))
@@ -278,8 +277,7 @@
 }
 
 static void
-commit_conflict(
-    struct cell *c, struct commit *k, const struct store_result *r)
+commit_conflict(struct cell *c, struct commit *k, const struct store_result *r)
 {
 	const struct row *commit = find_row(r, COMMIT_KEY);
 	const struct row *leader = find_row(r, LEADER_KEY);
@@ -290,7 +288,8 @@
 			c->ports.deposed(c->ports.arg);
 		return;
 	}
-	kvlog(KVLOG_WARN, "deposed", "fence=%llu leader_version=%llu why=commit",
+	kvlog(KVLOG_WARN, "deposed",
+	    "fence=%llu leader_version=%llu why=commit",
 	    (unsigned long long)c->fence,
 	    (unsigned long long)(leader != NULL ? leader->version : 0));
 	c->ports.deposed(c->ports.arg);
@@ -388,21 +387,28 @@
 {
 	struct row conds[2] = {
 	    {.table = MEMBER_TABLE, .key = LEADER_KEY, .version = k->fence},
-	    {.table = CELL_TABLE, .key = COMMIT_KEY,
+	    {.table = CELL_TABLE,
+		.key = COMMIT_KEY,
 		.version = k->base_version},
 	};
 	struct row writes[COMMIT_ENTRIES_MAX + 1] = {0};
 	struct row removes[COMMIT_ENTRIES_MAX] = {0};
-	struct store_txn t = {.part = CELL_PART, .conditions = conds,
-	    .nconditions = 2, .writes = writes, .nwrites = k->nwrites + 1,
-	    .removes = removes, .nremoves = k->nremoves};
+	struct store_txn t = {.part = CELL_PART,
+	    .conditions = conds,
+	    .nconditions = 2,
+	    .writes = writes,
+	    .nwrites = k->nwrites + 1,
+	    .removes = removes,
+	    .nremoves = k->nremoves};
 	Cc__CommitRow cr = CC__COMMIT_ROW__INIT;
 	uint8_t buf[128];
 
 	cr.seq = k->seq;
 	cr.incarnation = c->incarnation;
-	writes[0] = (struct row){.table = CELL_TABLE, .key = COMMIT_KEY,
-	    .value = buf, .len = cc__commit_row__pack(&cr, buf)};
+	writes[0] = (struct row){.table = CELL_TABLE,
+	    .key = COMMIT_KEY,
+	    .value = buf,
+	    .len = cc__commit_row__pack(&cr, buf)};
 	fill_rows(writes + 1, k->writes, k->nwrites);
 	fill_rows(removes, k->removes, k->nremoves);
 	k->sent = true;
--- a/src/cell/ends.c
+++ b/src/cell/ends.c
@@ -204,8 +204,8 @@
 	j = cell_job(c, ref.id);
 	if (j == NULL || (t = job_task(j, &ref)) == NULL)
 		return;
-	kvlog(KVLOG_INFO, "run_ended_before",
-	    "task=%s run=%u how=%s", e->task, e->run, end_names[e->how]);
+	kvlog(KVLOG_INFO, "run_ended_before", "task=%s run=%u how=%s", e->task,
+	    e->run, end_names[e->how]);
 	if (e->run > t->last_run)
 		t->last_run = e->run;
 	j->started = true;
--- a/src/cell/holds.c
+++ b/src/cell/holds.c
@@ -19,40 +19,69 @@
 #define MISSES_MAX 2
 /** A runner that isn't listed and runs nothing is forgotten after this. */
 #define FORGET_MS 4000
+/** An order may reach the runner this long after it was sent. */
+#define LAPSE_MARGIN_MS 600
 /** Lists may lack live runners for this long after a store outage. */
 #define REGISTRY_GRACE_MS 2500
 
 struct hold {
 	struct cell *cell;
-	uint64_t fence;
+	uint64_t fence;	      /**< of the leader */
+	uint64_t order_fence; /**< sent with the hold */
 	char runner[RUNNER_ID_LEN];
 };
 
+/*
+ * Orders sent before, and done late, do nothing from the next hold on. The
+ * version of the last commit is a number that no other leader has, and lower
+ * than that of every later claim.
+ */
 static void
-lose_runs(struct cell *c, struct runner *r, enum run_end how, bool all)
+raise_fence(struct cell *c, struct runner *r)
+{
+	if (c->store_version > r->fence)
+		r->fence = c->store_version;
+}
+
+static void
+lose_runs(struct cell *c, struct runner *r, enum run_end how)
 {
 	struct run *run, *next;
 
 	for (run = TAILQ_FIRST(&r->runs); run != NULL; run = next) {
 		next = TAILQ_NEXT(run, link);
-		if (all || run->confirmed_ms != 0)
-			cell_run_ended(c, run, how, "");
+		cell_run_ended(c, run, how, "");
 	}
 }
 
-/* A new life knows nothing of the old one, and what ran there is gone. */
+/*
+ * A new life knows nothing of the old one, and what ran there is gone. What
+ * its next list lacks is lost; but a start without an answer may yet be done
+ * in the new life, so a stop settles it there.
+ */
 void
 cell_runner_reset(struct cell *c, struct runner *r)
 {
+	struct run *run;
+
 	kvlog(KVLOG_INFO, "runner_restarted", "runner=%s runs=%d", r->info.id,
 	    r->nruns);
+	raise_fence(c, r);
 	r->taken = r->acking = r->acked = 0;
 	r->clock_ms = r->clock_at_ms = r->lease_ms = 0;
 	r->adopted = false;
 	r->speed = 1.0;
 	r->samples = r->failures = 0;
 	r->avoid_until_ms = r->avoid_ms = 0;
-	lose_runs(c, r, END_LOST, true);
+	TAILQ_FOREACH (run, &r->runs, link) {
+		run->misses = MISSES_MAX - 1;
+		run->stop_ok_ms = 0;
+		if (run->open_orders == 0)
+			continue;
+		run->stop_sent_ms = 0;
+		cell_stop(c, run, "runner-restarted");
+		run->state = RUN_UNSURE;
+	}
 }
 
 static void
@@ -138,8 +167,8 @@
 	struct run *run, *next;
 
 	for (run = TAILQ_FIRST(&r->runs); run != NULL; run = next) {
-		bool settled = run->stop_ok_ms != 0 &&
-		    run->stop_ok_ms < r->hold_sent_ms;
+		bool settled =
+		    run->stop_ok_ms != 0 && run->stop_ok_ms < r->hold_sent_ms;
 		bool running = run->state == RUN_RUNNING &&
 		    run->confirmed_ms != 0 &&
 		    run->confirmed_ms < r->hold_sent_ms;
@@ -196,10 +225,7 @@
 		cell_runner_reset(c, r);
 	if (h->born_ms != 0)
 		r->info.born_ms = h->born_ms;
-	if (h->clock_ms > 0) {
-		r->clock_ms = h->clock_ms;
-		r->clock_at_ms = now;
-	}
+	cell_take_clock(c, r, h->clock_ms);
 	if (r->unheard_since_ms != 0)
 		kvlog(KVLOG_INFO, "runner_back", "runner=%s silent_ms=%lld",
 		    r->info.id, (long long)(now - r->unheard_since_ms));
@@ -222,8 +248,8 @@
 	if (r->unheard_since_ms == 0 && r->hold_errors > 1) {
 		r->unheard_since_ms = now;
 		kvlog(KVLOG_WARN, "runner_silent",
-		    "runner=%s result=%d heard_ms_ago=%lld runs=%d",
-		    r->info.id, why, (long long)(now - r->heard_ms), r->nruns);
+		    "runner=%s result=%d heard_ms_ago=%lld runs=%d", r->info.id,
+		    why, (long long)(now - r->heard_ms), r->nruns);
 	}
 	if (why == ORDER_OTHER_LIFE)
 		cell_runner_reset(c, r);
@@ -235,6 +261,7 @@
 	struct hold *o = arg;
 	struct cell *c = o->cell;
 	struct runner *r = NULL;
+	uint64_t order_fence = o->order_fence;
 
 	if (c->phase != CELL_IDLE && c->fence == o->fence)
 		r = cell_runner(c, o->runner);
@@ -242,7 +269,7 @@
 	if (r == NULL)
 		return;
 	r->holding = false;
-	if (h->result == ORDER_FENCED) {
+	if (h->result == ORDER_FENCED && order_fence >= r->fence) {
 		kvlog(KVLOG_WARN, "deposed", "fence=%llu why=hold runner=%s",
 		    (unsigned long long)c->fence, r->info.id);
 		c->ports.deposed(c->ports.arg);
@@ -292,7 +319,7 @@
 	struct target t = {
 	    .addr = r->info.addr, .port = r->info.port, .id = r->info.id};
 	int64_t now = c->ports.now();
-	struct hold_order o = {.fence = c->fence, .seen = r->acked};
+	struct hold_order o = {.fence = r->fence, .seen = r->acked};
 	struct hold *h;
 
 	if (!hold_due(c, r, now))
@@ -300,12 +327,14 @@
 	h = xcalloc(1, sizeof(*h));
 	h->cell = c;
 	h->fence = c->fence;
+	h->order_fence = r->fence;
 	str_copy(h->runner, r->info.id, sizeof(h->runner));
 	/* A hold without an answer may yet prolong the lease: only one does. */
 	if (r->clock_at_ms != 0 && r->adopted && r->hold_errors == 0) {
 		o.until_ms = runner_clock(r, now) + c->terms.lease_ms;
 		if (o.until_ms > r->lease_ms)
 			r->lease_ms = o.until_ms;
+		r->order_sent_ms = now;
 	}
 	if (may_wait(r))
 		o.wait_ms = c->terms.hold_wait_ms;
@@ -316,17 +345,27 @@
 	    c->ports.runners, &t, &o, r->hold_errors > 0, on_hold, h);
 }
 
+static bool
+all_lapsed(const struct cell *c, const struct runner *r, int64_t now)
+{
+	if (r->clock_at_ms != 0)
+		return runner_lapsed(r, now);
+	return now - r->order_sent_ms >
+	    c->terms.max_hold_ms * 100 / CLOCK_RATE_MIN + LAPSE_MARGIN_MS;
+}
+
 /* Work of a silent runner is free again once its lease has lapsed there. */
 static void
 check_lapse(struct cell *c, struct runner *r, int64_t now)
 {
 	if (r->unheard_since_ms == 0 || r->nruns == 0)
 		return;
-	if (r->clock_at_ms == 0 || !runner_lapsed(r, now))
+	if (!all_lapsed(c, r, now))
 		return;
 	kvlog(KVLOG_WARN, "runner_lapsed", "runner=%s runs=%d silent_ms=%lld",
 	    r->info.id, r->nruns, (long long)(now - r->unheard_since_ms));
-	lose_runs(c, r, END_LAPSED, true);
+	raise_fence(c, r);
+	lose_runs(c, r, END_LAPSED);
 }
 
 static bool
@@ -334,8 +373,8 @@
 {
 	return !r->listed && r->nruns == 0 && !r->holding &&
 	    r->missing_ms != 0 && now - r->missing_ms > FORGET_MS &&
-	    (!c->blind || r->adopted) && (r->adopted || !r->recorded ||
-	    now - c->led_ms > FORGET_MS);
+	    (!c->blind || r->adopted) &&
+	    (r->adopted || !r->recorded || now - c->led_ms > FORGET_MS);
 }
 
 void
@@ -415,6 +454,7 @@
 	struct runner *r = runner_new(in);
 
 	r->listed = true;
+	r->fence = c->fence;
 	HASH_ADD_STR(c->runners, info.id, r);
 	c->runners_changed = true;
 	c->room_version++;
@@ -452,8 +492,7 @@
 			add_runner(c, &infos[i]);
 	}
 	for (r = c->runners; r != NULL; r = r->hh.next)
-		if (r->missing_ms != 0 && !doubtful &&
-		    now - r->missing_ms >= 0)
+		if (r->missing_ms != 0 && !doubtful && now - r->missing_ms >= 0)
 			r->listed = r->listed &&
 			    now - r->missing_ms < REGISTRY_GRACE_MS;
 	c->registry_ms = now;
--- a/src/cell/jobs.c
+++ b/src/cell/jobs.c
@@ -243,8 +243,8 @@
 }
 
 void
-cell_get(struct cell *c, const char *queue, const char *id,
-    struct cell_answer *a)
+cell_get(
+    struct cell *c, const char *queue, const char *id, struct cell_answer *a)
 {
 	const struct job *j = cell_job(c, id);
 
@@ -264,8 +264,8 @@
 }
 
 void
-cell_cancel(struct cell *c, const char *queue, const char *id, cell_fn fn,
-    void *arg)
+cell_cancel(
+    struct cell *c, const char *queue, const char *id, cell_fn fn, void *arg)
 {
 	struct cell_answer a = {
 	    .error = CC_EBUSY, .retry_after_ms = LOADING_RETRY_MS};
--- a/src/cell/load.c
+++ b/src/cell/load.c
@@ -34,8 +34,8 @@
 	j = job_new(id, jr);
 	j->stored = true;
 	j->inherited = true;
-	j->accepted_ms = c->ports.now() -
-	    (c->ports.wall_now() - jr->accepted_wall_ms);
+	j->accepted_ms =
+	    c->ports.now() - (c->ports.wall_now() - jr->accepted_wall_ms);
 	if (j->accepted_ms > c->ports.now())
 		j->accepted_ms = c->ports.now();
 	HASH_ADD_STR(c->loading, id, j);
@@ -72,6 +72,7 @@
 	info.port = (uint16_t)port;
 	r = runner_new(&info);
 	r->recorded = true;
+	r->fence = c->fence;
 	r->missing_ms = c->ports.now();
 	HASH_ADD_STR(c->runners, info.id, r);
 }
@@ -97,8 +98,8 @@
 {
 	if (strncmp(row->key, JOB_PREFIX, strlen(JOB_PREFIX)) == 0)
 		load_job(c, row->key + strlen(JOB_PREFIX), row);
-	else if (strncmp(row->key, PROGRESS_PREFIX,
-		     strlen(PROGRESS_PREFIX)) == 0)
+	else if (strncmp(row->key, PROGRESS_PREFIX, strlen(PROGRESS_PREFIX)) ==
+	    0)
 		load_progress(c, row->key + strlen(PROGRESS_PREFIX), row);
 	else if (strcmp(row->key, RUNNERS_KEY) == 0)
 		load_runners(c, row);
@@ -143,8 +144,8 @@
 	for (i = 0; i < r->nrows; i++)
 		load_row(c, &r->rows[i]);
 	if (r->has_more && r->nrows > 0) {
-		snprintf(l->from, sizeof(l->from), "%s!",
-		    r->rows[r->nrows - 1].key);
+		snprintf(
+		    l->from, sizeof(l->from), "%s!", r->rows[r->nrows - 1].key);
 		load_page(l);
 		return;
 	}
@@ -157,8 +158,7 @@
 {
 	struct store *s = l->cell->ports.store;
 
-	s->ops->list(
-	    s, CELL_TABLE, CELL_PART, l->from, PAGE_ROWS, on_page, l);
+	s->ops->list(s, CELL_TABLE, CELL_PART, l->from, PAGE_ROWS, on_page, l);
 }
 
 void
--- a/src/cell/orders.c
+++ b/src/cell/orders.c
@@ -11,6 +11,8 @@
 #define START_TRIES 3
 /** Pause before a stop is sent again. */
 #define STOP_RETRY_MS 400
+/** Answers may overtake each other by this much. */
+#define CLOCK_SLACK_MS 1000
 /** A runner that refuses gets no more work for this long at first. */
 #define AVOID_FIRST_MS 500
 #define AVOID_MAX_MS 4000
@@ -18,7 +20,8 @@
 /** What an answer belongs to; the run may be gone by then. */
 struct order {
 	struct cell *cell;
-	uint64_t fence;
+	uint64_t fence;	      /**< of the leader */
+	uint64_t order_fence; /**< sent with the order */
 	char runner[RUNNER_ID_LEN];
 	char task[TASK_NAME_LEN];
 	uint32_t number;
@@ -51,6 +54,7 @@
 
 	o->cell = c;
 	o->fence = c->fence;
+	o->order_fence = run->runner->fence;
 	o->number = run->number;
 	str_copy(o->runner, run->runner->info.id, sizeof(o->runner));
 	str_copy(o->task, run->name, sizeof(o->task));
@@ -69,11 +73,22 @@
 	return r != NULL ? runner_run(r, o->task, o->number) : NULL;
 }
 
-static void
-take_clock(struct runner *r, int64_t clock_ms, int64_t now)
+void
+cell_take_clock(struct cell *c, struct runner *r, int64_t clock_ms)
 {
-	if (clock_ms <= 0 || clock_ms < runner_clock_least(r, now))
+	int64_t now = c->ports.now();
+
+	if (clock_ms <= 0)
+		return;
+	if (r->clock_at_ms != 0 && clock_ms < r->clock_ms &&
+	    clock_ms + CLOCK_SLACK_MS < runner_clock_least(r, now))
+		cell_runner_reset(c, r);
+	if (clock_ms <= r->clock_ms)
 		return;
+	/* Orders meant for the life before may have prolonged this one's. */
+	if (r->clock_at_ms == 0 && r->nruns > 0 &&
+	    r->lease_ms < clock_ms + c->terms.max_hold_ms)
+		r->lease_ms = clock_ms + c->terms.max_hold_ms;
 	r->clock_ms = clock_ms;
 	r->clock_at_ms = now;
 }
@@ -86,6 +101,15 @@
 	c->ports.deposed(c->ports.arg);
 }
 
+/* An order that this leader's own newer number overtook deposes nobody. */
+static bool
+is_deposed(const struct order *o)
+{
+	const struct runner *r = cell_runner(o->cell, o->runner);
+
+	return r == NULL || o->order_fence >= r->fence;
+}
+
 static void on_started(const struct order_answer *a, void *arg);
 
 static void
@@ -93,8 +117,7 @@
 {
 	struct runner *r = run->runner;
 	const struct step *s = run->task->step;
-	const struct task *keeper =
-	    s->spec->gang ? &s->tasks[0] : run->task;
+	const struct task *keeper = s->spec->gang ? &s->tasks[0] : run->task;
 	struct target t = target_of(r);
 	int64_t now = c->ports.now();
 	struct start_order o = {
@@ -102,17 +125,19 @@
 	    .run = run->number,
 	    .spec = s->occurrence->job->row->spec,
 	    .until_ms = runner_clock(r, now) + c->terms.start_ms,
-	    .fence = c->fence,
+	    .fence = r->fence,
 	    .saved = keeper->saved != NULL ? keeper->saved : "",
 	    .ticket = run->ticket,
 	};
 
 	run->until_ms = o.until_ms;
+	r->order_sent_ms = now;
 	if (o.until_ms > r->lease_ms)
 		r->lease_ms = o.until_ms;
 	c->ports.runners->ops->start(c->ports.runners, &t, &o, run->orders > 0,
 	    on_started, order_new(c, run));
 	run->orders++;
+	run->open_orders++;
 }
 
 static void
@@ -122,9 +147,8 @@
 	if (r->avoid_ms > AVOID_MAX_MS)
 		r->avoid_ms = AVOID_MAX_MS;
 	r->avoid_until_ms = c->ports.now() + r->avoid_ms;
-	kvlog(KVLOG_INFO, "runner_avoided",
-	    "runner=%s failures=%d for_ms=%lld", r->info.id, r->failures,
-	    (long long)r->avoid_ms);
+	kvlog(KVLOG_INFO, "runner_avoided", "runner=%s failures=%d for_ms=%lld",
+	    r->info.id, r->failures, (long long)r->avoid_ms);
 }
 
 void
@@ -197,6 +221,7 @@
 			start_unsure(c, run);
 		return;
 	case ORDER_FENCED:
+		run->state = RUN_UNSURE;
 		return;
 	default:
 		start_refused(c, run, result);
@@ -211,10 +236,12 @@
 	struct run *run = order_run(o);
 
 	if (run != NULL && run->task != NULL) {
-		take_clock(run->runner, a->clock_ms, c->ports.now());
+		if (a->result != ORDER_UNKNOWN)
+			run->open_orders--;
+		cell_take_clock(c, run->runner, a->clock_ms);
 		if (run->state == RUN_STARTING)
 			start_answered(c, run, a->result);
-		if (a->result == ORDER_FENCED)
+		if (a->result == ORDER_FENCED && is_deposed(o))
 			deposed_by(c, o->runner);
 		else
 			c->ports.wake(c->ports.arg);
@@ -264,10 +291,10 @@
 	struct run *run = order_run(o);
 
 	if (run != NULL) {
-		take_clock(run->runner, a->clock_ms, c->ports.now());
+		cell_take_clock(c, run->runner, a->clock_ms);
 		if (a->result == ORDER_OK && run->stop_ok_ms == 0)
 			run->stop_ok_ms = c->ports.now();
-		if (a->result == ORDER_FENCED)
+		if (a->result == ORDER_FENCED && is_deposed(o))
 			deposed_by(c, o->runner);
 		else if (a->result == ORDER_OK)
 			cell_hold(c, run->runner);
@@ -282,7 +309,7 @@
 
 	run->stop_sent_ms = c->ports.now();
 	c->ports.runners->ops->stop(c->ports.runners, &t, run->name,
-	    run->number, c->fence, on_stopped, order_new(c, run));
+	    run->number, run->runner->fence, on_stopped, order_new(c, run));
 }
 
 void
--- a/src/cell/parts.h
+++ b/src/cell/parts.h
@@ -33,8 +33,8 @@
 
 /* ends.c */
 /** A run has ended or is lost; applies what that means to its task. */
-void cell_run_ended(struct cell *c, struct run *run, enum run_end how,
-    const char *saved);
+void cell_run_ended(
+    struct cell *c, struct run *run, enum run_end how, const char *saved);
 /** An end that no known run belongs to. */
 void cell_foreign_end(struct cell *c, const struct end_seen *e);
 void task_save(struct task *t, const char *saved);
@@ -45,6 +45,8 @@
 void cell_stop(struct cell *c, struct run *run, const char *why);
 void cell_stop_job(struct cell *c, struct job *j, const char *why);
 void cell_resend_stops(struct cell *c, struct runner *r);
+/** Notes a runner's clock; one that went back tells of a new life. */
+void cell_take_clock(struct cell *c, struct runner *r, int64_t clock_ms);
 struct runner *cell_runner(struct cell *c, const char *id);
 
 /* holds.c */
--- a/src/cell/place.c
+++ b/src/cell/place.c
@@ -103,8 +103,10 @@
 		return false;
 	p->cell = c;
 	p->step = s;
-	p->want = (struct placing_want){.step = s, .service = q->service,
-	    .urgent = q->priority == 0, .now_ms = now};
+	p->want = (struct placing_want){.step = s,
+	    .service = q->service,
+	    .urgent = q->priority == 0,
+	    .now_ms = now};
 	p->candidates =
 	    xcalloc(HASH_COUNT(c->runners) + 1, sizeof(*p->candidates));
 	for (r = c->runners; r != NULL; r = r->hh.next) {
@@ -156,8 +158,8 @@
 		best = best_candidate(p);
 		if (best == NULL)
 			return;
-		cell_start(p->cell, best->runner, t,
-		    cell_next_run(p->cell, t), best->ticket, false);
+		cell_start(p->cell, best->runner, t, cell_next_run(p->cell, t),
+		    best->ticket, false);
 	}
 }
 
@@ -194,8 +196,8 @@
 		for (o = p->cell->runners; o != NULL; o = o->hh.next)
 			if (strcmp(r->info.rack, o->info.rack) == 0 &&
 			    p->step->spec->cpu > 0)
-				sum += (uint64_t)o->info.cpu /
-				    p->step->spec->cpu;
+				sum +=
+				    (uint64_t)o->info.cpu / p->step->spec->cpu;
 		if (sum >= p->step->spec->count)
 			return true;
 	}
@@ -263,8 +265,8 @@
 		if (rack != NULL && strcmp(d->runner->info.rack, rack) != 0)
 			continue;
 		for (k = 0; k < d->slots && next < p->step->spec->count; k++)
-			cell_start(p->cell, d->runner,
-			    &p->step->tasks[next++], run, d->ticket, false);
+			cell_start(p->cell, d->runner, &p->step->tasks[next++],
+			    run, d->ticket, false);
 	}
 }
 
--- a/src/coordination/claim.h
+++ b/src/coordination/claim.h
@@ -13,15 +13,15 @@
 #include <stdint.h>
 
 struct claim_facts {
-	bool known;	       /**< the leader's row was read */
-	bool no_leader;	       /**< there is none, or it gave the lead up */
-	bool same_host;	       /**< an earlier life of this host leads */
-	bool restarted;	       /**< the leader's host lives under another life */
-	bool linked;	       /**< a connection to it is up */
-	bool stalled;	       /**< it says that the store doesn't answer it */
-	int64_t beat_age_ms;   /**< since it was heard from */
-	int64_t unchanged_ms;  /**< the row is as it was for this long */
-	int rank;	       /**< of this host among those that may claim */
+	bool known;	      /**< the leader's row was read */
+	bool no_leader;	      /**< there is none, or it gave the lead up */
+	bool same_host;	      /**< an earlier life of this host leads */
+	bool restarted;	      /**< the leader's host lives under another life */
+	bool linked;	      /**< a connection to it is up */
+	bool stalled;	      /**< it says that the store doesn't answer it */
+	int64_t beat_age_ms;  /**< since it was heard from */
+	int64_t unchanged_ms; /**< the row is as it was for this long */
+	int rank;	      /**< of this host among those that may claim */
 };
 
 /** Whether the row should be watched. */
--- a/src/coordination/lanes.c
+++ b/src/coordination/lanes.c
@@ -79,8 +79,7 @@
 		if (lane->open >= open_max)
 			continue;
 		if (best == NULL || lane->open < best->open ||
-		    (lane->open == best->open &&
-			lane->free_ms < best->free_ms))
+		    (lane->open == best->open && lane->free_ms < best->free_ms))
 			best = lane;
 	}
 	return best;
--- a/src/coordination/lanes.h
+++ b/src/coordination/lanes.h
@@ -15,8 +15,8 @@
 
 struct lane {
 	char host[64];
-	int open;		/**< calls under way */
-	int64_t free_ms;	/**< its calls should be answered by then */
+	int open;	 /**< calls under way */
+	int64_t free_ms; /**< its calls should be answered by then */
 	bool seen;
 };
 
--- a/src/coordination/placing.c
+++ b/src/coordination/placing.c
@@ -51,8 +51,8 @@
 placing_slots(const struct runner *r, const struct placing_want *w)
 {
 	const Cc__StepSpec *s = w->step->spec;
-	int64_t n = s->fills ? INT32_MAX
-			     : times(r->info.cpu - r->used_cpu, s->cpu);
+	int64_t n =
+	    s->fills ? INT32_MAX : times(r->info.cpu - r->used_cpu, s->cpu);
 	int64_t m = times(r->info.mem_mb - r->used_mem_mb, s->mem_mb);
 	uint32_t own;
 
@@ -70,9 +70,8 @@
 static double
 share_used(const struct runner *r)
 {
-	double cpu = r->info.cpu > 0
-	    ? (double)r->used_cpu / (double)r->info.cpu
-	    : 1.0;
+	double cpu =
+	    r->info.cpu > 0 ? (double)r->used_cpu / (double)r->info.cpu : 1.0;
 	double mem = r->info.mem_mb > 0
 	    ? (double)r->used_mem_mb / (double)r->info.mem_mb
 	    : 1.0;
--- a/src/coordination/placing.h
+++ b/src/coordination/placing.h
@@ -11,8 +11,8 @@
 	const struct step *step;
 	const char *service;
 	bool urgent;
-	const char *rack;	    /**< NULL: any */
-	const char *avoid;	    /**< only if no other; "" for none */
+	const char *rack;  /**< NULL: any */
+	const char *avoid; /**< only if no other; "" for none */
 	int64_t now_ms;
 };
 
--- a/src/daemon/main.c
+++ b/src/daemon/main.c
@@ -187,8 +187,8 @@
 {
 	struct arg_file *conf =
 	    arg_file0("c", "config", "FILE", "settings in YAML");
-	struct arg_lit *cell = arg_lit0(
-	    NULL, "cell", "serve a cell on the platform");
+	struct arg_lit *cell =
+	    arg_lit0(NULL, "cell", "serve a cell on the platform");
 	struct arg_lit *check =
 	    arg_lit0(NULL, "check", "check the settings and end");
 	struct arg_lit *help = arg_lit0("h", "help", "print this and end");
@@ -216,7 +216,8 @@
 		arg_print_errors(stderr, end, "celerycartd");
 		fprintf(stderr, "celerycartd: needs -c FILE; try --help\n");
 		rc = EXIT_USAGE;
-	} else if (read_settings(conf->filename[0], parse_settings, &s) != CC_OK) {
+	} else if (read_settings(conf->filename[0], parse_settings, &s) !=
+	    CC_OK) {
 		rc = EXIT_SETTINGS;
 	} else if (check->count > 0) {
 		printf("%s: no findings\n", conf->filename[0]);
--- a/src/member/calls.c
+++ b/src/member/calls.c
@@ -69,8 +69,7 @@
 	kvlog(KVLOG_INFO, "call_given_up",
 	    "id=%s verb=%d outcome=%s age_ms=%lld leader=%s linked=%d", k->id,
 	    k->verb, cc_strerror(a.error),
-	    (long long)(clock_boot_ms() - k->since_ms),
-	    k->member->leader.host,
+	    (long long)(clock_boot_ms() - k->since_ms), k->member->leader.host,
 	    member_linked(k->member, k->member->leader.host));
 	finish(k, &a);
 }
@@ -226,13 +225,13 @@
 	c.job = k->job;
 	f.body_case = CC__FRAME__BODY_CELL_CALL;
 	f.cell_call = &c;
-	peer_call(m->peers, m->leader.host, &f, left > 0 ? left : 1, on_remote,
-	    t);
+	peer_call(
+	    m->peers, m->leader.host, &f, left > 0 ? left : 1, on_remote, t);
 }
 
 void
-member_call(struct member *m, const struct member_call *call, cell_fn fn,
-    void *arg)
+member_call(
+    struct member *m, const struct member_call *call, cell_fn fn, void *arg)
 {
 	struct pending_call *k = xcalloc(1, sizeof(*k));
 
@@ -271,8 +270,8 @@
 	/* Serving one call may end others, so each is looked up anew. */
 	while ((k = next_call(m, serial)) != NULL && k->serial <= last) {
 		serial = k->serial;
-		patience = k->verb == CALL_SUBMIT ? SUBMIT_PATIENCE_MS
-						  : PATIENCE_MS;
+		patience =
+		    k->verb == CALL_SUBMIT ? SUBMIT_PATIENCE_MS : PATIENCE_MS;
 		if (now >= k->deadline_ms)
 			give_up(k);
 		else if (!k->open && !k->maybe_accepted &&
--- a/src/member/follow.c
+++ b/src/member/follow.c
@@ -25,16 +25,16 @@
 	struct store *store;
 	const char *table;
 	const char *const *parts;
-	int part;	  /**< being read */
+	int part; /**< being read */
 	char from[KEY_LEN_MAX + 1];
 	uint64_t version; /**< watched from here */
 	uint64_t first;	  /**< version of the first page of this reading */
 	int64_t wait_ms;
 	int64_t heard_ms;
-	int64_t lost_ms;  /**< since when it fails; 0: it doesn't */
+	int64_t lost_ms; /**< since when it fails; 0: it doesn't */
 	bool reading;
 	bool ready;
-	bool dead;	  /**< freed when the call under way returns */
+	bool dead; /**< freed when the call under way returns */
 	struct reported *reported;
 	struct event *retry;
 	follow_fn fn;
@@ -112,8 +112,8 @@
 	if (f->first == 0)
 		f->first = r->version;
 	if (r->has_more && r->nrows > 0) {
-		snprintf(f->from, sizeof(f->from), "%s!",
-		    r->rows[r->nrows - 1].key);
+		snprintf(
+		    f->from, sizeof(f->from), "%s!", r->rows[r->nrows - 1].key);
 		return;
 	}
 	f->from[0] = '\0';
@@ -166,8 +166,8 @@
 		f->store->ops->list(f->store, f->table, f->parts[f->part],
 		    f->from, PAGE_ROWS, on_rows, f);
 	else
-		f->store->ops->watch(f->store, f->table, f->version, f->wait_ms,
-		    on_rows, f);
+		f->store->ops->watch(
+		    f->store, f->table, f->version, f->wait_ms, on_rows, f);
 }
 
 static void
--- a/src/member/lanes.c
+++ b/src/member/lanes.c
@@ -59,8 +59,8 @@
 	struct remote *r;
 
 	if (strcmp(host, m->settings->host) == 0) {
-		m->ports.advise(m->ports.arg, step, runners, nrunners,
-		    timeout_ms, fn, arg);
+		m->ports.advise(
+		    m->ports.arg, step, runners, nrunners, timeout_ms, fn, arg);
 		return;
 	}
 	r = xcalloc(1, sizeof(*r));
@@ -104,8 +104,8 @@
 #define SERVED_TIMEOUT_MS 5000
 
 void
-member_serve_advise(struct member *m, const struct peer_request *rq,
-    const Cc__AdviseCall *call)
+member_serve_advise(
+    struct member *m, const struct peer_request *rq, const Cc__AdviseCall *call)
 {
 	struct served *s = xcalloc(1, sizeof(*s));
 
--- a/src/member/lead.c
+++ b/src/member/lead.c
@@ -88,8 +88,7 @@
 static bool
 row_is_mine(const struct member *m, const struct row *row)
 {
-	Cc__LeaderRow *lr =
-	    cc__leader_row__unpack(NULL, row->len, row->value);
+	Cc__LeaderRow *lr = cc__leader_row__unpack(NULL, row->len, row->value);
 	bool mine = lr != NULL && !lr->released &&
 	    strcmp(lr->incarnation, m->incarnation) == 0;
 
@@ -161,9 +160,11 @@
 claim(struct member *m)
 {
 	struct row conds[2] = {
-	    {.table = MEMBER_TABLE, .key = LEADER_KEY,
+	    {.table = MEMBER_TABLE,
+		.key = LEADER_KEY,
 		.version = m->leader.version},
-	    {.table = CELL_TABLE, .key = COMMIT_KEY,
+	    {.table = CELL_TABLE,
+		.key = COMMIT_KEY,
 		.version = m->watched_version},
 	};
 	Cc__LeaderRow lr = CC__LEADER_ROW__INIT;
@@ -173,14 +174,16 @@
 	    {.table = MEMBER_TABLE, .key = LEADER_KEY, .value = leader},
 	    {.table = CELL_TABLE, .key = COMMIT_KEY, .value = commit},
 	};
-	struct store_txn t = {.part = CELL_PART, .conditions = conds,
-	    .nconditions = 2, .writes = writes, .nwrites = 2};
+	struct store_txn t = {.part = CELL_PART,
+	    .conditions = conds,
+	    .nconditions = 2,
+	    .writes = writes,
+	    .nwrites = 2};
 
 	lr.host = (char *)(uintptr_t)m->settings->host;
 	lr.incarnation = m->incarnation;
 	/* The first leader of all has generation 0. */
-	lr.generation =
-	    m->leader.version == 0 ? 0 : m->leader.generation + 1;
+	lr.generation = m->leader.version == 0 ? 0 : m->leader.generation + 1;
 	if (m->leader.version == 0)
 		m->leader.generation = UINT32_MAX;
 	cr.incarnation = m->incarnation;
@@ -224,8 +227,8 @@
 	    .beat_age_ms = INT64_MAX,
 	};
 
-	f.same_host = m->leader.known &&
-	    strcmp(m->leader.host, m->settings->host) == 0;
+	f.same_host =
+	    m->leader.known && strcmp(m->leader.host, m->settings->host) == 0;
 	if (o != NULL) {
 		f.linked = member_linked(m, o->host);
 		f.stalled = f.linked && o->leads && o->stalled;
@@ -269,8 +272,8 @@
 		return;
 	m->watching = true;
 	m->watch_sent_ms = now;
-	m->ports.store->ops->list(m->ports.store, CELL_TABLE, CELL_PART,
-	    COMMIT_KEY, 1, on_watch, m);
+	m->ports.store->ops->list(
+	    m->ports.store, CELL_TABLE, CELL_PART, COMMIT_KEY, 1, on_watch, m);
 }
 
 void
@@ -305,12 +308,15 @@
 {
 	Cc__LeaderRow lr = CC__LEADER_ROW__INIT;
 	uint8_t buf[256];
-	struct row cond = {.table = MEMBER_TABLE, .key = LEADER_KEY,
-	    .version = m->cell.fence};
+	struct row cond = {
+	    .table = MEMBER_TABLE, .key = LEADER_KEY, .version = m->cell.fence};
 	struct row row = {
 	    .table = MEMBER_TABLE, .key = LEADER_KEY, .value = buf};
-	struct store_txn t = {.part = CELL_PART, .conditions = &cond,
-	    .nconditions = 1, .writes = &row, .nwrites = 1};
+	struct store_txn t = {.part = CELL_PART,
+	    .conditions = &cond,
+	    .nconditions = 1,
+	    .writes = &row,
+	    .nwrites = 1};
 
 	lr.host = (char *)(uintptr_t)m->settings->host;
 	lr.incarnation = m->incarnation;
--- a/src/member/manifest.c
+++ b/src/member/manifest.c
@@ -26,8 +26,7 @@
 	m->manifest_text[len] = '\0';
 	m->manifest_len = len;
 	cell_set_manifest(&m->cell, m->ports.manifest_decode(value, len));
-	kvlog(KVLOG_INFO, "manifest_in_force",
-	    "version=%llu queues=%d from=%s",
+	kvlog(KVLOG_INFO, "manifest_in_force", "version=%llu queues=%d from=%s",
 	    (unsigned long long)new->version, new->nqueues, from);
 }
 
@@ -84,8 +83,7 @@
 		if (m->others[i].manifest_version > have &&
 		    member_linked(m, m->others[i].host) &&
 		    (best == NULL ||
-			m->others[i].manifest_version >
-			    best->manifest_version))
+			m->others[i].manifest_version > best->manifest_version))
 			best = &m->others[i];
 	if (best == NULL)
 		return;
--- a/src/member/member.c
+++ b/src/member/member.c
@@ -76,6 +76,7 @@
 {
 	const struct cell_settings *s = m->settings;
 	struct cell_terms terms = {
+	    .max_hold_ms = s->max_hold_ms,
 	    .lease_ms = min_of(LEASE_MS, s->max_hold_ms),
 	    .start_ms = min_of(START_MS, s->max_hold_ms),
 	    .hold_wait_ms = HOLD_WAIT_MS,
--- a/src/member/member.h
+++ b/src/member/member.h
@@ -42,9 +42,9 @@
 struct member_call {
 	enum call_verb verb;
 	const char *queue;
-	const char *id;	      /**< "" for CALL_PENDING */
-	Cc__JobRow *job;      /**< of CALL_SUBMIT; taken over */
-	int64_t timeout_ms;   /**< the caller waits this long */
+	const char *id;	    /**< "" for CALL_PENDING */
+	Cc__JobRow *job;    /**< of CALL_SUBMIT; taken over */
+	int64_t timeout_ms; /**< the caller waits this long */
 };
 
 /** NULL when the port for peers cannot be bound. */
@@ -58,8 +58,8 @@
 /** The manifest in force here; NULL before the first. */
 const struct manifest *member_manifest(const struct member *m);
 /** @p fn is called once, perhaps before this returns. */
-void member_call(struct member *m, const struct member_call *call, cell_fn fn,
-    void *arg);
+void member_call(
+    struct member *m, const struct member_call *call, cell_fn fn, void *arg);
 /** Counters as text, a line each. */
 char *member_metrics(const struct member *m);
 
--- a/src/member/members.c
+++ b/src/member/members.c
@@ -180,8 +180,8 @@
 	if (o == NULL)
 		return;
 	o->beat_ms = clock_boot_ms();
-	str_copy(o->beat_incarnation, b->incarnation,
-	    sizeof(o->beat_incarnation));
+	str_copy(
+	    o->beat_incarnation, b->incarnation, sizeof(o->beat_incarnation));
 	o->leads = b->leads;
 	o->stalled = b->stalled;
 	o->leaving = b->leaving;
--- a/src/member/parts.h
+++ b/src/member/parts.h
@@ -13,10 +13,10 @@
 /** Another host of the cell. */
 struct other {
 	char host[64];
-	char incarnation[32];	/**< of its row */
+	char incarnation[32]; /**< of its row */
 	char beat_incarnation[32];
-	int64_t beat_ms;	/**< last beat from it; 0: none */
-	int64_t up_ms;		/**< link up since; 0: it is down */
+	int64_t beat_ms; /**< last beat from it; 0: none */
+	int64_t up_ms;	 /**< link up since; 0: it is down */
 	bool leads;
 	bool stalled;
 	bool leaving;
@@ -68,7 +68,7 @@
 	bool watching;
 	uint64_t watched_version;
 	uint64_t watched_seq;
-	int64_t watched_ms;   /**< when that version was first seen */
+	int64_t watched_ms; /**< when that version was first seen */
 	int64_t watch_sent_ms;
 	int64_t member_row_ms; /**< own row last tried; 0: it is written */
 	bool member_row_open;
@@ -96,8 +96,7 @@
 void member_write_row(struct member *m);
 void member_beat(struct member *m);
 void member_lanes(struct member *m);
-void member_frame(
-    const struct peer_request *rq, const Cc__Frame *f, void *arg);
+void member_frame(const struct peer_request *rq, const Cc__Frame *f, void *arg);
 bool member_linked(const struct member *m, const char *host);
 
 /* lead.c */
@@ -109,8 +108,8 @@
 
 /* manifest.c */
 void member_manifest_row(const struct row *row, void *arg);
-void member_take_manifest(struct member *m, const void *value, size_t len,
-    const char *from);
+void member_take_manifest(
+    struct member *m, const void *value, size_t len, const char *from);
 void member_ask_manifest(struct member *m);
 
 /* registry.c */
--- a/src/ports/ports.h
+++ b/src/ports/ports.h
@@ -74,16 +74,16 @@
 /** Outcome of an order to a runner. */
 enum order_result {
 	ORDER_OK,
-	ORDER_FENCED,	 /**< a newer leader has been there */
-	ORDER_OLD,	 /**< this run or a later one ended there */
-	ORDER_LATE,	 /**< it arrived past its time limit */
+	ORDER_FENCED, /**< a newer leader has been there */
+	ORDER_OLD,    /**< this run or a later one ended there */
+	ORDER_LATE,   /**< it arrived past its time limit */
 	ORDER_NO_ROOM,
 	ORDER_NO_TICKET,
-	ORDER_UNHEALTHY, /**< nothing was done; the runner is not well */
-	ORDER_INVALID,	 /**< the runner can't read it */
+	ORDER_UNHEALTHY,  /**< nothing was done; the runner is not well */
+	ORDER_INVALID,	  /**< the runner can't read it */
 	ORDER_OTHER_LIFE, /**< the runner was restarted */
 	ORDER_NOT_SENT,
-	ORDER_UNKNOWN,	 /**< it may have been done, or may be done later */
+	ORDER_UNKNOWN, /**< it may have been done, or may be done later */
 };
 
 enum run_end {
@@ -146,7 +146,12 @@
 struct hold_order {
 	int64_t until_ms; /**< 0: the lease is left as it is */
 	uint64_t fence;
-	uint64_t seen; /**< ends up to this one may be forgotten */
+	/**
+	 * Ends up to this one may be forgotten. Sent only on a connection that
+	 * was answered on before: a new one may reach a new life of the
+	 * runner, whose ends are numbered from 1 again.
+	 */
+	uint64_t seen;
 	int64_t wait_ms;
 };
 
@@ -184,8 +189,9 @@
 	int nlabels;
 	char rack[LABEL_LEN];
 	bool draining;
-	int64_t remaining_ms; /**< least time left while draining; -1: unknown */
-	int64_t born_ms;      /**< 0: not given */
+	int64_t
+	    remaining_ms; /**< least time left while draining; -1: unknown */
+	int64_t born_ms;  /**< 0: not given */
 	int64_t cold_ms;
 };
 
--- a/src/state/cell_settings.c
+++ b/src/state/cell_settings.c
@@ -38,8 +38,7 @@
     {"early_ms", YAML_INT, S(early_ms), 0, 0, MINUTE_MS, false, NULL, NULL},
     {"drain_ms", YAML_INT, S(drain_ms), 0, 0, MINUTE_MS, false, NULL, NULL},
     {"impact_ms", YAML_INT, S(impact_ms), 0, 0, MINUTE_MS, false, NULL, NULL},
-    {"remote_factor", YAML_MONEY, S(remote_factor), 0, 0, 0, false, NULL,
-	NULL},
+    {"remote_factor", YAML_MONEY, S(remote_factor), 0, 0, 0, false, NULL, NULL},
     {NULL, YAML_TEXT, 0, 0, 0, 0, false, NULL, NULL},
 };
 
--- a/src/state/job.h
+++ b/src/state/job.h
@@ -38,11 +38,11 @@
 	uint32_t last_run; /**< highest run number used; 0: never started */
 	uint32_t failures;
 	uint32_t *failed_runs; /**< the runs that failed, one each failure */
-	char avoid[64];	   /**< runner on which it failed last */
-	char *saved;	   /**< last checkpoint; NULL for none */
-	struct run *run;   /**< where it is, or may be */
-	struct run *copy;  /**< a second run of a speculative task */
-	int64_t retry_ms;  /**< no start before this time */
+	char avoid[64];	       /**< runner on which it failed last */
+	char *saved;	       /**< last checkpoint; NULL for none */
+	struct run *run;       /**< where it is, or may be */
+	struct run *copy;      /**< a second run of a speculative task */
+	int64_t retry_ms;      /**< no start before this time */
 };
 
 struct step {
@@ -51,14 +51,14 @@
 	uint32_t index;
 	struct task *tasks;
 	uint32_t ndone;
-	uint32_t nheld;	       /**< tasks that have a run */
+	uint32_t nheld; /**< tasks that have a run */
 	uint32_t gang_failures;
-	int64_t turn_ms;       /**< its turn came; 0: it hasn't yet */
+	int64_t turn_ms; /**< its turn came; 0: it hasn't yet */
 	int64_t first_start_ms;
-	bool listed;	       /**< on the list of steps with work to place */
+	bool listed; /**< on the list of steps with work to place */
 	TAILQ_ENTRY(step) link;
-	void *advice;	       /**< owned by the module that asks for advice */
-	uint64_t room_seen;    /**< room's version at the last failed attempt */
+	void *advice;	    /**< owned by the module that asks for advice */
+	uint64_t room_seen; /**< room's version at the last failed attempt */
 };
 
 struct occurrence {
@@ -77,10 +77,10 @@
 	uint32_t ndone;	       /**< occurrences that are done */
 	enum job_state state;
 	enum job_state stored_state; /**< what the store has */
-	bool stored;	  /**< the accepted job is in the store */
-	bool started;	  /**< a task has begun, now or earlier */
-	bool inherited;	  /**< accepted under an earlier leader */
-	bool dirty;	  /**< its progress is to be written */
+	bool stored;		     /**< the accepted job is in the store */
+	bool started;		     /**< a task has begun, now or earlier */
+	bool inherited;		     /**< accepted under an earlier leader */
+	bool dirty;		     /**< its progress is to be written */
 	int64_t accepted_ms;
 	int64_t ended_ms;
 	int64_t due_ms;	  /**< latency objective, absolute */
--- a/src/state/job_progress.c
+++ b/src/state/job_progress.c
@@ -21,8 +21,8 @@
 	p->last_run = t->last_run;
 	p->failures = t->failures;
 	p->n_failed_runs = t->failures;
-	p->failed_runs = xmemdup(
-	    t->failed_runs, t->failures * sizeof(*t->failed_runs));
+	p->failed_runs =
+	    xmemdup(t->failed_runs, t->failures * sizeof(*t->failed_runs));
 	p->saved = xstrdup(t->saved != NULL ? t->saved : "");
 	return p;
 }
@@ -75,8 +75,8 @@
 	p->started = j->started;
 	if (job_ended(j))
 		return p;
-	p->steps =
-	    xcalloc((size_t)j->noccurrences * j->row->n_steps, sizeof(*p->steps));
+	p->steps = xcalloc(
+	    (size_t)j->noccurrences * j->row->n_steps, sizeof(*p->steps));
 	for (i = 0; i < j->noccurrences; i++)
 		for (k = 0; k < j->row->n_steps; k++) {
 			const struct step *s = &j->occurrences[i]->steps[k];
@@ -96,8 +96,8 @@
 static void
 load_task(struct job *j, const Cc__StepProgress *sp, const Cc__TaskProgress *tp)
 {
-	struct task_ref ref = {.occurrence = sp->occurrence,
-	    .step = sp->step, .index = tp->index};
+	struct task_ref ref = {
+	    .occurrence = sp->occurrence, .step = sp->step, .index = tp->index};
 	struct task *t = job_task(j, &ref);
 	size_t i;
 
@@ -117,7 +117,8 @@
 
 	for (i = 0; i < sp->done.len * 8; i++) {
 		struct task_ref ref = {.occurrence = sp->occurrence,
-		    .step = sp->step, .index = (uint32_t)i};
+		    .step = sp->step,
+		    .index = (uint32_t)i};
 		struct task *t = job_task(j, &ref);
 
 		if (t != NULL && sp->done.data[i / 8] & (1u << (i % 8)))
@@ -132,8 +133,8 @@
 {
 	size_t i;
 
-	j->state = p->state <= JOB_CANCELED ? (enum job_state)p->state
-					    : JOB_QUEUED;
+	j->state =
+	    p->state <= JOB_CANCELED ? (enum job_state)p->state : JOB_QUEUED;
 	j->stored_state = j->state;
 	j->started = p->started;
 	if (job_ended(j))
--- a/src/state/runner.c
+++ b/src/state/runner.c
@@ -5,9 +5,6 @@
 
 #include "../base/xalloc.h"
 
-/** A runner's steady clock runs at least this fast, percent. */
-#define CLOCK_RATE_MIN 98
-
 struct runner *
 runner_new(const struct runner_info *info)
 {
--- a/src/state/runner.h
+++ b/src/state/runner.h
@@ -12,6 +12,9 @@
 #include "../ports/ports.h"
 #include "job.h"
 
+/** A runner's steady clock runs at least this fast, percent. */
+#define CLOCK_RATE_MIN 98
+
 enum run_state {
 	RUN_STARTING, /**< ordered, no answer yet */
 	RUN_RUNNING,
@@ -37,6 +40,7 @@
 	int64_t stop_ok_ms;   /**< the runner took the stop; 0: not yet */
 	int64_t at_work_ms;   /**< first seen at 100 percent */
 	int orders;	      /**< starts sent */
+	int open_orders;      /**< of these, without an answer so far */
 	int misses;	      /**< lists in a row that lack it */
 	int percent;	      /**< share at which it may work */
 	int load;
@@ -51,36 +55,38 @@
 	int64_t used_cpu;
 	int64_t used_mem_mb;
 	int64_t used_gpu;
-	bool listed;	       /**< in the newest list of the registry */
-	int64_t missing_ms;    /**< since when it isn't listed */
-	bool recorded;	       /**< the store lists it as one that may hold runs */
-	bool adopted;	       /**< its lists were read under this leader */
-	int64_t clock_ms;      /**< runner's clock ... */
-	int64_t clock_at_ms;   /**< ... read no later than this time */
-	int64_t lease_ms;      /**< latest end of lease given, its clock */
-	uint64_t taken;	       /**< number of the last end processed */
-	uint64_t acking;       /**< in the commit under way */
-	uint64_t acked;	       /**< what the ends up to it mean is stored */
-	bool holding;	       /**< a hold is under way */
+	bool listed;	    /**< in the newest list of the registry */
+	int64_t missing_ms; /**< since when it isn't listed */
+	uint64_t fence;	    /**< of orders to it; rises with each life */
+	bool recorded;	    /**< the store lists it as one that may hold runs */
+	bool adopted;	    /**< its lists were read under this leader */
+	int64_t clock_ms;   /**< runner's clock ... */
+	int64_t clock_at_ms; /**< ... read no later than this time */
+	int64_t lease_ms;    /**< latest end of lease given, its clock */
+	uint64_t taken;	     /**< number of the last end processed */
+	uint64_t acking;     /**< in the commit under way */
+	uint64_t acked;	     /**< what the ends up to it mean is stored */
+	bool holding;	     /**< a hold is under way */
 	int64_t hold_sent_ms;
-	int64_t heard_ms;      /**< last answer */
+	int64_t order_sent_ms;	  /**< last order that may prolong the lease */
+	int64_t heard_ms;	  /**< last answer */
 	int64_t unheard_since_ms; /**< first failure since; 0: none */
-	int hold_errors;       /**< in a row */
+	int hold_errors;	  /**< in a row */
 	int64_t drain_since_ms;
-	double speed;	       /**< of its run times to the usual; 1 is usual */
+	double speed; /**< of its run times to the usual; 1 is usual */
 	int samples;
-	int failures;	       /**< in a row, of distinct jobs */
+	int failures; /**< in a row, of distinct jobs */
 	char failed_job[JOB_ID_LEN];
 	int64_t avoid_until_ms;
-	int64_t avoid_ms;      /**< length of the next avoidance */
+	int64_t avoid_ms; /**< length of the next avoidance */
 };
 
 struct runner *runner_new(const struct runner_info *info);
 /** Its runs must have been taken away before. */
 void runner_delete(struct runner *r);
 /** Takes room at once. */
-struct run *run_new(struct runner *r, struct task *t, const char *name,
-    uint32_t number);
+struct run *run_new(
+    struct runner *r, struct task *t, const char *name, uint32_t number);
 /** Gives the room back; the task must have let go of it. */
 void run_delete(struct run *run);
 struct run *runner_run(
--- a/src/transport/http_call.c
+++ b/src/transport/http_call.c
@@ -132,8 +132,9 @@
 	conn_delete(c);
 }
 
+/* Drops what is too old on the way. */
 static struct conn *
-conn_take_idle(struct http_pool *p, const char *addr, uint16_t port)
+find_idle(struct http_pool *p, const char *addr, uint16_t port)
 {
 	struct conn *c, *next;
 	int64_t now = clock_boot_ms();
@@ -147,14 +148,30 @@
 			p->nidle--;
 			conn_delete(c);
 		} else if (c->port == port && strcmp(c->addr, addr) == 0) {
-			TAILQ_REMOVE(&p->idle, c, link);
-			p->nidle--;
 			return c;
 		}
 	}
 	return NULL;
 }
 
+static struct conn *
+conn_take_idle(struct http_pool *p, const char *addr, uint16_t port)
+{
+	struct conn *c = find_idle(p, addr, port);
+
+	if (c == NULL)
+		return NULL;
+	TAILQ_REMOVE(&p->idle, c, link);
+	p->nidle--;
+	return c;
+}
+
+bool
+http_pool_has_idle(struct http_pool *p, const char *addr, uint16_t port)
+{
+	return find_idle(p, addr, port) != NULL;
+}
+
 static void
 conn_put_idle(struct http_pool *p, struct conn *c)
 {
--- a/src/transport/http_call.h
+++ b/src/transport/http_call.h
@@ -57,6 +57,8 @@
 void http_pool_delete(struct http_pool *p);
 /** Starts a call; @p fn is called once, never from inside this function. */
 struct http_call *http_call(struct http_pool *p, const struct http_request *r);
+/** Whether a call to this address would go out on a used connection. */
+bool http_pool_has_idle(struct http_pool *p, const char *addr, uint16_t port);
 /** Ends a call without an answer; fn is not called. */
 void http_cancel(struct http_call *c);
 /** Bytes sent and received over all calls, headers included. */
--- a/tests/prop/prop.h
+++ b/tests/prop/prop.h
@@ -30,5 +30,6 @@
 bool prop_ready();
 bool prop_quarantine();
 bool prop_retry();
+bool prop_cells();
 
 #endif
