Takeover in a second, and inherited work waits for fewer runners

Change: a silent or draining runner is closed in the store with the runs that it may hold, so only open runners are waited for; a leader says at once that its commits fail, renewals come every 250 ms, a claim needs 0.4 to 0.85 s without change; an ended job keeps one small row; open calls move on to the next leader. Ruled out: shorter leases alone; they lapse during a takeover.

--- a/src/cell/commit.c
+++ b/src/cell/commit.c
@@ -20,7 +20,7 @@
 /** Commits are at least this far apart, so that each carries more. */
 #define COMMIT_GAP_MS 15
 /** A commit without changes shows that the leader lives. */
-#define RENEW_MS 400
+#define RENEW_MS 250
 #define COMMIT_TIMEOUT_MS 1000
 #define RETRY_MS 60
 /** The store counts as down when commits have failed for this long. */
@@ -88,12 +88,16 @@
 	Cc__JobProgress *p = job_progress(j);
 	struct entry *e;
 
-	if (!j->stored) {
+	if (!j->stored && !job_ended(j)) {
 		e = add_entry(
 		    k, JOB_PREFIX, j->id, cc__job_row__get_packed_size(j->row));
 		cc__job_row__pack(j->row, e->value);
 	}
-	if (j->stored || j->state != JOB_QUEUED) {
+	/* What has ended needs no more than its outcome. */
+	if (j->stored && job_ended(j) && j->stored_state < JOB_COMPLETED)
+		snprintf(k->removes[k->nremoves++].key, sizeof(k->removes->key),
+		    "%s%s", JOB_PREFIX, j->id);
+	if (j->stored || job_ended(j)) {
 		e = add_entry(k, PROGRESS_PREFIX, j->id,
 		    cc__job_progress__get_packed_size(p));
 		cc__job_progress__pack(p, e->value);
@@ -105,25 +109,49 @@
 	TAILQ_REMOVE(&k->cell->dirty, j, dirty_link);
 }
 
+static Cc__RunnerRow *
+pack_runner(const struct runner *r)
+{
+	Cc__RunnerRow *row = xcalloc(1, sizeof(*row));
+	const struct run *run;
+
+	cc__runner_row__init(row);
+	row->id = xstrdup(r->info.id);
+	row->addr = xstrdup(r->info.addr);
+	row->port = r->info.port;
+	row->closed = !runner_open(r);
+	if (!row->closed)
+		return row;
+	row->runs = xcalloc((size_t)r->nruns + 1, sizeof(*row->runs));
+	TAILQ_FOREACH (run, &r->runs, link) {
+		Cc__RunRef *ref = xcalloc(1, sizeof(*ref));
+
+		cc__run_ref__init(ref);
+		ref->task = xstrdup(run->name);
+		ref->run = run->number;
+		row->runs[row->n_runs++] = ref;
+	}
+	return row;
+}
+
 static void
 add_runners(struct cell *c, struct commit *k)
 {
-	Cc__AdviseCall list = CC__ADVISE_CALL__INIT;
+	Cc__RunnersRow *list = xcalloc(1, sizeof(*list));
 	struct runner *r;
 	struct entry *e;
-	char **names = xcalloc(HASH_COUNT(c->runners) + 1, sizeof(*names));
-	size_t i;
 
-	for (r = c->runners; r != NULL; r = r->hh.next)
-		names[list.n_runners++] = xasprintf("%s %s %u", r->info.id,
-		    r->info.addr, (unsigned)r->info.port);
-	list.runners = names;
+	cc__runners_row__init(list);
+	list->runners =
+	    xcalloc(HASH_COUNT(c->runners) + 1, sizeof(*list->runners));
+	for (r = c->runners; r != NULL; r = r->hh.next) {
+		list->runners[list->n_runners++] = pack_runner(r);
+		r->opening = runner_open(r);
+	}
 	e = add_entry(
-	    k, "", RUNNERS_KEY, cc__advise_call__get_packed_size(&list));
-	cc__advise_call__pack(&list, e->value);
-	for (i = 0; i < list.n_runners; i++)
-		free(names[i]);
-	free(names);
+	    k, "", RUNNERS_KEY, cc__runners_row__get_packed_size(list));
+	cc__runners_row__pack(list, e->value);
+	cc__runners_row__free_unpacked(list, NULL);
 	k->has_runners = true;
 	c->runners_changed = false;
 }
@@ -137,8 +165,6 @@
 	    j->stored_state == j->state &&
 	    now - j->ended_ms > c->terms.status_ms &&
 	    k->nremoves + k->nwrites + 2 < COMMIT_ENTRIES_MAX) {
-		snprintf(k->removes[k->nremoves++].key, sizeof(k->removes->key),
-		    "%s%s", JOB_PREFIX, j->id);
 		snprintf(k->removes[k->nremoves++].key, sizeof(k->removes->key),
 		    "%s%s", PROGRESS_PREFIX, j->id);
 		cell_forget_job(c, j);
@@ -171,7 +197,8 @@
 	if (c->runners_changed)
 		add_runners(c, k);
 	while ((j = TAILQ_FIRST(&c->dirty)) != NULL &&
-	    k->nwrites + 2 < COMMIT_ENTRIES_MAX && k->bytes < COMMIT_BYTES_MAX)
+	    k->nwrites + k->nremoves + 3 < COMMIT_ENTRIES_MAX &&
+	    k->bytes < COMMIT_BYTES_MAX)
 		add_job(k, j);
 	add_removes(c, k, now);
 	if (TAILQ_EMPTY(&c->dirty))
@@ -237,8 +264,9 @@
 	for (i = 0; i < k->njobs; i++)
 		job_committed(k->jobs[i], k->states[i]);
 	for (r = c->runners; r != NULL; r = r->hh.next) {
-		if (k->has_runners && !c->runners_changed)
-			r->recorded = true;
+		if (k->has_runners && r->opening)
+			r->recorded = runner_open(r);
+		r->opening = false;
 		if (r->acking > r->acked)
 			r->acked = r->acking;
 	}
--- a/src/cell/holds.c
+++ b/src/cell/holds.c
@@ -31,6 +31,14 @@
 	char runner[RUNNER_ID_LEN];
 };
 
+/* A later leader need not wait for what it can't hold. */
+void
+cell_close_runner(struct cell *c, struct runner *r)
+{
+	r->recorded = false;
+	c->runners_changed = true;
+}
+
 /*
  * Orders sent before, and done late, do nothing from the next hold on. The
  * version of the last commit is a number that no other leader has, and lower
@@ -108,6 +116,10 @@
 	if (seen->run > t->last_run)
 		t->last_run = seen->run;
 	j->started = true;
+	/* A later run is started only once the one before is over. */
+	if (t->run != NULL && t->run->number < seen->run &&
+	    !t->run->runner->adopted && !t->step->spec->speculative)
+		cell_run_ended(c, t->run, END_LOST, "");
 	if (t->run == NULL) {
 		t->run = run;
 		if (!t->done)
@@ -230,6 +242,9 @@
 		kvlog(KVLOG_INFO, "runner_back", "runner=%s silent_ms=%lld",
 		    r->info.id, (long long)(now - r->unheard_since_ms));
 	r->heard_ms = now;
+	if (r->unheard_since_ms != 0 || r->closed)
+		c->runners_changed = true;
+	r->closed = false;
 	r->unheard_since_ms = 0;
 	r->hold_errors = 0;
 	take_ends(c, r, h);
@@ -247,6 +262,7 @@
 	r->hold_errors++;
 	if (r->unheard_since_ms == 0 && r->hold_errors > 1) {
 		r->unheard_since_ms = now;
+		cell_close_runner(c, r);
 		kvlog(KVLOG_WARN, "runner_silent",
 		    "runner=%s result=%d heard_ms_ago=%lld runs=%d", r->info.id,
 		    why, (long long)(now - r->heard_ms), r->nruns);
@@ -350,6 +366,8 @@
 {
 	if (r->clock_at_ms != 0)
 		return runner_lapsed(r, now);
+	if (r->heard_ms == 0)
+		return now > c->blind_until_ms;
 	return now - r->order_sent_ms >
 	    c->terms.max_hold_ms * 100 / CLOCK_RATE_MIN + LAPSE_MARGIN_MS;
 }
@@ -409,7 +427,7 @@
 	if (!c->blind || c->phase != CELL_SERVING)
 		return;
 	for (r = c->runners; r != NULL; r = r->hh.next)
-		missing += !r->adopted;
+		missing += !r->adopted && !r->closed;
 	if (c->registry_ms == 0)
 		missing++;
 	if (missing > 0 && c->ports.now() < c->blind_until_ms)
@@ -430,6 +448,7 @@
 	int64_t born = r->info.born_ms;
 
 	if (in->draining && !r->info.draining) {
+		cell_close_runner(c, r);
 		r->drain_since_ms = c->ports.now();
 		kvlog(KVLOG_INFO, "runner_draining",
 		    "runner=%s runs=%d remaining_ms=%lld", in->id, r->nruns,
@@ -442,8 +461,10 @@
 		r->info.born_ms = born;
 	if (other_life)
 		cell_runner_reset(c, r);
-	if (!r->listed)
+	if (!r->listed) {
 		c->room_version++;
+		c->runners_changed = true;
+	}
 	r->listed = true;
 	r->missing_ms = 0;
 }
@@ -491,10 +512,13 @@
 		else
 			add_runner(c, &infos[i]);
 	}
-	for (r = c->runners; r != NULL; r = r->hh.next)
-		if (r->missing_ms != 0 && !doubtful && now - r->missing_ms >= 0)
-			r->listed = r->listed &&
-			    now - r->missing_ms < REGISTRY_GRACE_MS;
+	for (r = c->runners; r != NULL; r = r->hh.next) {
+		if (!r->listed || r->missing_ms == 0 || doubtful ||
+		    now - r->missing_ms < REGISTRY_GRACE_MS)
+			continue;
+		r->listed = false;
+		cell_close_runner(c, r);
+	}
 	c->registry_ms = now;
 	c->ports.wake(c->ports.arg);
 }
--- a/src/cell/jobs.c
+++ b/src/cell/jobs.c
@@ -207,12 +207,13 @@
     struct cell *c, const char *id, Cc__JobRow *row, cell_fn fn, void *arg)
 {
 	struct cell_answer ok = {.error = CC_OK};
+	struct cell_answer moved = {.error = CC_ENOTOWNER};
 	struct job *j = cell_job(c, id);
 
 	if (c->phase != CELL_SERVING || j != NULL || cell_store_down(c)) {
 		cc__job_row__free_unpacked(row, NULL);
 		if (c->phase != CELL_SERVING)
-			refuse(c, id, "loading", fn, arg);
+			fn(&moved, arg);
 		else if (j != NULL && j->stored)
 			fn(&ok, arg);
 		else if (j != NULL)
--- a/src/cell/load.c
+++ b/src/cell/load.c
@@ -41,6 +41,23 @@
 	HASH_ADD_STR(c->loading, id, j);
 }
 
+/* Of a job that has ended only its outcome is kept. */
+static struct job *
+ended_job(struct cell *c, const char *id, const Cc__JobProgress *p)
+{
+	Cc__JobRow *jr = xcalloc(1, sizeof(*jr));
+	struct job *j;
+
+	cc__job_row__init(jr);
+	jr->queue = xstrdup(p->queue);
+	jr->spec = xstrdup("");
+	j = job_new(id, jr);
+	j->stored = true;
+	j->inherited = true;
+	HASH_ADD_STR(c->loading, id, j);
+	return j;
+}
+
 static void
 load_progress(struct cell *c, const char *id, const struct row *row)
 {
@@ -48,40 +65,73 @@
 	    cc__job_progress__unpack(NULL, row->len, row->value);
 	struct job *j;
 
-	HASH_FIND_STR(c->loading, id, j);
-	if (p == NULL || j == NULL) {
+	if (p == NULL) {
 		kvlog(KVLOG_ERROR, "row_unreadable", "key=%s", row->key);
+		return;
+	}
+	HASH_FIND_STR(c->loading, id, j);
+	if (j == NULL && p->state >= JOB_COMPLETED)
+		j = ended_job(c, id, p);
+	if (j == NULL) {
+		kvlog(KVLOG_ERROR, "row_without_job", "key=%s", row->key);
 	} else {
 		job_load_progress(j, p);
 		if (job_ended(j))
 			j->ended_ms = c->ports.now();
 	}
-	if (p != NULL)
-		job_progress_free(p);
+	job_progress_free(p);
+}
+
+/* A run that a closed runner may hold keeps its task from a new start. */
+static void
+bind_ref(struct cell *c, struct runner *r, const Cc__RunRef *ref)
+{
+	struct task_ref name;
+	struct job *j = NULL;
+	struct task *t = NULL;
+	struct run *run;
+
+	if (task_ref_parse(&name, ref->task))
+		HASH_FIND_STR(c->loading, name.id, j);
+	if (j != NULL && !job_ended(j))
+		t = job_task(j, &name);
+	if (t == NULL || t->done || t->run != NULL)
+		return;
+	run = run_new(r, t, ref->task, ref->run);
+	run->state = RUN_RUNNING;
+	run->ordered_ms = run->confirmed_ms = c->ports.now();
+	t->run = run;
+	t->step->nheld++;
+	if (ref->run > t->last_run)
+		t->last_run = ref->run;
+	j->started = true;
 }
 
 static void
-load_runner(struct cell *c, const char *text)
+load_runner(struct cell *c, const Cc__RunnerRow *row)
 {
 	struct runner_info info = {.remaining_ms = -1};
 	struct runner *r;
-	unsigned port;
+	size_t i;
 
-	if (sscanf(text, "%63s %47s %u", info.id, info.addr, &port) != 3)
-		return;
-	info.port = (uint16_t)port;
+	str_copy(info.id, row->id, sizeof(info.id));
+	str_copy(info.addr, row->addr, sizeof(info.addr));
+	info.port = (uint16_t)row->port;
 	r = runner_new(&info);
-	r->recorded = true;
+	r->closed = row->closed;
+	r->recorded = !row->closed;
 	r->fence = c->fence;
-	r->missing_ms = c->ports.now();
+	r->missing_ms = r->order_sent_ms = c->ports.now();
 	HASH_ADD_STR(c->runners, info.id, r);
+	for (i = 0; i < row->n_runs; i++)
+		bind_ref(c, r, row->runs[i]);
 }
 
 static void
 load_runners(struct cell *c, const struct row *row)
 {
-	Cc__AdviseCall *list =
-	    cc__advise_call__unpack(NULL, row->len, row->value);
+	Cc__RunnersRow *list =
+	    cc__runners_row__unpack(NULL, row->len, row->value);
 	size_t i;
 
 	if (list == NULL) {
@@ -90,7 +140,7 @@
 	}
 	for (i = 0; i < list->n_runners; i++)
 		load_runner(c, list->runners[i]);
-	cc__advise_call__free_unpacked(list, NULL);
+	cc__runners_row__free_unpacked(list, NULL);
 }
 
 static void
--- a/src/cell/orders.c
+++ b/src/cell/orders.c
@@ -11,6 +11,8 @@
 #define START_TRIES 3
 /** Pause before a stop is sent again. */
 #define STOP_RETRY_MS 400
+/** A runner that left an order unanswered gets no work for this long. */
+#define SUSPECT_MS 300
 /** Answers may overtake each other by this much. */
 #define CLOCK_SLACK_MS 1000
 /** A runner that refuses gets no more work for this long at first. */
@@ -101,6 +103,16 @@
 	c->ports.deposed(c->ports.arg);
 }
 
+/* An order without an answer: nothing more goes there until a hold has one. */
+static void
+suspect_runner(struct cell *c, struct runner *r)
+{
+	int64_t until = c->ports.now() + SUSPECT_MS;
+
+	if (r->avoid_until_ms < until)
+		r->avoid_until_ms = until;
+}
+
 /* An order that this leader's own newer number overtook deposes nobody. */
 static bool
 is_deposed(const struct order *o)
@@ -236,6 +248,8 @@
 	struct run *run = order_run(o);
 
 	if (run != NULL && run->task != NULL) {
+		if (a->result == ORDER_UNKNOWN)
+			suspect_runner(c, run->runner);
 		if (a->result != ORDER_UNKNOWN)
 			run->open_orders--;
 		cell_take_clock(c, run->runner, a->clock_ms);
--- a/src/cell/parts.h
+++ b/src/cell/parts.h
@@ -55,6 +55,8 @@
 void cell_runner_failed(struct cell *c, struct runner *r);
 void cell_runner_reset(struct cell *c, struct runner *r);
 void cell_check_blind(struct cell *c);
+/** No start goes to the runner until a commit has opened it again. */
+void cell_close_runner(struct cell *c, struct runner *r);
 
 /* drain.c */
 /** Moves work off runners that are about to leave. */
--- a/src/coordination/claim.c
+++ b/src/coordination/claim.c
@@ -1,11 +1,13 @@
 #include "claim.h"
 
-/** A leader not heard from for this long is doubted; it beats every 250 ms. */
-#define BEAT_LATE_MS 900
-/** Renewals come every 400 ms, or later when the store is slow. */
-#define UNCHANGED_MS 1200
+/** A leader not heard from for this long is doubted; it beats every 200 ms. */
+#define BEAT_LATE_MS 700
+/** Renewals come every 250 ms, or later when the store is slow. */
+#define UNCHANGED_MS 850
+/** The same, when the leader itself says that its commits fail. */
+#define UNCHANGED_STALLED_MS 400
 /** The same, when no connection to the leader is up. */
-#define UNCHANGED_UNLINKED_MS 800
+#define UNCHANGED_UNLINKED_MS 650
 /** Hosts of the next rank wait this much longer, so that few collide. */
 #define RANK_MS 40
 
@@ -26,6 +28,8 @@
 
 	if (!claim_doubts(f))
 		return false;
+	if (f->stalled)
+		term = UNCHANGED_STALLED_MS;
 	if (f->no_leader || f->same_host || f->restarted)
 		term = 0;
 	return f->unchanged_ms >= term + (int64_t)f->rank * RANK_MS;
--- a/src/coordination/placing.c
+++ b/src/coordination/placing.c
@@ -17,9 +17,9 @@
 {
 	const Cc__StepSpec *s = w->step->spec;
 
-	if (!r->listed || r->info.draining || !r->adopted || !r->recorded)
+	if (!runner_open(r) || !r->adopted || !r->recorded)
 		return false;
-	if (r->unheard_since_ms != 0 || w->now_ms < r->avoid_until_ms)
+	if (w->now_ms < r->avoid_until_ms)
 		return false;
 	if (strcmp(r->info.service, w->service) != 0)
 		return false;
--- a/src/member/calls.c
+++ b/src/member/calls.c
@@ -34,6 +34,7 @@
 	int64_t deadline_ms;
 	int64_t again_ms;    /**< passed on again at this time; 0: under way */
 	bool open;	     /**< an attempt is under way */
+	uint64_t attempt;    /**< number of the newest */
 	bool maybe_accepted; /**< an attempt had no answer */
 	cell_fn fn;
 	void *arg;
@@ -95,11 +96,11 @@
 		again_later(k);
 		return;
 	case CC_EBUSY:
-		if (k->verb != CALL_SUBMIT || k->maybe_accepted) {
+		/* The leader knows of every submission that was stored. */
+		if (k->verb == CALL_SUBMIT)
+			finish(k, a);
+		else
 			again_later(k);
-			return;
-		}
-		finish(k, a);
 		return;
 	default:
 		k->maybe_accepted = k->verb == CALL_SUBMIT;
@@ -124,6 +125,7 @@
 struct attempt {
 	struct member *member;
 	uint64_t serial;
+	uint64_t attempt;
 };
 
 /* The call that still waits for this attempt; NULL when it was given up. */
@@ -134,7 +136,7 @@
 
 	TAILQ_FOREACH (k, &t->member->calls, link)
 		if (k->serial == t->serial)
-			return k->open ? k : NULL;
+			return k->open && k->attempt == t->attempt ? k : NULL;
 	return NULL;
 }
 
@@ -211,6 +213,7 @@
 	t = xcalloc(1, sizeof(*t));
 	t->member = m;
 	t->serial = k->serial;
+	t->attempt = ++k->attempt;
 	k->open = true;
 	k->again_ms = 0;
 	if (member_leads(m)) {
@@ -282,6 +285,20 @@
 	}
 }
 
+/* What the leader before was asked, and hasn't answered, goes to the next. */
+void
+member_calls_moved(struct member *m)
+{
+	struct pending_call *k;
+
+	TAILQ_FOREACH (k, &m->calls, link) {
+		if (k->open && k->verb == CALL_SUBMIT)
+			k->maybe_accepted = true;
+		k->open = false;
+		k->again_ms = 0;
+	}
+}
+
 void
 member_calls_done(struct member *m)
 {
--- a/src/member/lead.c
+++ b/src/member/lead.c
@@ -50,6 +50,8 @@
 	    "leader=%s version=%llu generation=%u released=%d", m->leader.host,
 	    (unsigned long long)m->leader.version, m->leader.generation,
 	    m->leader.released);
+	if (!m->leader.released)
+		member_calls_moved(m);
 	if (member_leads(m) && row->version > m->cell.fence) {
 		kvlog(KVLOG_WARN, "deposed", "fence=%llu why=row by=%s",
 		    (unsigned long long)m->cell.fence, m->leader.host);
@@ -82,6 +84,7 @@
 	    (unsigned long long)fence, m->leader.generation);
 	m->beat_ms = 0;
 	m->registry_ms = 0;
+	member_calls_moved(m);
 	cell_lead(&m->cell, fence, m->leader.generation, commit_version, 0);
 }
 
--- a/src/member/member.c
+++ b/src/member/member.c
@@ -16,9 +16,9 @@
 #define WAKE_MS 2
 #define FOLLOW_WAIT_MS 900
 /** Lease of runs at their runner, and of a start until the first hold. */
-#define LEASE_MS 4500
+#define LEASE_MS 4000
 #define START_MS 2500
-#define HOLD_WAIT_MS 1200
+#define HOLD_WAIT_MS 1000
 #define NO_ADVICE_LANE NULL
 
 static const char *const member_parts[] = {CELL_PART, MEMBER_PART, NULL};
--- a/src/member/members.c
+++ b/src/member/members.c
@@ -8,12 +8,15 @@
 #include "../sys/clock.h"
 #include "parts.h"
 
-#define LEADER_BEAT_MS 250
+#define LEADER_BEAT_MS 200
 #define FOLLOWER_BEAT_MS 900
 #define BEAT_TIMEOUT_MS 1500
 #define ROW_RETRY_MS 300
 #define ROW_TIMEOUT_MS 1000
-#define STALLED_MS 1200
+/** A leader whose commits fail for this long says so. */
+#define STALLED_MS 250
+/** The same, when they have no answer at all; a slow store takes 450 ms. */
+#define UNANSWERED_MS 1000
 
 struct other *
 member_other(struct member *m, const char *host)
@@ -141,6 +144,15 @@
 	(void)arg;
 }
 
+static bool
+is_stalled(const struct member *m, int64_t now)
+{
+	const struct cell *c = &m->cell;
+
+	return (c->store_down_ms != 0 && now - c->store_down_ms > STALLED_MS) ||
+	    now - c->committed_ms > UNANSWERED_MS;
+}
+
 void
 member_beat(struct member *m)
 {
@@ -162,7 +174,7 @@
 		b.leads = member_leads(m);
 		b.fence = m->cell.fence;
 		b.leaving = m->leaving;
-		b.stalled = b.leads && now - m->cell.committed_ms > STALLED_MS;
+		b.stalled = b.leads && is_stalled(m, now);
 		b.manifest_version =
 		    m->manifest != NULL ? m->manifest->version : 0;
 		f.body_case = CC__FRAME__BODY_CELL_BEAT;
--- a/src/member/parts.h
+++ b/src/member/parts.h
@@ -119,6 +119,8 @@
 void member_calls_tick(struct member *m);
 void member_serve_call(
     struct member *m, const struct peer_request *rq, const Cc__CellCall *call);
+/** Another host leads now. */
+void member_calls_moved(struct member *m);
 void member_calls_done(struct member *m);
 
 /* lanes.c */
--- a/src/protocol/peer.pb-c.c
+++ b/src/protocol/peer.pb-c.c
@@ -1807,6 +1807,141 @@
   assert(message->base.descriptor == &cc__job_progress__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   cc__run_ref__init
+                     (Cc__RunRef         *message)
+{
+  static const Cc__RunRef init_value = CC__RUN_REF__INIT;
+  *message = init_value;
+}
+size_t cc__run_ref__get_packed_size
+                     (const Cc__RunRef *message)
+{
+  assert(message->base.descriptor == &cc__run_ref__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t cc__run_ref__pack
+                     (const Cc__RunRef *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &cc__run_ref__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t cc__run_ref__pack_to_buffer
+                     (const Cc__RunRef *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &cc__run_ref__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Cc__RunRef *
+       cc__run_ref__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Cc__RunRef *)
+     protobuf_c_message_unpack (&cc__run_ref__descriptor,
+                                allocator, len, data);
+}
+void   cc__run_ref__free_unpacked
+                     (Cc__RunRef *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &cc__run_ref__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   cc__runner_row__init
+                     (Cc__RunnerRow         *message)
+{
+  static const Cc__RunnerRow init_value = CC__RUNNER_ROW__INIT;
+  *message = init_value;
+}
+size_t cc__runner_row__get_packed_size
+                     (const Cc__RunnerRow *message)
+{
+  assert(message->base.descriptor == &cc__runner_row__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t cc__runner_row__pack
+                     (const Cc__RunnerRow *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &cc__runner_row__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t cc__runner_row__pack_to_buffer
+                     (const Cc__RunnerRow *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &cc__runner_row__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Cc__RunnerRow *
+       cc__runner_row__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Cc__RunnerRow *)
+     protobuf_c_message_unpack (&cc__runner_row__descriptor,
+                                allocator, len, data);
+}
+void   cc__runner_row__free_unpacked
+                     (Cc__RunnerRow *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &cc__runner_row__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   cc__runners_row__init
+                     (Cc__RunnersRow         *message)
+{
+  static const Cc__RunnersRow init_value = CC__RUNNERS_ROW__INIT;
+  *message = init_value;
+}
+size_t cc__runners_row__get_packed_size
+                     (const Cc__RunnersRow *message)
+{
+  assert(message->base.descriptor == &cc__runners_row__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t cc__runners_row__pack
+                     (const Cc__RunnersRow *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &cc__runners_row__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t cc__runners_row__pack_to_buffer
+                     (const Cc__RunnersRow *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &cc__runners_row__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Cc__RunnersRow *
+       cc__runners_row__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Cc__RunnersRow *)
+     protobuf_c_message_unpack (&cc__runners_row__descriptor,
+                                allocator, len, data);
+}
+void   cc__runners_row__free_unpacked
+                     (Cc__RunnersRow *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &cc__runners_row__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   cc__leader_row__init
                      (Cc__LeaderRow         *message)
 {
@@ -5735,7 +5870,7 @@
   (ProtobufCMessageInit) cc__step_progress__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cc__job_progress__field_descriptors[4] =
+static const ProtobufCFieldDescriptor cc__job_progress__field_descriptors[5] =
 {
   {
     "state",
@@ -5785,9 +5920,22 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "queue",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Cc__JobProgress, queue),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cc__job_progress__field_indices_by_name[] = {
   2,   /* field[2] = ended_wall_ms */
+  4,   /* field[4] = queue */
   1,   /* field[1] = started */
   0,   /* field[0] = state */
   3,   /* field[3] = steps */
@@ -5795,7 +5943,7 @@
 static const ProtobufCIntRange cc__job_progress__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor cc__job_progress__descriptor =
 {
@@ -5805,13 +5953,192 @@
   "Cc__JobProgress",
   "cc",
   sizeof(Cc__JobProgress),
-  4,
+  5,
   cc__job_progress__field_descriptors,
   cc__job_progress__field_indices_by_name,
   1,  cc__job_progress__number_ranges,
   (ProtobufCMessageInit) cc__job_progress__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor cc__run_ref__field_descriptors[2] =
+{
+  {
+    "task",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Cc__RunRef, task),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "run",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cc__RunRef, run),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned cc__run_ref__field_indices_by_name[] = {
+  1,   /* field[1] = run */
+  0,   /* field[0] = task */
+};
+static const ProtobufCIntRange cc__run_ref__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor cc__run_ref__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "cc.RunRef",
+  "RunRef",
+  "Cc__RunRef",
+  "cc",
+  sizeof(Cc__RunRef),
+  2,
+  cc__run_ref__field_descriptors,
+  cc__run_ref__field_indices_by_name,
+  1,  cc__run_ref__number_ranges,
+  (ProtobufCMessageInit) cc__run_ref__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor cc__runner_row__field_descriptors[5] =
+{
+  {
+    "id",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Cc__RunnerRow, id),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "addr",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Cc__RunnerRow, addr),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "port",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cc__RunnerRow, port),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "closed",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Cc__RunnerRow, closed),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "runs",
+    5,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Cc__RunnerRow, n_runs),
+    offsetof(Cc__RunnerRow, runs),
+    &cc__run_ref__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned cc__runner_row__field_indices_by_name[] = {
+  1,   /* field[1] = addr */
+  3,   /* field[3] = closed */
+  0,   /* field[0] = id */
+  2,   /* field[2] = port */
+  4,   /* field[4] = runs */
+};
+static const ProtobufCIntRange cc__runner_row__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 5 }
+};
+const ProtobufCMessageDescriptor cc__runner_row__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "cc.RunnerRow",
+  "RunnerRow",
+  "Cc__RunnerRow",
+  "cc",
+  sizeof(Cc__RunnerRow),
+  5,
+  cc__runner_row__field_descriptors,
+  cc__runner_row__field_indices_by_name,
+  1,  cc__runner_row__number_ranges,
+  (ProtobufCMessageInit) cc__runner_row__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor cc__runners_row__field_descriptors[1] =
+{
+  {
+    "runners",
+    1,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Cc__RunnersRow, n_runners),
+    offsetof(Cc__RunnersRow, runners),
+    &cc__runner_row__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned cc__runners_row__field_indices_by_name[] = {
+  0,   /* field[0] = runners */
+};
+static const ProtobufCIntRange cc__runners_row__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor cc__runners_row__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "cc.RunnersRow",
+  "RunnersRow",
+  "Cc__RunnersRow",
+  "cc",
+  sizeof(Cc__RunnersRow),
+  1,
+  cc__runners_row__field_descriptors,
+  cc__runners_row__field_indices_by_name,
+  1,  cc__runners_row__number_ranges,
+  (ProtobufCMessageInit) cc__runners_row__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor cc__leader_row__field_descriptors[4] =
 {
   {
--- a/src/protocol/peer.pb-c.h
+++ b/src/protocol/peer.pb-c.h
@@ -55,6 +55,9 @@
 typedef struct Cc__TaskProgress Cc__TaskProgress;
 typedef struct Cc__StepProgress Cc__StepProgress;
 typedef struct Cc__JobProgress Cc__JobProgress;
+typedef struct Cc__RunRef Cc__RunRef;
+typedef struct Cc__RunnerRow Cc__RunnerRow;
+typedef struct Cc__RunnersRow Cc__RunnersRow;
 typedef struct Cc__LeaderRow Cc__LeaderRow;
 typedef struct Cc__CommitRow Cc__CommitRow;
 typedef struct Cc__MemberRow Cc__MemberRow;
@@ -742,10 +745,58 @@
   int64_t ended_wall_ms;
   size_t n_steps;
   Cc__StepProgress **steps;
+  /*
+   * of a job that has ended; its own row is gone
+   */
+  char *queue;
 };
 #define CC__JOB_PROGRESS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cc__job_progress__descriptor) \
-    , 0, 0, 0, 0,NULL }
+    , 0, 0, 0, 0,NULL, (char *)protobuf_c_empty_string }
+
+
+/*
+ * A run that a runner may hold.
+ */
+struct  Cc__RunRef
+{
+  ProtobufCMessage base;
+  char *task;
+  uint32_t run;
+};
+#define CC__RUN_REF__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&cc__run_ref__descriptor) \
+    , (char *)protobuf_c_empty_string, 0 }
+
+
+struct  Cc__RunnerRow
+{
+  ProtobufCMessage base;
+  char *id;
+  char *addr;
+  uint32_t port;
+  /*
+   * No start is sent to it until a later row opens it again; the runs listed
+   * are all that it may hold.
+   */
+  protobuf_c_boolean closed;
+  size_t n_runs;
+  Cc__RunRef **runs;
+};
+#define CC__RUNNER_ROW__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&cc__runner_row__descriptor) \
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0,NULL }
+
+
+struct  Cc__RunnersRow
+{
+  ProtobufCMessage base;
+  size_t n_runners;
+  Cc__RunnerRow **runners;
+};
+#define CC__RUNNERS_ROW__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&cc__runners_row__descriptor) \
+    , 0,NULL }
 
 
 /*
@@ -1698,6 +1749,63 @@
 void   cc__job_progress__free_unpacked
                      (Cc__JobProgress *message,
                       ProtobufCAllocator *allocator);
+/* Cc__RunRef methods */
+void   cc__run_ref__init
+                     (Cc__RunRef         *message);
+size_t cc__run_ref__get_packed_size
+                     (const Cc__RunRef   *message);
+size_t cc__run_ref__pack
+                     (const Cc__RunRef   *message,
+                      uint8_t             *out);
+size_t cc__run_ref__pack_to_buffer
+                     (const Cc__RunRef   *message,
+                      ProtobufCBuffer     *buffer);
+Cc__RunRef *
+       cc__run_ref__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   cc__run_ref__free_unpacked
+                     (Cc__RunRef *message,
+                      ProtobufCAllocator *allocator);
+/* Cc__RunnerRow methods */
+void   cc__runner_row__init
+                     (Cc__RunnerRow         *message);
+size_t cc__runner_row__get_packed_size
+                     (const Cc__RunnerRow   *message);
+size_t cc__runner_row__pack
+                     (const Cc__RunnerRow   *message,
+                      uint8_t             *out);
+size_t cc__runner_row__pack_to_buffer
+                     (const Cc__RunnerRow   *message,
+                      ProtobufCBuffer     *buffer);
+Cc__RunnerRow *
+       cc__runner_row__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   cc__runner_row__free_unpacked
+                     (Cc__RunnerRow *message,
+                      ProtobufCAllocator *allocator);
+/* Cc__RunnersRow methods */
+void   cc__runners_row__init
+                     (Cc__RunnersRow         *message);
+size_t cc__runners_row__get_packed_size
+                     (const Cc__RunnersRow   *message);
+size_t cc__runners_row__pack
+                     (const Cc__RunnersRow   *message,
+                      uint8_t             *out);
+size_t cc__runners_row__pack_to_buffer
+                     (const Cc__RunnersRow   *message,
+                      ProtobufCBuffer     *buffer);
+Cc__RunnersRow *
+       cc__runners_row__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   cc__runners_row__free_unpacked
+                     (Cc__RunnersRow *message,
+                      ProtobufCAllocator *allocator);
 /* Cc__LeaderRow methods */
 void   cc__leader_row__init
                      (Cc__LeaderRow         *message);
@@ -1991,6 +2099,15 @@
 typedef void (*Cc__JobProgress_Closure)
                  (const Cc__JobProgress *message,
                   void *closure_data);
+typedef void (*Cc__RunRef_Closure)
+                 (const Cc__RunRef *message,
+                  void *closure_data);
+typedef void (*Cc__RunnerRow_Closure)
+                 (const Cc__RunnerRow *message,
+                  void *closure_data);
+typedef void (*Cc__RunnersRow_Closure)
+                 (const Cc__RunnersRow *message,
+                  void *closure_data);
 typedef void (*Cc__LeaderRow_Closure)
                  (const Cc__LeaderRow *message,
                   void *closure_data);
@@ -2064,6 +2181,9 @@
 extern const ProtobufCMessageDescriptor cc__task_progress__descriptor;
 extern const ProtobufCMessageDescriptor cc__step_progress__descriptor;
 extern const ProtobufCMessageDescriptor cc__job_progress__descriptor;
+extern const ProtobufCMessageDescriptor cc__run_ref__descriptor;
+extern const ProtobufCMessageDescriptor cc__runner_row__descriptor;
+extern const ProtobufCMessageDescriptor cc__runners_row__descriptor;
 extern const ProtobufCMessageDescriptor cc__leader_row__descriptor;
 extern const ProtobufCMessageDescriptor cc__commit_row__descriptor;
 extern const ProtobufCMessageDescriptor cc__member_row__descriptor;
--- a/src/state/job_progress.c
+++ b/src/state/job_progress.c
@@ -73,8 +73,10 @@
 	cc__job_progress__init(p);
 	p->state = j->state;
 	p->started = j->started;
-	if (job_ended(j))
+	if (job_ended(j)) {
+		p->queue = xstrdup(j->row->queue);
 		return p;
+	}
 	p->steps = xcalloc(
 	    (size_t)j->noccurrences * j->row->n_steps, sizeof(*p->steps));
 	for (i = 0; i < j->noccurrences; i++)
--- a/src/state/runner.c
+++ b/src/state/runner.c
@@ -110,6 +110,12 @@
 	return n;
 }
 
+bool
+runner_open(const struct runner *r)
+{
+	return r->listed && !r->info.draining && r->unheard_since_ms == 0;
+}
+
 int64_t
 runner_clock_least(const struct runner *r, int64_t now)
 {
--- a/src/state/runner.h
+++ b/src/state/runner.h
@@ -58,9 +58,12 @@
 	bool listed;	    /**< in the newest list of the registry */
 	int64_t missing_ms; /**< since when it isn't listed */
 	uint64_t fence;	    /**< of orders to it; rises with each life */
-	bool recorded;	    /**< the store lists it as one that may hold runs */
-	bool adopted;	    /**< its lists were read under this leader */
-	int64_t clock_ms;   /**< runner's clock ... */
+	bool recorded;	    /**< open in the store: starts may be sent */
+	bool opening;	    /**< the commit under way opens it */
+	bool closed;	  /**< as read from the store: it holds at most the runs
+			   * that are bound to it */
+	bool adopted;	  /**< its lists were read under this leader */
+	int64_t clock_ms; /**< runner's clock ... */
 	int64_t clock_at_ms; /**< ... read no later than this time */
 	int64_t lease_ms;    /**< latest end of lease given, its clock */
 	uint64_t taken;	     /**< number of the last end processed */
@@ -99,6 +102,8 @@
 /** Runs of this step on the runner. */
 uint32_t runner_runs_of(const struct runner *r, const struct step *s);
 
+/** Whether work may be sent to it as far as is known now. */
+bool runner_open(const struct runner *r);
 /** The runner's clock now, at least. Its rate may be 2% slow. */
 int64_t runner_clock_least(const struct runner *r, int64_t now);
 /** The runner's clock now, about. */
