Strong hosts lead; links of a core; passes look at granted runners only

Change: power ranks the claims and a weak leader makes way; eight hosts are linked with all; a job keeps its queue, a step looks at its granted runners; work of a queue that left the manifest keeps its terms; watches wait 3 s, as beats tell of leaders and manifests.

--- a/src/cell/advice.c
+++ b/src/cell/advice.c
@@ -11,7 +11,7 @@
 #include "../base/err.h"
 #include "../base/kvlog.h"
 #include "../base/xalloc.h"
-#include "../coordination/placing.h"
+
 #include "parts.h"
 
 /** A ticket is used up to this long before its end. */
@@ -127,19 +127,49 @@
 	    g->born_ms == r->info.born_ms;
 }
 
-const char *
-step_ticket(const struct cell *c, const struct step *s, const struct runner *r,
-    int64_t now)
+bool
+step_may_have_candidates(const struct step *s)
+{
+	const struct advice *a = s->advice;
+
+	return !s->occurrence->job->queue->advice.needed ||
+	    (a != NULL && a->answers > 0);
+}
+
+static int
+granted_candidates(struct cell *c, const struct advice *a,
+    const struct placing_want *w, struct candidate *out)
 {
-	const struct queue *q = job_queue(c, s->occurrence->job);
 	const struct grant *g;
+	struct runner *r;
+	int n = 0;
 
-	if (q == NULL)
-		return NULL;
-	if (!q->advice.needed)
-		return "";
-	g = find_grant(s->advice, r->info.id);
-	return grant_valid(g, r, now) ? g->ticket : NULL;
+	for (g = a != NULL ? a->grants : NULL; g != NULL; g = g->hh.next) {
+		if (g->standing != STANDING_ALLOWED)
+			continue;
+		r = cell_runner(c, g->runner);
+		if (r != NULL && grant_valid(g, r, w->now_ms) &&
+		    placing_feasible(r, w))
+			out[n++] = (struct candidate){
+			    .runner = r, .ticket = g->ticket};
+	}
+	return n;
+}
+
+int
+step_candidates(struct cell *c, const struct step *s,
+    const struct placing_want *w, struct candidate *out)
+{
+	struct runner *r;
+	int n = 0;
+
+	if (s->occurrence->job->queue->advice.needed)
+		return granted_candidates(c, s->advice, w, out);
+	for (r = c->runners; r != NULL; r = r->hh.next)
+		if (placing_feasible(r, w))
+			out[n++] =
+			    (struct candidate){.runner = r, .ticket = ""};
+	return n;
 }
 
 void
@@ -183,15 +213,21 @@
 /* Slots that valid tickets give now. */
 static uint32_t
 granted_slots(
-    const struct cell *c, const struct step *s, struct placing_want *w)
+    struct cell *c, const struct step *s, const struct placing_want *w)
 {
-	const struct runner *r;
+	const struct advice *a = s->advice;
+	const struct grant *g;
+	struct runner *r;
 	uint64_t sum = 0;
 
-	for (r = c->runners; r != NULL; r = r->hh.next)
-		if (placing_feasible(r, w) &&
-		    step_ticket(c, s, r, w->now_ms) != NULL)
+	for (g = a->grants; g != NULL; g = g->hh.next) {
+		if (g->standing != STANDING_ALLOWED)
+			continue;
+		r = cell_runner(c, g->runner);
+		if (r != NULL && grant_valid(g, r, w->now_ms) &&
+		    placing_feasible(r, w))
 			sum += placing_slots(r, w);
+	}
 	return sum > UINT32_MAX ? UINT32_MAX : (uint32_t)sum;
 }
 
@@ -418,7 +454,7 @@
 static void
 add_wish(struct cell *c, struct wishes *w, struct step *s, int64_t now)
 {
-	const struct queue *q = job_queue(c, s->occurrence->job);
+	const struct queue *q = s->occurrence->job->queue;
 
 	if (q == NULL || !q->advice.needed || !wants_advice(c, s, q, now))
 		return;
@@ -439,8 +475,8 @@
 	uint32_t i;
 	size_t k;
 
-	for (j = c->jobs; j != NULL; j = j->hh.next) {
-		if (job_ended(j) || !j->started)
+	TAILQ_FOREACH (j, &c->live, live_link) {
+		if (!j->started || j->row->n_steps < 2)
 			continue;
 		for (i = 0; i < j->noccurrences; i++)
 			for (k = 1; k < j->row->n_steps; k++) {
--- a/src/cell/cell.c
+++ b/src/cell/cell.c
@@ -23,6 +23,7 @@
 	TAILQ_INIT(&c->dirty);
 	TAILQ_INIT(&c->ended);
 	TAILQ_INIT(&c->timed);
+	TAILQ_INIT(&c->live);
 }
 
 static void
@@ -107,23 +108,26 @@
 apply_manifest_to_jobs(struct cell *c)
 {
 	struct job *j;
-	const struct queue *q;
-
-	for (j = c->jobs; j != NULL; j = j->hh.next) {
-		q = job_queue(c, j);
-		if (q == NULL)
-			continue;
-		j->priority = q->priority;
-		j->max_attempts = q->max_attempts;
-		j->due_ms = j->accepted_ms +
-		    urgency_objective_ms(
-			j->chain_ms, q->stretch, q->target_latency_ms);
-	}
+
+	for (j = c->jobs; j != NULL; j = j->hh.next)
+		cell_apply_queue(c, j);
+}
+
+/* Work of a queue that is no longer in the manifest is still finished. */
+static void
+keep_queues(struct cell *c, struct manifest *m)
+{
+	const struct job *j;
+
+	TAILQ_FOREACH (j, &c->live, live_link)
+		if (j->queue != NULL && manifest_queue(m, j->queue->name) == NULL)
+			manifest_keep(m, j->queue);
 }
 
 void
 cell_set_manifest(struct cell *c, struct manifest *m)
 {
+	keep_queues(c, m);
 	if (c->manifest != NULL) {
 		manifest_done(c->manifest);
 		free(c->manifest);
--- a/src/cell/jobs.c
+++ b/src/cell/jobs.c
@@ -20,19 +20,14 @@
 	return j;
 }
 
-const struct queue *
-job_queue(const struct cell *c, const struct job *j)
-{
-	if (c->manifest == NULL)
-		return NULL;
-	return manifest_queue(c->manifest, j->row->queue);
-}
-
-static void
-apply_queue(struct cell *c, struct job *j)
+void
+cell_apply_queue(struct cell *c, struct job *j)
 {
-	const struct queue *q = job_queue(c, j);
+	const struct queue *q = c->manifest != NULL
+	    ? manifest_queue(c->manifest, j->row->queue)
+	    : NULL;
 
+	j->queue = q;
 	if (q == NULL)
 		return;
 	j->priority = q->priority;
@@ -93,11 +88,12 @@
 	uint32_t i;
 
 	HASH_ADD_STR(c->jobs, id, j);
-	apply_queue(c, j);
+	cell_apply_queue(c, j);
 	if (job_ended(j)) {
 		TAILQ_INSERT_TAIL(&c->ended, j, ended_link);
 		return;
 	}
+	TAILQ_INSERT_TAIL(&c->live, j, live_link);
 	if (j->row->repeat_count > 0)
 		TAILQ_INSERT_TAIL(&c->timed, j, timed_link);
 	else if (j->noccurrences == 0)
@@ -121,7 +117,10 @@
 			s->listed = false;
 			step_advice_free(s);
 		}
-	if (j->row->repeat_count > 0 && !job_ended(j))
+	if (job_ended(j))
+		return;
+	TAILQ_REMOVE(&c->live, j, live_link);
+	if (j->row->repeat_count > 0)
 		TAILQ_REMOVE(&c->timed, j, timed_link);
 }
 
@@ -303,7 +302,7 @@
 	if (!knows_all(c))
 		return;
 	a->error = CC_OK;
-	for (j = c->jobs; j != NULL; j = j->hh.next)
-		a->pending += j->stored && !j->started && !job_ended(j) &&
+	TAILQ_FOREACH (j, &c->live, live_link)
+		a->pending += j->stored && !j->started &&
 		    strcmp(j->row->queue, queue) == 0;
 }
--- a/src/cell/parts.h
+++ b/src/cell/parts.h
@@ -2,6 +2,7 @@
 #ifndef CELL_PARTS_H
 #define CELL_PARTS_H
 
+#include "../coordination/placing.h"
 #include "../coordination/urgency.h"
 #include "cell.h"
 
@@ -29,7 +30,8 @@
 void cell_end_job(struct cell *c, struct job *j, enum job_state state);
 void cell_forget_job(struct cell *c, struct job *j);
 void cell_due_occurrences(struct cell *c);
-const struct queue *job_queue(const struct cell *c, const struct job *j);
+/** Takes the terms of the job's queue from the manifest. */
+void cell_apply_queue(struct cell *c, struct job *j);
 
 /* ends.c */
 /** A run has ended or is lost; applies what that means to its task. */
@@ -70,9 +72,19 @@
 
 /* advice.c */
 void cell_ask_advice(struct cell *c);
-/** The ticket for a runner, "" when none is needed, NULL when it has none. */
-const char *step_ticket(const struct cell *c, const struct step *s,
-    const struct runner *r, int64_t now);
+/** A runner that a step may start on, with the ticket for it. */
+struct candidate {
+	struct runner *runner;
+	const char *ticket; /**< "" when none is needed */
+	uint32_t slots;
+	double score;
+};
+/** Runners with room and, where needed, a valid ticket; @p out has room for
+ * all runners. */
+int step_candidates(struct cell *c, const struct step *s,
+    const struct placing_want *w, struct candidate *out);
+/** False when it needs tickets and has none, of whatever age. */
+bool step_may_have_candidates(const struct step *s);
 void step_advice_free(struct step *s);
 void step_ticket_refused(struct step *s, const struct runner *r);
 
--- a/src/cell/place.c
+++ b/src/cell/place.c
@@ -3,18 +3,13 @@
 #include <string.h>
 
 #include "../base/xalloc.h"
-#include "../coordination/placing.h"
+
 #include "parts.h"
 
 /** Run numbers of a leader begin at its generation times this. */
 #define RUNS_PER_GENERATION 1024
 
-struct candidate {
-	struct runner *runner;
-	const char *ticket;
-	uint32_t slots;
-	double score;
-};
+
 
 struct pick {
 	struct cell *cell;
@@ -94,12 +89,10 @@
 static bool
 pick_init(struct pick *p, struct cell *c, struct step *s, int64_t now)
 {
-	const struct queue *q = job_queue(c, s->occurrence->job);
-	struct runner *r;
-	const char *ticket;
+	const struct queue *q = s->occurrence->job->queue;
 
 	memset(p, 0, sizeof(*p));
-	if (q == NULL)
+	if (q == NULL || !step_may_have_candidates(s))
 		return false;
 	p->cell = c;
 	p->step = s;
@@ -109,15 +102,7 @@
 	    .now_ms = now};
 	p->candidates =
 	    xcalloc(HASH_COUNT(c->runners) + 1, sizeof(*p->candidates));
-	for (r = c->runners; r != NULL; r = r->hh.next) {
-		if (!placing_feasible(r, &p->want))
-			continue;
-		ticket = step_ticket(c, s, r, now);
-		if (ticket == NULL)
-			continue;
-		p->candidates[p->n++] =
-		    (struct candidate){.runner = r, .ticket = ticket};
-	}
+	p->n = step_candidates(c, s, &p->want, p->candidates);
 	return true;
 }
 
--- a/src/member/lead.c
+++ b/src/member/lead.c
@@ -11,6 +11,13 @@
 
 #define WATCH_EVERY_MS 120
 #define CLAIM_TIMEOUT_MS 1200
+/** A host this many times as strong, and heard from, is let lead. */
+#define STRONGER_FACTOR 2
+#define STRONGER_BEAT_MS 1500
+#define STRONGER_MS 1500
+/** Weaker hosts leave the first claim of all to others for this long. */
+#define WEAK_POWER 200
+#define WEAK_WAIT_MS 600
 
 bool
 member_leads(const struct member *m)
@@ -202,7 +209,15 @@
 	    m->ports.store, &t, CLAIM_TIMEOUT_MS, on_claim, m);
 }
 
-/* Position of this host among those that could claim, by name. */
+static bool
+comes_first(const struct member *m, const struct other *o)
+{
+	if (o->power != member_power(m))
+		return o->power > member_power(m);
+	return strcmp(o->host, m->settings->host) < 0;
+}
+
+/* Position of this host among those that could claim: the strongest first. */
 static int
 claim_rank(const struct member *m)
 {
@@ -212,12 +227,57 @@
 	for (i = 0; i < m->nothers; i++) {
 		o = &m->others[i];
 		n += member_linked(m, o->host) && !o->leaving &&
-		    strcmp(o->host, m->leader.host) != 0 &&
-		    strcmp(o->host, m->settings->host) < 0;
+		    strcmp(o->host, m->leader.host) != 0 && comes_first(m, o);
 	}
 	return n;
 }
 
+void
+member_leader_told(
+    struct member *m, const char *host, const Cc__CellBeat *b)
+{
+	if (member_leads(m) || m->state == MEMBER_CLAIMING)
+		return;
+	m->leader.known = true;
+	m->leader.released = false;
+	m->leader.version = b->fence;
+	str_copy(m->leader.host, host, sizeof(m->leader.host));
+	str_copy(m->leader.incarnation, b->incarnation,
+	    sizeof(m->leader.incarnation));
+	m->leader.generation = b->generation;
+	unwatch(m);
+	kvlog(KVLOG_INFO, "leader_told", "leader=%s version=%llu", host,
+	    (unsigned long long)b->fence);
+	member_calls_moved(m);
+}
+
+/* Leading takes a processor: a much stronger host takes over in calm. */
+static void
+make_way(struct member *m)
+{
+	int64_t now = clock_boot_ms();
+	const struct other *o;
+	bool stronger = false;
+	int i;
+
+	for (i = 0; i < m->nothers; i++) {
+		o = &m->others[i];
+		stronger |= o->power >= STRONGER_FACTOR * member_power(m) &&
+		    member_linked(m, o->host) && !o->leaving &&
+		    now - o->beat_ms < STRONGER_BEAT_MS;
+	}
+	if (!stronger || m->cell.store_down_ms != 0 ||
+	    m->cell.phase != CELL_SERVING)
+		m->stronger_ms = 0;
+	else if (m->stronger_ms == 0)
+		m->stronger_ms = now;
+	else if (now - m->stronger_ms > STRONGER_MS) {
+		m->stronger_ms = 0;
+		kvlog(KVLOG_INFO, "makes_way", "power=%u", member_power(m));
+		member_release(m);
+	}
+}
+
 static struct claim_facts
 gather_facts(struct member *m)
 {
@@ -230,6 +290,9 @@
 	    .beat_age_ms = INT64_MAX,
 	};
 
+	if (m->leader.version == 0 && member_power(m) < WEAK_POWER &&
+	    clock_boot_ms() - m->started_ms < WEAK_WAIT_MS)
+		f.known = false;
 	f.same_host =
 	    m->leader.known && strcmp(m->leader.host, m->settings->host) == 0;
 	if (o != NULL) {
@@ -284,6 +347,8 @@
 {
 	struct claim_facts f;
 
+	if (member_leads(m))
+		make_way(m);
 	if (m->state != MEMBER_FOLLOWING || m->leaving)
 		return;
 	f = gather_facts(m);
--- a/src/member/member.c
+++ b/src/member/member.c
@@ -13,13 +13,14 @@
 
 #define TICK_MS 25
 /** Decisions of a burst of events are taken together. */
-#define WAKE_MS 2
-#define FOLLOW_WAIT_MS 900
+#define WAKE_MS 3
+/** Beats tell of changes when a watch is deaf. */
+#define FOLLOW_WAIT_MS 3000
 /** Lease of runs at their runner, and of a start until the first hold. */
 #define LEASE_MS 4000
 #define START_MS 2500
 #define HOLD_WAIT_MS 1000
-#define NO_ADVICE_LANE NULL
+
 
 static const char *const member_parts[] = {CELL_PART, MEMBER_PART, NULL};
 
@@ -144,6 +145,7 @@
 		return NULL;
 	}
 	m->member_row_ms = 1;
+	m->started_ms = clock_boot_ms();
 	manifest_parts[0] = p->manifest_part;
 	m->wake = evtimer_new(base, on_wake, m);
 	m->tick = event_new(base, -1, EV_PERSIST, on_tick, m);
--- a/src/member/members.c
+++ b/src/member/members.c
@@ -11,6 +11,8 @@
 #define LEADER_BEAT_MS 200
 #define FOLLOWER_BEAT_MS 900
 #define BEAT_TIMEOUT_MS 1500
+/** Hosts that are linked with all others. */
+#define CORE_HOSTS 8
 #define ROW_RETRY_MS 300
 #define ROW_TIMEOUT_MS 1000
 /** A leader whose commits fail for this long says so. */
@@ -53,6 +55,53 @@
 	*o = m->others[--m->nothers];
 }
 
+uint32_t
+member_power(const struct member *m)
+{
+	return (uint32_t)(m->settings->cores * 1000);
+}
+
+/* Hosts that come before one of this power and name, to lead. */
+int
+member_rank(const struct member *m, const char *host, uint32_t power)
+{
+	int i, n = 0;
+
+	for (i = 0; i < m->nothers; i++)
+		n += m->others[i].power > power ||
+		    (m->others[i].power == power &&
+			strcmp(m->others[i].host, host) < 0);
+	if (strcmp(m->settings->host, host) != 0)
+		n += member_power(m) > power ||
+		    (member_power(m) == power &&
+			strcmp(m->settings->host, host) < 0);
+	return n;
+}
+
+/*
+ * The strongest hosts, of which one leads, are linked with all; the others
+ * with them only, so that links grow with the number of hosts.
+ */
+static void
+dial_others(struct member *m)
+{
+	bool core = member_rank(m, m->settings->host, member_power(m)) <
+	    CORE_HOSTS;
+	struct other *o;
+	int i;
+
+	for (i = 0; i < m->nothers; i++) {
+		o = &m->others[i];
+		if (o->dialled || o->addr[0] == '\0')
+			continue;
+		if (!core && member_rank(m, o->host, o->power) >= CORE_HOSTS &&
+		    strcmp(o->host, m->leader.host) != 0)
+			continue;
+		peer_net_add(m->peers, o->host, o->addr, o->port);
+		o->dialled = true;
+	}
+}
+
 static void
 take_member(struct member *m, const Cc__MemberRow *mr)
 {
@@ -68,7 +117,11 @@
 		    "peer=%s addr=%s incarnation=%s", mr->host, mr->addr,
 		    mr->incarnation);
 	str_copy(o->incarnation, mr->incarnation, sizeof(o->incarnation));
-	peer_net_add(m->peers, mr->host, mr->addr, (uint16_t)mr->peer_port);
+	str_copy(o->addr, mr->addr, sizeof(o->addr));
+	o->port = (uint16_t)mr->peer_port;
+	o->power = mr->power;
+	o->dialled = false;
+	dial_others(m);
 }
 
 void
@@ -124,6 +177,7 @@
 	mr.zone = (char *)(uintptr_t)m->settings->zone;
 	mr.peer_port = (uint32_t)m->settings->peer_port;
 	mr.incarnation = m->incarnation;
+	mr.power = member_power(m);
 	row.value = buf;
 	row.len = cc__member_row__pack(&mr, buf);
 	m->ports.store->ops->txn(
@@ -173,6 +227,7 @@
 		b.incarnation = m->incarnation;
 		b.leads = member_leads(m);
 		b.fence = m->cell.fence;
+		b.generation = m->leader.generation;
 		b.leaving = m->leaving;
 		b.stalled = b.leads && is_stalled(m, now);
 		b.manifest_version =
@@ -199,6 +254,8 @@
 	o->leaving = b->leaving;
 	o->fence = b->fence;
 	o->manifest_version = b->manifest_version;
+	if (b->leads && b->fence > m->leader.version)
+		member_leader_told(m, host, b);
 	if (b->leads && member_leads(m) && b->fence > m->cell.fence) {
 		kvlog(KVLOG_WARN, "deposed", "fence=%llu why=beat by=%s:%llu",
 		    (unsigned long long)m->cell.fence, host,
--- a/src/member/parts.h
+++ b/src/member/parts.h
@@ -17,6 +17,10 @@
 	char beat_incarnation[32];
 	int64_t beat_ms; /**< last beat from it; 0: none */
 	int64_t up_ms;	 /**< link up since; 0: it is down */
+	char addr[ADDR_LEN];
+	uint16_t port;
+	uint32_t power;		/**< thousandths of a core */
+	bool dialled;
 	bool leads;
 	bool stalled;
 	bool leaving;
@@ -75,7 +79,9 @@
 	bool registry_open;
 	int64_t registry_ms;
 	bool leaving;
+	int64_t started_ms;
 	int64_t led_last_ms;
+	int64_t stronger_ms; /**< a stronger host could lead since; 0: none */
 	int64_t beat_ms;
 	struct event *tick;
 	struct event *wake;
@@ -97,11 +103,17 @@
 void member_beat(struct member *m);
 void member_lanes(struct member *m);
 void member_frame(const struct peer_request *rq, const Cc__Frame *f, void *arg);
+uint32_t member_power(const struct member *m);
+/** Hosts that come before the one of this name and power, to lead. */
+int member_rank(const struct member *m, const char *host, uint32_t power);
 bool member_linked(const struct member *m, const char *host);
 
 /* lead.c */
 void member_leader_row(struct member *m, const struct row *row);
 void member_lead_tick(struct member *m);
+/** A host says in its beat that it leads by a newer claim. */
+void member_leader_told(
+    struct member *m, const char *host, const Cc__CellBeat *b);
 void member_release(struct member *m);
 void member_deposed(void *arg);
 bool member_leads(const struct member *m);
--- a/src/protocol/peer.pb-c.c
+++ b/src/protocol/peer.pb-c.c
@@ -6267,7 +6267,7 @@
   (ProtobufCMessageInit) cc__commit_row__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cc__member_row__field_descriptors[5] =
+static const ProtobufCFieldDescriptor cc__member_row__field_descriptors[6] =
 {
   {
     "host",
@@ -6329,18 +6329,31 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "power",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cc__MemberRow, power),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cc__member_row__field_indices_by_name[] = {
   1,   /* field[1] = addr */
   0,   /* field[0] = host */
   4,   /* field[4] = incarnation */
   2,   /* field[2] = peer_port */
+  5,   /* field[5] = power */
   3,   /* field[3] = zone */
 };
 static const ProtobufCIntRange cc__member_row__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor cc__member_row__descriptor =
 {
@@ -6350,7 +6363,7 @@
   "Cc__MemberRow",
   "cc",
   sizeof(Cc__MemberRow),
-  5,
+  6,
   cc__member_row__field_descriptors,
   cc__member_row__field_indices_by_name,
   1,  cc__member_row__number_ranges,
@@ -6511,7 +6524,7 @@
   (ProtobufCMessageInit) cc__cell_reply__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cc__cell_beat__field_descriptors[6] =
+static const ProtobufCFieldDescriptor cc__cell_beat__field_descriptors[7] =
 {
   {
     "incarnation",
@@ -6585,9 +6598,22 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "generation",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cc__CellBeat, generation),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cc__cell_beat__field_indices_by_name[] = {
   2,   /* field[2] = fence */
+  6,   /* field[6] = generation */
   0,   /* field[0] = incarnation */
   1,   /* field[1] = leads */
   3,   /* field[3] = leaving */
@@ -6597,7 +6623,7 @@
 static const ProtobufCIntRange cc__cell_beat__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor cc__cell_beat__descriptor =
 {
@@ -6607,7 +6633,7 @@
   "Cc__CellBeat",
   "cc",
   sizeof(Cc__CellBeat),
-  6,
+  7,
   cc__cell_beat__field_descriptors,
   cc__cell_beat__field_indices_by_name,
   1,  cc__cell_beat__number_ranges,
--- a/src/protocol/peer.pb-c.h
+++ b/src/protocol/peer.pb-c.h
@@ -837,10 +837,14 @@
   uint32_t peer_port;
   char *zone;
   char *incarnation;
+  /*
+   * thousandths of a core
+   */
+  uint32_t power;
 };
 #define CC__MEMBER_ROW__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cc__member_row__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0 }
 
 
 /*
@@ -884,10 +888,11 @@
    * the store doesn't answer its commits
    */
   protobuf_c_boolean stalled;
+  uint32_t generation;
 };
 #define CC__CELL_BEAT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cc__cell_beat__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0 }
 
 
 /*
--- a/src/state/cell_settings.c
+++ b/src/state/cell_settings.c
@@ -39,6 +39,7 @@
     {"drain_ms", YAML_INT, S(drain_ms), 0, 0, MINUTE_MS, false, NULL, NULL},
     {"impact_ms", YAML_INT, S(impact_ms), 0, 0, MINUTE_MS, false, NULL, NULL},
     {"remote_factor", YAML_MONEY, S(remote_factor), 0, 0, 0, false, NULL, NULL},
+    {"cores", YAML_MONEY, S(cores), 0, 0, 0, false, NULL, NULL},
     {NULL, YAML_TEXT, 0, 0, 0, 0, false, NULL, NULL},
 };
 
@@ -54,6 +55,7 @@
 	s->drain_ms = 2000;
 	s->impact_ms = 4000;
 	s->remote_factor = 1.0;
+	s->cores = 1.0;
 }
 
 static bool
--- a/src/state/cell_settings.h
+++ b/src/state/cell_settings.h
@@ -24,6 +24,7 @@
 	int64_t drain_ms;
 	int64_t impact_ms;
 	double remote_factor;
+	double cores; /**< this host's processor, in cores */
 };
 
 void cell_settings_parse(
--- a/src/state/job.h
+++ b/src/state/job.h
@@ -20,6 +20,7 @@
 #define JOB_OCCURRENCES_MAX 1000
 
 struct run;
+struct queue;
 struct job;
 struct occurrence;
 
@@ -85,11 +86,13 @@
 	int64_t ended_ms;
 	int64_t due_ms;	  /**< latency objective, absolute */
 	int64_t chain_ms; /**< estimate of its longest chain */
+	const struct queue *queue; /**< in the manifest in force; may be NULL */
 	int priority;
 	uint32_t max_attempts;
 	TAILQ_ENTRY(job) dirty_link;
 	TAILQ_ENTRY(job) ended_link;
 	TAILQ_ENTRY(job) timed_link;
+	TAILQ_ENTRY(job) live_link;
 	TAILQ_HEAD(waiter_list, waiter) waiters;
 };
 
--- a/src/state/manifest.c
+++ b/src/state/manifest.c
@@ -4,6 +4,8 @@
 #include <string.h>
 #include <strings.h>
 
+#include "../base/xalloc.h"
+
 void
 manifest_init(struct manifest *m)
 {
@@ -50,6 +52,14 @@
 	return best;
 }
 
+void
+manifest_keep(struct manifest *m, const struct queue *q)
+{
+	m->queues = xrealloc(
+	    m->queues, (size_t)(m->nqueues + 1) * sizeof(*m->queues));
+	m->queues[m->nqueues++] = *q;
+}
+
 const struct queue *
 manifest_queue(const struct manifest *m, const char *name)
 {
--- a/src/state/manifest.h
+++ b/src/state/manifest.h
@@ -51,5 +51,7 @@
 const struct queue *manifest_route(
     const struct manifest *m, const char *host, const char *path);
 const struct queue *manifest_queue(const struct manifest *m, const char *name);
+/** Adds a queue that a manifest before had, for work accepted then. */
+void manifest_keep(struct manifest *m, const struct queue *q);
 
 #endif
