What waits for a commit is refused at once when the store is away

Change: jobs in no commit that was sent are refused as soon as the store has failed for 350 ms or left a commit unanswered for 650 ms; Retry-After is a fifth of the job's objective, 1 to 4 s.

--- a/src/cell/commit.c
+++ b/src/cell/commit.c
@@ -25,7 +25,8 @@
 #define RETRY_MS 60
 /** The store counts as down when commits have failed for this long. */
 #define STORE_DOWN_MS 350
-#define REFUSE_RETRY_MS 1000
+/** So it does when a commit has no answer for this long; slow ones take 450. */
+#define SILENT_MS 650
 
 struct entry {
 	char key[JOB_ID_LEN + 4];
@@ -50,6 +51,7 @@
 	bool maybe_done; /**< an attempt had no answer */
 	bool sent;	 /**< an attempt is under way */
 	int64_t first_ms;
+	int64_t sent_ms;
 	int64_t retry_ms;
 	int attempts;
 };
@@ -66,8 +68,12 @@
 bool
 cell_store_down(const struct cell *c)
 {
-	return c->store_down_ms != 0 &&
-	    c->ports.now() - c->store_down_ms > STORE_DOWN_MS;
+	int64_t now = c->ports.now();
+
+	if (c->commit != NULL && c->commit->sent &&
+	    now - c->commit->sent_ms > SILENT_MS)
+		return true;
+	return c->store_down_ms != 0 && now - c->store_down_ms > STORE_DOWN_MS;
 }
 
 static struct entry *
@@ -105,6 +111,7 @@
 	job_progress_free(p);
 	k->states[k->njobs] = j->state;
 	k->jobs[k->njobs++] = j;
+	j->in_commit = true;
 	j->dirty = false;
 	TAILQ_REMOVE(&k->cell->dirty, j, dirty_link);
 }
@@ -236,6 +243,7 @@
 	struct cell_answer a = {.error = CC_OK, .state = state};
 	struct waiter *w, *next;
 
+	j->in_commit = false;
 	j->stored = true;
 	j->stored_state = state;
 	for (w = TAILQ_FIRST(&j->waiters); w != NULL; w = next) {
@@ -323,27 +331,46 @@
 	c->ports.deposed(c->ports.arg);
 }
 
+/* It is in no commit that was sent, so it certainly isn't stored. */
+static void
+refuse_job(struct cell *c, struct job *j)
+{
+	struct cell_answer a = {.error = CC_EBUSY,
+	    .retry_after_ms = cell_retry_after_ms(j->queue, j->row)};
+
+	kvlog(KVLOG_INFO, "submit_refused",
+	    "id=%s why=store-down age_ms=%lld retry_after_ms=%u", j->id,
+	    (long long)(c->ports.now() - j->accepted_ms), a.retry_after_ms);
+	c->counters.refused++;
+	job_answer(j, &a);
+	cell_forget_job(c, j);
+}
+
 /* New jobs whose commit certainly wasn't done are refused, not kept. */
 static void
 refuse_new_jobs(struct cell *c, struct commit *k)
 {
-	struct cell_answer a = {
-	    .error = CC_EBUSY, .retry_after_ms = REFUSE_RETRY_MS};
-	struct job *j;
 	int i;
 
 	for (i = 0; i < k->njobs; i++) {
-		j = k->jobs[i];
-		if (j->stored) {
-			cell_mark_dirty(c, j);
-			continue;
-		}
-		kvlog(KVLOG_INFO, "submit_refused",
-		    "id=%s why=store-down age_ms=%lld", j->id,
-		    (long long)(c->ports.now() - j->accepted_ms));
-		c->counters.refused++;
-		job_answer(j, &a);
-		cell_forget_job(c, j);
+		k->jobs[i]->in_commit = false;
+		if (k->jobs[i]->stored)
+			cell_mark_dirty(c, k->jobs[i]);
+		else
+			refuse_job(c, k->jobs[i]);
+	}
+}
+
+/* While the store is away, jobs that wait for a commit needn't. */
+static void
+refuse_waiting_jobs(struct cell *c)
+{
+	struct job *j, *next;
+
+	for (j = TAILQ_FIRST(&c->dirty); j != NULL; j = next) {
+		next = TAILQ_NEXT(j, dirty_link);
+		if (!j->stored && !j->in_commit)
+			refuse_job(c, j);
 	}
 }
 
@@ -440,6 +467,7 @@
 	fill_rows(writes + 1, k->writes, k->nwrites);
 	fill_rows(removes, k->removes, k->nremoves);
 	k->sent = true;
+	k->sent_ms = c->ports.now();
 	k->attempts++;
 	c->ports.store->ops->txn(
 	    c->ports.store, &t, COMMIT_TIMEOUT_MS, on_commit, k);
@@ -473,6 +501,8 @@
 
 	if (c->phase == CELL_IDLE)
 		return;
+	if (cell_store_down(c))
+		refuse_waiting_jobs(c);
 	if (c->commit != NULL) {
 		if (!c->commit->sent && now >= c->commit->retry_ms)
 			commit_send(c, c->commit);
--- a/src/cell/jobs.c
+++ b/src/cell/jobs.c
@@ -8,6 +8,10 @@
 #include "parts.h"
 
 #define LOADING_RETRY_MS 1000
+#define RETRY_AFTER_MIN_MS 1000
+#define RETRY_AFTER_MAX_MS 4000
+/** Part of a job's objective after which a refused caller returns. */
+#define RETRY_AFTER_SHARE 5
 /** Without a commit for this long, an unknown id may be another leader's. */
 #define KNOWS_ALL_MS 1500
 
@@ -189,16 +193,39 @@
 	TAILQ_INSERT_TAIL(&j->waiters, w, link);
 }
 
-static int
-refuse(struct cell *c, const char *id, const char *why, cell_fn fn, void *arg)
+/*
+ * A job with a short objective comes back soon or not at all; one with a long
+ * objective spends its few tries better over a longer outage.
+ */
+uint32_t
+cell_retry_after_ms(const struct queue *q, const Cc__JobRow *row)
 {
-	struct cell_answer a = {
-	    .error = CC_EBUSY, .retry_after_ms = LOADING_RETRY_MS};
+	int64_t objective, ms;
+
+	if (q == NULL)
+		return RETRY_AFTER_MIN_MS;
+	objective = urgency_objective_ms(
+	    job_chain_ms(row), q->stretch, q->target_latency_ms);
+	ms = objective / RETRY_AFTER_SHARE;
+	ms = ms < RETRY_AFTER_MIN_MS ? RETRY_AFTER_MIN_MS : ms;
+	return (uint32_t)(ms > RETRY_AFTER_MAX_MS ? RETRY_AFTER_MAX_MS : ms);
+}
+
+static void
+refuse(struct cell *c, const char *id, const Cc__JobRow *row, const char *why,
+    cell_fn fn, void *arg)
+{
+	const struct queue *q = c->manifest != NULL
+	    ? manifest_queue(c->manifest, row->queue)
+	    : NULL;
+	struct cell_answer a = {.error = CC_EBUSY,
+	    .retry_after_ms = cell_retry_after_ms(q, row)};
 
 	c->counters.refused++;
-	kvlog(KVLOG_INFO, "submit_refused", "id=%s why=%s", id, why);
+	kvlog(KVLOG_INFO, "submit_refused",
+	    "id=%s why=%s store_down_ms=%lld retry_after_ms=%u", id, why,
+	    (long long)(c->ports.now() - c->committed_ms), a.retry_after_ms);
 	fn(&a, arg);
-	return CC_EBUSY;
 }
 
 void
@@ -210,7 +237,6 @@
 	struct job *j = cell_job(c, id);
 
 	if (c->phase != CELL_SERVING || j != NULL || cell_store_down(c)) {
-		cc__job_row__free_unpacked(row, NULL);
 		if (c->phase != CELL_SERVING)
 			fn(&moved, arg);
 		else if (j != NULL && j->stored)
@@ -218,7 +244,8 @@
 		else if (j != NULL)
 			add_waiter(j, fn, arg, false);
 		else
-			refuse(c, id, "store-down", fn, arg);
+			refuse(c, id, row, "store-down", fn, arg);
+		cc__job_row__free_unpacked(row, NULL);
 		return;
 	}
 	row->accepted_wall_ms = c->ports.wall_now();
--- a/src/state/job.h
+++ b/src/state/job.h
@@ -81,7 +81,8 @@
 	bool stored;		     /**< the accepted job is in the store */
 	bool started;		     /**< a task has begun, now or earlier */
 	bool inherited;		     /**< accepted under an earlier leader */
-	bool dirty;		     /**< its progress is to be written */
+	bool dirty;	  /**< its progress is to be written */
+	bool in_commit;	  /**< a commit under way carries it */
 	int64_t accepted_ms;
 	int64_t ended_ms;
 	int64_t due_ms;	  /**< latency objective, absolute */
