--- a/Makefile
+++ b/Makefile
@@ -56,7 +56,8 @@
 	$(CC) -o $@ $^ $(LIBS)
 
 $(B)/unit: $(patsubst %.c,$(B)/%.o,$(wildcard tests/unit/*.c)) \
-    $(B)/tests/world/world.o $(B)/libcc.a
+    $(B)/tests/world/world.o $(B)/platform/registry.o \
+    $(B)/platform/submission.o $(B)/platform/wire.o $(B)/libcc.a
 	$(CC) -o $@ $^ -lcunit $(LIBS)
 
 PROP = $(filter-out tests/prop/cells%,$(wildcard tests/prop/*.cc))
--- a/src/cell/advice.c
+++ b/src/cell/advice.c
@@ -156,6 +156,34 @@
 	return n;
 }
 
+int
+step_granted_runners(
+    struct cell *c, const struct step *s, struct runner **out, int max)
+{
+	struct placing_want w = {.step = s,
+	    .service = s->occurrence->job->queue->service,
+	    .now_ms = c->ports.now()};
+	const struct advice *a = s->advice;
+	const struct grant *g;
+	struct runner *r;
+	int n = 0;
+
+	if (!s->occurrence->job->queue->advice.needed) {
+		for (r = c->runners; r != NULL && n < max; r = r->hh.next)
+			if (placing_allowed(r, &w))
+				out[n++] = r;
+		return n;
+	}
+	for (g = a != NULL ? a->grants : NULL; g != NULL && n < max;
+	     g = g->hh.next) {
+		r = cell_runner(c, g->runner);
+		if (g->standing == STANDING_ALLOWED && r != NULL &&
+		    grant_valid(g, r, w.now_ms) && placing_allowed(r, &w))
+			out[n++] = r;
+	}
+	return n;
+}
+
 int
 step_candidates(struct cell *c, const struct step *s,
     const struct placing_want *w, struct candidate *out)
--- a/src/cell/cell.c
+++ b/src/cell/cell.c
@@ -162,6 +162,7 @@
 	if (c->phase != CELL_SERVING)
 		return;
 	cell_place(c);
+	cell_preempt(c);
 	cell_ask_advice(c);
 	cell_commit(c);
 	cell_holds(c);
--- a/src/cell/commit.c
+++ b/src/cell/commit.c
@@ -126,7 +126,7 @@
 	row->id = xstrdup(r->info.id);
 	row->addr = xstrdup(r->info.addr);
 	row->port = r->info.port;
-	row->closed = !runner_open(r);
+	row->closed = !runner_open(r) && r->known;
 	if (!row->closed)
 		return row;
 	row->runs = xcalloc((size_t)r->nruns + 1, sizeof(*row->runs));
--- a/src/cell/holds.c
+++ b/src/cell/holds.c
@@ -220,6 +220,7 @@
 	if (r->adopted)
 		return;
 	r->adopted = true;
+	r->known = true;
 	c->room_version++;
 	kvlog(KVLOG_INFO, "runner_adopted", "runner=%s runs=%d ends=%llu",
 	    r->info.id, r->nruns, (unsigned long long)r->taken);
@@ -260,7 +261,7 @@
 	int64_t now = c->ports.now();
 
 	r->hold_errors++;
-	if (r->unheard_since_ms == 0 && r->hold_errors > 1) {
+	if (r->unheard_since_ms == 0) {
 		r->unheard_since_ms = now;
 		cell_close_runner(c, r);
 		kvlog(KVLOG_WARN, "runner_silent",
--- a/src/cell/load.c
+++ b/src/cell/load.c
@@ -118,7 +118,7 @@
 	str_copy(info.addr, row->addr, sizeof(info.addr));
 	info.port = (uint16_t)row->port;
 	r = runner_new(&info);
-	r->closed = row->closed;
+	r->closed = r->known = row->closed;
 	r->recorded = !row->closed;
 	r->fence = c->fence;
 	r->missing_ms = r->order_sent_ms = c->ports.now();
--- a/src/cell/parts.h
+++ b/src/cell/parts.h
@@ -73,6 +73,10 @@
 struct urgency step_urgency(
     const struct cell *c, const struct step *s, int64_t now);
 
+/* preempt.c */
+#define PREEMPT_RUNNERS_MAX 64
+void cell_preempt(struct cell *c);
+
 /* advice.c */
 void cell_ask_advice(struct cell *c);
 /** A runner that a step may start on, with the ticket for it. */
@@ -86,6 +90,9 @@
  * all runners. */
 int step_candidates(struct cell *c, const struct step *s,
     const struct placing_want *w, struct candidate *out);
+/** Runners that the step may start on, room aside. */
+int step_granted_runners(
+    struct cell *c, const struct step *s, struct runner **out, int max);
 /** False when it needs tickets and has none, of whatever age. */
 bool step_may_have_candidates(const struct step *s);
 void step_advice_free(struct step *s);
--- /dev/null
+++ b/src/cell/preempt.c
@@ -0,0 +1,81 @@
+/* Stops long work where urgent work would miss its objective without room. */
+#include "../coordination/preempt.h"
+#include "../base/kvlog.h"
+#include "parts.h"
+
+/** Urgent work waits this long for room to appear by itself. */
+#define WAIT_MS 80
+/** Share of the cell's processors that may be on the way out, in percent. */
+#define STOPPING_MAX_PERCENT 15
+
+static int64_t
+stopping_cpu(const struct cell *c, int64_t *total)
+{
+	const struct runner *r;
+	const struct run *run;
+	int64_t sum = 0;
+
+	*total = 0;
+	for (r = c->runners; r != NULL; r = r->hh.next) {
+		*total += r->info.cpu;
+		TAILQ_FOREACH (run, &r->runs, link)
+			if (run->state == RUN_STOPPING)
+				sum += run->cpu;
+	}
+	return sum;
+}
+
+/* Whether the step would meet its objective if it started soon. */
+static bool
+worth_room(const struct cell *c, const struct step *s, int64_t now)
+{
+	const struct job *j = s->occurrence->job;
+	struct urgency u = step_urgency(c, s, now);
+
+	return j->priority == 0 && u.rank == 0 && s->turn_ms != 0 &&
+	    j->stored && !job_ended(j) && !s->spec->gang &&
+	    now - s->turn_ms >= WAIT_MS && !(c->blind && j->inherited) &&
+	    now + s->spec->estimate_ms + c->terms.stop_grace_ms / 2 < j->due_ms;
+}
+
+/* Stops runs on granted runners until @p need of the step finds room. */
+static int64_t
+make_room(struct cell *c, struct step *s, int64_t need, int64_t now)
+{
+	struct runner *list[PREEMPT_RUNNERS_MAX];
+	int i, n = step_granted_runners(c, s, list, PREEMPT_RUNNERS_MAX);
+	int64_t freed = 0;
+	struct run *run;
+
+	for (i = 0; i < n && freed < need; i++) {
+		run = preempt_pick(list[i], s->spec,
+		    s->occurrence->job->priority, now);
+		if (run == NULL)
+			continue;
+		freed += run->cpu;
+		c->counters.preempted++;
+		cell_stop(c, run, "preempted");
+	}
+	return freed;
+}
+
+void
+cell_preempt(struct cell *c)
+{
+	int64_t now = c->ports.now(), total, need;
+	int64_t stopping = stopping_cpu(c, &total);
+	int64_t most = total * STOPPING_MAX_PERCENT / 100, wanted = 0;
+	struct step *s;
+
+	TAILQ_FOREACH (s, &c->steps, link) {
+		if (s->occurrence->job->queue == NULL ||
+		    !worth_room(c, s, now))
+			continue;
+		need = (int64_t)(s->spec->count - s->ndone - s->nheld) *
+		    s->spec->cpu;
+		wanted += need;
+		if (wanted <= stopping || stopping >= most)
+			continue;
+		stopping += make_room(c, s, wanted - stopping, now);
+	}
+}
--- /dev/null
+++ b/src/coordination/preempt.c
@@ -0,0 +1,48 @@
+#include "preempt.h"
+
+/** A run is let work for this long, so that its stop is worth a restore. */
+#define WORKED_MIN_MS 600
+
+bool
+preempt_allowed(const struct run *run, int priority, int64_t now)
+{
+	const Cc__StepSpec *s;
+
+	if (run->task == NULL || run->state != RUN_RUNNING || run->is_copy)
+		return false;
+	s = run->task->step->spec;
+	return s->saves_progress && !s->gang && !s->long_running &&
+	    run->task->step->occurrence->job->priority > priority &&
+	    now - run->confirmed_ms >= WORKED_MIN_MS;
+}
+
+static int64_t
+room_to_come(const struct runner *r)
+{
+	const struct run *run;
+	int64_t cpu = r->info.cpu - r->used_cpu;
+
+	TAILQ_FOREACH (run, &r->runs, link)
+		if (run->state == RUN_STOPPING)
+			cpu += run->cpu;
+	return cpu;
+}
+
+struct run *
+preempt_pick(const struct runner *r, const Cc__StepSpec *need, int priority,
+    int64_t now)
+{
+	struct run *run, *best = NULL;
+	int64_t room = room_to_come(r);
+
+	TAILQ_FOREACH (run, &r->runs, link) {
+		if (!preempt_allowed(run, priority, now))
+			continue;
+		if (room + run->cpu < need->cpu)
+			continue;
+		/* The latest started has the least to restore. */
+		if (best == NULL || run->confirmed_ms > best->confirmed_ms)
+			best = run;
+	}
+	return best;
+}
--- /dev/null
+++ b/tests/unit/cell_test.c
@@ -0,0 +1,347 @@
+/* A cell in memory under named patterns of load and loss. */
+#include <CUnit/CUnit.h>
+#include <stdio.h>
+#include <stdlib.h>
+
+#include "../world/world.h"
+#include "unit.h"
+
+#define LEAD_MS 1500
+#define URGENT_WORK_MS 600
+#define URGENT_OBJECTIVE_MS 1150 /* 1.5 x 600 and 250 */
+
+static const struct world_step urgent_step = {
+    .count = 6, .cpu = 1300, .ms = URGENT_WORK_MS, .after = -1};
+static const struct world_step batch_step = {
+    .count = 8, .cpu = 2700, .ms = 5000, .after = -1, .saves = true};
+
+static struct world *
+start(int runners)
+{
+	struct world *w = world_new(1, runners);
+
+	world_loud(w, getenv("LOUD") != NULL);
+	world_claim(w, 0);
+	world_run(w, LEAD_MS);
+	return w;
+}
+
+static void
+finish(struct world *w)
+{
+	CU_ASSERT_EQUAL(world_broken(w), 0);
+	world_delete(w);
+}
+
+/* Whether the job was shown as completed within this time. */
+static bool
+took_within(struct world *w, const char *id, int64_t ms)
+{
+	int64_t took = world_took_ms(w, id);
+
+	return took >= 0 && took < ms;
+}
+
+static void
+job_id(char id[17], int n)
+{
+	snprintf(id, 17, "%016x", n);
+}
+
+void
+test_cell_two_steps(void)
+{
+	const struct world_step steps[2] = {
+	    {.count = 4, .cpu = 1000, .ms = 500, .after = -1},
+	    {.count = 2, .cpu = 1000, .ms = 300, .after = 0}};
+	struct world *w = start(4);
+
+	world_submit(w, "00000000000000a1", "urgent", steps, 2);
+	world_run(w, 3000);
+	CU_ASSERT_EQUAL(world_state(w, "00000000000000a1"), JOB_COMPLETED);
+	/* 800 ms of work; the rest is control. */
+	CU_ASSERT(took_within(w, "00000000000000a1", 900));
+	CU_ASSERT_EQUAL(world_starts(w, "00000000000000a1.0.0.0"), 1);
+	finish(w);
+}
+
+/* Urgent work that swings to 2.6 times its rate doesn't stand behind batch. */
+void
+test_cell_urgent_swing(void)
+{
+	struct world *w = start(16);
+	int i, late = 0, n = 0;
+	char id[17];
+
+	for (i = 0; i < 8; i++) {
+		job_id(id, 1000 + i);
+		world_submit(w, id, "batch", &batch_step, 1);
+	}
+	for (i = 0; i < 100; i++) {
+		bool swing = i >= 30 && i < 70;
+
+		job_id(id, i + 1);
+		world_submit(w, id, "urgent", &urgent_step, 1);
+		world_run(w, swing ? 38 : 100);
+		n++;
+	}
+	world_run(w, 15000);
+	for (i = 0; i < n; i++) {
+		job_id(id, i + 1);
+		    world_took_ms(w, id) > URGENT_OBJECTIVE_MS;
+	}
+	CU_ASSERT_EQUAL(late, 0);
+	CU_ASSERT(world_all_ended(w));
+	finish(w);
+}
+
+/* In overload the urgent come first, and what waits longest isn't starved. */
+void
+test_cell_overload(void)
+{
+	const struct world_step wide = {
+	    .count = 12, .cpu = 4000, .ms = 1000, .after = -1};
+	struct world *w = start(4);
+	char id[17];
+	int i;
+
+	for (i = 0; i < 10; i++) {
+		job_id(id, i + 1);
+		world_submit(w, id, "batch", &wide, 1);
+	}
+	world_run(w, 300);
+	world_submit(w, "00000000000000ff", "urgent", &urgent_step, 1);
+	world_run(w, 20000);
+	/* It waits for the end of one round of batch, not for all ten jobs. */
+	CU_ASSERT(took_within(w, "00000000000000ff", 2000));
+	CU_ASSERT(world_all_ended(w));
+	finish(w);
+}
+
+void
+test_cell_gang_whole(void)
+{
+	const struct world_step gang = {
+	    .count = 6, .cpu = 8000, .ms = 1000, .after = -1, .gang = true};
+	const struct world_step small = {
+	    .count = 6, .cpu = 2000, .ms = 700, .after = -1};
+	struct world *w = start(4);
+
+	world_submit(w, "0000000000000001", "urgent", &small, 1);
+	world_submit(w, "0000000000000002", "batch", &gang, 1);
+	world_run(w, 200);
+	CU_ASSERT(world_at_work(w, "0000000000000002") == 0 ||
+	    world_at_work(w, "0000000000000002") == 6);
+	world_run(w, 6000);
+	CU_ASSERT_EQUAL(world_state(w, "0000000000000002"), JOB_COMPLETED);
+	finish(w);
+}
+
+/* Nine of ten jobs are cancelled: their room is free at once. */
+void
+test_cell_cancel_wave(void)
+{
+	struct world *w = start(4);
+	char id[17];
+	int i;
+
+	for (i = 0; i < 10; i++) {
+		job_id(id, i + 1);
+		world_submit(w, id, "batch", &batch_step, 1);
+	}
+	world_run(w, 500);
+	for (i = 1; i < 10; i++) {
+		job_id(id, i + 1);
+		world_cancel(w, id);
+	}
+	world_run(w, 500);
+	for (i = 1; i < 10; i++) {
+		job_id(id, i + 1);
+		CU_ASSERT_EQUAL(world_at_work(w, id), 0);
+		CU_ASSERT_EQUAL(world_state(w, id), JOB_CANCELED);
+	}
+	world_run(w, 8000);
+	CU_ASSERT_EQUAL(world_state(w, "0000000000000001"), JOB_COMPLETED);
+	finish(w);
+}
+
+/* A third of the runners is gone: their work runs elsewhere after the lease. */
+void
+test_cell_runners_gone(void)
+{
+	struct world *w = start(6);
+	const struct world_step lasting = {
+	    .count = 6, .cpu = 2000, .ms = 400, .after = -1, .lasting = true};
+	int i;
+
+	world_submit(w, "0000000000000001", "batch", &batch_step, 1);
+	world_submit(w, "0000000000000002", "batch", &lasting, 1);
+	world_run(w, 1000);
+	for (i = 0; i < 2; i++)
+		world_runner_crash(w, i, 60000);
+	world_run(w, 7500);
+	CU_ASSERT_EQUAL(world_at_work(w, "0000000000000002"), 6);
+	world_run(w, 9000);
+	CU_ASSERT_EQUAL(world_state(w, "0000000000000001"), JOB_COMPLETED);
+	finish(w);
+}
+
+/* A runner that is cut off runs on until its lease lapses, and not longer. */
+void
+test_cell_runner_cut(void)
+{
+	struct world *w = start(3);
+	int i;
+
+	world_submit(w, "0000000000000001", "batch", &batch_step, 1);
+	world_run(w, 500);
+	world_runner_cut(w, 0, true);
+	world_runner_cut(w, 1, true);
+	for (i = 0; i < 40; i++)
+		world_run(w, 500);
+	CU_ASSERT_EQUAL(world_state(w, "0000000000000001"), JOB_COMPLETED);
+	finish(w);
+}
+
+/* One runner fails all that it starts: no job fails for it. */
+void
+test_cell_bad_runner(void)
+{
+	struct world *w = start(6);
+	char id[17];
+	int i;
+
+	world_runner_fails_all(w, 0, true);
+	for (i = 0; i < 20; i++) {
+		job_id(id, i + 1);
+		world_submit(w, id, "urgent", &urgent_step, 1);
+		world_run(w, 150);
+	}
+	world_run(w, 6000);
+	for (i = 0; i < 20; i++) {
+		job_id(id, i + 1);
+		CU_ASSERT_EQUAL(world_state(w, id), JOB_COMPLETED);
+	}
+	finish(w);
+}
+
+/* While the store is away, new work is refused at once, and truly. */
+void
+test_cell_store_away(void)
+{
+	struct world *w = start(4);
+
+	world_submit(w, "0000000000000001", "urgent", &urgent_step, 1);
+	world_run(w, 100);
+	world_cut_store(w, 0, true);
+	world_run(w, 1500);
+	world_submit(w, "0000000000000002", "urgent", &urgent_step, 1);
+	CU_ASSERT(world_refused(w, "0000000000000002"));
+	world_run(w, 3000);
+	world_cut_store(w, 0, false);
+	world_run(w, 1500);
+	CU_ASSERT_EQUAL(world_state(w, "0000000000000001"), JOB_COMPLETED);
+	CU_ASSERT_EQUAL(world_state(w, "0000000000000002"), -1);
+	world_submit(w, "0000000000000002", "urgent", &urgent_step, 1);
+	world_run(w, 2000);
+	CU_ASSERT_EQUAL(world_state(w, "0000000000000002"), JOB_COMPLETED);
+	finish(w);
+}
+
+/* A new leader waits neither for a runner that was dark before it came... */
+void
+test_cell_takeover_dark_runner(void)
+{
+	struct world *w = start(6);
+	const struct world_step two[2] = {
+	    {.count = 6, .cpu = 1000, .ms = 2500, .after = -1},
+	    {.count = 6, .cpu = 1000, .ms = 400, .after = 0}};
+
+	world_submit(w, "0000000000000001", "urgent", two, 2);
+	world_run(w, 100);
+	world_runner_crash(w, 0, 60000);
+	world_run(w, 2000);
+	world_submit(w, "0000000000000002", "urgent", &urgent_step, 1);
+	world_run(w, 30);
+	world_claim(w, 1);
+	world_run(w, 1200);
+	/* ... nor does what the dark runner can't hold. */
+	CU_ASSERT_EQUAL(world_state(w, "0000000000000002"), JOB_COMPLETED);
+	world_run(w, 12000);
+	CU_ASSERT(world_all_ended(w));
+	finish(w);
+}
+
+/* A failure that was stored and not acknowledged counts once. */
+void
+test_cell_failure_counts_once(void)
+{
+	struct world *w = start(3);
+	struct world_faults f = {.run_fails = 1000};
+	const struct world_step one = {
+	    .count = 1, .cpu = 1000, .ms = 100, .after = -1};
+	int i;
+
+	world_set_faults(w, &f);
+	world_submit(w, "0000000000000001", "urgent", &one, 1);
+	world_run(w, 125);
+	for (i = 0; i < 3; i++)
+		world_claim(w, i % 2);
+	f.run_fails = 0;
+	world_set_faults(w, &f);
+	world_run(w, 3000);
+	CU_ASSERT_EQUAL(world_state(w, "0000000000000001"), JOB_COMPLETED);
+	finish(w);
+}
+
+/* Lasting tasks leave a runner that drains before it goes. */
+void
+test_cell_drain(void)
+{
+	struct world *w = start(4);
+	const struct world_step lasting = {
+	    .count = 8, .cpu = 2000, .ms = 400, .after = -1, .lasting = true};
+	int i;
+
+	world_submit(w, "0000000000000001", "batch", &lasting, 1);
+	world_run(w, 1000);
+	for (i = 0; i < 2; i++)
+		world_runner_drain(w, i, 2500);
+	world_run(w, 1500);
+	CU_ASSERT_EQUAL(world_at_work(w, "0000000000000001"), 8);
+	world_run(w, 3000);
+	CU_ASSERT_EQUAL(world_at_work(w, "0000000000000001"), 8);
+	finish(w);
+}
+
+/* Calls for advice: one a step, ahead of its turn. */
+void
+test_cell_advice_ahead(void)
+{
+	struct world *w = start(8);
+	const struct world_step two[2] = {
+	    {.count = 4, .cpu = 1000, .ms = 600, .after = -1},
+	    {.count = 4, .cpu = 1000, .ms = 600, .after = 0}};
+	int before = world_advice_calls(w);
+
+	world_submit(w, "0000000000000001", "advised", two, 2);
+	world_run(w, 4000);
+	CU_ASSERT_EQUAL(world_state(w, "0000000000000001"), JOB_COMPLETED);
+	CU_ASSERT_EQUAL(world_advice_calls(w) - before, 2);
+	CU_ASSERT(took_within(w, "0000000000000001", 1350));
+	finish(w);
+}
+
+/* An idle cell looks at no runner. */
+void
+test_cell_idle(void)
+{
+	struct world *w = start(8);
+	int before;
+
+	world_run(w, 2000);
+	before = world_holds(w);
+	world_run(w, 10000);
+	CU_ASSERT_EQUAL(world_holds(w), before);
+	finish(w);
+}
--- /dev/null
+++ b/tests/unit/parts_test.c
@@ -0,0 +1,339 @@
+/* Job model, lanes, urgency, claims, manifest: decisions without a cell. */
+#include <CUnit/CUnit.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "../../platform/registry.h"
+#include "../../platform/submission.h"
+#include "../../src/base/err.h"
+#include "../../src/base/finding.h"
+#include "../../src/coordination/claim.h"
+#include "../../src/coordination/lanes.h"
+#include "../../src/coordination/urgency.h"
+#include "../../src/state/cell_settings.h"
+#include "../../src/state/job.h"
+#include "unit.h"
+
+static Cc__JobRow *
+decode(const char *body, const char **wrong)
+{
+	return submission_decode(
+	    (const uint8_t *)body, strlen(body), "q", wrong);
+}
+
+void
+test_submission_whole(void)
+{
+	const char *wrong;
+	Cc__JobRow *row = decode(
+	    "{\"spec\":\"x\",\"steps\":[{\"count\":4,\"cpu\":500,"
+	    "\"mem_mb\":256,\"estimate_ms\":900,\"affinity\":\"r1-3\"},"
+	    "{\"count\":20,\"cpu\":2000,\"after\":[0],\"gang\":true,"
+	    "\"unknown\":[1]}]}",
+	    &wrong);
+
+	CU_ASSERT_PTR_NOT_NULL_FATAL(row);
+	CU_ASSERT_EQUAL(row->n_steps, 2);
+	CU_ASSERT_EQUAL(row->steps[0]->mem_mb, 256);
+	CU_ASSERT_STRING_EQUAL(row->steps[0]->affinity, "r1-3");
+	CU_ASSERT(row->steps[1]->gang);
+	CU_ASSERT_EQUAL(row->steps[1]->after[0], 0);
+	CU_ASSERT_EQUAL(job_check(row, &wrong), CC_OK);
+	CU_ASSERT_EQUAL(job_chain_ms(row), 900);
+	cc__job_row__free_unpacked(row, NULL);
+}
+
+void
+test_submission_bad(void)
+{
+	static const struct {
+		const char *body;
+		const char *wrong;
+	} cases[] = {
+	    {"", "body"},
+	    {"[]", "body"},
+	    {"{\"steps\":4}", "steps"},
+	    {"{\"steps\":[{\"count\":\"4\"}]}", "count"},
+	    {"{\"steps\":[{\"count\":-1}]}", "count"},
+	    {"{\"steps\":[{\"count\":1,\"gang\":1}]}", "gang"},
+	    {"{\"steps\":[{\"count\":1,\"image\":7}]}", "image"},
+	    {"{\"steps\":[{\"count\":1,\"after\":[\"a\"]}]}", "after"},
+	    {"{\"spec\":7,\"steps\":[{\"count\":1}]}", "spec"},
+	};
+	const char *wrong;
+	size_t i;
+
+	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		CU_ASSERT_PTR_NULL(decode(cases[i].body, &wrong));
+		CU_ASSERT_STRING_EQUAL(wrong, cases[i].wrong);
+	}
+}
+
+void
+test_job_check(void)
+{
+	const char *wrong;
+	Cc__JobRow *row = decode("{\"steps\":[]}", &wrong);
+
+	CU_ASSERT_EQUAL(job_check(row, &wrong), CC_EINVAL);
+	cc__job_row__free_unpacked(row, NULL);
+	row = decode("{\"steps\":[{\"count\":1,\"after\":[0]}]}", &wrong);
+	CU_ASSERT_EQUAL(job_check(row, &wrong), CC_EINVAL);
+	cc__job_row__free_unpacked(row, NULL);
+	row = decode("{\"steps\":[{\"count\":0}]}", &wrong);
+	CU_ASSERT_EQUAL(job_check(row, &wrong), CC_EINVAL);
+	cc__job_row__free_unpacked(row, NULL);
+}
+
+/* What is stored of a job and read back is what was known of it. */
+void
+test_job_progress(void)
+{
+	const char *wrong,
+	    *body = "{\"steps\":[{\"count\":9},{\"count\":3,\"after\":[0]}]}";
+	struct job *a = job_new("0123456789abcdef", decode(body, &wrong));
+	struct job *b = job_new("0123456789abcdef", decode(body, &wrong));
+	struct task_ref ref;
+	Cc__JobProgress *p;
+	struct task *t;
+
+	CU_ASSERT(task_ref_parse(&ref, "0123456789abcdef.0.0.8"));
+	job_add_occurrence(a);
+	task_set_done(job_task(a, &ref));
+	ref.index = 3;
+	t = job_task(a, &ref);
+	t->last_run = 5;
+	t->saved = strdup("mark");
+	CU_ASSERT(task_add_failure(t, 5));
+	CU_ASSERT(!task_add_failure(t, 5));
+	CU_ASSERT(task_add_failure(t, 2));
+	p = job_progress(a);
+	job_load_progress(b, p);
+	job_progress_free(p);
+	t = job_task(b, &ref);
+	CU_ASSERT_EQUAL(t->last_run, 5);
+	CU_ASSERT_EQUAL(t->failures, 2);
+	CU_ASSERT_STRING_EQUAL(t->saved, "mark");
+	CU_ASSERT_EQUAL(b->occurrences[0]->steps[0].ndone, 1);
+	CU_ASSERT(!step_has_turn(&b->occurrences[0]->steps[1]));
+	job_delete(a);
+	job_delete(b);
+}
+
+void
+test_task_names(void)
+{
+	struct task_ref ref;
+
+	CU_ASSERT(task_ref_parse(&ref, "5c0e7a21d94b36f8.2.1.17"));
+	CU_ASSERT_EQUAL(ref.occurrence, 2);
+	CU_ASSERT_EQUAL(ref.step, 1);
+	CU_ASSERT_EQUAL(ref.index, 17);
+	CU_ASSERT(!task_ref_parse(&ref, "5c0e7a21d94b36f8.2.1"));
+	CU_ASSERT(!task_ref_parse(&ref, "5c0e.2.1.x"));
+	CU_ASSERT(!task_ref_parse(&ref, "5c0e.2.1.-1"));
+	CU_ASSERT(!task_ref_parse(&ref, ""));
+}
+
+static void
+set_lanes(struct lanes *l, int n)
+{
+	char hosts[LANES_MAX][64];
+	int i;
+
+	memset(l, 0, sizeof(*l));
+	for (i = 0; i < n; i++) {
+		memset(hosts[i], 0, sizeof(hosts[i]));
+		hosts[i][0] = (char)('a' + i);
+	}
+	lanes_set(l, (const char(*)[64])hosts, n);
+}
+
+#define QUICK_MS 37.0
+#define SLOW_MS 600.0
+
+/* Head-of-line blocking: no quick call ever stands behind a slow one. */
+void
+test_lanes_apart(void)
+{
+	struct lanes l;
+	struct lane *lane;
+	int i, slow = 0;
+
+	set_lanes(&l, 8);
+	while ((lane = lanes_pick(&l, SLOW_MS, 0)) != NULL && slow < 100) {
+		lane_sent(lane, SLOW_MS, 0);
+		slow++;
+	}
+	CU_ASSERT_EQUAL(slow, 5);
+	for (i = 0; i < 3; i++) {
+		lane = lanes_pick(&l, QUICK_MS, 0);
+		CU_ASSERT_PTR_NOT_NULL_FATAL(lane);
+		CU_ASSERT_EQUAL(lane->open, 0);
+		lane_sent(lane, QUICK_MS, 0);
+	}
+}
+
+void
+test_lanes_few(void)
+{
+	struct lanes l;
+	struct lane *lane;
+
+	set_lanes(&l, 1);
+	lane = lanes_pick(&l, SLOW_MS, 0);
+	CU_ASSERT_PTR_NOT_NULL_FATAL(lane);
+	lane_sent(lane, SLOW_MS, 0);
+	CU_ASSERT_PTR_NULL(lanes_pick(&l, SLOW_MS, 0));
+	lanes_answered(&l, "a", 600);
+	CU_ASSERT_PTR_NOT_NULL(lanes_pick(&l, SLOW_MS, 600));
+	set_lanes(&l, 0);
+	CU_ASSERT_PTR_NULL(lanes_pick(&l, QUICK_MS, 0));
+}
+
+void
+test_urgency(void)
+{
+	struct urgency_job urgent = {
+	    .due_ms = 1000, .remaining_ms = 500, .priority = 0};
+	struct urgency_job batch = {
+	    .due_ms = 900, .remaining_ms = 500, .priority = 2};
+	struct urgency a = urgency_of(&urgent, 100);
+	struct urgency b = urgency_of(&batch, 100);
+
+	CU_ASSERT(urgency_compare(&a, &b) < 0);
+	/* Late, it may still count: behind what is on time. */
+	a = urgency_of(&urgent, 1100);
+	batch.due_ms = 9000;
+	b = urgency_of(&batch, 1100);
+	CU_ASSERT(urgency_compare(&a, &b) > 0);
+	/* Past three objectives it counts for nothing. */
+	urgent.due_ms = 1000;
+	a = urgency_of(&urgent, 2900);
+	batch.due_ms = 2000;
+	b = urgency_of(&batch, 2100);
+	CU_ASSERT(urgency_compare(&a, &b) > 0);
+	CU_ASSERT_EQUAL(urgency_objective_ms(1000, 1.5, 250), 1750);
+}
+
+void
+test_claim(void)
+{
+	struct claim_facts f = {
+	    .known = true, .linked = true, .beat_age_ms = 100};
+
+	CU_ASSERT(!claim_doubts(&f));
+	f.unchanged_ms = 100000;
+	CU_ASSERT(!claim_due(&f));
+	f.beat_age_ms = 800;
+	CU_ASSERT(claim_doubts(&f));
+	f.unchanged_ms = 500;
+	CU_ASSERT(!claim_due(&f));
+	f.unchanged_ms = 850;
+	CU_ASSERT(claim_due(&f));
+	f.rank = 3;
+	CU_ASSERT(!claim_due(&f));
+	f = (struct claim_facts){
+	    .known = true, .linked = true, .stalled = true};
+	f.unchanged_ms = 399;
+	CU_ASSERT(!claim_due(&f));
+	f.unchanged_ms = 400;
+	CU_ASSERT(claim_due(&f));
+	f = (struct claim_facts){.known = true, .no_leader = true};
+	CU_ASSERT(claim_due(&f));
+	f.known = false;
+	CU_ASSERT(!claim_due(&f));
+}
+
+static const char manifest_text[] =
+    "{\"version\":7,\"routes\":[{\"name\":\"a\",\"host\":\"h.example\","
+    "\"prefix\":\"/x/\",\"service\":\"s\",\"priority\":0,\"stretch\":1.5,"
+    "\"target_latency_ms\":250,\"max_attempts\":3,\"advice\":{"
+    "\"decision_ms\":22.0,\"period_ms\":0.32,\"validity_ms\":2500}},"
+    "{\"name\":\"b\",\"host\":\"h.example\",\"prefix\":\"/x/y/\","
+    "\"service\":\"s\",\"priority\":2}],"
+    "\"services\":[{\"name\":\"s\",\"admission_check\":false}],"
+    "\"limits\":{\"max_body_bytes\":262144}}";
+
+void
+test_manifest(void)
+{
+	struct manifest *m =
+	    manifest_decode(manifest_text, sizeof(manifest_text) - 1);
+	const struct queue *q;
+
+	CU_ASSERT_PTR_NOT_NULL_FATAL(m);
+	CU_ASSERT_EQUAL(m->version, 7);
+	q = manifest_route(m, "h.example", "/x/y/1");
+	CU_ASSERT_STRING_EQUAL(q->name, "b");
+	CU_ASSERT(!q->advice.needed);
+	q = manifest_route(m, "h.example:80", "/x/1");
+	CU_ASSERT_STRING_EQUAL(q->name, "a");
+	CU_ASSERT(q->advice.needed);
+	CU_ASSERT_EQUAL(q->advice.validity_ms, 2500);
+	CU_ASSERT_PTR_NULL(manifest_route(m, "other", "/x/1"));
+	CU_ASSERT_PTR_NULL(manifest_route(m, "h.example", "/z/"));
+	manifest_done(m);
+	free(m);
+	CU_ASSERT_PTR_NULL(manifest_decode("[]", 2));
+}
+
+/* Entries of another writer name no runner and hurt none. */
+void
+test_registry(void)
+{
+	static const char *const bad[] = {"", "{", "[]", "{}",
+	    "{\"service\":\"s\",\"address\":\"h:1\",\"state\":\"ready\"}",
+	    "{\"service\":\"s\",\"address\":\"10.0.0.1:1\",\"state\":\"odd\","
+	    "\"capacity\":{\"cpu\":1,\"mem_mb\":1}}",
+	    "{\"service\":7,\"address\":\"10.0.0.1:1\",\"state\":\"ready\","
+	    "\"capacity\":{\"cpu\":1,\"mem_mb\":1}}"};
+	static const char good[] =
+	    "{\"service\":\"s\",\"address\":\"10.0.0.1:80\","
+	    "\"state\":\"draining\",\"capacity\":{\"cpu\":16000,"
+	    "\"mem_mb\":32768,\"gpu\":0},\"labels\":[\"a\",\"r1-3\"],"
+	    "\"remaining_ms\":900,\"born\":5,\"sequence\":4}";
+	struct row row = {.key = "i-1"};
+	struct runner_info info;
+	size_t i;
+
+	for (i = 0; i < sizeof(bad) / sizeof(bad[0]); i++) {
+		row.value = bad[i];
+		row.len = strlen(bad[i]);
+		CU_ASSERT(!registry_decode(&row, &info));
+	}
+	row.value = good;
+	row.len = sizeof(good) - 1;
+	CU_ASSERT(registry_decode(&row, &info));
+	CU_ASSERT(info.draining);
+	CU_ASSERT_EQUAL(info.cpu, 16000);
+	CU_ASSERT_EQUAL(info.remaining_ms, 900);
+	CU_ASSERT_STRING_EQUAL(info.rack, "r1-3");
+	CU_ASSERT_STRING_EQUAL(info.addr, "10.0.0.1");
+}
+
+void
+test_cell_settings(void)
+{
+	static const char good[] =
+	    "host: e1\nzone: z\naddr: 127.0.0.1\ncallers: 127.0.0.1:80\n"
+	    "readiness: 127.0.0.1:81\nstore: 127.0.0.1:82\n"
+	    "key: sixteen-letters-long\npeer_port: 90\ncores: 0.25\n";
+	static const char bad[] =
+	    "host: e1\nzone: z\naddr: 127.0.0.1\ncallers: here\n"
+	    "readiness: 127.0.0.1:0\nstore: 127.0.0.1:82\n"
+	    "key: short\npeer_port: 90\nmax_hold_ms: 5\n";
+	struct cell_settings s;
+	struct findings fs;
+
+	findings_init(&fs, "good");
+	cell_settings_parse(&s, good, sizeof(good) - 1, &fs);
+	CU_ASSERT_EQUAL(fs.count, 0);
+	CU_ASSERT_EQUAL(s.max_hold_ms, 10000);
+	CU_ASSERT_DOUBLE_EQUAL(s.cores, 0.25, 0.001);
+	findings_done(&fs);
+	findings_init(&fs, "bad");
+	cell_settings_parse(&s, bad, sizeof(bad) - 1, &fs);
+	CU_ASSERT_EQUAL(fs.count, 4);
+	findings_done(&fs);
+}
--- a/tests/world/world.c
+++ b/tests/world/world.c
@@ -85,6 +85,7 @@
 
 struct world_job {
 	char id[JOB_ID_LEN];
+	char queue[QUEUE_NAME_LEN];
 	struct world_step steps[8];
 	int n;
 	bool accepted;
@@ -1453,7 +1454,7 @@
 		if (j->completed_ms != 0 || !j->accepted)
 			continue;
 		a.error = CC_EBUSY;
-		cell_get(&w->cells[w->leader].cell, "", j->id, &a);
+		cell_get(&w->cells[w->leader].cell, j->queue, j->id, &a);
 		if (a.error == CC_OK && a.state == JOB_COMPLETED)
 			j->completed_ms = w->now;
 	}
@@ -1633,6 +1634,7 @@
 	if (j == NULL) {
 		j = &w->jobs[w->njobs++];
 		str_copy(j->id, id, sizeof(j->id));
+		str_copy(j->queue, queue, sizeof(j->queue));
 		j->since_ms = w->now;
 		j->n = n;
 		memcpy(j->steps, steps, (size_t)n * sizeof(*steps));
