Soak of real daemons, stand-in for the platform, copies of late runs

Copies: a task of a speculative step whose runner is silent, or that has run for twice its estimate, gets a second run; unit tests of both loads fail without it. Watches wait 0 ms after an outage.

--- a/src/cell/advice.c
+++ b/src/cell/advice.c
@@ -265,9 +265,9 @@
 	struct advice *a = advice_of(s);
 	struct placing_want w = {
 	    .step = s, .service = q->service, .now_ms = now};
-	uint32_t waiting = s->spec->count - s->ndone - s->nheld;
+	uint32_t waiting = step_wanted(s);
 
-	if (a->asking || now < a->retry_ms || !step_has_waiting(s))
+	if (a->asking || now < a->retry_ms || waiting == 0)
 		return false;
 	if (s->turn_ms == 0 && now < ask_from_ms(s, q))
 		return false;
@@ -318,7 +318,7 @@
 static int
 enough(const struct step *s, const struct choice *list, int n)
 {
-	double want = (s->spec->count - s->ndone - s->nheld) * SPARE_FACTOR;
+	double want = step_wanted(s) * SPARE_FACTOR;
 	double slots = 0;
 	int i;
 
--- a/src/cell/cell.c
+++ b/src/cell/cell.c
@@ -120,7 +120,8 @@
 	const struct job *j;
 
 	TAILQ_FOREACH (j, &c->live, live_link)
-		if (j->queue != NULL && manifest_queue(m, j->queue->name) == NULL)
+		if (j->queue != NULL &&
+		    manifest_queue(m, j->queue->name) == NULL)
 			manifest_keep(m, j->queue);
 }
 
@@ -153,6 +154,7 @@
 	cell_due_occurrences(c);
 	cell_check_blind(c);
 	cell_drain(c);
+	cell_want_copies(c);
 	cell_pass(c);
 }
 
--- a/src/cell/cell.h
+++ b/src/cell/cell.h
@@ -108,7 +108,7 @@
 	struct step_list steps; /**< with work to place */
 	struct job_list dirty;
 	struct job_list ended; /**< oldest first */
-	struct job_list live;	  /**< that haven't ended */
+	struct job_list live;  /**< that haven't ended */
 	struct job_list timed; /**< with occurrences to come */
 	struct lanes lanes;
 	uint64_t room_version;	/**< rises whenever room may appear */
--- a/src/cell/ends.c
+++ b/src/cell/ends.c
@@ -112,6 +112,7 @@
 	}
 	if (t->run != run)
 		return;
+	task_drop_copy_wish(t);
 	t->run = t->copy;
 	t->copy = NULL;
 	if (t->run != NULL)
--- a/src/cell/holds.c
+++ b/src/cell/holds.c
@@ -266,7 +266,9 @@
 		cell_close_runner(c, r);
 		kvlog(KVLOG_WARN, "runner_silent",
 		    "runner=%s result=%d heard_ms_ago=%lld runs=%d", r->info.id,
-		    why, (long long)(now - r->heard_ms), r->nruns);
+		    why,
+		    r->heard_ms != 0 ? (long long)(now - r->heard_ms) : -1LL,
+		    r->nruns);
 	}
 	if (why == ORDER_OTHER_LIFE)
 		cell_runner_reset(c, r);
--- a/src/cell/jobs.c
+++ b/src/cell/jobs.c
@@ -43,7 +43,7 @@
 void
 cell_list_step(struct cell *c, struct step *s)
 {
-	if (s->listed || !step_has_waiting(s))
+	if (s->listed || step_wanted(s) == 0)
 		return;
 	s->listed = true;
 	TAILQ_INSERT_TAIL(&c->steps, s, link);
@@ -218,8 +218,8 @@
 	const struct queue *q = c->manifest != NULL
 	    ? manifest_queue(c->manifest, row->queue)
 	    : NULL;
-	struct cell_answer a = {.error = CC_EBUSY,
-	    .retry_after_ms = cell_retry_after_ms(q, row)};
+	struct cell_answer a = {
+	    .error = CC_EBUSY, .retry_after_ms = cell_retry_after_ms(q, row)};
 
 	c->counters.refused++;
 	kvlog(KVLOG_INFO, "submit_refused",
--- a/src/cell/parts.h
+++ b/src/cell/parts.h
@@ -73,6 +73,14 @@
 struct urgency step_urgency(
     const struct cell *c, const struct step *s, int64_t now);
 
+/* copies.c */
+/** Marks tasks of speculative steps whose run is late or out of sight. */
+void cell_want_copies(struct cell *c);
+/** Starts copies where the step has a place for them. */
+void cell_place_copies(struct cell *c, struct step *s, int64_t now);
+/** Tasks of the step that look for a place. */
+uint32_t step_wanted(const struct step *s);
+
 /* preempt.c */
 #define PREEMPT_RUNNERS_MAX 64
 void cell_preempt(struct cell *c);
--- a/src/cell/place.c
+++ b/src/cell/place.c
@@ -9,8 +9,6 @@
 /** Run numbers of a leader begin at its generation times this. */
 #define RUNS_PER_GENERATION 1024
 
-
-
 struct pick {
 	struct cell *cell;
 	struct step *step;
@@ -292,6 +290,8 @@
 	else if (p.n > 0)
 		place_tasks(&p);
 	free(p.candidates);
+	if (s->ncopies > 0)
+		cell_place_copies(c, s, now);
 }
 
 static struct room
@@ -331,7 +331,7 @@
 	*n = 0;
 	for (s = TAILQ_FIRST(&c->steps); s != NULL; s = next) {
 		next = TAILQ_NEXT(s, link);
-		if (!step_has_waiting(s)) {
+		if (step_wanted(s) == 0) {
 			TAILQ_REMOVE(&c->steps, s, link);
 			s->listed = false;
 			continue;
--- a/src/cell/preempt.c
+++ b/src/cell/preempt.c
@@ -48,8 +48,8 @@
 	struct run *run;
 
 	for (i = 0; i < n && freed < need; i++) {
-		run = preempt_pick(list[i], s->spec,
-		    s->occurrence->job->priority, now);
+		run = preempt_pick(
+		    list[i], s->spec, s->occurrence->job->priority, now);
 		if (run == NULL)
 			continue;
 		freed += run->cpu;
@@ -68,8 +68,7 @@
 	struct step *s;
 
 	TAILQ_FOREACH (s, &c->steps, link) {
-		if (s->occurrence->job->queue == NULL ||
-		    !worth_room(c, s, now))
+		if (s->occurrence->job->queue == NULL || !worth_room(c, s, now))
 			continue;
 		need = (int64_t)(s->spec->count - s->ndone - s->nheld) *
 		    s->spec->cpu;
--- a/src/coordination/preempt.c
+++ b/src/coordination/preempt.c
@@ -29,8 +29,8 @@
 }
 
 struct run *
-preempt_pick(const struct runner *r, const Cc__StepSpec *need, int priority,
-    int64_t now)
+preempt_pick(
+    const struct runner *r, const Cc__StepSpec *need, int priority, int64_t now)
 {
 	struct run *run, *best = NULL;
 	int64_t room = room_to_come(r);
--- a/src/member/follow.c
+++ b/src/member/follow.c
@@ -166,8 +166,8 @@
 		f->store->ops->list(f->store, f->table, f->parts[f->part],
 		    f->from, PAGE_ROWS, on_rows, f);
 	else
-		f->store->ops->watch(
-		    f->store, f->table, f->version, f->wait_ms, on_rows, f);
+		f->store->ops->watch(f->store, f->table, f->version,
+		    f->lost_ms != 0 ? 0 : f->wait_ms, on_rows, f);
 }
 
 static void
--- a/src/member/lead.c
+++ b/src/member/lead.c
@@ -233,8 +233,7 @@
 }
 
 void
-member_leader_told(
-    struct member *m, const char *host, const Cc__CellBeat *b)
+member_leader_told(struct member *m, const char *host, const Cc__CellBeat *b)
 {
 	if (member_leads(m) || m->state == MEMBER_CLAIMING)
 		return;
--- a/src/member/member.c
+++ b/src/member/member.c
@@ -21,7 +21,6 @@
 #define START_MS 2500
 #define HOLD_WAIT_MS 1000
 
-
 static const char *const member_parts[] = {CELL_PART, MEMBER_PART, NULL};
 
 static void
--- a/src/member/members.c
+++ b/src/member/members.c
@@ -85,8 +85,8 @@
 static void
 dial_others(struct member *m)
 {
-	bool core = member_rank(m, m->settings->host, member_power(m)) <
-	    CORE_HOSTS;
+	bool core =
+	    member_rank(m, m->settings->host, member_power(m)) < CORE_HOSTS;
 	struct other *o;
 	int i;
 
--- a/src/member/parts.h
+++ b/src/member/parts.h
@@ -19,7 +19,7 @@
 	int64_t up_ms;	 /**< link up since; 0: it is down */
 	char addr[ADDR_LEN];
 	uint16_t port;
-	uint32_t power;		/**< thousandths of a core */
+	uint32_t power; /**< thousandths of a core */
 	bool dialled;
 	bool leads;
 	bool stalled;
--- a/src/state/job.c
+++ b/src/state/job.c
@@ -160,12 +160,22 @@
 	return s->ndone + s->nheld < s->spec->count;
 }
 
+void
+task_drop_copy_wish(struct task *t)
+{
+	if (!t->wants_copy)
+		return;
+	t->wants_copy = false;
+	t->step->ncopies--;
+}
+
 static void
 set_done(struct task *t)
 {
 	if (t->done)
 		return;
 	t->done = true;
+	task_drop_copy_wish(t);
 	t->step->ndone++;
 	if (t->run != NULL)
 		t->step->nheld--;
--- a/src/state/job.h
+++ b/src/state/job.h
@@ -43,6 +43,7 @@
 	char *saved;	       /**< last checkpoint; NULL for none */
 	struct run *run;       /**< where it is, or may be */
 	struct run *copy;      /**< a second run of a speculative task */
+	bool wants_copy;       /**< its run is late or its runner silent */
 	int64_t retry_ms;      /**< no start before this time */
 };
 
@@ -52,9 +53,9 @@
 	uint32_t index;
 	struct task *tasks;
 	uint32_t ndone;
-	uint32_t nheld; /**< tasks that have a run */
-	uint32_t gang_failures;
-	int64_t turn_ms; /**< its turn came; 0: it hasn't yet */
+	uint32_t nheld;	  /**< tasks that have a run */
+	uint32_t ncopies; /**< tasks that want a copy */
+	int64_t turn_ms;  /**< its turn came; 0: it hasn't yet */
 	int64_t first_start_ms;
 	bool listed; /**< on the list of steps with work to place */
 	TAILQ_ENTRY(step) link;
@@ -81,12 +82,12 @@
 	bool stored;		     /**< the accepted job is in the store */
 	bool started;		     /**< a task has begun, now or earlier */
 	bool inherited;		     /**< accepted under an earlier leader */
-	bool dirty;	  /**< its progress is to be written */
-	bool in_commit;	  /**< a commit under way carries it */
+	bool dirty;		     /**< its progress is to be written */
+	bool in_commit;		     /**< a commit under way carries it */
 	int64_t accepted_ms;
 	int64_t ended_ms;
-	int64_t due_ms;	  /**< latency objective, absolute */
-	int64_t chain_ms; /**< estimate of its longest chain */
+	int64_t due_ms;		   /**< latency objective, absolute */
+	int64_t chain_ms;	   /**< estimate of its longest chain */
 	const struct queue *queue; /**< in the manifest in force; may be NULL */
 	int priority;
 	uint32_t max_attempts;
@@ -122,6 +123,8 @@
 /** Work of all tasks of one occurrence, core-ms by the estimates. */
 int64_t job_work(const Cc__JobRow *row);
 
+/** The task no longer looks for a place for a second run. */
+void task_drop_copy_wish(struct task *t);
 /** Counts a failure; false when that of this run was counted before. */
 bool task_add_failure(struct task *t, uint32_t run);
 
--- a/src/state/manifest.c
+++ b/src/state/manifest.c
@@ -55,8 +55,8 @@
 void
 manifest_keep(struct manifest *m, const struct queue *q)
 {
-	m->queues = xrealloc(
-	    m->queues, (size_t)(m->nqueues + 1) * sizeof(*m->queues));
+	m->queues =
+	    xrealloc(m->queues, (size_t)(m->nqueues + 1) * sizeof(*m->queues));
 	m->queues[m->nqueues++] = *q;
 }
 
--- a/src/state/runner.h
+++ b/src/state/runner.h
@@ -62,8 +62,8 @@
 	bool opening;	    /**< the commit under way opens it */
 	bool closed;	  /**< as read from the store: it holds at most the runs
 			   * that are bound to it */
-	bool known;	    /**< all that it may hold is known to this leader */
-	bool adopted;	    /**< its lists were read under this leader */
+	bool known;	  /**< all that it may hold is known to this leader */
+	bool adopted;	  /**< its lists were read under this leader */
 	int64_t clock_ms; /**< runner's clock ... */
 	int64_t clock_at_ms; /**< ... read no later than this time */
 	int64_t lease_ms;    /**< latest end of lease given, its clock */
--- a/src/transport/http_call.c
+++ b/src/transport/http_call.c
@@ -305,10 +305,15 @@
 {
 	struct evkeyvalq *h = evhttp_request_get_output_headers(req);
 	char host[64];
+	bool named = false;
 	size_t i;
 
+	for (i = 0; i < sizeof(r->headers) / sizeof(r->headers[0]); i++)
+		named |= r->headers[i].name != NULL &&
+		    strcasecmp(r->headers[i].name, "Host") == 0;
 	snprintf(host, sizeof(host), "%s:%u", r->addr, r->port);
-	evhttp_add_header(h, "Host", host);
+	if (!named)
+		evhttp_add_header(h, "Host", host);
 	if (r->content_type != NULL && r->content_type[0] != '\0')
 		evhttp_add_header(h, "Content-Type", r->content_type);
 	for (i = 0; i < sizeof(r->headers) / sizeof(r->headers[0]); i++) {
--- /dev/null
+++ b/tests/cellstandin/main.c
@@ -0,0 +1,230 @@
+/* cellstandin PORT RUNNERS: serves the store on PORT, advice on PORT+1, its
+ * own faults and report on PORT+2, runners from PORT+10 on. */
+#include <event2/buffer.h>
+#include <event2/keyvalq_struct.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <time.h>
+
+#include "../../src/base/xalloc.h"
+#include "standin.h"
+
+#define RUNNERS_MAX 64
+#define TEXTS_MAX 20
+
+static const struct {
+	const char *name;
+	enum fault_mode mode;
+} modes[] = {
+    {"ok", FAULT_NONE},
+    {"busy", FAULT_BUSY},
+    {"reset", FAULT_RESET},
+    {"silent", FAULT_SILENT},
+    {"lost", FAULT_LOST},
+    {"slow", FAULT_SLOW},
+};
+
+struct standin {
+	struct store_sim *store;
+	struct runner_sim *runners[RUNNERS_MAX];
+	int nrunners;
+	struct record record;
+	int version; /**< of the manifest */
+};
+
+int64_t
+now_ms(void)
+{
+	struct timespec ts;
+
+	clock_gettime(CLOCK_BOOTTIME, &ts);
+	return (int64_t)ts.tv_sec * 1000 + ts.tv_nsec / 1000000;
+}
+
+enum fault_mode
+fault_mode_of(const char *name)
+{
+	size_t i;
+
+	for (i = 0; i < sizeof(modes) / sizeof(modes[0]); i++)
+		if (strcmp(modes[i].name, name) == 0)
+			return modes[i].mode;
+	return FAULT_NONE;
+}
+
+void
+record_broken(struct record *r, const char *what, const char *name)
+{
+	r->broken++;
+	fprintf(stderr, "BROKEN %s %s\n", what, name);
+	if (json_array_size(r->texts) < TEXTS_MAX)
+		json_array_append_new(
+		    r->texts, json_sprintf("%s %s", what, name));
+}
+
+const char *
+query_get(struct evkeyvalq *q, const char *name)
+{
+	return evhttp_find_header(q, name);
+}
+
+json_t *
+request_json(struct evhttp_request *req)
+{
+	struct evbuffer *in = evhttp_request_get_input_buffer(req);
+	size_t len = evbuffer_get_length(in);
+
+	return json_loadb((const char *)evbuffer_pullup(in, -1), len, 0, NULL);
+}
+
+void
+reply_json(struct evhttp_request *req, int status, json_t *body)
+{
+	struct evbuffer *out = evbuffer_new();
+	char *text = json_dumps(body, JSON_COMPACT);
+
+	evbuffer_add(out, text, strlen(text));
+	evhttp_add_header(evhttp_request_get_output_headers(req),
+	    "Content-Type", "application/json");
+	evhttp_send_reply(req, status, NULL, out);
+	evbuffer_free(out);
+	free(text);
+	json_decref(body);
+}
+
+void
+reply_reset(struct evhttp_request *req)
+{
+	struct evhttp_connection *c = evhttp_request_get_connection(req);
+
+	if (c != NULL)
+		evhttp_connection_free(c);
+}
+
+static void
+put_manifest(struct standin *s)
+{
+	json_t *advice = json_pack("{s:f,s:f,s:i}", "decision_ms", 5.0,
+	    "period_ms", 0.1, "validity_ms", 2500);
+	json_t *routes = json_pack("[{s:s,s:s,s:s,s:i,s:i,s:i,s:s,s:i,s:f,s:o},"
+				   "{s:s,s:s,s:s,s:i,s:i,s:i,s:s,s:i,s:f}]",
+	    "name", "urgent", "host", "cell.example", "prefix", "/urgent/",
+	    "timeout_ms", 3000, "target_latency_ms", 250, "priority", 0,
+	    "service", "work", "max_attempts", 3, "stretch", 1.5, "advice",
+	    advice, "name", "batch", "host", "cell.example", "prefix",
+	    "/batch/", "timeout_ms", 3000, "target_latency_ms", 1200,
+	    "priority", 2, "service", "work", "max_attempts", 3, "stretch",
+	    2.2);
+
+	store_sim_put(s->store, "op", "config",
+	    json_pack("{s:i,s:o,s:[{s:s,s:b}],s:{s:i}}", "version", s->version,
+		"routes", routes, "services", "name", "work", "admission_check",
+		0, "limits", "max_body_bytes", 262144));
+	s->version += 2;
+}
+
+static void
+set_runner_fault(struct standin *s, struct evkeyvalq *q)
+{
+	const char *which = query_get(q, "runner");
+	const char *mode = query_get(q, "mode");
+	const char *down = query_get(q, "down");
+	int i = which != NULL ? atoi(which) : -1;
+
+	if (i < 0 || i >= s->nrunners || mode == NULL)
+		return;
+	if (strcmp(mode, "crash") == 0)
+		runner_sim_crash(
+		    s->runners[i], down != NULL ? atoi(down) : 1000);
+	else if (strcmp(mode, "drain") == 0)
+		runner_sim_drain(s->runners[i]);
+	else
+		runner_sim_fault(s->runners[i], fault_mode_of(mode));
+}
+
+static void
+on_fault(struct evhttp_request *req, void *arg)
+{
+	struct standin *s = arg;
+	struct evkeyvalq q;
+	const char *v;
+
+	evhttp_parse_query_str(
+	    evhttp_uri_get_query(evhttp_request_get_evhttp_uri(req)), &q);
+	if ((v = query_get(&q, "store")) != NULL) {
+		if (strcmp(v, "compact") == 0)
+			store_sim_compact(s->store);
+		else
+			store_sim_fault(s->store, fault_mode_of(v));
+	}
+	if (query_get(&q, "manifest") != NULL)
+		put_manifest(s);
+	set_runner_fault(s, &q);
+	evhttp_clear_headers(&q);
+	reply_json(req, 200, json_object());
+}
+
+static void
+on_report(struct evhttp_request *req, void *arg)
+{
+	struct standin *s = arg;
+
+	reply_json(req, 200,
+	    json_pack("{s:i,s:i,s:i,s:O}", "broken", s->record.broken, "starts",
+		s->record.starts, "done", s->record.done, "texts",
+		s->record.texts));
+}
+
+/* 200 when a task of the job was ever started, 404 when none was. */
+static void
+on_ran(struct evhttp_request *req, void *arg)
+{
+	struct evkeyvalq q;
+	const char *id;
+	bool ran;
+
+	(void)arg;
+	evhttp_parse_query_str(
+	    evhttp_uri_get_query(evhttp_request_get_evhttp_uri(req)), &q);
+	id = query_get(&q, "id");
+	ran = id != NULL && job_sim_known(id);
+	evhttp_clear_headers(&q);
+	reply_json(req, ran ? 200 : 404, json_object());
+}
+
+int
+main(int argc, char **argv)
+{
+	struct event_base *base = event_base_new();
+	struct standin s = {.version = 3};
+	struct evhttp *http;
+	int port, i;
+
+	if (argc != 3) {
+		fprintf(stderr, "usage: cellstandin PORT RUNNERS\n");
+		return 1;
+	}
+	signal(SIGPIPE, SIG_IGN);
+	port = atoi(argv[1]);
+	s.nrunners = atoi(argv[2]);
+	s.record.texts = json_array();
+	s.store = store_sim_new(base, (uint16_t)port);
+	advice_sim_new(base, (uint16_t)(port + 1));
+	for (i = 0; i < s.nrunners && i < RUNNERS_MAX; i++)
+		s.runners[i] = runner_sim_new(
+		    base, s.store, &s.record, i, (uint16_t)(port + 10 + i));
+	http = evhttp_new(base);
+	evhttp_set_cb(http, "/fault", on_fault, &s);
+	evhttp_set_cb(http, "/report", on_report, &s);
+	evhttp_set_cb(http, "/ran", on_ran, &s);
+	if (s.store == NULL ||
+	    evhttp_bind_socket(http, "127.0.0.1", (uint16_t)(port + 2)) != 0) {
+		fprintf(stderr, "cellstandin: port %d is taken\n", port);
+		return 1;
+	}
+	put_manifest(&s);
+	event_base_dispatch(base);
+	return 0;
+}
--- /dev/null
+++ b/tests/cellstandin/runner_sim.c
@@ -0,0 +1,613 @@
+/* Runners: they start what they are told, under leases and fences. */
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/queue.h>
+#include <uthash.h>
+
+#include "../../src/base/xalloc.h"
+#include "standin.h"
+
+#define RUNNER_CPU 16000
+#define RUNNER_MEM 65536
+#define MAX_HOLD_MS 10000
+#define TICK_MS 10
+#define BEAT_MS 500
+#define DRAIN_MS 3000
+#define STEPS_MAX 8
+#define TASKS_MAX 64
+#define LOST_SHARE 8 /* one order of so many */
+
+struct job_step {
+	int count;
+	int cpu;
+	int ms;
+	int after;
+};
+
+struct job_sim {
+	UT_hash_handle hh;
+	char id[32];
+	struct job_step steps[STEPS_MAX];
+	int nsteps;
+	bool ended[STEPS_MAX][TASKS_MAX]; /**< a run ended done, ever */
+	bool noted[STEPS_MAX][TASKS_MAX]; /**< and that was acknowledged */
+};
+
+struct sim_run {
+	TAILQ_ENTRY(sim_run) link;
+	TAILQ_ENTRY(sim_run) all_link;
+	struct runner_sim *runner;
+	char task[64];
+	int run;
+	int cpu;
+	int64_t ends_at;
+};
+
+struct sim_end {
+	TAILQ_ENTRY(sim_end) link;
+	uint64_t number;
+	char task[64];
+	int run;
+	const char *how;
+};
+
+struct sim_barred {
+	UT_hash_handle hh;
+	char task[64];
+	int run;
+};
+
+struct sim_hold {
+	struct evhttp_request *req;
+	int64_t until;
+	uint64_t seen;
+};
+
+struct runner_sim {
+	struct event_base *base;
+	struct store_sim *store;
+	struct record *record;
+	struct evhttp *http;
+	struct evhttp_bound_socket *socket;
+	char id[32];
+	int index;
+	uint16_t port;
+	TAILQ_HEAD(run_list, sim_run) runs;
+	TAILQ_HEAD(end_list, sim_end) ends;
+	struct sim_barred *barred;
+	uint64_t nends;
+	int64_t fence;
+	int64_t until;
+	int64_t born_ms;
+	int64_t back_ms; /**< down until then; 0: it is up */
+	int64_t leave_ms;
+	int64_t beat_ms;
+	int sequence;
+	int orders;
+	enum fault_mode mode;
+	struct sim_hold *hold;
+	struct event *tick;
+};
+
+static TAILQ_HEAD(all_runs, sim_run) all = TAILQ_HEAD_INITIALIZER(all);
+static struct job_sim *jobs;
+
+static void
+parse_steps(struct job_sim *j, const char *spec)
+{
+	while (*spec != '\0' && j->nsteps < STEPS_MAX) {
+		struct job_step *s = &j->steps[j->nsteps++];
+		int n = 0;
+
+		s->after = -1;
+		if (sscanf(spec, "%dx%dx%d%n", &s->count, &s->cpu, &s->ms,
+			&n) != 3)
+			return;
+		spec += n;
+		if (sscanf(spec, ">%d%n", &s->after, &n) == 1)
+			spec += n;
+		if (*spec == ',')
+			spec++;
+	}
+}
+
+struct job_sim *
+job_sim_get(const char *id, const char *spec)
+{
+	struct job_sim *j;
+
+	HASH_FIND_STR(jobs, id, j);
+	if (j == NULL) {
+		j = xcalloc(1, sizeof(*j));
+		str_copy(j->id, id, sizeof(j->id));
+		parse_steps(j, spec);
+		HASH_ADD_STR(jobs, id, j);
+	}
+	return j;
+}
+
+bool
+job_sim_known(const char *id)
+{
+	struct job_sim *j;
+
+	HASH_FIND_STR(jobs, id, j);
+	return j != NULL;
+}
+
+/* @return whether the name is of a task that the job has. */
+static bool
+split_name(const char *task, const char *spec, struct job_sim **j, int *step,
+    int *index)
+{
+	char id[32];
+	int k;
+
+	if (sscanf(task, "%31[^.].%d.%d.%d", id, &k, step, index) != 4)
+		return false;
+	*j = job_sim_get(id, spec);
+	return *step < (*j)->nsteps && *index < (*j)->steps[*step].count &&
+	    *index < TASKS_MAX;
+}
+
+static int64_t
+clock_of(const struct runner_sim *r)
+{
+	return now_ms() - r->born_ms + 1;
+}
+
+static json_t *
+with_clock(const struct runner_sim *r, json_t *body)
+{
+	json_object_set_new(body, "clock_ms", json_integer(clock_of(r)));
+	json_object_set_new(body, "born", json_integer(r->born_ms));
+	return body;
+}
+
+static void
+refuse(const struct runner_sim *r, struct evhttp_request *req, const char *why)
+{
+	reply_json(req, 409, with_clock(r, json_pack("{s:s}", "reason", why)));
+}
+
+static int
+used(const struct runner_sim *r)
+{
+	const struct sim_run *n;
+	int sum = 0;
+
+	TAILQ_FOREACH (n, &r->runs, link)
+		sum += n->cpu;
+	return sum;
+}
+
+static void
+check_start(struct runner_sim *r, struct job_sim *j, int step, int index,
+    const char *task)
+{
+	const struct job_step *s = &j->steps[step];
+	const struct sim_run *n;
+	int i;
+
+	TAILQ_FOREACH (n, &all, all_link)
+		if (strcmp(n->task, task) == 0)
+			record_broken(r->record, "twice", task);
+	if (j->noted[step][index])
+		record_broken(r->record, "after-done", task);
+	for (i = 0; s->after >= 0 && i < j->steps[s->after].count; i++)
+		if (!j->ended[s->after][i])
+			record_broken(r->record, "order", task);
+	if (used(r) + s->cpu > RUNNER_CPU)
+		record_broken(r->record, "limit", task);
+}
+
+static void
+bar(struct runner_sim *r, const char *task, int run)
+{
+	struct sim_barred *b;
+
+	HASH_FIND_STR(r->barred, task, b);
+	if (b == NULL) {
+		b = xcalloc(1, sizeof(*b));
+		str_copy(b->task, task, sizeof(b->task));
+		HASH_ADD_STR(r->barred, task, b);
+	}
+	b->run = run > b->run ? run : b->run;
+}
+
+static void
+answer_hold(struct runner_sim *r, struct sim_hold *h)
+{
+	json_t *running = json_array(), *finished = json_array();
+	const struct sim_run *n;
+	const struct sim_end *e;
+
+	TAILQ_FOREACH (n, &r->runs, link)
+		json_array_append_new(running,
+		    json_pack("[s,i,s,i,i]", n->task, n->run, "", 100, 0));
+	TAILQ_FOREACH (e, &r->ends, link)
+		if (e->number > h->seen && json_array_size(finished) < 500)
+			json_array_append_new(finished,
+			    json_pack("[I,s,i,s,s]", (json_int_t)e->number,
+				e->task, e->run, e->how, ""));
+	reply_json(h->req, 200,
+	    with_clock(r,
+		json_pack(
+		    "{s:o,s:o}", "running", running, "finished", finished)));
+}
+
+static void
+end_run(struct runner_sim *r, struct sim_run *n, const char *how)
+{
+	struct sim_end *e = xcalloc(1, sizeof(*e));
+	struct job_sim *j;
+	int step, index;
+
+	e->number = ++r->nends;
+	e->run = n->run;
+	e->how = how;
+	str_copy(e->task, n->task, sizeof(e->task));
+	TAILQ_INSERT_TAIL(&r->ends, e, link);
+	bar(r, n->task, n->run);
+	if (strcmp(how, "done") == 0 &&
+	    split_name(n->task, "", &j, &step, &index)) {
+		j->ended[step][index] = true;
+		r->record->done++;
+	}
+	TAILQ_REMOVE(&r->runs, n, link);
+	TAILQ_REMOVE(&all, n, all_link);
+	free(n);
+}
+
+static void
+wake_hold(struct runner_sim *r)
+{
+	struct sim_hold *h = r->hold;
+
+	if (h == NULL)
+		return;
+	r->hold = NULL;
+	evhttp_connection_set_closecb(
+	    evhttp_request_get_connection(h->req), NULL, NULL);
+	answer_hold(r, h);
+	free(h);
+}
+
+static void
+acknowledge(struct runner_sim *r, uint64_t seen)
+{
+	struct sim_end *e;
+	struct job_sim *j;
+	int step, index;
+
+	while ((e = TAILQ_FIRST(&r->ends)) != NULL && e->number <= seen) {
+		if (strcmp(e->how, "done") == 0 &&
+		    split_name(e->task, "", &j, &step, &index))
+			j->noted[step][index] = true;
+		TAILQ_REMOVE(&r->ends, e, link);
+		free(e);
+	}
+}
+
+/* @return whether the order must not be served. */
+static bool
+fails(struct runner_sim *r, struct evhttp_request *req)
+{
+	if (r->mode == FAULT_BUSY) {
+		reply_json(req, 503, json_object());
+		return true;
+	}
+	if (r->mode == FAULT_RESET) {
+		reply_reset(req);
+		return true;
+	}
+	return r->mode == FAULT_SILENT;
+}
+
+static const char *
+text(const json_t *j, const char *name)
+{
+	const char *s = json_string_value(json_object_get(j, name));
+
+	return s != NULL ? s : "";
+}
+
+static int64_t
+number(const json_t *j, const char *name)
+{
+	return json_integer_value(json_object_get(j, name));
+}
+
+static void
+prolong(struct runner_sim *r, int64_t until)
+{
+	int64_t most = clock_of(r) + MAX_HOLD_MS;
+
+	until = until > most ? most : until;
+	if (until > r->until)
+		r->until = until;
+}
+
+/* @return why it is refused; NULL when it runs. */
+static const char *
+start_run(struct runner_sim *r, const json_t *b)
+{
+	const char *task = text(b, "task");
+	int run = (int)number(b, "run"), step, index;
+	struct sim_barred *barred;
+	struct job_sim *j;
+	struct sim_run *n;
+
+	if (number(b, "fencing_token") < r->fence)
+		return "fence";
+	r->fence = number(b, "fencing_token");
+	TAILQ_FOREACH (n, &r->runs, link)
+		if (n->run == run && strcmp(n->task, task) == 0)
+			return NULL;
+	HASH_FIND_STR(r->barred, task, barred);
+	prolong(r, number(b, "until_ms"));
+	if (barred != NULL && run <= barred->run)
+		return "old";
+	if (number(b, "until_ms") <= clock_of(r))
+		return "late";
+	if (!split_name(task, text(b, "spec"), &j, &step, &index)) {
+		record_broken(r->record, "unasked", task);
+		return "old";
+	}
+	check_start(r, j, step, index, task);
+	n = xcalloc(1, sizeof(*n));
+	n->runner = r;
+	n->run = run;
+	n->cpu = j->steps[step].cpu;
+	n->ends_at = now_ms() + j->steps[step].ms;
+	str_copy(n->task, task, sizeof(n->task));
+	TAILQ_INSERT_TAIL(&r->runs, n, link);
+	TAILQ_INSERT_TAIL(&all, n, all_link);
+	r->record->starts++;
+	return NULL;
+}
+
+static void
+on_start(struct evhttp_request *req, void *arg)
+{
+	struct runner_sim *r = arg;
+	const char *why;
+	json_t *b;
+
+	if (fails(r, req))
+		return;
+	b = request_json(req);
+	why = start_run(r, b);
+	json_decref(b);
+	if (r->mode == FAULT_LOST && r->orders++ % LOST_SHARE == 0)
+		reply_reset(req);
+	else if (why != NULL)
+		refuse(r, req, why);
+	else
+		reply_json(req, 200, with_clock(r, json_object()));
+}
+
+static void
+on_stop(struct evhttp_request *req, void *arg)
+{
+	struct runner_sim *r = arg;
+	struct sim_run *n;
+	json_t *b;
+
+	if (fails(r, req))
+		return;
+	b = request_json(req);
+	if (number(b, "fencing_token") < r->fence) {
+		refuse(r, req, "fence");
+		json_decref(b);
+		return;
+	}
+	r->fence = number(b, "fencing_token");
+	bar(r, text(b, "task"), (int)number(b, "run"));
+	TAILQ_FOREACH (n, &r->runs, link)
+		if (n->run == number(b, "run") &&
+		    strcmp(n->task, text(b, "task")) == 0) {
+			end_run(r, n, "stopped");
+			break;
+		}
+	json_decref(b);
+	reply_json(req, 200, with_clock(r, json_object()));
+	wake_hold(r);
+}
+
+static void
+on_hold_closed(struct evhttp_connection *c, void *arg)
+{
+	struct runner_sim *r = arg;
+
+	(void)c;
+	free(r->hold);
+	r->hold = NULL;
+}
+
+static void
+on_hold(struct evhttp_request *req, void *arg)
+{
+	struct runner_sim *r = arg;
+	struct sim_hold *h;
+	json_t *b;
+
+	if (fails(r, req))
+		return;
+	b = request_json(req);
+	if (number(b, "fencing_token") < r->fence) {
+		refuse(r, req, "fence");
+		json_decref(b);
+		return;
+	}
+	r->fence = number(b, "fencing_token");
+	prolong(r, number(b, "until_ms"));
+	acknowledge(r, (uint64_t)number(b, "last_seen"));
+	h = xcalloc(1, sizeof(*h));
+	h->req = req;
+	h->seen = (uint64_t)number(b, "last_seen");
+	h->until = now_ms() + number(b, "wait_ms");
+	json_decref(b);
+	if (r->hold == NULL && h->until > now_ms() && TAILQ_EMPTY(&r->ends)) {
+		evhttp_connection_set_closecb(
+		    evhttp_request_get_connection(req), on_hold_closed, r);
+		r->hold = h;
+		return;
+	}
+	answer_hold(r, h);
+	free(h);
+}
+
+static void
+beat(struct runner_sim *r)
+{
+	char address[64], rack[32];
+
+	r->beat_ms = now_ms();
+	snprintf(address, sizeof(address), "127.0.0.1:%u", r->port);
+	snprintf(rack, sizeof(rack), "r1-%d", r->index / 4);
+	store_sim_put(r->store, "servers", r->id,
+	    json_pack("{s:s,s:s,s:s,s:s,s:{s:i,s:i,s:i},s:[s,s],s:I,s:I,s:i}",
+		"service", "work", "address", address, "zone", "z", "state",
+		r->leave_ms != 0 ? "draining" : "ready", "capacity", "cpu",
+		RUNNER_CPU, "mem_mb", RUNNER_MEM, "gpu", 0, "labels", "a", rack,
+		"clock_ms", (json_int_t)clock_of(r), "born",
+		(json_int_t)r->born_ms, "sequence", r->sequence++));
+}
+
+static void
+clear(struct runner_sim *r)
+{
+	struct sim_barred *b, *tmp;
+	struct sim_run *n;
+	struct sim_end *e;
+
+	while ((n = TAILQ_FIRST(&r->runs)) != NULL) {
+		TAILQ_REMOVE(&r->runs, n, link);
+		TAILQ_REMOVE(&all, n, all_link);
+		free(n);
+	}
+	while ((e = TAILQ_FIRST(&r->ends)) != NULL) {
+		TAILQ_REMOVE(&r->ends, e, link);
+		free(e);
+	}
+	HASH_ITER(hh, r->barred, b, tmp)
+	{
+		HASH_DEL(r->barred, b);
+		free(b);
+	}
+	r->nends = 0;
+	r->fence = r->until = 0;
+}
+
+static void
+serve(struct runner_sim *r)
+{
+	r->http = evhttp_new(r->base);
+	evhttp_set_cb(r->http, "/v1/run-start", on_start, r);
+	evhttp_set_cb(r->http, "/v1/run-stop", on_stop, r);
+	evhttp_set_cb(r->http, "/v1/hold", on_hold, r);
+	if (evhttp_bind_socket(r->http, "127.0.0.1", r->port) != 0)
+		fprintf(stderr, "cellstandin: port %u is taken\n", r->port);
+	r->born_ms = now_ms();
+	r->back_ms = 0;
+	beat(r);
+}
+
+static void
+stop_serving(struct runner_sim *r)
+{
+	struct evhttp *http = r->http;
+
+	r->http = NULL;
+	if (http != NULL)
+		evhttp_free(http);
+	free(r->hold);
+	r->hold = NULL;
+}
+
+static void
+end_due(struct runner_sim *r)
+{
+	struct sim_run *n, *next;
+	bool ended = false;
+
+	for (n = TAILQ_FIRST(&r->runs); n != NULL; n = next) {
+		next = TAILQ_NEXT(n, link);
+		if (now_ms() >= n->ends_at)
+			end_run(r, n, "done");
+		else if (clock_of(r) >= r->until)
+			end_run(r, n, "lapsed");
+		else
+			continue;
+		ended = true;
+	}
+	if (ended || (r->hold != NULL && now_ms() >= r->hold->until))
+		wake_hold(r);
+}
+
+static void
+on_tick(evutil_socket_t fd, short what, void *arg)
+{
+	struct runner_sim *r = arg;
+
+	(void)fd;
+	(void)what;
+	if (r->back_ms != 0) {
+		if (now_ms() >= r->back_ms)
+			serve(r);
+		return;
+	}
+	if (r->leave_ms != 0 && now_ms() >= r->leave_ms) {
+		store_sim_remove(r->store, "servers", r->id);
+		r->leave_ms = 0;
+		runner_sim_crash(r, DRAIN_MS);
+		return;
+	}
+	end_due(r);
+	if (now_ms() - r->beat_ms >= BEAT_MS)
+		beat(r);
+}
+
+struct runner_sim *
+runner_sim_new(struct event_base *base, struct store_sim *store,
+    struct record *rec, int index, uint16_t port)
+{
+	struct runner_sim *r = xcalloc(1, sizeof(*r));
+	struct timeval tv = {0, TICK_MS * 1000};
+
+	r->base = base;
+	r->store = store;
+	r->record = rec;
+	r->index = index;
+	r->port = port;
+	snprintf(r->id, sizeof(r->id), "i-%04d", index);
+	TAILQ_INIT(&r->runs);
+	TAILQ_INIT(&r->ends);
+	serve(r);
+	r->tick = event_new(base, -1, EV_PERSIST, on_tick, r);
+	event_add(r->tick, &tv);
+	return r;
+}
+
+void
+runner_sim_fault(struct runner_sim *r, enum fault_mode mode)
+{
+	r->mode = mode;
+}
+
+void
+runner_sim_crash(struct runner_sim *r, int64_t down_ms)
+{
+	stop_serving(r);
+	clear(r);
+	r->back_ms = now_ms() + down_ms;
+}
+
+void
+runner_sim_drain(struct runner_sim *r)
+{
+	r->leave_ms = now_ms() + DRAIN_MS;
+	beat(r);
+}
--- /dev/null
+++ b/tests/cellstandin/store_sim.c
@@ -0,0 +1,442 @@
+/* The store: rows under versions, conditional transactions, watches. */
+#include <event2/buffer.h>
+#include <event2/keyvalq_struct.h>
+#include <openssl/evp.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/queue.h>
+
+#include "../../src/base/xalloc.h"
+#include "standin.h"
+
+#define ANSWER_MS 4
+#define SLOW_MS 250
+#define LOST_SHARE 4 /* one write of so many */
+
+struct cell_row {
+	TAILQ_ENTRY(cell_row) link;
+	char table[64];
+	char part[64];
+	char key[201];
+	char *value; /**< base64; NULL when it was removed */
+	uint64_t version;
+};
+
+struct watcher {
+	TAILQ_ENTRY(watcher) link;
+	struct store_sim *sim;
+	struct evhttp_request *req;
+	char table[64];
+	uint64_t after;
+	struct event *timer;
+};
+
+struct store_sim {
+	struct event_base *base;
+	struct evhttp *http;
+	TAILQ_HEAD(row_list, cell_row) rows;
+	TAILQ_HEAD(watcher_list, watcher) watchers;
+	uint64_t version;
+	uint64_t floor; /**< history before it is gone */
+	enum fault_mode mode;
+	int writes;
+};
+
+/** An answer on its way. */
+struct late {
+	struct evhttp_request *req;
+	int status;
+	json_t *body;
+};
+
+static void
+on_late(evutil_socket_t fd, short what, void *arg)
+{
+	struct late *l = arg;
+
+	(void)fd;
+	(void)what;
+	if (l->req != NULL) {
+		evhttp_connection_set_closecb(
+		    evhttp_request_get_connection(l->req), NULL, NULL);
+		reply_json(l->req, l->status, l->body);
+	} else {
+		json_decref(l->body);
+	}
+	free(l);
+}
+
+static void
+on_late_closed(struct evhttp_connection *c, void *arg)
+{
+	struct late *l = arg;
+
+	(void)c;
+	l->req = NULL;
+}
+
+static void
+reply(struct store_sim *s, struct evhttp_request *req, int status, json_t *body)
+{
+	struct late *l = xcalloc(1, sizeof(*l));
+	int ms = s->mode == FAULT_SLOW ? SLOW_MS : ANSWER_MS;
+	struct timeval tv = {0, ms * 1000};
+
+	json_object_set_new(
+	    body, "row_version", json_integer((json_int_t)s->version));
+	json_object_set_new(body, "now_ms", json_integer(now_ms()));
+	l->req = req;
+	l->status = status;
+	l->body = body;
+	evhttp_connection_set_closecb(
+	    evhttp_request_get_connection(req), on_late_closed, l);
+	event_base_once(s->base, -1, EV_TIMEOUT, on_late, l, &tv);
+}
+
+/* @return whether the call must not be served. */
+static bool
+fails(struct store_sim *s, struct evhttp_request *req)
+{
+	switch (s->mode) {
+	case FAULT_BUSY:
+		reply_json(req, 503, json_object());
+		return true;
+	case FAULT_RESET:
+		reply_reset(req);
+		return true;
+	case FAULT_SILENT:
+		return true;
+	default:
+		return false;
+	}
+}
+
+static struct cell_row *
+find(struct store_sim *s, const char *table, const char *part, const char *key)
+{
+	struct cell_row *r;
+
+	TAILQ_FOREACH (r, &s->rows, link)
+		if (strcmp(r->key, key) == 0 && strcmp(r->table, table) == 0 &&
+		    strcmp(r->part, part) == 0)
+			return r;
+	return NULL;
+}
+
+static json_t *
+row_json(const struct cell_row *r)
+{
+	json_t *j = json_pack("{s:s,s:s,s:s,s:I}", "table", r->table, "part",
+	    r->part, "key", r->key, "row_version", (json_int_t)r->version);
+
+	if (r->value != NULL)
+		json_object_set_new(j, "value", json_string(r->value));
+	else
+		json_object_set_new(j, "deleted", json_true());
+	return j;
+}
+
+static void
+set_row(struct store_sim *s, const char *table, const char *part,
+    const char *key, const char *value)
+{
+	struct cell_row *r = find(s, table, part, key);
+
+	if (r == NULL) {
+		r = xcalloc(1, sizeof(*r));
+		str_copy(r->table, table, sizeof(r->table));
+		str_copy(r->part, part, sizeof(r->part));
+		str_copy(r->key, key, sizeof(r->key));
+	} else {
+		TAILQ_REMOVE(&s->rows, r, link);
+	}
+	free(r->value);
+	r->value = value != NULL ? xstrdup(value) : NULL;
+	r->version = s->version;
+	/* In the order of their versions. */
+	TAILQ_INSERT_TAIL(&s->rows, r, link);
+}
+
+static json_t *
+changes(struct store_sim *s, const char *table, uint64_t after)
+{
+	json_t *list = json_array();
+	const struct cell_row *r;
+
+	TAILQ_FOREACH (r, &s->rows, link)
+		if (r->version > after && strcmp(r->table, table) == 0)
+			json_array_append_new(list, row_json(r));
+	return list;
+}
+
+static void
+watcher_free(struct watcher *w)
+{
+	TAILQ_REMOVE(&w->sim->watchers, w, link);
+	evhttp_connection_set_closecb(
+	    evhttp_request_get_connection(w->req), NULL, NULL);
+	event_free(w->timer);
+	free(w);
+}
+
+static void
+answer_watcher(struct watcher *w)
+{
+	struct store_sim *s = w->sim;
+	struct evhttp_request *req = w->req;
+	json_t *rows = changes(s, w->table, w->after);
+
+	watcher_free(w);
+	reply(s, req, 200, json_pack("{s:o}", "rows", rows));
+}
+
+static void
+tell_watchers(struct store_sim *s)
+{
+	struct watcher *w, *next;
+
+	for (w = TAILQ_FIRST(&s->watchers); w != NULL; w = next) {
+		json_t *rows = changes(s, w->table, w->after);
+
+		next = TAILQ_NEXT(w, link);
+		if (json_array_size(rows) > 0)
+			answer_watcher(w);
+		json_decref(rows);
+	}
+}
+
+static void
+on_watch_end(evutil_socket_t fd, short what, void *arg)
+{
+	(void)fd;
+	(void)what;
+	answer_watcher(arg);
+}
+
+static void
+on_watch_closed(struct evhttp_connection *c, void *arg)
+{
+	struct watcher *w = arg;
+
+	(void)c;
+	TAILQ_REMOVE(&w->sim->watchers, w, link);
+	event_free(w->timer);
+	free(w);
+}
+
+static const char *
+text(const json_t *j, const char *name)
+{
+	const char *s = json_string_value(json_object_get(j, name));
+
+	return s != NULL ? s : "";
+}
+
+static bool
+conditions_hold(struct store_sim *s, const json_t *list, json_t *rows)
+{
+	bool hold = true;
+	size_t i;
+	json_t *c;
+
+	json_array_foreach(list, i, c)
+	{
+		struct cell_row *r =
+		    find(s, text(c, "table"), text(c, "part"), text(c, "key"));
+		uint64_t version =
+		    r != NULL && r->value != NULL ? r->version : 0;
+
+		if (version !=
+		    (uint64_t)json_integer_value(
+			json_object_get(c, "row_version")))
+			hold = false;
+		if (r != NULL && r->value != NULL)
+			json_array_append_new(rows, row_json(r));
+	}
+	return hold;
+}
+
+static void
+apply(struct store_sim *s, const json_t *body)
+{
+	size_t i;
+	json_t *w;
+
+	s->version++;
+	json_array_foreach(json_object_get(body, "writes"), i, w)
+	    set_row(s, text(w, "table"), text(w, "part"), text(w, "key"),
+		text(w, "value"));
+	json_array_foreach(json_object_get(body, "remove"), i, w)
+	    set_row(s, text(w, "table"), text(w, "part"), text(w, "key"), NULL);
+	tell_watchers(s);
+}
+
+static void
+on_txn(struct evhttp_request *req, void *arg)
+{
+	struct store_sim *s = arg;
+	json_t *body, *rows;
+
+	if (fails(s, req))
+		return;
+	body = request_json(req);
+	rows = json_array();
+	if (conditions_hold(s, json_object_get(body, "expected_rev"), rows)) {
+		json_decref(rows);
+		apply(s, body);
+		if (s->mode == FAULT_LOST && s->writes++ % LOST_SHARE == 0)
+			reply_reset(req);
+		else
+			reply(s, req, 200, json_object());
+	} else {
+		reply(s, req, 412, json_pack("{s:o}", "rows", rows));
+	}
+	json_decref(body);
+}
+
+static int
+by_key(const void *a, const void *b)
+{
+	return strcmp((*(struct cell_row *const *)a)->key,
+	    (*(struct cell_row *const *)b)->key);
+}
+
+static json_t *
+page(struct store_sim *s, const char *table, const char *part, const char *from,
+    size_t limit, bool *more)
+{
+	struct cell_row *r, **list;
+	json_t *out = json_array();
+	size_t n = 0, i;
+
+	TAILQ_FOREACH (r, &s->rows, link)
+		n++;
+	list = xcalloc(n + 1, sizeof(*list));
+	n = 0;
+	TAILQ_FOREACH (r, &s->rows, link)
+		if (r->value != NULL && strcmp(r->table, table) == 0 &&
+		    strcmp(r->part, part) == 0 && strcmp(r->key, from) >= 0)
+			list[n++] = r;
+	qsort(list, n, sizeof(*list), by_key);
+	for (i = 0; i < n && i < limit; i++)
+		json_array_append_new(out, row_json(list[i]));
+	*more = n > limit;
+	free(list);
+	return out;
+}
+
+static void
+on_get(struct evhttp_request *req, void *arg)
+{
+	struct store_sim *s = arg;
+	struct evkeyvalq q;
+	const char *part, *from, *limit;
+	json_t *rows;
+	bool more;
+
+	if (fails(s, req))
+		return;
+	evhttp_parse_query_str(
+	    evhttp_uri_get_query(evhttp_request_get_evhttp_uri(req)), &q);
+	part = query_get(&q, "part");
+	from = query_get(&q, "from");
+	limit = query_get(&q, "limit");
+	rows = page(s, query_get(&q, "table"), part != NULL ? part : "",
+	    from != NULL ? from : "", limit != NULL ? (size_t)atoi(limit) : 500,
+	    &more);
+	evhttp_clear_headers(&q);
+	reply(s, req, 200,
+	    json_pack("{s:o,s:b}", "rows", rows, "has_more", more));
+}
+
+static void
+on_feed(struct evhttp_request *req, void *arg)
+{
+	struct store_sim *s = arg;
+	struct evkeyvalq q;
+	struct watcher *w;
+	struct timeval tv;
+	int wait;
+
+	if (fails(s, req))
+		return;
+	evhttp_parse_query_str(
+	    evhttp_uri_get_query(evhttp_request_get_evhttp_uri(req)), &q);
+	w = xcalloc(1, sizeof(*w));
+	w->sim = s;
+	w->req = req;
+	w->after = strtoull(query_get(&q, "after"), NULL, 10);
+	str_copy(w->table, query_get(&q, "table"), sizeof(w->table));
+	wait = atoi(query_get(&q, "wait_ms"));
+	evhttp_clear_headers(&q);
+	if (w->after < s->floor) {
+		free(w);
+		reply(s, req, 410, json_object());
+		return;
+	}
+	w->timer = evtimer_new(s->base, on_watch_end, w);
+	tv = (struct timeval){wait / 1000, (wait % 1000) * 1000};
+	evtimer_add(w->timer, &tv);
+	evhttp_connection_set_closecb(
+	    evhttp_request_get_connection(req), on_watch_closed, w);
+	TAILQ_INSERT_TAIL(&s->watchers, w, link);
+	tell_watchers(s);
+}
+
+struct store_sim *
+store_sim_new(struct event_base *base, uint16_t port)
+{
+	struct store_sim *s = xcalloc(1, sizeof(*s));
+
+	s->base = base;
+	s->version = 1;
+	TAILQ_INIT(&s->rows);
+	TAILQ_INIT(&s->watchers);
+	s->http = evhttp_new(base);
+	evhttp_set_cb(s->http, "/v1/rows-tx", on_txn, s);
+	evhttp_set_cb(s->http, "/v1/rows-get", on_get, s);
+	evhttp_set_cb(s->http, "/v1/rows-feed", on_feed, s);
+	if (evhttp_bind_socket(s->http, "127.0.0.1", port) == 0)
+		return s;
+	free(s);
+	return NULL;
+}
+
+void
+store_sim_fault(struct store_sim *s, enum fault_mode mode)
+{
+	s->mode = mode;
+}
+
+void
+store_sim_compact(struct store_sim *s)
+{
+	s->floor = ++s->version;
+}
+
+void
+store_sim_put(
+    struct store_sim *s, const char *table, const char *key, json_t *value)
+{
+	char *plain = json_dumps(value, JSON_COMPACT);
+	size_t len = strlen(plain);
+	char *coded = xmalloc(4 * ((len + 2) / 3) + 1);
+
+	EVP_EncodeBlock(
+	    (unsigned char *)coded, (unsigned char *)plain, (int)len);
+	s->version++;
+	set_row(s, table, "", key, coded);
+	tell_watchers(s);
+	free(plain);
+	free(coded);
+	json_decref(value);
+}
+
+void
+store_sim_remove(struct store_sim *s, const char *table, const char *key)
+{
+	s->version++;
+	set_row(s, table, "", key, NULL);
+	tell_watchers(s);
+}
--- /dev/null
+++ b/tests/scripts/soak.sh
@@ -0,0 +1,33 @@
+#!/usr/bin/env bash
+# soak.sh FIRST LAST [SECONDS] [JOBS]: one soak a seed, some at a time; logs of
+# the seeds that fail are kept. Ends with one line: N passed, N failed.
+cd "$(dirname "$0")/../.." || exit 1
+FIRST=${1:-1} LAST=${2:-3} SECONDS_EACH=${3:-8} JOBS=${4:-3}
+BIN=${BIN:-build}
+KEEP=$(mktemp -d)
+one() { # SEED SLOT
+	local dir=$KEEP/$1
+	mkdir -p "$dir"
+	if "$BIN/soak" --seed "$1" --seconds "$SECONDS_EACH" --bin "$BIN" \
+	    --port $((19000 + 200 * $2)) --dir "$dir" --loud > "$dir/out" 2>&1; then
+		echo "ok soak seed $1"
+		rm -rf "$dir"
+	else
+		echo "not ok soak seed $1"
+		grep BROKEN "$dir/out" | head -5
+		echo "logs: $dir"
+	fi
+}
+PASSED=0 FAILED=0
+for ((s = FIRST; s <= LAST; s += JOBS)); do
+	for ((k = 0; k < JOBS && s + k <= LAST; k++)); do
+		one $((s + k)) "$k" > "$KEEP/result-$((s + k))" &
+	done
+	wait
+	cat "$KEEP"/result-*
+	PASSED=$((PASSED + $(cat "$KEEP"/result-* | grep -c '^ok')))
+	FAILED=$((FAILED + $(cat "$KEEP"/result-* | grep -c '^not ok')))
+	rm -f "$KEEP"/result-*
+done
+echo "$PASSED passed, $FAILED failed"
+[ "$FAILED" -eq 0 ]
--- a/tests/unit/main.c
+++ b/tests/unit/main.c
@@ -37,6 +37,8 @@
     {"cell", "cell drain", test_cell_drain},
     {"cell", "cell advice ahead", test_cell_advice_ahead},
     {"cell", "cell idle", test_cell_idle},
+    {"cell", "cell copy of dark", test_cell_copy_of_dark},
+    {"cell", "cell copy of slow", test_cell_copy_of_slow},
     {"parts", "submission whole", test_submission_whole},
     {"parts", "submission bad", test_submission_bad},
     {"parts", "job check", test_job_check},
--- a/tests/unit/unit.h
+++ b/tests/unit/unit.h
@@ -32,6 +32,8 @@
 void test_cell_drain(void);
 void test_cell_advice_ahead(void);
 void test_cell_idle(void);
+void test_cell_copy_of_dark(void);
+void test_cell_copy_of_slow(void);
 void test_submission_whole(void);
 void test_submission_bad(void);
 void test_job_check(void);
--- a/tests/world/world.h
+++ b/tests/world/world.h
@@ -55,6 +55,7 @@
 	bool gang;
 	bool lasting;
 	bool saves;
+	bool speculative;
 };
 
 /** Submits to the cell that leads; the answer is counted. */
