Scripted failures of a cell, operators' views, refusals by size at once

A body over the limit is refused from its length (413), headers over 16 KB with 431; one header line over 8 KB still closes the connection in the library. celerycartctl cell shows members, runners, jobs and runs of a member's metrics address.

--- a/src/cell/cell.h
+++ b/src/cell/cell.h
@@ -140,6 +140,8 @@
 void cell_set_manifest(struct cell *c, struct manifest *m);
 void cell_set_hosts(struct cell *c, const char (*hosts)[64], int n);
 void cell_set_runners(struct cell *c, const struct runner_info *infos, int n);
+/** Whether the store has failed the last commit. */
+bool cell_store_fails(const struct cell *c);
 /** Every 50 ms: time limits, renewals, retries. */
 void cell_tick(struct cell *c);
 /** Places what can be placed and sends what is due. */
--- a/src/cell/commit.c
+++ b/src/cell/commit.c
@@ -76,6 +76,12 @@
 	return c->store_down_ms != 0 && now - c->store_down_ms > STORE_DOWN_MS;
 }
 
+bool
+cell_store_fails(const struct cell *c)
+{
+	return c->store_down_ms != 0;
+}
+
 static struct entry *
 add_entry(struct commit *k, const char *prefix, const char *id, size_t len)
 {
--- a/src/ctl/commands.h
+++ b/src/ctl/commands.h
@@ -32,6 +32,7 @@
 int cmd_cancel(struct client *c, int argc, char **argv);
 int cmd_cost(struct client *c, int argc, char **argv);
 int cmd_top(struct client *c, int argc, char **argv);
+int cmd_cell(struct client *c, int argc, char **argv);
 
 /** Exit code for an HTTP status or an error; prints the daemon's error. */
 int command_result(int status, json_t *answer);
--- a/src/ctl/main.c
+++ b/src/ctl/main.c
@@ -8,7 +8,7 @@
 #include "../base/xalloc.h"
 #include "commands.h"
 
-#define VERSION "0.1.0"
+#define VERSION "0.2.0"
 
 static void
 print_help(FILE *out)
--- a/src/member/member.h
+++ b/src/member/member.h
@@ -60,6 +60,8 @@
 /** @p fn is called once, perhaps before this returns. */
 void member_call(
     struct member *m, const struct member_call *call, cell_fn fn, void *arg);
+/** One of cell, members, runners, jobs, runs as JSON; NULL for others. */
+char *member_view(const struct member *m, const char *name);
 /** Counters as text, a line each. */
 char *member_metrics(const struct member *m);
 
--- /dev/null
+++ b/src/member/view.c
@@ -0,0 +1,154 @@
+/* What a member knows, as JSON for operators. */
+#include <jansson.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "../sys/clock.h"
+#include "parts.h"
+
+#define ROWS_MAX 2000
+
+static const char *const phases[] = {"following", "loading", "leading"};
+static const char *const run_states[] = {
+    "starting", "running", "stopping", "unsure"};
+
+static json_t *
+view_cell(const struct member *m)
+{
+	const struct cell *c = &m->cell;
+	int64_t now = clock_boot_ms();
+
+	return json_pack(
+	    "{s:s,s:s,s:s,s:b,s:s,s:I,s:i,s:I,s:i,s:i,s:i,s:I,s:b}", "host",
+	    m->settings->host, "zone", m->settings->zone, "phase",
+	    phases[c->phase], "ready", member_ready(m), "leader",
+	    m->leader.host, "fence", (json_int_t)m->leader.version,
+	    "generation", (int)m->leader.generation, "manifest_version",
+	    (json_int_t)(m->manifest != NULL ? m->manifest->version : 0),
+	    "members", m->nothers + 1, "runners", (int)HASH_COUNT(c->runners),
+	    "jobs", (int)HASH_COUNT(c->jobs), "committed_ms_ago",
+	    (json_int_t)(member_leads(m) ? now - c->committed_ms : -1),
+	    "store_down", cell_store_fails(c));
+}
+
+static json_t *
+view_members(const struct member *m)
+{
+	int64_t now = clock_boot_ms();
+	json_t *list = json_array();
+	int i;
+
+	for (i = 0; i < m->nothers; i++) {
+		const struct other *o = &m->others[i];
+
+		json_array_append_new(list,
+		    json_pack("{s:s,s:s,s:i,s:b,s:b,s:b,s:I,s:I}", "host",
+			o->host, "addr", o->addr, "power", (int)o->power,
+			"linked", member_linked(m, o->host), "leads", o->leads,
+			"leaving", o->leaving, "beat_ms_ago",
+			(json_int_t)(o->beat_ms != 0 ? now - o->beat_ms : -1),
+			"manifest", (json_int_t)o->manifest_version));
+	}
+	return list;
+}
+
+static json_t *
+view_runners(const struct member *m)
+{
+	const struct runner *r;
+	json_t *list = json_array();
+	int64_t now = clock_boot_ms();
+
+	for (r = m->cell.runners; r != NULL; r = r->hh.next)
+		json_array_append_new(list,
+		    json_pack("{s:s,s:s,s:s,s:i,s:I,s:I,s:I,s:I,s:b,s:b,s:b,"
+			      "s:f,s:I}",
+			"runner", r->info.id, "service", r->info.service,
+			"rack", r->info.rack, "runs", r->nruns, "cpu",
+			(json_int_t)r->info.cpu, "used_cpu",
+			(json_int_t)r->used_cpu, "mem_mb",
+			(json_int_t)r->info.mem_mb, "used_mem_mb",
+			(json_int_t)r->used_mem_mb, "open", r->recorded,
+			"draining", r->info.draining, "silent",
+			r->unheard_since_ms != 0, "speed", r->speed, "avoid_ms",
+			(json_int_t)(r->avoid_until_ms > now
+				? r->avoid_until_ms - now
+				: 0)));
+	return list;
+}
+
+static json_t *
+view_jobs(const struct member *m)
+{
+	const struct job *j;
+	json_t *list = json_array();
+	int64_t now = clock_boot_ms();
+
+	TAILQ_FOREACH (j, &m->cell.live, live_link) {
+		if (json_array_size(list) >= ROWS_MAX)
+			break;
+		json_array_append_new(list,
+		    json_pack("{s:s,s:s,s:s,s:i,s:b,s:I,s:I}", "id", j->id,
+			"queue", j->row->queue, "state",
+			j->started ? "running" : "queued", "steps",
+			(int)j->row->n_steps, "stored", j->stored, "age_ms",
+			(json_int_t)(now - j->accepted_ms), "due_in_ms",
+			(json_int_t)(j->due_ms - now)));
+	}
+	return list;
+}
+
+static json_t *
+view_runs(const struct member *m)
+{
+	const struct runner *r;
+	const struct run *run;
+	json_t *list = json_array();
+	int64_t now = clock_boot_ms();
+
+	for (r = m->cell.runners; r != NULL; r = r->hh.next)
+		TAILQ_FOREACH (run, &r->runs, link) {
+			if (json_array_size(list) >= ROWS_MAX)
+				return list;
+			json_array_append_new(list,
+			    json_pack("{s:s,s:i,s:s,s:s,s:b,s:I}", "task",
+				run->name, "run", (int)run->number, "runner",
+				r->info.id, "state", run_states[run->state],
+				"copy", run->is_copy, "age_ms",
+				(json_int_t)(now - run->ordered_ms)));
+		}
+	return list;
+}
+
+static const struct {
+	const char *name;
+	json_t *(*view)(const struct member *m);
+} views[] = {
+    {"cell", view_cell},
+    {"members", view_members},
+    {"runners", view_runners},
+    {"jobs", view_jobs},
+    {"runs", view_runs},
+};
+
+char *
+member_view(const struct member *m, const char *name)
+{
+	json_t *j, *out;
+	char *text;
+	size_t i;
+
+	for (i = 0; i < sizeof(views) / sizeof(views[0]); i++)
+		if (strcmp(views[i].name, name) == 0)
+			break;
+	if (i == sizeof(views) / sizeof(views[0]))
+		return NULL;
+	j = views[i].view(m);
+	out = json_is_array(j)
+	    ? json_pack("{s:s,s:b,s:o}", "leader", m->leader.host, "leads",
+		  member_leads(m), name, j)
+	    : j;
+	text = json_dumps(out, JSON_COMPACT);
+	json_decref(out);
+	return text;
+}
--- a/src/transport/front.c
+++ b/src/transport/front.c
@@ -19,6 +19,9 @@
 /** A request's head and body must be there this soon. */
 #define REQUEST_MS 10000
 #define HEADERS_MAX (16 << 10)
+/** Beyond this the connection is closed without an answer. */
+#define HEADERS_HARD_MAX (256 << 10)
+#define STATUS_HEADERS_TOO_LARGE 431
 #define CONNECTIONS_MAX 4096
 #define CONNECTIONS_PER_CALLER 1024
 #define TICK_MS 500
@@ -30,7 +33,8 @@
 	struct in6_addr ip;
 	int64_t since_ms; /**< accepted, or answered last */
 	size_t header_bytes;
-	int open; /**< requests under way */
+	bool refused; /**< answered before its body; closed with it */
+	int open;     /**< requests under way */
 };
 
 struct front {
@@ -41,6 +45,7 @@
 	int nconns;
 	int open;
 	bool leaving;
+	int64_t body_max;
 	front_fn fn;
 	void *arg;
 };
@@ -100,7 +105,33 @@
 
 	(void)req;
 	c->header_bytes += hdr->klen + hdr->vlen;
-	return c->header_bytes > HEADERS_MAX ? EVHTP_RES_BADREQ : EVHTP_RES_OK;
+	return c->header_bytes > HEADERS_HARD_MAX ? EVHTP_RES_BADREQ
+						  : EVHTP_RES_OK;
+}
+
+/* A body that is announced as too large isn't waited for. */
+static evhtp_res
+on_headers(evhtp_request_t *req, evhtp_headers_t *headers, void *arg)
+{
+	struct caller_conn *c = arg;
+	const char *text = evhtp_header_find(headers, "Content-Length");
+	int status = 0;
+
+	if (c->header_bytes > HEADERS_MAX)
+		status = STATUS_HEADERS_TOO_LARGE;
+	else if (text != NULL &&
+	    strtoull(text, NULL, 10) > (uint64_t)c->front->body_max)
+		status = EVHTP_RES_ENTOOLARGE;
+	if (status == 0)
+		return EVHTP_RES_OK;
+	kvlog(KVLOG_INFO, "request_too_large", "status=%d header_bytes=%zu",
+	    status, c->header_bytes);
+	evhtp_headers_add_header(
+	    req->headers_out, evhtp_header_new("Connection", "close", 0, 0));
+	evhtp_request_set_keepalive(req, 0);
+	evhtp_send_reply(req, (evhtp_res)status);
+	c->refused = true;
+	return EVHTP_RES_OK;
 }
 
 static evhtp_res
@@ -126,6 +157,8 @@
 	    conn, evhtp_hook_on_connection_fini, (evhtp_hook)conn_fini, c);
 	evhtp_connection_set_hook(
 	    conn, evhtp_hook_on_header, (evhtp_hook)on_header, c);
+	evhtp_connection_set_hook(
+	    conn, evhtp_hook_on_headers, (evhtp_hook)on_headers, c);
 	return EVHTP_RES_OK;
 }
 
@@ -165,11 +198,15 @@
 on_request(evhtp_request_t *req, void *arg)
 {
 	struct front *f = arg;
-	struct front_request *r = xcalloc(1, sizeof(*r));
+	struct front_request *r;
+	struct caller_conn *c = conn_of(f, evhtp_request_get_connection(req));
 
+	if (c != NULL && c->refused)
+		return;
+	r = xcalloc(1, sizeof(*r));
 	r->front = f;
 	r->req = req;
-	r->conn = conn_of(f, evhtp_request_get_connection(req));
+	r->conn = c;
 	r->len = evbuffer_get_length(req->buffer_in);
 	r->body = xmalloc(r->len + 1);
 	evbuffer_copyout(req->buffer_in, r->body, r->len);
@@ -219,6 +256,7 @@
 	char addr[64];
 
 	f->base = base;
+	f->body_max = s->body_max;
 	f->fn = fn;
 	f->arg = arg;
 	TAILQ_INIT(&f->conns);
--- /dev/null
+++ b/tests/scripts/fail-cell.sh
@@ -0,0 +1,143 @@
+#!/usr/bin/env bash
+# A cell of real daemons against a stand-in for the platform: a calm path, bad
+# input, the leader killed, frozen and stopped, the store away, all killed; and
+# the way from an id to its cause in the logs.
+. "$(dirname "$0")/lib.sh"
+PORT=${PORT:-18400}
+setup
+
+cell_addr() { echo "127.0.0.$((70 + $1))"; }
+cell_settings() {
+	cat <<-EOF
+	host: c$1
+	zone: z$(($1 % 3))
+	addr: $(cell_addr "$1")
+	callers: $(cell_addr "$1"):$((PORT + 100))
+	readiness: $(cell_addr "$1"):$((PORT + 101))
+	store: 127.0.0.1:$PORT
+	advice: 127.0.0.1:$((PORT + 1))
+	key: $KEY
+	peer_port: $((PORT + 102))
+	metrics_port: $((PORT + 103))
+	cores: 0.25
+	EOF
+}
+cell_daemon() {
+	cell_settings "$1" > "$RUN/c$1.yaml"
+	"$BIN/celerycartd" --cell -c "$RUN/c$1.yaml" >> "$RUN/c$1.log" 2>&1 &
+	PIDS+=($!)
+	DAEMON[$1]=$!
+}
+cell_fault() { curl -s -m 2 -o /dev/null "http://127.0.0.1:$((PORT + 2))/fault?$1"; }
+cell_ready() { curl -sf -m 2 -o /dev/null "http://$(cell_addr "$1"):$((PORT + 101))/v1/readiness"; }
+url() { echo "http://$(cell_addr "$1"):$((PORT + 100))/urgent/$2"; }
+ask() { curl -s -m 4 -H 'Host: cell.example' "$@"; }
+BODY='{"spec":"3x1000x300,2x1000x200>0","steps":[{"count":3,"cpu":1000,"mem_mb":10,"estimate_ms":300},{"count":2,"cpu":1000,"mem_mb":10,"estimate_ms":200,"after":[0]}]}'
+# submit HOST ID: prints the status
+submit() { ask -o /dev/null -w '%{http_code}' -X POST -d "${3:-$BODY}" "$(url "$1" "$2")"; }
+accepted() { [ "$(submit "$1" "$2")" = 200 ]; }
+state_is() { ask "$(url "$1" "$2")" | grep -q "\"state\":\"$3\""; }
+completed() { until_true 20 state_is "$1" "$2" completed; }
+leader() {
+	local i
+	for i in 1 2 3; do
+		curl -s -m 1 "http://$(cell_addr "$i"):$((PORT + 103))/metrics" |
+		    grep -q '^celerycart_leads 1' && echo "$i" && return
+	done
+}
+other() { local l; l=$(leader); echo $((l % 3 + 1)); }
+all_ready() { cell_ready 1 && cell_ready 2 && cell_ready 3; }
+unbroken() { curl -s -m 2 "http://127.0.0.1:$((PORT + 2))/report" | jq -e '.broken == 0' > /dev/null; }
+status_is() { [ "$1" = "$2" ] || { echo "got $1, not $2"; return 1; }; }
+
+"$BIN/cellstandin" "$PORT" 6 2> "$RUN/cellstandin.log" &
+PIDS+=($!)
+wait_port 127.0.0.1 $((PORT + 2))
+for i in 1 2 3; do cell_daemon $i; done
+check "all hosts are ready" until_true 10 all_ready
+
+# calm
+check "a job is accepted" accepted 1 00000000000000a1
+check "it completes, seen from another host" completed 2 00000000000000a1
+check "the same id again is the same job" accepted 3 00000000000000a1
+check "an unknown id is gone" status_is "$(ask -o /dev/null -w '%{http_code}' "$(url 2 00000000000000ff)")" 410
+check "an unknown queue isn't found" status_is "$(ask -o /dev/null -w '%{http_code}' "http://$(cell_addr 1):$((PORT + 100))/none/")" 404
+check "a count of a queue" bash -c "[ \"\$(curl -s -m 3 -H 'Host: cell.example' $(url 1 "") | jq .pending)\" = 0 ]"
+check "a cancel" status_is "$(ask -o /dev/null -w '%{http_code}' -X DELETE "$(url 1 00000000000000a1)")" 200
+
+# bad input
+check "bad JSON" status_is "$(submit 1 00000000000000b1 '{')" 400
+check "a field of another type is named" bash -c "curl -s -m 3 -H 'Host: cell.example' -X POST -d '{\"steps\":[{\"count\":\"4\"}]}' $(url 1 00000000000000b2) | grep -q count"
+check "a bad id" status_is "$(submit 1 xyz)" 400
+head -c 700000 /dev/zero | tr '\0' ' ' > "$RUN/large"
+check "a body too large is refused from its length" status_is "$(ask -o /dev/null -w '%{http_code}' -X POST -H 'Expect:' --data-binary @"$RUN/large" "$(url 1 00000000000000b3)")" 413
+X=$(head -c 6000 /dev/zero | tr '\0' 'x')
+check "headers too large" status_is "$(ask -o /dev/null -w '%{http_code}' -H "X-A: $X" -H "X-B: $X" -H "X-C: $X" "$(url 1 00000000000000b4)")" 431
+
+# the command
+check "the command shows the cell" bash -c "$BIN/celerycartctl --host $(cell_addr 1):$((PORT + 103)) --key $KEY cell | grep -q 'leader c'"
+check "the command shows runners" bash -c "$BIN/celerycartctl --host $(cell_addr "$(leader)"):$((PORT + 103)) --key $KEY cell runners | grep -q i-0003"
+
+# the leader is killed
+L=$(leader)
+O=$(other)
+check "a job before the kill" accepted "$O" 00000000000000c1
+kill -KILL "${DAEMON[$L]}"
+T=$(date +%s%N)
+check "accepted again within 3 s of the leader's loss" until_true 3 accepted "$O" 00000000000000c2
+echo "  takeover_ms=$((($(date +%s%N) - T) / 1000000))"
+check "what was accepted before completes" completed "$O" 00000000000000c1
+cell_daemon "$L"
+check "the host is back" until_true 10 all_ready
+
+# the leader is frozen, and wakes as a former leader
+L=$(leader)
+O=$(other)
+kill -STOP "${DAEMON[$L]}"
+check "accepted while the leader is frozen" until_true 5 accepted "$O" 00000000000000d1
+sleep 1
+kill -CONT "${DAEMON[$L]}"
+check "completes once" completed "$O" 00000000000000d1
+check "the former leader follows" until_true 5 all_ready
+
+# the leader is stopped in order
+L=$(leader)
+O=$(other)
+kill -TERM "${DAEMON[$L]}"
+check "accepted while the leader leaves" until_true 2 accepted "$O" 00000000000000e1
+check "it ends by itself" until_true 7 bash -c "! kill -0 ${DAEMON[$L]} 2>/dev/null"
+cell_daemon "$L"
+check "ready again" until_true 10 all_ready
+
+# the store is away
+cell_fault store=silent
+sleep 2
+ask -i -X POST -d "$BODY" "$(url 1 00000000000000f1)" > "$RUN/refused"
+check "refused while the store is away" grep -q '503' "$RUN/refused"
+check "with a time to return" grep -qi 'retry-after: [1-4]' "$RUN/refused"
+cell_fault store=ok
+check "accepted once it is back" until_true 8 accepted 1 00000000000000f2
+check "and completes" completed 1 00000000000000f2
+check "the refused one is unknown" status_is "$(ask -o /dev/null -w '%{http_code}' "$(url 1 00000000000000f1)")" 410
+
+# a runner dies under work, another leaves
+check "a job on all runners" accepted 1 00000000000000f3
+cell_fault "runner=0&mode=crash&down=3000"
+cell_fault "runner=1&mode=drain"
+check "it completes" completed 1 00000000000000f3
+
+# everything is killed
+check "a job before the end of all" accepted 2 00000000000000f4
+for i in 1 2 3; do kill -KILL "${DAEMON[$i]}" 2>/dev/null; done
+for i in 1 2 3; do cell_daemon $i; done
+check "ready within 5 s" until_true 5 all_ready
+check "what was accepted completes" completed 3 00000000000000f4
+check "nothing broken by the runners' record" unbroken
+
+# from an id to its cause
+logs() { cat "$RUN"/c*.log; }
+check "why a job was refused" bash -c "cat $RUN/c*.log | grep -q 'event=submit_refused id=00000000000000f1 why=store-down'"
+check "that the store was away" bash -c "cat $RUN/c*.log | grep -q 'event=store_failing'"
+check "when a job started and ended" bash -c "cat $RUN/c*.log | grep -q 'event=job_ended id=00000000000000f3 .*state=completed took_ms='"
+check "why a job waited: its run was lost with a runner" bash -c "cat $RUN/c*.log | grep -Eq 'event=(runner_restarted|runner_silent|run_ended) '"
+finish
--- a/tests/scripts/run-all.sh
+++ b/tests/scripts/run-all.sh
@@ -41,6 +41,7 @@
 for t in cli access cost $(cd tests/scripts && ls fail-*.sh | sed 's/\.sh$//'); do
 	run "$t" "tests/scripts/$t.sh"
 done
+run soak tests/scripts/soak.sh 1 6 8 3
 [ $RED -gt 0 ] && echo "$RED known red, see KNOWN-RED.txt"
 echo "$PASSED passed, $FAILED failed"
 [ $FAILED -eq 0 ]
