--- a/src/cell/cell.c
+++ b/src/cell/cell.c
@@ -96,7 +96,7 @@
 	c->store_version = commit_version;
 	c->commit_seq = commit_seq;
 	c->commit = NULL;
-	c->led_ms = c->committed_ms = c->commit_ms = now;
+	c->led_ms = c->committed_ms = c->commit_ms = c->renewed_ms = now;
 	c->store_down_ms = c->registry_ms = 0;
 	c->blind = true;
 	c->blind_until_ms =
--- a/src/cell/cell.h
+++ b/src/cell/cell.h
@@ -122,6 +122,7 @@
 	struct load *load_stalled; /**< a read to be repeated */
 	int64_t commit_ms;	   /**< last sent */
 	int64_t committed_ms;	   /**< last known to be done */
+	int64_t renewed_ms;	   /**< last commit that was done was sent */
 	int64_t store_down_ms;	   /**< since when it fails; 0: it doesn't */
 	bool runners_changed;	   /**< the row of runners is to be written */
 	int64_t registry_ms;	   /**< the registry was last read */
--- a/src/cell/commit.c
+++ b/src/cell/commit.c
@@ -270,6 +270,7 @@
 
 	c->store_version = version;
 	c->committed_ms = c->ports.now();
+	c->renewed_ms = k->sent_ms;
 	if (c->store_down_ms != 0)
 		kvlog(KVLOG_INFO, "store_back", "down_ms=%lld",
 		    (long long)(c->committed_ms - c->store_down_ms));
--- a/src/cell/holds.c
+++ b/src/cell/holds.c
@@ -11,6 +11,8 @@
 #include "../base/xalloc.h"
 #include "parts.h"
 
+/** Tails are looked at this often where work that fills may raise them. */
+#define MIXED_WAIT_MS 400
 /** Pause before a hold is repeated that had no answer. */
 #define HOLD_RETRY_MS 200
 /** Ends wait at most this long for their commit before the next hold. */
@@ -253,6 +255,7 @@
 		see_run(c, r, &h->runs[i]);
 	find_missing(c, r, h);
 	adopted(c, r);
+	cell_pace(c, r);
 }
 
 static void
@@ -356,7 +359,8 @@
 		r->order_sent_ms = now;
 	}
 	if (may_wait(r))
-		o.wait_ms = c->terms.hold_wait_ms;
+		o.wait_ms =
+		    runner_is_mixed(r) ? MIXED_WAIT_MS : c->terms.hold_wait_ms;
 	r->holding = true;
 	r->hold_sent_ms = now;
 	c->counters.holds++;
--- a/src/cell/jobs.c
+++ b/src/cell/jobs.c
@@ -5,6 +5,7 @@
 #include "../base/err.h"
 #include "../base/kvlog.h"
 #include "../base/xalloc.h"
+#include "../coordination/claim.h"
 #include "parts.h"
 
 #define LOADING_RETRY_MS 1000
@@ -12,8 +13,11 @@
 #define RETRY_AFTER_MAX_MS 4000
 /** Part of a job's objective after which a refused caller returns. */
 #define RETRY_AFTER_SHARE 5
-/** Without a commit for this long, an unknown id may be another leader's. */
-#define KNOWS_ALL_MS 1500
+/**
+ * Without a commit for this long another host may lead, and know more. No
+ * claim comes sooner after a renewal (coordination/claim.c).
+ */
+#define KNOWS_ALL_MS CLAIM_AFTER_MIN_MS
 
 struct job *
 cell_job(struct cell *c, const char *id)
@@ -266,7 +270,7 @@
 knows_all(const struct cell *c)
 {
 	return c->phase == CELL_SERVING &&
-	    c->ports.now() - c->committed_ms < KNOWS_ALL_MS;
+	    c->ports.now() - c->renewed_ms < KNOWS_ALL_MS;
 }
 
 void
@@ -284,10 +288,12 @@
 	}
 	if (c->phase != CELL_SERVING)
 		return;
-	a->error = CC_OK;
 	a->state = j->stored_state;
-	if (!job_ended(j) || j->stored_state < JOB_COMPLETED)
+	if (j->stored_state < JOB_COMPLETED)
 		a->state = j->started ? JOB_RUNNING : JOB_QUEUED;
+	/* An outcome is final; anything else may be out of date. */
+	if (j->stored_state >= JOB_COMPLETED || knows_all(c))
+		a->error = CC_OK;
 }
 
 void
--- a/src/cell/parts.h
+++ b/src/cell/parts.h
@@ -81,6 +81,12 @@
 /** Tasks of the step that look for a place. */
 uint32_t step_wanted(const struct step *s);
 
+/* pace.c */
+/** Whether work that serves and work that fills meet there. */
+bool runner_is_mixed(const struct runner *r);
+/** Adapts the pace of filling work to the tails last seen. */
+void cell_pace(struct cell *c, struct runner *r);
+
 /* preempt.c */
 #define PREEMPT_RUNNERS_MAX 64
 void cell_preempt(struct cell *c);
--- a/src/coordination/claim.h
+++ b/src/coordination/claim.h
@@ -12,6 +12,9 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+/** No claim comes sooner after a renewal, but for a leader that is gone. */
+#define CLAIM_AFTER_MIN_MS 400
+
 struct claim_facts {
 	bool known;	      /**< the leader's row was read */
 	bool no_leader;	      /**< there is none, or it gave the lead up */
--- /dev/null
+++ b/src/coordination/pacing.h
@@ -0,0 +1,17 @@
+/**
+ * @file How fast work that fills may go beside work that serves.
+ *
+ * Work that fills uses what others leave, and disturbs their latency. It is
+ * slowed down before a tail passes its target, and let on when there is slack.
+ */
+#ifndef PACING_H
+#define PACING_H
+
+#include <stdint.h>
+
+/** Share in percent at which filling work on a runner may go next. */
+int pacing_next(int percent, double tail_share, int64_t since_change_ms);
+/** Share of its target that a tail has, of a task that serves. */
+double pacing_tail_share(int tail_ms, uint32_t target_ms);
+
+#endif
--- a/src/state/runner.c
+++ b/src/state/runner.c
@@ -12,6 +12,7 @@
 
 	r->info = *info;
 	r->speed = 1.0;
+	r->pace_percent = 100;
 	TAILQ_INIT(&r->runs);
 	return r;
 }
--- a/src/state/runner.h
+++ b/src/state/runner.h
@@ -77,7 +77,9 @@
 	int64_t unheard_since_ms; /**< first failure since; 0: none */
 	int hold_errors;	  /**< in a row */
 	int64_t drain_since_ms;
-	double speed; /**< of its run times to the usual; 1 is usual */
+	int pace_percent; /**< at which work that fills may go */
+	int64_t paced_ms; /**< last changed; 0: at full pace */
+	double speed;	  /**< of its run times to the usual; 1 is usual */
 	int samples;
 	int failures; /**< in a row, of distinct jobs */
 	char failed_job[JOB_ID_LEN];
--- a/tests/unit/cell_test.c
+++ b/tests/unit/cell_test.c
@@ -3,6 +3,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 
+#include "../../src/base/err.h"
 #include "../world/world.h"
 #include "unit.h"
 
@@ -383,3 +384,27 @@
 	CU_ASSERT_EQUAL(world_at_work(w, "0000000000000001"), 0);
 	finish(w);
 }
+
+/* A leader that froze, and was replaced, shows no state of the past. */
+void
+test_cell_frozen_leader(void)
+{
+	struct world *w = start(3);
+	struct cell_answer a;
+
+	world_submit(w, "0000000000000001", "batch", &batch_step, 1);
+	world_run(w, 500);
+	cell_get(world_cell(w, 0), "batch", "0000000000000001", &a);
+	CU_ASSERT_EQUAL(a.error, CC_OK);
+	CU_ASSERT_EQUAL(a.state, JOB_RUNNING);
+	world_cut_store(w, 0, true);
+	world_run(w, 600);
+	world_claim(w, 1);
+	world_run(w, 300);
+	cell_get(world_cell(w, 0), "batch", "0000000000000001", &a);
+	CU_ASSERT_NOT_EQUAL(a.error, CC_OK);
+	cell_get(world_cell(w, 0), "batch", "0000000000000009", &a);
+	CU_ASSERT_NOT_EQUAL(a.error, CC_ENOENT);
+	world_cut_store(w, 0, false);
+	finish(w);
+}
