Claims after half a second without change; short deadlines keep their time

Change: beats missed for 0.45 s, no renewal for 0.45 to 0.5 s; the margin is a fifth of the caller's time at most.

--- a/src/coordination/claim.c
+++ b/src/coordination/claim.c
@@ -1,13 +1,13 @@
 #include "claim.h"
 
 /** A leader not heard from for this long is doubted; it beats every 200 ms. */
-#define BEAT_LATE_MS 550
+#define BEAT_LATE_MS 450
 /** Renewals come every 250 ms, or later when the store is slow. */
-#define UNCHANGED_MS 650
+#define UNCHANGED_MS 500
 /** The same, when the leader itself says that its commits fail. */
 #define UNCHANGED_STALLED_MS CLAIM_AFTER_MIN_MS
 /** The same, when no connection to the leader is up. */
-#define UNCHANGED_UNLINKED_MS 500
+#define UNCHANGED_UNLINKED_MS 450
 /** Hosts of the next rank wait this much longer, so that few collide. */
 #define RANK_MS 40
 
--- a/src/member/calls.c
+++ b/src/member/calls.c
@@ -19,6 +19,8 @@
 #define SUBMIT_PATIENCE_MS 250
 /** The answer is on its way to the caller this long before its deadline. */
 #define ANSWER_MARGIN_MS 150
+/** Of a short time to answer in, the margin takes this part at most. */
+#define ANSWER_MARGIN_PART 5
 #define REFUSED_RETRY_MS 1000
 #define RETRY_MS 50
 
@@ -232,6 +234,14 @@
 	    m->peers, m->leader.host, &f, left > 0 ? left : 1, on_remote, t);
 }
 
+static int64_t
+answer_margin_ms(int64_t timeout_ms)
+{
+	int64_t part = timeout_ms / ANSWER_MARGIN_PART;
+
+	return part < ANSWER_MARGIN_MS ? part : ANSWER_MARGIN_MS;
+}
+
 void
 member_call(
     struct member *m, const struct member_call *call, cell_fn fn, void *arg)
@@ -245,7 +255,8 @@
 	str_copy(k->id, call->id, sizeof(k->id));
 	k->job = call->job;
 	k->since_ms = clock_boot_ms();
-	k->deadline_ms = k->since_ms + call->timeout_ms - ANSWER_MARGIN_MS;
+	k->deadline_ms =
+	    k->since_ms + call->timeout_ms - answer_margin_ms(call->timeout_ms);
 	k->fn = fn;
 	k->arg = arg;
 	TAILQ_INSERT_TAIL(&m->calls, k, link);
--- a/tests/unit/parts_test.c
+++ b/tests/unit/parts_test.c
@@ -228,9 +228,9 @@
 	CU_ASSERT(!claim_due(&f));
 	f.beat_age_ms = 600;
 	CU_ASSERT(claim_doubts(&f));
-	f.unchanged_ms = 500;
+	f.unchanged_ms = 499;
 	CU_ASSERT(!claim_due(&f));
-	f.unchanged_ms = 650;
+	f.unchanged_ms = 500;
 	CU_ASSERT(claim_due(&f));
 	f.rank = 3;
 	CU_ASSERT(!claim_due(&f));
