A runner written as closed gets no start until it is written as open

Cause: after a takeover the row of runners was first written before the registry was read, with every runner closed, while starts went on; the next leader relied on it and started a task twice. Found by prop cells once refusals of runners were among its faults (order_refused). Change: a runner is held back from the moment the row that closes it is built; before the registry was read none is closed as missing.

--- a/src/cell/commit.c
+++ b/src/cell/commit.c
@@ -99,7 +99,7 @@
 		job_committed(k->jobs[i], k->states[i]);
 	for (r = c->runners; r != NULL; r = r->hh.next) {
 		if (k->has_runners && r->opening)
-			r->recorded = runner_open(r);
+			r->recorded = true;
 		r->opening = false;
 		if (r->acking > r->acked)
 			r->acked = r->acking;
--- a/src/cell/commit_build.c
+++ b/src/cell/commit_build.c
@@ -51,8 +51,17 @@
 	TAILQ_REMOVE(&k->cell->dirty, j, dirty_link);
 }
 
+/* Before the registry was read, a runner isn't missing from it. */
+static bool
+should_close(const struct cell *c, const struct runner *r)
+{
+	if (!r->known)
+		return false;
+	return !runner_open(r) && (r->listed || c->registry_ms != 0);
+}
+
 static Cc__RunnerRow *
-pack_runner(const struct runner *r)
+pack_runner(const struct runner *r, bool closed)
 {
 	Cc__RunnerRow *row = xcalloc(1, sizeof(*row));
 	const struct run *run;
@@ -61,7 +70,7 @@
 	row->id = xstrdup(r->info.id);
 	row->addr = xstrdup(r->info.addr);
 	row->port = r->info.port;
-	row->closed = !runner_open(r) && r->known;
+	row->closed = closed;
 	if (!row->closed)
 		return row;
 	row->runs = xcalloc((size_t)r->nruns + 1, sizeof(*row->runs));
@@ -87,8 +96,13 @@
 	list->runners =
 	    xcalloc(HASH_COUNT(c->runners) + 1, sizeof(*list->runners));
 	for (r = c->runners; r != NULL; r = r->hh.next) {
-		list->runners[list->n_runners++] = pack_runner(r);
-		r->opening = runner_open(r);
+		bool closed = should_close(c, r);
+
+		list->runners[list->n_runners++] = pack_runner(r, closed);
+		r->opening = !closed;
+		/* From now on a later leader may rely on it. */
+		if (closed)
+			r->recorded = false;
 	}
 	e = add_entry(
 	    k, "", RUNNERS_KEY, cc__runners_row__get_packed_size(list));
--- a/tests/prop/cells.cc
+++ b/tests/prop/cells.cc
@@ -5,6 +5,7 @@
 #include <cstdlib>
 
 extern "C" {
+#include "../../src/base/kvlog.h"
 #include "../world/world.h"
 }
 
@@ -106,6 +107,10 @@
 	struct world *w = world_new(seed, RUNNERS);
 	int jobs = 0;
 	world_loud(w, getenv("LOUD") != nullptr);
+	if (getenv("LOGS") != nullptr) {
+		setvbuf(stdout, nullptr, _IONBF, 0);
+		kvlog_open("world", KVLOG_DEBUG);
+	}
 	world_claim(w, 0);
 	world_run(w, 1500);
 	world_set_faults(w, &faults);
@@ -131,6 +136,7 @@
 		    f.order_lost = *in_range(0, 60);
 		    f.order_dropped = *in_range(0, 60);
 		    f.order_late = *in_range(0, 60);
+		    f.order_refused = *in_range(0, 60);
 		    f.run_fails = *in_range(0, 60);
 		    auto seed = *in_range<uint32_t>(1, 1000000);
 		    auto n = *in_range(5, 40);
--- a/tests/world/world.h
+++ b/tests/world/world.h
@@ -22,6 +22,7 @@
 	int order_lost;	   /**< done, and not answered */
 	int order_dropped; /**< not done, and not answered */
 	int order_late;	   /**< done two to twelve seconds later, no answer */
+	int order_refused; /**< not done, and said so */
 	int run_fails;
 };
 
