--- a/src/cell/advice.c
+++ b/src/cell/advice.c
@@ -79,8 +79,10 @@
 wants_advice(struct cell *c, struct step *s, const struct queue *q, int64_t now)
 {
 	struct advice *a = step_advice(s);
-	struct placing_want w = {
-	    .step = s, .service = q->service, .now_ms = now};
+	struct placing_want w = {.step = s,
+	    .service = q->service,
+	    .remote_factor = c->terms.remote_factor,
+	    .now_ms = now};
 	uint32_t waiting = step_wanted(s);
 
 	if (a->asking || now < a->retry_ms || waiting == 0)
@@ -106,6 +108,7 @@
 {
 	struct placing_want w = {.step = s,
 	    .service = q->service,
+	    .remote_factor = c->terms.remote_factor,
 	    .urgent = q->priority == 0,
 	    .now_ms = now};
 	const struct advice *a = s->advice;
@@ -261,7 +264,7 @@
 	struct lane *lane;
 	int n;
 
-	lane = lanes_pick(&c->lanes, call_ms(q, NAMED_MIN), now);
+	lane = lanes_pick(&c->lanes, call_ms(q, NAMED_MIN));
 	if (lane == NULL)
 		return false;
 	list = xcalloc(HASH_COUNT(c->runners) + 1, sizeof(*list));
@@ -306,7 +309,7 @@
 		w->size = w->size * 2 + 16;
 		w->list = xrealloc(w->list, w->size * sizeof(*w->list));
 	}
-	w->list[w->n].urgency = step_urgency(c, s, now);
+	w->list[w->n].urgency = step_urgency(s, now);
 	w->list[w->n].queue = q;
 	w->list[w->n++].step = s;
 }
--- a/src/cell/cell.h
+++ b/src/cell/cell.h
@@ -32,9 +32,7 @@
 	int64_t hold_wait_ms;  /**< a hold waits this long for an end */
 	int64_t stop_grace_ms; /**< a stop takes at most this long */
 	int64_t status_ms;     /**< ended jobs are known this long */
-	int64_t early_ms;
 	double remote_factor;
-	int64_t impact_ms;
 };
 
 struct cell_ports {
@@ -126,7 +124,6 @@
 	int64_t store_down_ms;	   /**< since when it fails; 0: it doesn't */
 	bool runners_changed;	   /**< the row of runners is to be written */
 	int64_t registry_ms;	   /**< the registry was last read */
-	int64_t copies_ms;	   /**< slow runs were last looked for */
 	struct cell_counters counters;
 };
 
@@ -153,8 +150,7 @@
     struct cell *c, const char *id, Cc__JobRow *row, cell_fn fn, void *arg);
 void cell_get(
     struct cell *c, const char *queue, const char *id, struct cell_answer *a);
-void cell_cancel(
-    struct cell *c, const char *queue, const char *id, cell_fn fn, void *arg);
+void cell_cancel(struct cell *c, const char *id, cell_fn fn, void *arg);
 void cell_pending(struct cell *c, const char *queue, struct cell_answer *a);
 
 #endif
--- a/src/cell/copies.c
+++ b/src/cell/copies.c
@@ -93,6 +93,7 @@
 {
 	struct placing_want w = {.step = s,
 	    .service = s->occurrence->job->queue->service,
+	    .remote_factor = c->terms.remote_factor,
 	    .urgent = s->occurrence->job->priority == 0,
 	    .now_ms = now};
 	struct candidate *list =
--- a/src/cell/grants.c
+++ b/src/cell/grants.c
@@ -99,6 +99,7 @@
 {
 	struct placing_want w = {.step = s,
 	    .service = s->occurrence->job->queue->service,
+	    .remote_factor = c->terms.remote_factor,
 	    .now_ms = c->ports.now()};
 	const struct advice *a = s->advice;
 	const struct grant *g;
--- a/src/cell/jobs.c
+++ b/src/cell/jobs.c
@@ -288,14 +288,12 @@
 }
 
 void
-cell_cancel(
-    struct cell *c, const char *queue, const char *id, cell_fn fn, void *arg)
+cell_cancel(struct cell *c, const char *id, cell_fn fn, void *arg)
 {
 	struct cell_answer a = {
 	    .error = CC_EBUSY, .retry_after_ms = LOADING_RETRY_MS};
 	struct job *j = cell_job(c, id);
 
-	(void)queue;
 	if (j == NULL || c->phase != CELL_SERVING) {
 		if (knows_all(c))
 			a.error = CC_ENOENT;
--- a/src/cell/parts.h
+++ b/src/cell/parts.h
@@ -74,8 +74,7 @@
 /* place.c */
 void cell_place(struct cell *c);
 uint32_t cell_next_run(const struct cell *c, const struct task *t);
-struct urgency step_urgency(
-    const struct cell *c, const struct step *s, int64_t now);
+struct urgency step_urgency(const struct step *s, int64_t now);
 
 /* copies.c */
 /** Marks tasks of speculative steps whose run is late or out of sight. */
--- a/src/cell/place.c
+++ b/src/cell/place.c
@@ -51,7 +51,7 @@
 }
 
 struct urgency
-step_urgency(const struct cell *c, const struct step *s, int64_t now)
+step_urgency(const struct step *s, int64_t now)
 {
 	const struct job *j = s->occurrence->job;
 	struct urgency_job u = {
@@ -62,7 +62,6 @@
 	    .lasting = s->spec->long_running,
 	};
 
-	(void)c;
 	return urgency_of(&u, now);
 }
 
@@ -96,6 +95,7 @@
 	p->step = s;
 	p->want = (struct placing_want){.step = s,
 	    .service = q->service,
+	    .remote_factor = c->terms.remote_factor,
 	    .urgent = q->priority == 0,
 	    .now_ms = now};
 	p->candidates =
@@ -338,7 +338,7 @@
 		}
 		if (!may_start(c, s))
 			continue;
-		ranked[*n].urgency = step_urgency(c, s, now);
+		ranked[*n].urgency = step_urgency(s, now);
 		ranked[(*n)++].step = s;
 	}
 	qsort(ranked, *n, sizeof(*ranked), compare_ranked);
--- a/src/cell/preempt.c
+++ b/src/cell/preempt.c
@@ -30,7 +30,7 @@
 worth_room(const struct cell *c, const struct step *s, int64_t now)
 {
 	const struct job *j = s->occurrence->job;
-	struct urgency u = step_urgency(c, s, now);
+	struct urgency u = step_urgency(s, now);
 
 	return j->priority == 0 && u.rank == 0 && s->turn_ms != 0 &&
 	    j->stored && !job_ended(j) && !s->spec->gang &&
--- a/src/coordination/lanes.c
+++ b/src/coordination/lanes.c
@@ -86,11 +86,10 @@
 }
 
 struct lane *
-lanes_pick(struct lanes *l, double call_ms, int64_t now)
+lanes_pick(struct lanes *l, double call_ms)
 {
 	int quick = quick_lanes(l);
 
-	(void)now;
 	if (lanes_is_quick(call_ms))
 		return least_busy(l, 0, quick, QUICK_OPEN_MAX);
 	if (l->n == 1)
--- a/src/coordination/lanes.h
+++ b/src/coordination/lanes.h
@@ -30,7 +30,7 @@
 /** Sets the hosts that can ask; lanes of hosts that stay are kept. */
 void lanes_set(struct lanes *l, const char (*hosts)[64], int n);
 /** The lane for a call now; NULL when it should wait for one. */
-struct lane *lanes_pick(struct lanes *l, double call_ms, int64_t now);
+struct lane *lanes_pick(struct lanes *l, double call_ms);
 void lane_sent(struct lane *lane, double call_ms, int64_t now);
 /** The call in the lane of this host was answered or given up. */
 void lanes_answered(struct lanes *l, const char *host, int64_t now);
--- a/src/coordination/placing.c
+++ b/src/coordination/placing.c
@@ -2,8 +2,6 @@
 
 #include <string.h>
 
-/** Weight of a rack far from the data; far outweighs speed. */
-#define FAR_WEIGHT 2.0
 /** Weight of the share in use: urgent work spreads, the rest packs. */
 #define SPREAD_WEIGHT 0.1
 #define PACK_WEIGHT 0.3
@@ -108,7 +106,7 @@
 	double score = disturbances(r, w->step) * DISTURB_WEIGHT;
 
 	if (s->affinity[0] != '\0' && strcmp(s->affinity, r->info.rack) != 0)
-		score += FAR_WEIGHT;
+		slow *= w->remote_factor;
 	if (w->avoid != NULL && strcmp(w->avoid, r->info.id) == 0)
 		score += AVOID_WEIGHT;
 	if (s->long_running)
--- a/src/coordination/placing.h
+++ b/src/coordination/placing.h
@@ -11,8 +11,9 @@
 	const struct step *step;
 	const char *service;
 	bool urgent;
-	const char *rack;  /**< NULL: any */
-	const char *avoid; /**< only if no other; "" for none */
+	double remote_factor; /**< a run away from its data takes this long */
+	const char *rack;     /**< NULL: any */
+	const char *avoid;    /**< only if no other; "" for none */
 	int64_t now_ms;
 };
 
--- a/src/member/calls.c
+++ b/src/member/calls.c
@@ -186,7 +186,7 @@
 		cell_submit(&m->cell, id, job, fn, arg);
 		return;
 	case CALL_CANCEL:
-		cell_cancel(&m->cell, queue, id, fn, arg);
+		cell_cancel(&m->cell, id, fn, arg);
 		return;
 	case CALL_GET:
 		cell_get(&m->cell, queue, id, &a);
--- a/src/member/member.c
+++ b/src/member/member.c
@@ -82,9 +82,7 @@
 	    .hold_wait_ms = HOLD_WAIT_MS,
 	    .stop_grace_ms = s->stop_grace_ms,
 	    .status_ms = s->status_s * 1000,
-	    .early_ms = s->early_ms,
 	    .remote_factor = s->remote_factor,
-	    .impact_ms = s->impact_ms,
 	};
 	struct cell_ports ports = {
 	    .store = m->ports.store,
--- a/src/state/cell_settings.c
+++ b/src/state/cell_settings.c
@@ -33,9 +33,6 @@
 	NULL},
     {"status_s", YAML_INT, S(status_s), 0, 1, DAY_S, false, NULL, NULL},
     {"grace_s", YAML_INT, S(grace_s), 0, 1, 600, false, NULL, NULL},
-    {"early_ms", YAML_INT, S(early_ms), 0, 0, MINUTE_MS, false, NULL, NULL},
-    {"drain_ms", YAML_INT, S(drain_ms), 0, 0, MINUTE_MS, false, NULL, NULL},
-    {"impact_ms", YAML_INT, S(impact_ms), 0, 0, MINUTE_MS, false, NULL, NULL},
     {"remote_factor", YAML_MONEY, S(remote_factor), 0, 0, 0, false, NULL, NULL},
     {"cores", YAML_MONEY, S(cores), 0, 0, 0, false, NULL, NULL},
     {NULL, YAML_TEXT, 0, 0, 0, 0, false, NULL, NULL},
@@ -50,8 +47,6 @@
 	s->stop_grace_ms = 400;
 	s->status_s = 120;
 	s->grace_s = 6;
-	s->drain_ms = 2000;
-	s->impact_ms = 4000;
 	s->remote_factor = 1.0;
 	s->cores = 1.0;
 }
--- a/src/state/cell_settings.h
+++ b/src/state/cell_settings.h
@@ -20,9 +20,6 @@
 	int64_t stop_grace_ms; /**< longest time that a stop takes */
 	int64_t status_s;      /**< ended jobs are known this long */
 	int64_t grace_s;       /**< from the term signal to the kill */
-	int64_t early_ms;
-	int64_t drain_ms;
-	int64_t impact_ms;
 	double remote_factor;
 	double cores; /**< this host's processor, in cores */
 };
--- a/tests/scripts/mutants.sh
+++ b/tests/scripts/mutants.sh
@@ -88,7 +88,7 @@
 	cell_mutant $L/commit.c 's/k->maybe_done |= r->err != CC_EUNAVAIL;//'
 	cell_mutant $L/commit_build.c 's/r->acking = r->taken;/r->acking = r->acked = r->taken;/'
 	cell_mutant $L/commit_build.c 's/if (!r->known)/if (0)/'
-	cell_mutant $L/commit_build.c 's/r->recorded = false;//'
+	cell_mutant $L/commit_build.c 's/r->recorded = false;/(void)r;/'
 	cell_mutant $L/place.c 's/return !(c->blind \&\& j->inherited);/return true;/'
 	cell_mutant $L/place.c 's/if (!j->stored || job_ended(j) || s->turn_ms == 0)/if (job_ended(j) || s->turn_ms == 0)/'
 	cell_mutant $L/place.c 's/if (s->nheld > 0 || s->ndone > 0)/if (s->ndone > 0)/'
--- a/tests/unit/parts_test.c
+++ b/tests/unit/parts_test.c
@@ -162,13 +162,13 @@
 	int i, slow = 0;
 
 	set_lanes(&l, 8);
-	while ((lane = lanes_pick(&l, SLOW_MS, 0)) != NULL && slow < 100) {
+	while ((lane = lanes_pick(&l, SLOW_MS)) != NULL && slow < 100) {
 		lane_sent(lane, SLOW_MS, 0);
 		slow++;
 	}
 	CU_ASSERT_EQUAL(slow, 5);
 	for (i = 0; i < 3; i++) {
-		lane = lanes_pick(&l, QUICK_MS, 0);
+		lane = lanes_pick(&l, QUICK_MS);
 		CU_ASSERT_PTR_NOT_NULL_FATAL(lane);
 		CU_ASSERT_EQUAL(lane->open, 0);
 		lane_sent(lane, QUICK_MS, 0);
@@ -182,14 +182,14 @@
 	struct lane *lane;
 
 	set_lanes(&l, 1);
-	lane = lanes_pick(&l, SLOW_MS, 0);
+	lane = lanes_pick(&l, SLOW_MS);
 	CU_ASSERT_PTR_NOT_NULL_FATAL(lane);
 	lane_sent(lane, SLOW_MS, 0);
-	CU_ASSERT_PTR_NULL(lanes_pick(&l, SLOW_MS, 0));
+	CU_ASSERT_PTR_NULL(lanes_pick(&l, SLOW_MS));
 	lanes_answered(&l, "a", 600);
-	CU_ASSERT_PTR_NOT_NULL(lanes_pick(&l, SLOW_MS, 600));
+	CU_ASSERT_PTR_NOT_NULL(lanes_pick(&l, SLOW_MS));
 	set_lanes(&l, 0);
-	CU_ASSERT_PTR_NULL(lanes_pick(&l, QUICK_MS, 0));
+	CU_ASSERT_PTR_NULL(lanes_pick(&l, QUICK_MS));
 }
 
 void
--- a/tests/world/world.c
+++ b/tests/world/world.c
@@ -1305,8 +1305,7 @@
 	    .hold_wait_ms = 1200,
 	    .stop_grace_ms = 400,
 	    .status_ms = 120000,
-	    .remote_factor = 3,
-	    .impact_ms = 4000};
+	    .remote_factor = 3};
 	struct cell_ports ports = {.store = &c->store,
 	    .runners = &c->runners,
 	    .advice = &c->advice,
@@ -1665,8 +1664,8 @@
 	current = w;
 	if (w->leader < 0)
 		return;
-	cell_cancel(&w->cells[w->leader].cell, "", id, on_answer,
-	    submit_arg(w, id, true));
+	cell_cancel(
+	    &w->cells[w->leader].cell, id, on_answer, submit_arg(w, id, true));
 }
 
 int
