--- a/src/member/lead.c
+++ b/src/member/lead.c
@@ -57,6 +57,7 @@
 	    "leader=%s version=%llu generation=%u released=%d", m->leader.host,
 	    (unsigned long long)m->leader.version, m->leader.generation,
 	    m->leader.released);
+	member_dial(m);
 	if (!m->leader.released)
 		member_calls_moved(m);
 	if (member_leads(m) && row->version > m->cell.fence) {
@@ -91,6 +92,7 @@
 	    (unsigned long long)fence, m->leader.generation);
 	m->beat_ms = 0;
 	m->registry_ms = 0;
+	member_dial(m);
 	member_calls_moved(m);
 	cell_lead(&m->cell, fence, m->leader.generation, commit_version, 0);
 }
@@ -247,6 +249,7 @@
 	unwatch(m);
 	kvlog(KVLOG_INFO, "leader_told", "leader=%s version=%llu", host,
 	    (unsigned long long)b->fence);
+	member_dial(m);
 	member_calls_moved(m);
 }
 
--- a/src/member/members.c
+++ b/src/member/members.c
@@ -80,12 +80,12 @@
 
 /*
  * The strongest hosts, of which one leads, are linked with all; the others
- * with them only, so that links grow with the number of hosts.
+ * with them and the leader only, so that links grow with the number of hosts.
  */
-static void
-dial_others(struct member *m)
+void
+member_dial(struct member *m)
 {
-	bool core =
+	bool core = member_leads(m) ||
 	    member_rank(m, m->settings->host, member_power(m)) < CORE_HOSTS;
 	struct other *o;
 	int i;
@@ -121,7 +121,7 @@
 	o->port = (uint16_t)mr->peer_port;
 	o->power = mr->power;
 	o->dialled = false;
-	dial_others(m);
+	member_dial(m);
 }
 
 void
--- a/src/member/parts.h
+++ b/src/member/parts.h
@@ -103,6 +103,8 @@
 void member_beat(struct member *m);
 void member_lanes(struct member *m);
 void member_frame(const struct peer_request *rq, const Cc__Frame *f, void *arg);
+/** Dials those that this host should be linked with, and isn't yet. */
+void member_dial(struct member *m);
 uint32_t member_power(const struct member *m);
 /** Hosts that come before the one of this name and power, to lead. */
 int member_rank(const struct member *m, const char *host, uint32_t power);
