A host that comes back at another address under its name is dialled there

Links are kept by address and found by name, so the leader's beats went on to the old address. fail-cell.sh: and hears the leader's beats, fails without.

--- a/src/member/members.c
+++ b/src/member/members.c
@@ -116,6 +116,10 @@
 		kvlog(KVLOG_INFO, "member_found",
 		    "peer=%s addr=%s incarnation=%s", mr->host, mr->addr,
 		    mr->incarnation);
+	/* Links are kept by address: one to the address before is of no use. */
+	if (o->dialled &&
+	    (strcmp(o->addr, mr->addr) != 0 || o->port != mr->peer_port))
+		peer_net_remove(m->peers, mr->host);
 	str_copy(o->incarnation, mr->incarnation, sizeof(o->incarnation));
 	str_copy(o->addr, mr->addr, sizeof(o->addr));
 	o->port = (uint16_t)mr->peer_port;
--- a/tests/scripts/fail-cell.sh
+++ b/tests/scripts/fail-cell.sh
@@ -120,6 +120,20 @@
 check "and completes" completed 1 00000000000000f2
 check "the refused one is unknown" status_is "$(ask -o /dev/null -w '%{http_code}' "$(url 1 00000000000000f1)")" 410
 
+# a host comes back under its name at another address
+L=$(leader)
+H=$((L % 3 + 1))
+kill -KILL "${DAEMON[$H]}"
+cell_addr() { [ "$1" = "$H" ] && echo "127.0.0.8$1" || echo "127.0.0.$((70 + $1))"; }
+cell_daemon "$H"
+check "a host at another address is ready" until_true 10 cell_ready "$H"
+check "and serves" accepted "$H" 00000000000000f5
+hears_leader() {
+	curl -s -m 2 "http://$(cell_addr "$1"):$((PORT + 103))/cell/members" |
+	    jq -e '[.members[] | select(.leads and .beat_ms_ago >= 0 and .beat_ms_ago < 1000)] | length == 1' > /dev/null
+}
+check "and hears the leader's beats" until_true 5 hears_leader "$H"
+
 # a runner dies under work, another leaves
 check "a job on all runners" accepted 1 00000000000000f3
 cell_fault "runner=0&mode=crash&down=3000"
