--- a/tests/scripts/soak.sh
+++ b/tests/scripts/soak.sh
@@ -9,7 +9,7 @@
 	local dir=$KEEP/$1
 	mkdir -p "$dir"
 	if "$BIN/soak" --seed "$1" --seconds "$SECONDS_EACH" --bin "$BIN" \
-	    --port $((19000 + 200 * $2)) --dir "$dir" --loud > "$dir/out" 2>&1; then
+	    --port $((${SOAK_PORT:-19000} + 200 * $2)) --dir "$dir" --loud > "$dir/out" 2>&1; then
 		echo "ok soak seed $1"
 		rm -rf "$dir"
 	else
