--- a/Makefile
+++ b/Makefile
@@ -19,13 +19,13 @@
 PROTO = $(wildcard src/protocol/*.c)
 TRANS = $(wildcard src/transport/*.c)
 CELL = $(wildcard src/cell/*.c) $(wildcard src/member/*.c)
-PLATFORM = $(wildcard platform/*.c)
+ADAPTER = $(wildcard platform/*.c)
 DAEMON = $(wildcard src/daemon/*.c)
 CTL = $(wildcard src/ctl/*.c)
 LIBSRC = $(BASE) $(STATE) $(COORD) $(PROTO) $(TRANS) $(CELL)
 
 LIBOBJ = $(LIBSRC:%.c=$(B)/%.o)
-DAEMONOBJ = $(DAEMON:%.c=$(B)/%.o) $(PLATFORM:%.c=$(B)/%.o)
+DAEMONOBJ = $(DAEMON:%.c=$(B)/%.o) $(ADAPTER:%.c=$(B)/%.o)
 CTLOBJ = $(CTL:%.c=$(B)/%.o)
 
 PACKAGES = gcc g++ make curl jq clang-format clang-tidy cppcheck libevent-dev \
@@ -104,7 +104,7 @@
 	@$(MAKE) -s all $(B)/bench-place
 	@tests/scripts/bench.sh
 
-OWN = $(filter-out %.pb-c.c,$(LIBSRC)) $(DAEMON) $(PLATFORM) $(CTL) $(STANDIN) \
+OWN = $(filter-out %.pb-c.c,$(LIBSRC)) $(DAEMON) $(ADAPTER) $(CTL) $(STANDIN) \
 	$(CELLSTANDIN) $(SOAK) \
 	$(wildcard tests/tools/*.c tests/unit/*.c tests/world/*.c bench/*.c)
 HEADERS = $(filter-out %.pb-c.h,$(wildcard src/*/*.h platform/*.h tests/*/*.h))
