The code says configuration where the platform's pages say manifest

Cause: the pages' word had come into names, logs and metrics outside the adapter. Also job for submission and deadline for time limit in three comments.

--- a/src/cell/advice.c
+++ b/src/cell/advice.c
@@ -344,7 +344,7 @@
 	bool quick = true, slow = true;
 	size_t i;
 
-	if (c->manifest == NULL || c->lanes.n == 0)
+	if (c->config == NULL || c->lanes.n == 0)
 		return;
 	TAILQ_FOREACH (s, &c->steps, link)
 		add_wish(c, &w, s, now);
--- a/src/cell/cell.c
+++ b/src/cell/cell.c
@@ -78,9 +78,9 @@
 cell_done(struct cell *c)
 {
 	cell_resign(c);
-	if (c->manifest != NULL) {
-		manifest_done(c->manifest);
-		free(c->manifest);
+	if (c->config != NULL) {
+		config_done(c->config);
+		free(c->config);
 	}
 }
 
@@ -105,7 +105,7 @@
 }
 
 static void
-apply_manifest_to_jobs(struct cell *c)
+apply_config_to_jobs(struct cell *c)
 {
 	struct job *j;
 
@@ -113,29 +113,28 @@
 		cell_apply_queue(c, j);
 }
 
-/* Work of a queue that is no longer in the manifest is still finished. */
+/* Work of a queue that is no longer in the configuration is still finished. */
 static void
-keep_queues(struct cell *c, struct manifest *m)
+keep_queues(struct cell *c, struct config *m)
 {
 	const struct job *j;
 
 	TAILQ_FOREACH (j, &c->live, live_link)
-		if (j->queue != NULL &&
-		    manifest_queue(m, j->queue->name) == NULL)
-			manifest_keep(m, j->queue);
+		if (j->queue != NULL && config_queue(m, j->queue->name) == NULL)
+			config_keep(m, j->queue);
 }
 
 void
-cell_set_manifest(struct cell *c, struct manifest *m)
+cell_set_config(struct cell *c, struct config *m)
 {
 	keep_queues(c, m);
-	if (c->manifest != NULL) {
-		manifest_done(c->manifest);
-		free(c->manifest);
+	if (c->config != NULL) {
+		config_done(c->config);
+		free(c->config);
 	}
-	c->manifest = m;
+	c->config = m;
 	c->room_version++;
-	apply_manifest_to_jobs(c);
+	apply_config_to_jobs(c);
 	c->ports.wake(c->ports.arg);
 }
 
--- a/src/cell/cell.h
+++ b/src/cell/cell.h
@@ -12,7 +12,7 @@
 #include "../coordination/lanes.h"
 #include "../ports/ports.h"
 #include "../state/job.h"
-#include "../state/manifest.h"
+#include "../state/config.h"
 #include "../state/runner.h"
 
 #define CELL_TABLE "celerycart-jobs"
@@ -99,7 +99,7 @@
 	uint64_t fence;	     /**< version of the leader's row */
 	uint32_t generation; /**< of the claim; starts run numbers */
 	char incarnation[32];
-	struct manifest *manifest; /**< in force at this host */
+	struct config *config; /**< in force at this host */
 	struct job *jobs;
 	struct job *loading; /**< read from the store, on no list yet */
 	struct runner *runners;
@@ -135,7 +135,7 @@
     uint64_t commit_version, uint64_t commit_seq);
 /** Leads no longer; waiting callers are answered. */
 void cell_resign(struct cell *c);
-void cell_set_manifest(struct cell *c, struct manifest *m);
+void cell_set_config(struct cell *c, struct config *m);
 void cell_set_hosts(struct cell *c, const char (*hosts)[64], int n);
 void cell_set_runners(struct cell *c, const struct runner_info *infos, int n);
 /** Whether the store has failed the last commit. */
--- a/src/cell/jobs.c
+++ b/src/cell/jobs.c
@@ -31,9 +31,8 @@
 void
 cell_apply_queue(struct cell *c, struct job *j)
 {
-	const struct queue *q = c->manifest != NULL
-	    ? manifest_queue(c->manifest, j->row->queue)
-	    : NULL;
+	const struct queue *q =
+	    c->config != NULL ? config_queue(c->config, j->row->queue) : NULL;
 
 	j->queue = q;
 	if (q == NULL)
@@ -210,9 +209,8 @@
 refuse(struct cell *c, const char *id, const Cc__JobRow *row, const char *why,
     cell_fn fn, void *arg)
 {
-	const struct queue *q = c->manifest != NULL
-	    ? manifest_queue(c->manifest, row->queue)
-	    : NULL;
+	const struct queue *q =
+	    c->config != NULL ? config_queue(c->config, row->queue) : NULL;
 	struct cell_answer a = {
 	    .error = CC_EBUSY, .retry_after_ms = cell_retry_after_ms(q, row)};
 
--- a/src/cell/parts.h
+++ b/src/cell/parts.h
@@ -33,7 +33,7 @@
 void cell_end_job(struct cell *c, struct job *j, enum job_state state);
 void cell_forget_job(struct cell *c, struct job *j);
 void cell_due_occurrences(struct cell *c);
-/** Takes the terms of the job's queue from the manifest. */
+/** Takes the terms of the job's queue from the configuration. */
 void cell_apply_queue(struct cell *c, struct job *j);
 
 /* ends.c */
--- a/src/cell/place.c
+++ b/src/cell/place.c
@@ -353,7 +353,7 @@
 	struct ranked *ranked;
 	size_t i, n;
 
-	if (TAILQ_EMPTY(&c->steps) || c->manifest == NULL)
+	if (TAILQ_EMPTY(&c->steps) || c->config == NULL)
 		return;
 	ranked = rank_steps(c, now, &n);
 	for (i = 0; i < n; i++)
--- a/src/ctl/cmd_cell.c
+++ b/src/ctl/cmd_cell.c
@@ -14,7 +14,7 @@
     {"leads", "LEADS", COL_BOOL},
     {"leaving", "LEAVING", COL_BOOL},
     {"beat_ms_ago", "BEAT MS AGO", COL_INT},
-    {"manifest", "MANIFEST", COL_INT},
+    {"config", "CONFIG", COL_INT},
     {NULL, NULL, COL_TEXT},
 };
 
@@ -76,8 +76,8 @@
 	    json_is_true(json_object_get(j, "ready")) ? "ready" : "not ready",
 	    json_get_text(j, "leader"), (long long)json_get_int(j, "fence"),
 	    (long long)json_get_int(j, "generation"));
-	printf("manifest %lld, %lld members, %lld runners, %lld jobs, store %s",
-	    (long long)json_get_int(j, "manifest_version"),
+	printf("config %lld, %lld members, %lld runners, %lld jobs, store %s",
+	    (long long)json_get_int(j, "config_version"),
 	    (long long)json_get_int(j, "members"),
 	    (long long)json_get_int(j, "runners"),
 	    (long long)json_get_int(j, "jobs"),
--- a/src/member/calls.c
+++ b/src/member/calls.c
@@ -2,7 +2,7 @@
  * Callers' calls on their way to the leader.
  *
  * Every call is idempotent by the job's id, so it may be passed on again when
- * the leader changes. A submission that was passed on and has no answer may
+ * the leader changes. A job that was passed on and has no answer may
  * have been accepted: it is never refused, only left without an outcome.
  */
 #include <stdlib.h>
@@ -98,7 +98,7 @@
 		again_later(k);
 		return;
 	case CC_EBUSY:
-		/* The leader knows of every submission that was stored. */
+		/* The leader knows of every job that was stored. */
 		if (k->verb == CALL_SUBMIT)
 			finish(k, a);
 		else
--- /dev/null
+++ b/src/member/config.c
@@ -0,0 +1,96 @@
+/* The configuration in force: from the store, or from a peer that has a newer.
+ */
+#include <stdlib.h>
+#include <string.h>
+
+#include "../base/err.h"
+#include "../base/kvlog.h"
+#include "../base/xalloc.h"
+#include "../sys/clock.h"
+#include "parts.h"
+
+#define ASK_EVERY_MS 300
+#define ASK_TIMEOUT_MS 1000
+
+static void
+set_config(struct member *m, struct config *new, const void *value, size_t len,
+    const char *from)
+{
+	if (m->config != NULL) {
+		config_done(m->config);
+		free(m->config);
+	}
+	free(m->config_text);
+	m->config = new;
+	m->config_text = xmalloc(len + 1);
+	memcpy(m->config_text, value, len);
+	m->config_text[len] = '\0';
+	m->config_len = len;
+	cell_set_config(&m->cell, m->ports.config_decode(value, len));
+	kvlog(KVLOG_INFO, "config_in_force", "version=%llu queues=%d from=%s",
+	    (unsigned long long)new->version, new->nqueues, from);
+}
+
+void
+member_take_config(
+    struct member *m, const void *value, size_t len, const char *from)
+{
+	struct config *new = m->ports.config_decode(value, len);
+
+	if (new == NULL)
+		return;
+	if (m->config == NULL || new->version > m->config->version) {
+		set_config(m, new, value, len, from);
+		return;
+	}
+	config_done(new);
+	free(new);
+}
+
+void
+member_config_row(const struct row *row, void *arg)
+{
+	struct member *m = arg;
+
+	if (row->deleted || !m->ports.config_is(row))
+		return;
+	member_take_config(m, row->value, row->len, "store");
+}
+
+static void
+on_config(int err, const Cc__Frame *f, void *arg)
+{
+	struct member *m = arg;
+
+	if (err != CC_OK || f->body_case != CC__FRAME__BODY_CONF ||
+	    f->conf->version == 0)
+		return;
+	member_take_config(m, f->conf->text, strlen(f->conf->text), "peer");
+}
+
+void
+member_ask_config(struct member *m)
+{
+	uint64_t have = m->config != NULL ? m->config->version : 0;
+	int64_t now = clock_boot_ms();
+	const struct other *best = NULL;
+	Cc__Frame f = CC__FRAME__INIT;
+	Cc__ConfGet get = CC__CONF_GET__INIT;
+	int i;
+
+	if (now - m->config_asked_ms < ASK_EVERY_MS)
+		return;
+	for (i = 0; i < m->nothers; i++)
+		if (m->others[i].config_version > have &&
+		    member_linked(m, m->others[i].host) &&
+		    (best == NULL ||
+			m->others[i].config_version > best->config_version))
+			best = &m->others[i];
+	if (best == NULL)
+		return;
+	m->config_asked_ms = now;
+	get.have = have;
+	f.body_case = CC__FRAME__BODY_CONF_GET;
+	f.conf_get = &get;
+	peer_call(m->peers, best->host, &f, ASK_TIMEOUT_MS, on_config, m);
+}
--- a/src/member/member.c
+++ b/src/member/member.c
@@ -56,7 +56,7 @@
 	member_write_row(m);
 	member_lead_tick(m);
 	member_beat(m);
-	member_ask_manifest(m);
+	member_ask_config(m);
 	member_registry_tick(m);
 	member_calls_tick(m);
 	if (member_leads(m)) {
@@ -125,7 +125,7 @@
 {
 	struct member *m = xcalloc(1, sizeof(*m));
 	struct timeval tv = {0, TICK_MS * 1000};
-	static const char *manifest_parts[2];
+	static const char *config_parts[2];
 
 	m->base = base;
 	m->settings = s;
@@ -143,14 +143,14 @@
 	}
 	m->member_row_ms = 1;
 	m->started_ms = clock_boot_ms();
-	manifest_parts[0] = p->manifest_part;
+	config_parts[0] = p->config_part;
 	m->wake = evtimer_new(base, on_wake, m);
 	m->tick = event_new(base, -1, EV_PERSIST, on_tick, m);
 	event_add(m->tick, &tv);
 	m->members = follow_new(base, p->store, MEMBER_TABLE, member_parts,
 	    FOLLOW_WAIT_MS, member_row, m);
-	m->manifests = follow_new(base, p->store, p->manifest_table,
-	    manifest_parts, FOLLOW_WAIT_MS, member_manifest_row, m);
+	m->configs = follow_new(base, p->store, p->config_table, config_parts,
+	    FOLLOW_WAIT_MS, member_config_row, m);
 	return m;
 }
 
@@ -162,13 +162,13 @@
 	event_free(m->tick);
 	event_free(m->wake);
 	follow_delete(m->members);
-	follow_delete(m->manifests);
+	follow_delete(m->configs);
 	peer_net_delete(m->peers);
-	if (m->manifest != NULL) {
-		manifest_done(m->manifest);
-		free(m->manifest);
+	if (m->config != NULL) {
+		config_done(m->config);
+		free(m->config);
 	}
-	free(m->manifest_text);
+	free(m->config_text);
 	free(m);
 }
 
@@ -186,14 +186,14 @@
 bool
 member_ready(const struct member *m)
 {
-	if (m->leaving || m->manifest == NULL)
+	if (m->leaving || m->config == NULL)
 		return false;
 	return member_leads(m) ||
 	    (m->leader.known && member_linked(m, m->leader.host));
 }
 
-const struct manifest *
-member_manifest(const struct member *m)
+const struct config *
+member_config(const struct member *m)
 {
-	return m->manifest;
+	return m->config;
 }
--- a/src/member/member.h
+++ b/src/member/member.h
@@ -1,7 +1,7 @@
 /**
  * @file One daemon of a cell: follows the leader, or leads.
  *
- * Knows the other members and the manifest, beats to them, claims the lead
+ * Knows the other members and the config, beats to them, claims the lead
  * when it is free, and passes callers' calls to the leader.
  */
 #ifndef MEMBER_H
@@ -22,10 +22,10 @@
 	/** Asks the advice service from this host. */
 	void (*advise)(void *arg, const char *step, const char *const *runners,
 	    int nrunners, int64_t timeout_ms, advice_fn fn, void *fn_arg);
-	const char *manifest_table;
-	const char *manifest_part;
-	bool (*manifest_is)(const struct row *row);
-	struct manifest *(*manifest_decode)(const void *value, size_t len);
+	const char *config_table;
+	const char *config_part;
+	bool (*config_is)(const struct row *row);
+	struct config *(*config_decode)(const void *value, size_t len);
 	const char *registry_table;
 	const char *registry_part;
 	bool (*registry_decode)(const struct row *row, struct runner_info *out);
@@ -55,8 +55,8 @@
 void member_leave(struct member *m);
 /** Whether new callers should be sent here. */
 bool member_ready(const struct member *m);
-/** The manifest in force here; NULL before the first. */
-const struct manifest *member_manifest(const struct member *m);
+/** The configuration in force here; NULL before the first. */
+const struct config *member_config(const struct member *m);
 /** @p fn is called once, perhaps before this returns. */
 void member_call(
     struct member *m, const struct member_call *call, cell_fn fn, void *arg);
--- a/src/member/members.c
+++ b/src/member/members.c
@@ -234,8 +234,7 @@
 		b.generation = m->leader.generation;
 		b.leaving = m->leaving;
 		b.stalled = b.leads && is_stalled(m, now);
-		b.manifest_version =
-		    m->manifest != NULL ? m->manifest->version : 0;
+		b.config_version = m->config != NULL ? m->config->version : 0;
 		f.body_case = CC__FRAME__BODY_CELL_BEAT;
 		f.cell_beat = &b;
 		peer_call(m->peers, m->others[i].host, &f, BEAT_TIMEOUT_MS,
@@ -257,7 +256,7 @@
 	o->stalled = b->stalled;
 	o->leaving = b->leaving;
 	o->fence = b->fence;
-	o->manifest_version = b->manifest_version;
+	o->config_version = b->config_version;
 	if (b->leads && b->fence > m->leader.version)
 		member_leader_told(m, host, b);
 	if (b->leads && member_leads(m) && b->fence > m->cell.fence) {
@@ -280,14 +279,14 @@
 }
 
 static void
-reply_manifest(struct member *m, const struct peer_request *rq)
+reply_config(struct member *m, const struct peer_request *rq)
 {
 	Cc__Frame f = CC__FRAME__INIT;
 	Cc__Conf c = CC__CONF__INIT;
 
-	c.version = m->manifest != NULL ? m->manifest->version : 0;
-	if (m->manifest_text != NULL)
-		c.text = m->manifest_text;
+	c.version = m->config != NULL ? m->config->version : 0;
+	if (m->config_text != NULL)
+		c.text = m->config_text;
 	f.body_case = CC__FRAME__BODY_CONF;
 	f.conf = &c;
 	peer_reply(m->peers, rq, &f);
@@ -310,7 +309,7 @@
 		member_serve_advise(m, rq, f->advise_call);
 		break;
 	case CC__FRAME__BODY_CONF_GET:
-		reply_manifest(m, rq);
+		reply_config(m, rq);
 		break;
 	default:
 		reply_ack(m, rq);
--- a/src/member/parts.h
+++ b/src/member/parts.h
@@ -25,7 +25,7 @@
 	bool stalled;
 	bool leaving;
 	uint64_t fence;
-	uint64_t manifest_version;
+	uint64_t config_version;
 };
 
 /** The leader's row as last read. */
@@ -57,17 +57,17 @@
 	char incarnation[32];
 	struct peer_net *peers;
 	struct follow *members;
-	struct follow *manifests;
+	struct follow *configs;
 	struct cell cell;
 	enum member_state state;
 	struct leader leader;
 	struct other others[MEMBERS_MAX];
 	int nothers;
-	/* manifest */
-	char *manifest_text;
-	size_t manifest_len;
-	struct manifest *manifest; /**< of this host; the cell has its own */
-	int64_t manifest_asked_ms;
+	/* config */
+	char *config_text;
+	size_t config_len;
+	struct config *config; /**< of this host; the cell has its own */
+	int64_t config_asked_ms;
 	/* watch of the leader's commits */
 	bool watching;
 	uint64_t watched_version;
@@ -120,11 +120,11 @@
 void member_deposed(void *arg);
 bool member_leads(const struct member *m);
 
-/* manifest.c */
-void member_manifest_row(const struct row *row, void *arg);
-void member_take_manifest(
+/* config.c */
+void member_config_row(const struct row *row, void *arg);
+void member_take_config(
     struct member *m, const void *value, size_t len, const char *from);
-void member_ask_manifest(struct member *m);
+void member_ask_config(struct member *m);
 
 /* registry.c */
 void member_registry_tick(struct member *m);
--- a/src/member/view.c
+++ b/src/member/view.c
@@ -23,10 +23,10 @@
 	    m->settings->host, "zone", m->settings->zone, "phase",
 	    phases[c->phase], "ready", member_ready(m), "leader",
 	    m->leader.host, "fence", (json_int_t)m->leader.version,
-	    "generation", (int)m->leader.generation, "manifest_version",
-	    (json_int_t)(m->manifest != NULL ? m->manifest->version : 0),
-	    "members", m->nothers + 1, "runners", (int)HASH_COUNT(c->runners),
-	    "jobs", (int)HASH_COUNT(c->jobs), "committed_ms_ago",
+	    "generation", (int)m->leader.generation, "config_version",
+	    (json_int_t)(m->config != NULL ? m->config->version : 0), "members",
+	    m->nothers + 1, "runners", (int)HASH_COUNT(c->runners), "jobs",
+	    (int)HASH_COUNT(c->jobs), "committed_ms_ago",
 	    (json_int_t)(member_leads(m) ? now - c->committed_ms : -1),
 	    "store_down", cell_store_fails(c));
 }
@@ -47,7 +47,7 @@
 			"linked", member_linked(m, o->host), "leads", o->leads,
 			"leaving", o->leaving, "beat_ms_ago",
 			(json_int_t)(o->beat_ms != 0 ? now - o->beat_ms : -1),
-			"manifest", (json_int_t)o->manifest_version));
+			"config", (json_int_t)o->config_version));
 	}
 	return list;
 }
--- a/src/ports/ports.h
+++ b/src/ports/ports.h
@@ -76,7 +76,7 @@
 	ORDER_OK,
 	ORDER_FENCED, /**< a newer leader has been there */
 	ORDER_OLD,    /**< this run or a later one ended there */
-	ORDER_LATE,   /**< it arrived past its time limit */
+	ORDER_LATE,   /**< it arrived past its deadline */
 	ORDER_NO_ROOM,
 	ORDER_NO_TICKET,
 	ORDER_UNHEALTHY,  /**< nothing was done; the runner is not well */
--- a/src/protocol/peer.pb-c.c
+++ b/src/protocol/peer.pb-c.c
@@ -6575,12 +6575,12 @@
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "manifest_version",
+    "config_version",
     5,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Cc__CellBeat, manifest_version),
+    offsetof(Cc__CellBeat, config_version),
     NULL,
     NULL,
     0,             /* flags */
@@ -6612,12 +6612,12 @@
   },
 };
 static const unsigned cc__cell_beat__field_indices_by_name[] = {
+  4,   /* field[4] = config_version */
   2,   /* field[2] = fence */
   6,   /* field[6] = generation */
   0,   /* field[0] = incarnation */
   1,   /* field[1] = leads */
   3,   /* field[3] = leaving */
-  4,   /* field[4] = manifest_version */
   5,   /* field[5] = stalled */
 };
 static const ProtobufCIntRange cc__cell_beat__number_ranges[1 + 1] =
--- a/src/protocol/peer.pb-c.h
+++ b/src/protocol/peer.pb-c.h
@@ -883,7 +883,7 @@
   protobuf_c_boolean leads;
   uint64_t fence;
   protobuf_c_boolean leaving;
-  uint64_t manifest_version;
+  uint64_t config_version;
   /*
    * the store doesn't answer its commits
    */
--- a/src/state/manifest.c
+++ b/src/state/config.c
@@ -1,4 +1,4 @@
-#include "manifest.h"
+#include "config.h"
 
 #include <stdlib.h>
 #include <string.h>
@@ -7,17 +7,17 @@
 #include "../base/xalloc.h"
 
 void
-manifest_init(struct manifest *m)
+config_init(struct config *m)
 {
 	memset(m, 0, sizeof(*m));
 }
 
 void
-manifest_done(struct manifest *m)
+config_done(struct config *m)
 {
 	free(m->queues);
 	free(m->services);
-	manifest_init(m);
+	config_init(m);
 }
 
 /* The header may carry a port behind the name. */
@@ -31,7 +31,7 @@
 }
 
 const struct queue *
-manifest_route(const struct manifest *m, const char *host, const char *path)
+config_route(const struct config *m, const char *host, const char *path)
 {
 	const struct queue *best = NULL;
 	size_t best_len = 0;
@@ -53,7 +53,7 @@
 }
 
 void
-manifest_keep(struct manifest *m, const struct queue *q)
+config_keep(struct config *m, const struct queue *q)
 {
 	m->queues =
 	    xrealloc(m->queues, (size_t)(m->nqueues + 1) * sizeof(*m->queues));
@@ -61,7 +61,7 @@
 }
 
 const struct queue *
-manifest_queue(const struct manifest *m, const char *name)
+config_queue(const struct config *m, const char *name)
 {
 	int i;
 
--- a/src/state/manifest.h
+++ b/src/state/config.h
@@ -1,8 +1,8 @@
 /**
- * @file Manifest of a cell: queues, services, limits, with its version.
+ * @file Config of a cell: queues, services, limits, with its version.
  */
-#ifndef MANIFEST_H
-#define MANIFEST_H
+#ifndef CONFIG_H
+#define CONFIG_H
 
 #include <stdbool.h>
 #include <stddef.h>
@@ -35,7 +35,7 @@
 	bool admission_check; /**< its runners refuse what doesn't fit */
 };
 
-struct manifest {
+struct config {
 	uint64_t version; /**< 0: none is known */
 	struct queue *queues;
 	int nqueues;
@@ -45,13 +45,13 @@
 	int64_t max_header_bytes;
 };
 
-void manifest_init(struct manifest *m);
-void manifest_done(struct manifest *m);
+void config_init(struct config *m);
+void config_done(struct config *m);
 /** Longest prefix of that host that the path begins with; NULL for none. */
-const struct queue *manifest_route(
-    const struct manifest *m, const char *host, const char *path);
-const struct queue *manifest_queue(const struct manifest *m, const char *name);
-/** Adds a queue that a manifest before had, for work accepted then. */
-void manifest_keep(struct manifest *m, const struct queue *q);
+const struct queue *config_route(
+    const struct config *m, const char *host, const char *path);
+const struct queue *config_queue(const struct config *m, const char *name);
+/** Adds a queue that a configuration before had, for work accepted then. */
+void config_keep(struct config *m, const struct queue *q);
 
 #endif
--- a/src/state/job.h
+++ b/src/state/job.h
@@ -86,9 +86,10 @@
 	bool in_commit;		     /**< a commit under way carries it */
 	int64_t accepted_ms;
 	int64_t ended_ms;
-	int64_t due_ms;		   /**< latency objective, absolute */
-	int64_t chain_ms;	   /**< estimate of its longest chain */
-	const struct queue *queue; /**< in the manifest in force; may be NULL */
+	int64_t due_ms;	  /**< latency objective, absolute */
+	int64_t chain_ms; /**< estimate of its longest chain */
+	const struct queue
+	    *queue; /**< in the configuration in force; may be NULL */
 	int priority;
 	uint32_t max_attempts;
 	TAILQ_ENTRY(job) dirty_link;
--- a/tests/cellstandin/main.c
+++ b/tests/cellstandin/main.c
@@ -31,7 +31,7 @@
 	struct runner_sim *runners[RUNNERS_MAX];
 	int nrunners;
 	struct record record;
-	int version; /**< of the manifest */
+	int version; /**< of the configuration */
 };
 
 int64_t
@@ -104,7 +104,7 @@
 }
 
 static void
-put_manifest(struct standin *s)
+put_config(struct standin *s)
 {
 	json_t *advice = json_pack("{s:f,s:f,s:i}", "decision_ms", 5.0,
 	    "period_ms", 0.1, "validity_ms", 2500);
@@ -159,8 +159,8 @@
 		else
 			store_sim_fault(s->store, fault_mode_of(v));
 	}
-	if (query_get(&q, "manifest") != NULL)
-		put_manifest(s);
+	if (query_get(&q, "config") != NULL)
+		put_config(s);
 	set_runner_fault(s, &q);
 	evhttp_clear_headers(&q);
 	reply_json(req, 200, json_object());
@@ -224,7 +224,7 @@
 		fprintf(stderr, "cellstandin: port %d is taken\n", port);
 		return 1;
 	}
-	put_manifest(&s);
+	put_config(&s);
 	event_base_dispatch(base);
 	return 0;
 }
--- a/tests/soak/faults.c
+++ b/tests/soak/faults.c
@@ -205,7 +205,7 @@
 	else if (kind < 18)
 		fault_runner(s, ms);
 	else if (kind == 18)
-		control(s, "manifest=1");
+		control(s, "config=1");
 	else
 		kill_all(s, ms);
 	faults_start(s);
--- a/tests/unit/main.c
+++ b/tests/unit/main.c
@@ -51,7 +51,7 @@
     {"parts", "urgency", test_urgency},
     {"parts", "claim", test_claim},
     {"parts", "pacing", test_pacing},
-    {"parts", "manifest", test_manifest},
+    {"parts", "config", test_config},
     {"parts", "registry", test_registry},
     {"parts", "cell settings", test_cell_settings},
 };
--- a/tests/unit/parts_test.c
+++ b/tests/unit/parts_test.c
@@ -1,4 +1,4 @@
-/* Job model, lanes, urgency, claims, manifest: decisions without a cell. */
+/* Job model, lanes, urgency, claims, config: decisions without a cell. */
 #include <CUnit/CUnit.h>
 #include <stdlib.h>
 #include <string.h>
@@ -261,7 +261,7 @@
 	CU_ASSERT_DOUBLE_EQUAL(pacing_tail_share(90, 0), 0.0, 0.001);
 }
 
-static const char manifest_text[] =
+static const char config_text[] =
     "{\"version\":7,\"routes\":[{\"name\":\"a\",\"host\":\"h.example\","
     "\"prefix\":\"/x/\",\"service\":\"s\",\"priority\":0,\"stretch\":1.5,"
     "\"target_latency_ms\":250,\"max_attempts\":3,\"advice\":{"
@@ -272,26 +272,25 @@
     "\"limits\":{\"max_body_bytes\":262144}}";
 
 void
-test_manifest(void)
+test_config(void)
 {
-	struct manifest *m =
-	    manifest_decode(manifest_text, sizeof(manifest_text) - 1);
+	struct config *m = config_decode(config_text, sizeof(config_text) - 1);
 	const struct queue *q;
 
 	CU_ASSERT_PTR_NOT_NULL_FATAL(m);
 	CU_ASSERT_EQUAL(m->version, 7);
-	q = manifest_route(m, "h.example", "/x/y/1");
+	q = config_route(m, "h.example", "/x/y/1");
 	CU_ASSERT_STRING_EQUAL(q->name, "b");
 	CU_ASSERT(!q->advice.needed);
-	q = manifest_route(m, "h.example:80", "/x/1");
+	q = config_route(m, "h.example:80", "/x/1");
 	CU_ASSERT_STRING_EQUAL(q->name, "a");
 	CU_ASSERT(q->advice.needed);
 	CU_ASSERT_EQUAL(q->advice.validity_ms, 2500);
-	CU_ASSERT_PTR_NULL(manifest_route(m, "other", "/x/1"));
-	CU_ASSERT_PTR_NULL(manifest_route(m, "h.example", "/z/"));
-	manifest_done(m);
+	CU_ASSERT_PTR_NULL(config_route(m, "other", "/x/1"));
+	CU_ASSERT_PTR_NULL(config_route(m, "h.example", "/z/"));
+	config_done(m);
 	free(m);
-	CU_ASSERT_PTR_NULL(manifest_decode("[]", 2));
+	CU_ASSERT_PTR_NULL(config_decode("[]", 2));
 }
 
 /* Entries of another writer name no runner and hurt none. */
--- a/tests/unit/unit.h
+++ b/tests/unit/unit.h
@@ -46,7 +46,7 @@
 void test_urgency(void);
 void test_claim(void);
 void test_pacing(void);
-void test_manifest(void);
+void test_config(void);
 void test_registry(void);
 void test_cell_settings(void);
 
--- a/tests/world/world.c
+++ b/tests/world/world.c
@@ -1264,8 +1264,8 @@
 	cell_resign(&((struct world_cell *)arg)->cell);
 }
 
-static struct manifest *
-make_manifest(void)
+static struct config *
+make_config(void)
 {
 	static const struct queue queues[] = {
 	    {.name = "urgent",
@@ -1291,7 +1291,7 @@
 		    .runner_ms = 0.3,
 		    .validity_ms = 2500}},
 	};
-	struct manifest *m = xcalloc(1, sizeof(*m));
+	struct config *m = xcalloc(1, sizeof(*m));
 
 	m->version = 1;
 	m->nqueues = sizeof(queues) / sizeof(queues[0]);
@@ -1327,7 +1327,7 @@
 	c->world = w;
 	c->alive = true;
 	cell_init(&c->cell, &terms, &ports, name);
-	cell_set_manifest(&c->cell, make_manifest());
+	cell_set_config(&c->cell, make_config());
 	cell_set_hosts(&c->cell, (const char(*)[64])hosts, 2);
 }
 
