--- a/tests/prop/cells.cc
+++ b/tests/prop/cells.cc
@@ -100,8 +100,13 @@
 	world_run(w, 60000);
 }
 
-bool
-check_schedule(uint32_t seed, const std::vector<happening> &list,
+struct verdict {
+	bool kept;	   // no promise broken, all that was accepted ended
+	bool numbers_rose; // every start had a number of its own
+};
+
+verdict
+run_schedule(uint32_t seed, const std::vector<happening> &list,
     const struct world_faults &faults)
 {
 	struct world *w = world_new(seed, RUNNERS);
@@ -117,9 +122,30 @@
 	for (auto &h : list)
 		happen(w, h, &jobs);
 	heal(w);
-	bool ok = world_broken(w) == 0 && world_all_ended(w);
+	verdict v = {world_broken(w) == 0 && world_all_ended(w),
+	    world_repeated_numbers(w) == 0};
 	world_delete(w);
-	return ok;
+	return v;
+}
+
+verdict
+any_schedule()
+{
+	struct world_faults f = {};
+	f.store_lost = *in_range(0, 60);
+	f.store_late = *in_range(0, 60);
+	f.store_refused = *in_range(0, 60);
+	f.order_lost = *in_range(0, 60);
+	f.order_dropped = *in_range(0, 60);
+	f.order_late = *in_range(0, 60);
+	f.order_refused = *in_range(0, 60);
+	f.run_fails = *in_range(0, 60);
+	auto seed = *in_range<uint32_t>(1, 1000000);
+	auto n = *in_range(5, 40);
+	std::vector<happening> list;
+	for (int i = 0; i < n; i++)
+		list.push_back(gen_happening());
+	return run_schedule(seed, list, f);
 }
 
 } // namespace
@@ -127,22 +153,10 @@
 bool
 prop_cells()
 {
-	return property(
-	    "a cell keeps its promises under faults", rc::check("cells", [] {
-		    struct world_faults f = {};
-		    f.store_lost = *in_range(0, 60);
-		    f.store_late = *in_range(0, 60);
-		    f.store_refused = *in_range(0, 60);
-		    f.order_lost = *in_range(0, 60);
-		    f.order_dropped = *in_range(0, 60);
-		    f.order_late = *in_range(0, 60);
-		    f.order_refused = *in_range(0, 60);
-		    f.run_fails = *in_range(0, 60);
-		    auto seed = *in_range<uint32_t>(1, 1000000);
-		    auto n = *in_range(5, 40);
-		    std::vector<happening> list;
-		    for (int i = 0; i < n; i++)
-			    list.push_back(gen_happening());
-		    RC_ASSERT(check_schedule(seed, list, f));
-	    }));
+	bool kept = property("a cell keeps its promises under faults",
+	    rc::check("cells", [] { RC_ASSERT(any_schedule().kept); }));
+	bool rose = property("no start repeats a number in another life",
+	    rc::check(
+		"numbers", [] { RC_ASSERT(any_schedule().numbers_rose); }));
+	return kept && rose;
 }
--- a/tests/scripts/mutants.sh
+++ b/tests/scripts/mutants.sh
@@ -69,7 +69,8 @@
 		echo "ok noticed by unit: $1 $2"
 		PASSED=$((PASSED + 1))
 	elif ! (cd "$COPY" && RC_PARAMS="seed=3 max_success=4000 noshrink=1" \
-	    timeout 120 build/prop cells > prop.out 2>&1); then
+	    timeout 120 build/prop cells > prop.out 2>&1
+	    grep -q "^ok a cell keeps" prop.out); then
 		echo "ok noticed by schedules: $1 $2"
 		PASSED=$((PASSED + 1))
 	else
--- a/tests/world/world.c
+++ b/tests/world/world.c
@@ -130,6 +130,7 @@
 	struct world_job jobs[JOBS_MAX];
 	int njobs;
 	int broken;
+	int repeated_numbers;
 	bool loud;
 	int advice_calls;
 	int holds;
@@ -504,6 +505,7 @@
 			return;
 		str_copy(w->starts[w->nstarts++].task, o->task, TASK_NAME_LEN);
 	}
+	w->repeated_numbers += !late && o->run <= w->starts[i].run;
 	/* A start without an answer is repeated as it is, and may then reach
 	 * the next life of the same runner. */
 	if (!late &&
@@ -1715,6 +1717,12 @@
 	return w->broken;
 }
 
+int
+world_repeated_numbers(const struct world *w)
+{
+	return w->repeated_numbers;
+}
+
 void
 world_loud(struct world *w, bool loud)
 {
