--- a/tests/cellstandin/runner_sim.c
+++ b/tests/cellstandin/runner_sim.c
@@ -388,22 +388,34 @@
 		reply_json(req, 200, with_clock(r, json_object()));
 }
 
-static void
-on_stop(struct evhttp_request *req, void *arg)
+/* The order's body; NULL when it was answered already, or never will be. */
+static json_t *
+take_order(struct runner_sim *r, struct evhttp_request *req)
 {
-	struct runner_sim *r = arg;
-	struct sim_run *n;
 	json_t *b;
 
 	if (fails(r, req))
-		return;
+		return NULL;
 	b = request_json(req);
 	if (number(b, "fencing_token") < r->fence) {
 		refuse(r, req, "fence");
 		json_decref(b);
-		return;
+		return NULL;
 	}
 	r->fence = number(b, "fencing_token");
+	return b;
+}
+
+static void
+on_stop(struct evhttp_request *req, void *arg)
+{
+	struct runner_sim *r = arg;
+	struct sim_run *n;
+	json_t *b;
+
+	b = take_order(r, req);
+	if (b == NULL)
+		return;
 	bar(r, text(b, "task"), (int)number(b, "run"));
 	TAILQ_FOREACH (n, &r->runs, link)
 		if (n->run == number(b, "run") &&
@@ -433,15 +445,9 @@
 	struct sim_hold *h;
 	json_t *b;
 
-	if (fails(r, req))
-		return;
-	b = request_json(req);
-	if (number(b, "fencing_token") < r->fence) {
-		refuse(r, req, "fence");
-		json_decref(b);
+	b = take_order(r, req);
+	if (b == NULL)
 		return;
-	}
-	r->fence = number(b, "fencing_token");
 	prolong(r, number(b, "until_ms"));
 	acknowledge(r, (uint64_t)number(b, "last_seen"));
 	h = xcalloc(1, sizeof(*h));
--- a/tests/scripts/mutants.sh
+++ b/tests/scripts/mutants.sh
@@ -9,14 +9,24 @@
 cp -r "$ROOT/src" "$ROOT/platform" "$ROOT/tests" "$ROOT/Makefile" "$COPY"
 [ -d "$ROOT/build" ] && cp -rp "$ROOT/build" "$COPY"
 
-mutant() { # FILE SED-EXPRESSION
+# change FILE SED-EXPRESSION: fails when no line is changed by it
+change() {
 	cp "$COPY/$1" "$COPY/saved"
 	sed -i "$2" "$COPY/$1"
 	if cmp -s "$COPY/$1" "$COPY/saved"; then
 		echo "not ok no such line any more: $1 $2"
 		FAILED=$((FAILED + 1))
-		return
+		return 1
 	fi
+}
+
+undo() { # FILE
+	cp "$COPY/saved" "$COPY/$1"
+	touch "$COPY/$1"
+}
+
+mutant() { # FILE SED-EXPRESSION
+	change "$1" "$2" || return
 	if make -s -C "$COPY" build/prop > "$COPY/make.out" 2>&1 &&
 	    (cd "$COPY" && timeout 120 build/prop > prop.out 2>&1); then
 		echo "not ok nobody noticed: $1 $2"
@@ -26,19 +36,12 @@
 		    "$COPY/prop.out" | head -1))"
 		PASSED=$((PASSED + 1))
 	fi
-	cp "$COPY/saved" "$COPY/$1"
-	touch "$COPY/$1"
+	undo "$1"
 }
 
 # daemon_mutant FILE SED-EXPRESSION SCRIPT: a scripted test must notice
 daemon_mutant() {
-	cp "$COPY/$1" "$COPY/saved"
-	sed -i "$2" "$COPY/$1"
-	if cmp -s "$COPY/$1" "$COPY/saved"; then
-		echo "not ok no such line any more: $1 $2"
-		FAILED=$((FAILED + 1))
-		return
-	fi
+	change "$1" "$2" || return
 	if make -s -C "$COPY" all > "$COPY/make.out" 2>&1 &&
 	    PLATFORM=14000 DRAIN=15 timeout 240 "$COPY/tests/scripts/$3.sh" \
 		> "$COPY/script.out" 2>&1; then
@@ -49,19 +52,12 @@
 		    "$COPY/script.out" | head -1))"
 		PASSED=$((PASSED + 1))
 	fi
-	cp "$COPY/saved" "$COPY/$1"
-	touch "$COPY/$1"
+	undo "$1"
 }
 
 # cell_mutant FILE SED-EXPRESSION: the unit tests or the schedules must notice
 cell_mutant() {
-	cp "$COPY/$1" "$COPY/saved"
-	sed -i "$2" "$COPY/$1"
-	if cmp -s "$COPY/$1" "$COPY/saved"; then
-		echo "not ok no such line any more: $1 $2"
-		FAILED=$((FAILED + 1))
-		return
-	fi
+	change "$1" "$2" || return
 	if ! make -s -C "$COPY" build/prop build/unit > "$COPY/make.out" 2>&1; then
 		echo "not ok doesn't build: $1 $2"
 		FAILED=$((FAILED + 1))
@@ -77,8 +73,7 @@
 		echo "not ok nobody noticed: $1 $2"
 		FAILED=$((FAILED + 1))
 	fi
-	cp "$COPY/saved" "$COPY/$1"
-	touch "$COPY/$1"
+	undo "$1"
 }
 
 cells() {
