--- a/src/cell/advice.c
+++ b/src/cell/advice.c
@@ -52,7 +52,7 @@
 	return q->advice.decision_ms + q->advice.runner_ms * runners;
 }
 
-/* When the step's turn may come, as the steps before it tell. */
+/* When the step may become ready, as the steps before it tell. */
 static int64_t
 ask_from_ms(const struct step *s, const struct queue *q)
 {
@@ -87,7 +87,7 @@
 
 	if (a->asking || now < a->retry_ms || waiting == 0)
 		return false;
-	if (s->turn_ms == 0 && now < ask_from_ms(s, q))
+	if (s->ready_ms == 0 && now < ask_from_ms(s, q))
 		return false;
 	return granted_slots(c, s, &w) < waiting;
 }
@@ -120,8 +120,8 @@
 
 		if (g != NULL && g->standing == STANDING_DENIED)
 			continue;
-		if (s->turn_ms != 0 ? !placing_feasible(r, &w)
-				    : !placing_allowed(r, &w))
+		if (s->ready_ms != 0 ? !placing_feasible(r, &w)
+				     : !placing_allowed(r, &w))
 			continue;
 		out[n].runner = r;
 		out[n].slots = placing_slots(r, &w);
@@ -314,7 +314,7 @@
 	w->list[w->n++].step = s;
 }
 
-/* Steps that wait for their turn stand behind one that has it. */
+/* Steps that are not ready yet come after those that are. */
 static void
 add_later_wishes(struct cell *c, struct wishes *w, int64_t now)
 {
@@ -329,7 +329,7 @@
 			for (k = 1; k < j->row->n_steps; k++) {
 				struct step *s = &j->occurrences[i]->steps[k];
 
-				if (s->turn_ms == 0)
+				if (s->ready_ms == 0)
 					add_wish(c, w, s, now);
 			}
 	}
--- a/src/cell/commit.c
+++ b/src/cell/commit.c
@@ -15,7 +15,7 @@
 
 /** Commits are at least this far apart, so that each carries more. */
 #define COMMIT_GAP_MS 15
-/** A commit without changes shows that the leader lives. */
+/** A commit without changes shows that the leader is alive. */
 #define RENEW_MS 250
 #define COMMIT_TIMEOUT_MS 1000
 #define RETRY_MS 60
--- a/src/cell/drain.c
+++ b/src/cell/drain.c
@@ -23,7 +23,7 @@
 	s = run->task->step->spec;
 	if (s->long_running)
 		return true;
-	return s->saves_progress &&
+	return s->checkpoints &&
 	    left_ms(run->runner, now) <
 	    LEAVE_MARGIN_MS + c->terms.stop_grace_ms;
 }
--- a/src/cell/ends.c
+++ b/src/cell/ends.c
@@ -9,8 +9,8 @@
 /** A task that failed is not started again before this. */
 #define FAILED_PAUSE_MS 50
 
-static const char *const end_names[] = {
-    "done", "failed", "stopped", "lapsed", "broken", "alone", "lost"};
+static const char *const end_names[] = {"done", "failed", "stopped", "lapsed",
+    "peer-ended", "gang-timeout", "lost"};
 
 void
 task_save(struct task *t, const char *saved)
@@ -97,7 +97,7 @@
 		return;
 	if (s->spec->gang)
 		stop_gang(c, s);
-	if (s->turn_ms != 0)
+	if (s->ready_ms != 0)
 		cell_list_step(c, s);
 }
 
--- a/src/cell/holds.c
+++ b/src/cell/holds.c
@@ -11,7 +11,7 @@
 #include "../base/xalloc.h"
 #include "parts.h"
 
-/** Tails are looked at this often where work that fills may raise them. */
+/** Tails are looked at this often where best-effort work may raise them. */
 #define MIXED_WAIT_MS 400
 /** Pause before a hold is repeated that had no answer. */
 #define HOLD_RETRY_MS 200
@@ -53,9 +53,9 @@
 }
 
 /*
- * A new life knows nothing of the old one, and what ran there is gone. What
- * its next list lacks is lost; but a start without an answer may yet be done
- * in the new life, so a stop settles it there.
+ * A new incarnation knows nothing of the old one, and what ran there is gone.
+ * What its next list lacks is lost; but a start without an answer may yet be
+ * done in the new incarnation, so a stop settles it there.
  */
 void
 cell_runner_reset(struct cell *c, struct runner *r)
@@ -144,8 +144,6 @@
 	}
 	if (run->confirmed_ms == 0)
 		run->confirmed_ms = now;
-	if (run->at_work_ms == 0 && seen->percent >= 100)
-		run->at_work_ms = now;
 	if (run->task != NULL)
 		task_save(run->task, seen->saved);
 }
@@ -261,7 +259,7 @@
 		    r->heard_ms != 0 ? (long long)(now - r->heard_ms) : -1LL,
 		    r->nruns);
 	}
-	if (why == ORDER_OTHER_LIFE)
+	if (why == ORDER_OTHER_INCARNATION)
 		cell_runner_reset(c, r);
 }
 
--- a/src/cell/jobs.c
+++ b/src/cell/jobs.c
@@ -62,10 +62,10 @@
 	for (i = 0; i < o->job->row->n_steps; i++) {
 		struct step *s = &o->steps[i];
 
-		if (!step_has_turn(s))
+		if (!step_is_ready(s))
 			continue;
-		if (s->turn_ms == 0)
-			s->turn_ms = c->ports.now();
+		if (s->ready_ms == 0)
+			s->ready_ms = c->ports.now();
 		cell_list_step(c, s);
 	}
 }
--- a/src/cell/orders.c
+++ b/src/cell/orders.c
@@ -30,8 +30,8 @@
 };
 
 static const char *const result_names[] = {"ok", "fenced", "old", "late",
-    "no-room", "no-ticket", "unhealthy", "invalid", "other-life", "not-sent",
-    "unknown"};
+    "no-room", "no-ticket", "unhealthy", "invalid", "other-incarnation",
+    "not-sent", "unknown"};
 
 static struct target
 target_of(const struct runner *r)
@@ -78,7 +78,8 @@
 		cell_runner_reset(c, r);
 	if (clock_ms <= r->clock_ms)
 		return;
-	/* Orders meant for the life before may have prolonged this one's. */
+	/* Orders meant for the incarnation before may have prolonged this
+	 * one's. */
 	if (r->clock_at_ms == 0 && r->nruns > 0 &&
 	    r->lease_ms < clock_ms + c->terms.max_hold_ms)
 		r->lease_ms = clock_ms + c->terms.max_hold_ms;
@@ -192,7 +193,7 @@
 {
 	if (why == ORDER_NO_TICKET)
 		step_ticket_refused(run->task->step, run->runner);
-	else if (why != ORDER_OTHER_LIFE)
+	else if (why != ORDER_OTHER_INCARNATION)
 		avoid_runner(c, run->runner);
 	/* An earlier try of the same start may still arrive. */
 	if (run->orders > 1)
@@ -279,10 +280,10 @@
 	c->counters.starts++;
 	c->counters.copies += is_copy;
 	kvlog(KVLOG_INFO, "placed",
-	    "task=%s run=%u runner=%s copy=%d turn_age_ms=%lld due_in_ms=%lld "
+	    "task=%s run=%u runner=%s copy=%d ready_age_ms=%lld due_in_ms=%lld "
 	    "speed=%.2f",
 	    name, number, r->info.id, is_copy,
-	    (long long)(run->ordered_ms - s->turn_ms),
+	    (long long)(run->ordered_ms - s->ready_ms),
 	    (long long)(s->occurrence->job->due_ms - run->ordered_ms),
 	    r->speed);
 	send_start(c, run);
--- a/src/cell/pace.c
+++ b/src/cell/pace.c
@@ -1,4 +1,5 @@
-/* Slows work that fills beside work that serves, by the runner's lists. */
+/* Throttles best-effort work beside latency-sensitive work, by the runner's
+ * lists. */
 #include <stdlib.h>
 
 #include "../base/kvlog.h"
@@ -16,15 +17,15 @@
 };
 
 static bool
-serves(const struct run *run)
+has_tail_target(const struct run *run)
 {
-	return run->task != NULL && run->task->step->spec->target_ms > 0;
+	return run->task != NULL && run->task->step->spec->tail_target_ms > 0;
 }
 
 static bool
-fills(const struct run *run)
+is_best_effort(const struct run *run)
 {
-	return run->task != NULL && run->task->step->spec->fills &&
+	return run->task != NULL && run->task->step->spec->best_effort &&
 	    run->state == RUN_RUNNING;
 }
 
@@ -32,13 +33,13 @@
 runner_is_mixed(const struct runner *r)
 {
 	const struct run *run;
-	bool serving = false, filling = false;
+	bool sensitive = false, best_effort = false;
 
 	TAILQ_FOREACH (run, &r->runs, link) {
-		serving |= serves(run);
-		filling |= fills(run);
+		sensitive |= has_tail_target(run);
+		best_effort |= is_best_effort(run);
 	}
-	return serving && filling;
+	return sensitive && best_effort;
 }
 
 static double
@@ -48,10 +49,10 @@
 	double worst = 0, share;
 
 	TAILQ_FOREACH (run, &r->runs, link) {
-		if (!serves(run))
+		if (!has_tail_target(run))
 			continue;
 		share = pacing_tail_share(
-		    run->load, run->task->step->spec->target_ms);
+		    run->load, run->task->step->spec->tail_target_ms);
 		worst = share > worst ? share : worst;
 	}
 	return worst;
@@ -110,7 +111,7 @@
 		r->paced_ms = now;
 	}
 	TAILQ_FOREACH (run, &r->runs, link)
-		if (fills(run) && run->percent != r->pace_percent)
+		if (is_best_effort(run) && run->percent != r->pace_percent)
 			send_pace(c, run, r->pace_percent);
 	if (r->pace_percent == 100)
 		r->paced_ms = 0;
--- a/src/cell/parts.h
+++ b/src/cell/parts.h
@@ -27,7 +27,7 @@
 /* jobs.c */
 struct job *cell_job(struct cell *c, const char *id);
 void cell_add_job(struct cell *c, struct job *j);
-/** Puts the steps whose turn has come on the list. */
+/** Puts the steps that have become ready on the list. */
 void cell_list_steps(struct cell *c, struct occurrence *o);
 void cell_list_step(struct cell *c, struct step *s);
 void cell_end_job(struct cell *c, struct job *j, enum job_state state);
@@ -50,7 +50,7 @@
 void cell_stop(struct cell *c, struct run *run, const char *why);
 void cell_stop_job(struct cell *c, struct job *j, const char *why);
 void cell_resend_stops(struct cell *c, struct runner *r);
-/** Notes a runner's clock; one that went back tells of a new life. */
+/** Notes a runner's clock; one that went back tells of a new incarnation. */
 void cell_take_clock(struct cell *c, struct runner *r, int64_t clock_ms);
 
 /* runners.c */
@@ -85,9 +85,9 @@
 uint32_t step_wanted(const struct step *s);
 
 /* pace.c */
-/** Whether work that serves and work that fills meet there. */
+/** Whether latency-sensitive and best-effort work meet there. */
 bool runner_is_mixed(const struct runner *r);
-/** Adapts the pace of filling work to the tails last seen. */
+/** Adapts the pace of best-effort work to the tails last seen. */
 void cell_pace(struct cell *c, struct runner *r);
 
 /* preempt.c */
--- a/src/cell/place.c
+++ b/src/cell/place.c
@@ -78,7 +78,7 @@
 {
 	const struct job *j = s->occurrence->job;
 
-	if (!j->stored || job_ended(j) || s->turn_ms == 0)
+	if (!j->stored || job_ended(j) || s->ready_ms == 0)
 		return false;
 	return !(c->blind && j->inherited);
 }
@@ -200,7 +200,7 @@
 
 		if (n < p->step->spec->count)
 			continue;
-		if (strcmp(rack, p->step->spec->affinity) == 0)
+		if (strcmp(rack, p->step->spec->preferred_rack) == 0)
 			return rack;
 		if (best == NULL || n < best_slots) {
 			best = rack;
@@ -315,7 +315,8 @@
 static bool
 room_for(const struct room *room, const Cc__StepSpec *s)
 {
-	return (s->fills || s->cpu <= room->cpu) && s->mem_mb <= room->mem_mb;
+	return (s->best_effort || s->cpu <= room->cpu) &&
+	    s->mem_mb <= room->mem_mb;
 }
 
 static struct ranked *
--- a/src/cell/preempt.c
+++ b/src/cell/preempt.c
@@ -27,14 +27,14 @@
 
 /* Whether the step would meet its objective if it started soon. */
 static bool
-worth_room(const struct cell *c, const struct step *s, int64_t now)
+may_preempt_for(const struct cell *c, const struct step *s, int64_t now)
 {
 	const struct job *j = s->occurrence->job;
 	struct urgency u = step_urgency(s, now);
 
-	return j->priority == 0 && u.rank == 0 && s->turn_ms != 0 &&
+	return j->priority == 0 && u.rank == 0 && s->ready_ms != 0 &&
 	    j->stored && !job_ended(j) && !s->spec->gang &&
-	    now - s->turn_ms >= WAIT_MS && !(c->blind && j->inherited) &&
+	    now - s->ready_ms >= WAIT_MS && !(c->blind && j->inherited) &&
 	    now + s->spec->estimate_ms + c->terms.stop_grace_ms / 2 < j->due_ms;
 }
 
@@ -68,7 +68,8 @@
 	struct step *s;
 
 	TAILQ_FOREACH (s, &c->steps, link) {
-		if (s->occurrence->job->queue == NULL || !worth_room(c, s, now))
+		if (s->occurrence->job->queue == NULL ||
+		    !may_preempt_for(c, s, now))
 			continue;
 		need = (int64_t)(s->spec->count - s->ndone - s->nheld) *
 		    s->spec->cpu;
--- a/src/cell/runners.c
+++ b/src/cell/runners.c
@@ -50,7 +50,7 @@
 static void
 update_runner(struct cell *c, struct runner *r, const struct runner_info *in)
 {
-	bool other_life = in->born_ms != 0 && r->info.born_ms != 0 &&
+	bool other_incarnation = in->born_ms != 0 && r->info.born_ms != 0 &&
 	    in->born_ms > r->info.born_ms;
 	int64_t born = r->info.born_ms;
 
@@ -64,9 +64,9 @@
 	if (strcmp(r->info.addr, in->addr) != 0 || r->info.port != in->port)
 		c->runners_changed = true;
 	r->info = *in;
-	if (!other_life && born > in->born_ms)
+	if (!other_incarnation && born > in->born_ms)
 		r->info.born_ms = born;
-	if (other_life)
+	if (other_incarnation)
 		cell_runner_reset(c, r);
 	if (!r->listed) {
 		c->room_version++;
--- a/src/coordination/claim.h
+++ b/src/coordination/claim.h
@@ -18,8 +18,8 @@
 struct claim_facts {
 	bool known;	      /**< the leader's row was read */
 	bool no_leader;	      /**< there is none, or it gave the lead up */
-	bool same_host;	      /**< an earlier life of this host leads */
-	bool restarted;	      /**< the leader's host lives under another life */
+	bool same_host;	      /**< an earlier incarnation of this host leads */
+	bool restarted;	      /**< the leader's host runs another incarnation */
 	bool linked;	      /**< a connection to it is up */
 	bool stalled;	      /**< it says that the store doesn't answer it */
 	int64_t beat_age_ms;  /**< since it was heard from */
--- a/src/coordination/pacing.c
+++ b/src/coordination/pacing.c
@@ -1,6 +1,6 @@
 #include "pacing.h"
 
-/** Above this share of the target, filling work is slowed. */
+/** Above this share of the target, best-effort work is throttled. */
 #define SLOW_SHARE 0.8
 /** Above this one it is stopped for a while. */
 #define STOP_SHARE 1.0
--- a/src/coordination/pacing.h
+++ b/src/coordination/pacing.h
@@ -1,7 +1,7 @@
 /**
- * @file How fast work that fills may go beside work that serves.
+ * @file How fast best-effort work may go beside latency-sensitive work.
  *
- * Work that fills uses what others leave, and disturbs their latency. It is
+ * Best-effort work uses what others leave, and disturbs their latency. It is
  * slowed down before a tail passes its target, and let on when there is slack.
  */
 #ifndef PACING_H
@@ -9,9 +9,9 @@
 
 #include <stdint.h>
 
-/** Share in percent at which filling work on a runner may go next. */
+/** Share in percent at which best-effort work on a runner may go next. */
 int pacing_next(int percent, double tail_share, int64_t since_change_ms);
-/** Share of its target that a tail has, of a task that serves. */
+/** Share of its target that the tail latency of a task has. */
 double pacing_tail_share(int tail_ms, uint32_t target_ms);
 
 #endif
--- a/src/coordination/placing.c
+++ b/src/coordination/placing.c
@@ -7,7 +7,7 @@
 #define PACK_WEIGHT 0.3
 /** Weight of the runner on which the task failed last. */
 #define AVOID_WEIGHT 4.0
-/** Weight of a run that fills beside one that serves. */
+/** Weight of a best-effort run beside a latency-sensitive one. */
 #define DISTURB_WEIGHT 1.0
 
 bool
@@ -21,7 +21,8 @@
 		return false;
 	if (strcmp(r->info.service, w->service) != 0)
 		return false;
-	if (s->requires[0] != '\0' && !runner_has_label(r, s->requires))
+	if (s->required_label[0] != '\0' &&
+	    !runner_has_label(r, s->required_label))
 		return false;
 	if (w->rack != NULL && strcmp(r->info.rack, w->rack) != 0)
 		return false;
@@ -35,8 +36,8 @@
 
 	if (!placing_allowed(r, w) || !runner_fits(r, s))
 		return false;
-	return s->anti_affinity == 0 ||
-	    runner_runs_of(r, w->step) < s->anti_affinity;
+	return s->max_per_runner == 0 ||
+	    runner_runs_of(r, w->step) < s->max_per_runner;
 }
 
 static int64_t
@@ -49,17 +50,17 @@
 placing_slots(const struct runner *r, const struct placing_want *w)
 {
 	const Cc__StepSpec *s = w->step->spec;
-	int64_t n =
-	    s->fills ? INT32_MAX : times(r->info.cpu - r->used_cpu, s->cpu);
+	int64_t n = s->best_effort ? INT32_MAX
+				   : times(r->info.cpu - r->used_cpu, s->cpu);
 	int64_t m = times(r->info.mem_mb - r->used_mem_mb, s->mem_mb);
 	uint32_t own;
 
 	n = m < n ? m : n;
 	m = times(r->info.gpu - r->used_gpu, s->gpu);
 	n = m < n ? m : n;
-	if (s->anti_affinity > 0) {
+	if (s->max_per_runner > 0) {
 		own = runner_runs_of(r, w->step);
-		m = own < s->anti_affinity ? s->anti_affinity - own : 0;
+		m = own < s->max_per_runner ? s->max_per_runner - own : 0;
 		n = m < n ? m : n;
 	}
 	return n > 0 ? (uint32_t)n : 0;
@@ -77,23 +78,23 @@
 	return cpu > mem ? cpu : mem;
 }
 
-/* Runs there that fill, beside a step that serves, or the other way round. */
+/* Best-effort runs beside a latency-sensitive step, or the other way round. */
 static int
 disturbances(const struct runner *r, const struct step *step)
 {
-	bool serves = step->spec->target_ms > 0;
+	bool serves = step->spec->tail_target_ms > 0;
 	const struct run *run;
 	int n = 0;
 
-	if (!serves && !step->spec->fills)
+	if (!serves && !step->spec->best_effort)
 		return 0;
 	TAILQ_FOREACH (run, &r->runs, link) {
 		if (run->task == NULL)
 			continue;
 		if (serves)
-			n += run->task->step->spec->fills;
+			n += run->task->step->spec->best_effort;
 		else
-			n += run->task->step->spec->target_ms > 0;
+			n += run->task->step->spec->tail_target_ms > 0;
 	}
 	return n;
 }
@@ -105,7 +106,8 @@
 	double slow = 1.0 / r->speed, used = share_used(r);
 	double score = disturbances(r, w->step) * DISTURB_WEIGHT;
 
-	if (s->affinity[0] != '\0' && strcmp(s->affinity, r->info.rack) != 0)
+	if (s->preferred_rack[0] != '\0' &&
+	    strcmp(s->preferred_rack, r->info.rack) != 0)
 		slow *= w->remote_factor;
 	if (w->avoid != NULL && strcmp(w->avoid, r->info.id) == 0)
 		score += AVOID_WEIGHT;
--- a/src/coordination/preempt.c
+++ b/src/coordination/preempt.c
@@ -11,7 +11,7 @@
 	if (run->task == NULL || run->state != RUN_RUNNING || run->is_copy)
 		return false;
 	s = run->task->step->spec;
-	return s->saves_progress && !s->gang && !s->long_running &&
+	return s->checkpoints && !s->gang && !s->long_running &&
 	    run->task->step->occurrence->job->priority > priority &&
 	    now - run->confirmed_ms >= WORKED_MIN_MS;
 }
--- a/src/coordination/urgency.c
+++ b/src/coordination/urgency.c
@@ -1,7 +1,7 @@
 #include "urgency.h"
 
 #define LATE_RANK 1000
-#define HOPELESS_RANK 2000
+#define EXPIRED_RANK 2000
 
 struct urgency
 urgency_of(const struct urgency_job *j, int64_t now)
@@ -13,7 +13,7 @@
 	if (j->lasting)
 		return u;
 	if (end > j->accepted_ms + OBJECTIVE_LATE_FACTOR * objective)
-		u.rank += HOPELESS_RANK;
+		u.rank += EXPIRED_RANK;
 	else if (now > j->due_ms)
 		u.rank += LATE_RANK;
 	return u;
--- a/src/ports/ports.h
+++ b/src/ports/ports.h
@@ -79,9 +79,9 @@
 	ORDER_LATE,   /**< it arrived past its deadline */
 	ORDER_NO_ROOM,
 	ORDER_NO_TICKET,
-	ORDER_UNHEALTHY,  /**< nothing was done; the runner is not well */
-	ORDER_INVALID,	  /**< the runner can't read it */
-	ORDER_OTHER_LIFE, /**< the runner was restarted */
+	ORDER_UNHEALTHY, /**< nothing was done; the runner is not well */
+	ORDER_INVALID,	 /**< the runner can't read it */
+	ORDER_OTHER_INCARNATION, /**< the runner was restarted */
 	ORDER_NOT_SENT,
 	ORDER_UNKNOWN, /**< it may have been done, or may be done later */
 };
@@ -91,9 +91,9 @@
 	END_FAILED,
 	END_STOPPED,
 	END_LAPSED,
-	END_BROKEN, /**< another member of its gang ended */
-	END_ALONE,  /**< its gang was not complete in time */
-	END_LOST,   /**< its runner was restarted or lost */
+	END_PEER_ENDED,	  /**< another member of its gang ended */
+	END_GANG_TIMEOUT, /**< its gang was not complete in time */
+	END_LOST,	  /**< its runner was restarted or lost */
 };
 
 struct run_seen {
@@ -101,11 +101,13 @@
 	uint32_t run;
 	const char *saved;
 	int percent;
-	int load; /**< tail in ms of a serving task; else cpu in use */
+	int load; /**< tail latency in ms of a task with such a target; else cpu
+		     in use */
 };
 
 struct end_seen {
-	uint64_t number; /**< in order of ends of this life of the runner */
+	uint64_t
+	    number; /**< in order of ends of this incarnation of the runner */
 	const char *task;
 	uint32_t run;
 	enum run_end how;
@@ -115,7 +117,7 @@
 struct hold_result {
 	enum order_result result;
 	int64_t clock_ms; /**< the runner's steady clock; 0: not given */
-	int64_t born_ms;  /**< start of this life; 0: not given */
+	int64_t born_ms;  /**< start of this incarnation; 0: not given */
 	const struct run_seen *runs;
 	int nruns;
 	const struct end_seen *ends;
@@ -148,7 +150,7 @@
 	uint64_t fence;
 	/**
 	 * Ends up to this one may be forgotten. Sent only on a connection that
-	 * was answered on before: a new one may reach a new life of the
+	 * was answered on before: a new one may reach a new incarnation of the
 	 * runner, whose ends are numbered from 1 again.
 	 */
 	uint64_t seen;
--- a/src/protocol/peer.pb-c.c
+++ b/src/protocol/peer.pb-c.c
@@ -5403,12 +5403,12 @@
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "saves_progress",
+    "checkpoints",
     7,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_BOOL,
     0,   /* quantifier_offset */
-    offsetof(Cc__StepSpec, saves_progress),
+    offsetof(Cc__StepSpec, checkpoints),
     NULL,
     NULL,
     0,             /* flags */
@@ -5439,36 +5439,36 @@
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "requires",
+    "required_label",
     10,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Cc__StepSpec, requires),
+    offsetof(Cc__StepSpec, required_label),
     NULL,
     &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "affinity",
+    "preferred_rack",
     11,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Cc__StepSpec, affinity),
+    offsetof(Cc__StepSpec, preferred_rack),
     NULL,
     &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "anti_affinity",
+    "max_per_runner",
     12,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Cc__StepSpec, anti_affinity),
+    offsetof(Cc__StepSpec, max_per_runner),
     NULL,
     NULL,
     0,             /* flags */
@@ -5511,36 +5511,36 @@
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "target_ms",
+    "tail_target_ms",
     16,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Cc__StepSpec, target_ms),
+    offsetof(Cc__StepSpec, tail_target_ms),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "fills",
+    "best_effort",
     17,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_BOOL,
     0,   /* quantifier_offset */
-    offsetof(Cc__StepSpec, fills),
+    offsetof(Cc__StepSpec, best_effort),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "may_miss",
+    "max_unavailable",
     18,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Cc__StepSpec, may_miss),
+    offsetof(Cc__StepSpec, max_unavailable),
     NULL,
     NULL,
     0,             /* flags */
@@ -5548,24 +5548,24 @@
   },
 };
 static const unsigned cc__step_spec__field_indices_by_name[] = {
-  10,   /* field[10] = affinity */
   5,   /* field[5] = after */
-  11,   /* field[11] = anti_affinity */
+  16,   /* field[16] = best_effort */
+  6,   /* field[6] = checkpoints */
   0,   /* field[0] = count */
   1,   /* field[1] = cpu */
   4,   /* field[4] = estimate_ms */
-  16,   /* field[16] = fills */
   7,   /* field[7] = gang */
   3,   /* field[3] = gpu */
   14,   /* field[14] = image */
   13,   /* field[13] = long_running */
-  17,   /* field[17] = may_miss */
+  11,   /* field[11] = max_per_runner */
+  17,   /* field[17] = max_unavailable */
   2,   /* field[2] = mem_mb */
-  9,   /* field[9] = requires */
+  10,   /* field[10] = preferred_rack */
+  9,   /* field[9] = required_label */
   8,   /* field[8] = same_rack */
-  6,   /* field[6] = saves_progress */
   12,   /* field[12] = speculative */
-  15,   /* field[15] = target_ms */
+  15,   /* field[15] = tail_target_ms */
 };
 static const ProtobufCIntRange cc__step_spec__number_ranges[1 + 1] =
 {
--- a/src/protocol/peer.pb-c.h
+++ b/src/protocol/peer.pb-c.h
@@ -643,33 +643,33 @@
    */
   size_t n_after;
   uint32_t *after;
-  protobuf_c_boolean saves_progress;
+  protobuf_c_boolean checkpoints;
   protobuf_c_boolean gang;
   protobuf_c_boolean same_rack;
   /*
    * label that the runner must have
    */
-  char *requires;
+  char *required_label;
   /*
    * rack near the data
    */
-  char *affinity;
+  char *preferred_rack;
   /*
    * most tasks of the step on one runner; 0: any
    */
-  uint32_t anti_affinity;
+  uint32_t max_per_runner;
   protobuf_c_boolean speculative;
   protobuf_c_boolean long_running;
   char *image;
   /*
    * tail of its own users' latency
    */
-  uint32_t target_ms;
+  uint32_t tail_target_ms;
   /*
    * uses what others leave; its cpu isn't counted
    */
-  protobuf_c_boolean fills;
-  uint32_t may_miss;
+  protobuf_c_boolean best_effort;
+  uint32_t max_unavailable;
 };
 #define CC__STEP_SPEC__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cc__step_spec__descriptor) \
--- a/src/state/job.c
+++ b/src/state/job.c
@@ -155,7 +155,7 @@
 }
 
 bool
-step_has_turn(const struct step *s)
+step_is_ready(const struct step *s)
 {
 	const struct step *steps = s->occurrence->steps;
 	size_t i;
--- a/src/state/job.h
+++ b/src/state/job.h
@@ -55,7 +55,7 @@
 	uint32_t ndone;
 	uint32_t nheld;	  /**< tasks that have a run */
 	uint32_t ncopies; /**< tasks that want a copy */
-	int64_t turn_ms;  /**< its turn came; 0: it hasn't yet */
+	int64_t ready_ms; /**< it became ready; 0: it is not yet */
 	int64_t first_start_ms;
 	bool listed; /**< on the list of steps with work to place */
 	TAILQ_ENTRY(step) link;
@@ -117,7 +117,7 @@
 void job_each_task(
     struct job *j, void (*fn)(struct task *t, void *arg), void *arg);
 /** Whether the tasks of all earlier steps are done. */
-bool step_has_turn(const struct step *s);
+bool step_is_ready(const struct step *s);
 /** Whether the step has tasks that are neither done nor held by a run. */
 bool step_has_waiting(const struct step *s);
 /** Marks a task done and counts it; all tasks of a gang together. */
--- a/src/state/runner.c
+++ b/src/state/runner.c
@@ -36,7 +36,7 @@
 	if (t != NULL) {
 		const Cc__StepSpec *s = t->step->spec;
 
-		run->cpu = s->fills ? 0 : s->cpu;
+		run->cpu = s->best_effort ? 0 : s->cpu;
 		run->mem_mb = s->mem_mb;
 		run->gpu = s->gpu;
 	}
@@ -75,7 +75,7 @@
 bool
 runner_fits(const struct runner *r, const Cc__StepSpec *s)
 {
-	int64_t cpu = s->fills ? 0 : s->cpu;
+	int64_t cpu = s->best_effort ? 0 : s->cpu;
 
 	return r->used_cpu + cpu <= r->info.cpu &&
 	    r->used_mem_mb + s->mem_mb <= r->info.mem_mb &&
@@ -85,7 +85,7 @@
 bool
 runner_could_fit(const struct runner *r, const Cc__StepSpec *s)
 {
-	return (s->fills || s->cpu <= r->info.cpu) &&
+	return (s->best_effort || s->cpu <= r->info.cpu) &&
 	    s->mem_mb <= r->info.mem_mb && s->gpu <= r->info.gpu;
 }
 
--- a/src/state/runner.h
+++ b/src/state/runner.h
@@ -38,7 +38,6 @@
 	int64_t until_ms;     /**< of the start order, runner's clock */
 	int64_t stop_sent_ms; /**< 0: no stop is asked for */
 	int64_t stop_ok_ms;   /**< the runner took the stop; 0: not yet */
-	int64_t at_work_ms;   /**< first seen at 100 percent */
 	int orders;	      /**< starts sent */
 	int open_orders;      /**< of these, without an answer so far */
 	int misses;	      /**< lists in a row that lack it */
@@ -57,7 +56,7 @@
 	int64_t used_gpu;
 	bool listed;	    /**< in the newest list of the registry */
 	int64_t missing_ms; /**< since when it isn't listed */
-	uint64_t fence;	    /**< of orders to it; rises with each life */
+	uint64_t fence;	    /**< of orders to it; rises with each incarnation */
 	bool recorded;	    /**< open in the store: starts may be sent */
 	bool opening;	    /**< the commit under way opens it */
 	bool closed;	  /**< as read from the store: it holds at most the runs
@@ -77,7 +76,7 @@
 	int64_t unheard_since_ms; /**< first failure since; 0: none */
 	int hold_errors;	  /**< in a row */
 	int64_t drain_since_ms;
-	int pace_percent; /**< at which work that fills may go */
+	int pace_percent; /**< at which best-effort work may go */
 	int64_t paced_ms; /**< last changed; 0: at full pace */
 	double speed;	  /**< of its run times to the usual; 1 is usual */
 	int samples;
@@ -111,7 +110,7 @@
 int64_t runner_clock_least(const struct runner *r, int64_t now);
 /** The runner's clock now, about. */
 int64_t runner_clock(const struct runner *r, int64_t now);
-/** Whether every lease given to this life has certainly lapsed. */
+/** Whether every lease given to this incarnation has certainly lapsed. */
 bool runner_lapsed(const struct runner *r, int64_t now);
 
 #endif
--- a/tests/cellstandin/standin.h
+++ b/tests/cellstandin/standin.h
@@ -56,7 +56,7 @@
 struct runner_sim *runner_sim_new(struct event_base *base,
     struct store_sim *store, struct record *rec, int index, uint16_t port);
 void runner_sim_fault(struct runner_sim *r, enum fault_mode mode);
-/** The process dies, and comes back with a new life after a time. */
+/** The process dies, and comes back with a new incarnation after a time. */
 void runner_sim_crash(struct runner_sim *r, int64_t down_ms);
 void runner_sim_drain(struct runner_sim *r);
 
--- a/tests/scripts/mutants.sh
+++ b/tests/scripts/mutants.sh
@@ -86,7 +86,7 @@
 	cell_mutant $L/commit_build.c 's/if (!r->known)/if (0)/'
 	cell_mutant $L/commit_build.c 's/r->recorded = false;/(void)r;/'
 	cell_mutant $L/place.c 's/return !(c->blind \&\& j->inherited);/return true;/'
-	cell_mutant $L/place.c 's/if (!j->stored || job_ended(j) || s->turn_ms == 0)/if (job_ended(j) || s->turn_ms == 0)/'
+	cell_mutant $L/place.c 's/if (!j->stored || job_ended(j) || s->ready_ms == 0)/if (job_ended(j) || s->ready_ms == 0)/'
 	cell_mutant $L/place.c 's/if (s->nheld > 0 || s->ndone > 0)/if (s->ndone > 0)/'
 	cell_mutant $L/place.c 's/c->generation \* RUNS_PER_GENERATION + 1/1/'
 	cell_mutant $L/orders.c 's/if (run->orders > 1)/if (0)/'
--- a/tests/unit/cell_test.c
+++ b/tests/unit/cell_test.c
@@ -349,7 +349,7 @@
 	finish(w);
 }
 
-/* Calls for advice: one a step, ahead of its turn. */
+/* Calls for advice: one a step, before it is ready. */
 void
 test_cell_advice_ahead(void)
 {
--- a/tests/unit/parts_test.c
+++ b/tests/unit/parts_test.c
@@ -36,7 +36,7 @@
 	CU_ASSERT_PTR_NOT_NULL_FATAL(row);
 	CU_ASSERT_EQUAL(row->n_steps, 2);
 	CU_ASSERT_EQUAL(row->steps[0]->mem_mb, 256);
-	CU_ASSERT_STRING_EQUAL(row->steps[0]->affinity, "r1-3");
+	CU_ASSERT_STRING_EQUAL(row->steps[0]->preferred_rack, "r1-3");
 	CU_ASSERT(row->steps[1]->gang);
 	CU_ASSERT_EQUAL(row->steps[1]->after[0], 0);
 	CU_ASSERT_EQUAL(job_check(row, &wrong), CC_OK);
@@ -116,7 +116,7 @@
 	CU_ASSERT_EQUAL(t->failures, 2);
 	CU_ASSERT_STRING_EQUAL(t->saved, "mark");
 	CU_ASSERT_EQUAL(b->occurrences[0]->steps[0].ndone, 1);
-	CU_ASSERT(!step_has_turn(&b->occurrences[0]->steps[1]));
+	CU_ASSERT(!step_is_ready(&b->occurrences[0]->steps[1]));
 	job_delete(a);
 	job_delete(b);
 }
--- a/tests/world/world.c
+++ b/tests/world/world.c
@@ -109,8 +109,9 @@
 	bool alive;
 	bool cut_store;
 	bool wants_pass;
-	int life;
-	int64_t linked[WORLD_RUNNERS_MAX]; /**< life that answered last */
+	int incarnation;
+	int64_t
+	    linked[WORLD_RUNNERS_MAX]; /**< incarnation that answered last */
 };
 
 struct world {
@@ -354,7 +355,7 @@
 {
 	(void)arg;
 	l->gang = false;
-	end_live(r, l, END_BROKEN);
+	end_live(r, l, END_PEER_ENDED);
 }
 
 /* A gang works from the moment when all its members are there. */
@@ -507,7 +508,7 @@
 	}
 	w->repeated_numbers += !late && o->run <= w->starts[i].run;
 	/* A start without an answer is repeated as it is, and may then reach
-	 * the next life of the same runner. */
+	 * the next incarnation of the same runner. */
 	if (!late &&
 	    (o->run < w->starts[i].run ||
 		(o->run == w->starts[i].run && runner != w->starts[i].runner)))
@@ -599,7 +600,7 @@
 		else if (runner_clock_now(r) >= r->until_ms)
 			end_live(r, l, END_LAPSED);
 		else if (l->alone_at != 0 && w->now >= l->alone_at)
-			end_live(r, l, END_ALONE);
+			end_live(r, l, END_GANG_TIMEOUT);
 		else
 			continue;
 		/* A gang's end may have ended others here. */
@@ -655,7 +656,7 @@
 
 struct order_event {
 	struct world_cell *cell;
-	int life;
+	int incarnation;
 	struct world_runner *runner;
 	enum order_kind kind;
 	char task[TASK_NAME_LEN];
@@ -666,8 +667,8 @@
 	hold_fn hold_fn;
 	void *arg;
 	bool silent;	     /**< done late, or its answer is lost */
-	int64_t answered_by; /**< life that answers */
-	int64_t born_ms;     /**< life that received a silent order */
+	int64_t answered_by; /**< incarnation that answers */
+	int64_t born_ms;     /**< incarnation that received a silent order */
 	struct order_answer answer;
 };
 
@@ -677,7 +678,7 @@
 	struct order_event *o = arg;
 
 	(void)w;
-	if (o->cell->alive && o->cell->life == o->life) {
+	if (o->cell->alive && o->cell->incarnation == o->incarnation) {
 		if (o->answer.clock_ms != 0)
 			o->cell->linked[o->runner->index] = o->answered_by;
 		o->fn(&o->answer, o->arg);
@@ -771,7 +772,7 @@
 	struct order_event *o = xcalloc(1, sizeof(*o));
 
 	o->cell = c;
-	o->life = c->life;
+	o->incarnation = c->incarnation;
 	o->runner = find_runner(c->world, t->id);
 	return o;
 }
@@ -830,7 +831,7 @@
 	struct hold_result r = {.result = ORDER_UNKNOWN};
 
 	(void)w;
-	if (o->cell->alive && o->cell->life == o->life)
+	if (o->cell->alive && o->cell->incarnation == o->incarnation)
 		o->hold_fn(&r, o->arg);
 	free(o);
 }
@@ -869,7 +870,7 @@
 					.saved = ""};
 	res.runs = runs;
 	res.ends = ends;
-	if (o->cell->alive && o->cell->life == o->life) {
+	if (o->cell->alive && o->cell->incarnation == o->incarnation) {
 		o->cell->linked[r->index] = r->born_ms;
 		o->hold_fn(&res, o->arg);
 	}
@@ -953,7 +954,7 @@
 
 struct store_event {
 	struct world_cell *cell;
-	int life;
+	int incarnation;
 	struct store_txn txn;
 	struct row conds[4];
 	struct stored writes[100];
@@ -1026,9 +1027,9 @@
 }
 
 static bool
-cell_lives(const struct world_cell *c, int life)
+cell_alive(const struct world_cell *c, int incarnation)
 {
-	return c->alive && c->life == life;
+	return c->alive && c->incarnation == incarnation;
 }
 
 static void
@@ -1038,7 +1039,7 @@
 	struct store_result r = {.err = e->err};
 
 	(void)w;
-	if (cell_lives(e->cell, e->life))
+	if (cell_alive(e->cell, e->incarnation))
 		e->fn(&r, e->arg);
 	free_store_event(e);
 }
@@ -1068,7 +1069,7 @@
 		}
 	}
 	r.version = w->version;
-	if (!e->silent && cell_lives(e->cell, e->life))
+	if (!e->silent && cell_alive(e->cell, e->incarnation))
 		e->fn(&r, e->arg);
 	free_store_event(e);
 }
@@ -1107,7 +1108,7 @@
 	struct store_event *e = xcalloc(1, sizeof(*e));
 
 	e->cell = cell_of_store(s);
-	e->life = e->cell->life;
+	e->incarnation = e->cell->incarnation;
 	e->fn = fn;
 	e->arg = arg;
 	return e;
@@ -1175,7 +1176,7 @@
 			    .version = w->rows[i].version};
 	qsort(rows, (size_t)r.nrows, sizeof(*rows), by_key);
 	r.version = w->version;
-	if (cell_lives(e->cell, e->life))
+	if (cell_alive(e->cell, e->incarnation))
 		e->fn(&r, e->arg);
 	free(rows);
 	free_store_event(e);
@@ -1202,7 +1203,7 @@
 
 struct advice_event {
 	struct world_cell *cell;
-	int life;
+	int incarnation;
 	char *ids[128];
 	int n;
 	advice_fn fn;
@@ -1220,7 +1221,7 @@
 	for (i = 0; i < e->n; i++)
 		if (e->ids[i][1] % 2 == 0)
 			rows[n++] = (struct advice_row){e->ids[i], "t"};
-	if (cell_lives(e->cell, e->life))
+	if (cell_alive(e->cell, e->incarnation))
 		e->fn(CC_OK, rows, n, 2500, e->arg);
 	for (i = 0; i < e->n; i++)
 		free(e->ids[i]);
@@ -1242,7 +1243,7 @@
 	(void)timeout_ms;
 	c->world->advice_calls++;
 	e->cell = c;
-	e->life = c->life;
+	e->incarnation = c->incarnation;
 	for (i = 0; i < n && i < 128; i++)
 		e->ids[e->n++] = xstrdup(runners[i]);
 	e->fn = fn;
@@ -1322,7 +1323,7 @@
 	    .arg = c};
 	char name[32], hosts[2][64] = {"h0", "h1"};
 
-	snprintf(name, sizeof(name), "cell%d.%d", i, c->life);
+	snprintf(name, sizeof(name), "cell%d.%d", i, c->incarnation);
 	c->store.ops = &store_ops;
 	c->runners.ops = &runner_ops;
 	c->advice.ops = &advice_ops;
@@ -1559,7 +1560,7 @@
 	struct world_cell *c = &w->cells[i];
 
 	current = w;
-	c->life++;
+	c->incarnation++;
 	cell_done(&c->cell);
 	init_cell(w, i);
 	if (w->leader == i)
@@ -1615,7 +1616,7 @@
 		s->estimate_ms = steps[i].ms;
 		s->gang = steps[i].gang;
 		s->long_running = steps[i].lasting;
-		s->saves_progress = steps[i].saves;
+		s->checkpoints = steps[i].saves;
 		s->speculative = steps[i].speculative;
 		if (steps[i].after >= 0) {
 			s->after = xcalloc(1, sizeof(*s->after));
