Weak hosts lead only when no strong one lives; links are found by name

A member knew 127 others and asked its links one by one by name.

Change: the eight strongest hosts are core. The others doubt a leader later and leave a claim to the core for 3 s while a core host is heard of. The leader beats every 200 ms to the core, 900 ms to the rest. Links, and the hosts behind them, are found by hash; lanes are listed every 250 ms, up to 1,024; the registry is read less often the longer it is (2 ms a runner, 2 s at most). A pass rests twice as long as the last one took.

--- a/src/coordination/claim.c
+++ b/src/coordination/claim.c
@@ -2,6 +2,10 @@
 
 /** A leader not heard from for this long is doubted; it beats every 200 ms. */
 #define BEAT_LATE_MS 450
+/** The same for a host in reserve, which hears of the leader less often. */
+#define BEAT_LATE_RESERVE_MS 2500
+/** A host in reserve leaves the lead to core hosts for this long. */
+#define RESERVE_MS 3000
 /** Renewals come every 150 ms, or later when the store is slow. */
 #define UNCHANGED_SERVED_MS CLAIM_AFTER_MIN_MS
 /** The same, when the store doesn't serve this host well. */
@@ -20,7 +24,8 @@
 		return false;
 	if (f->no_leader || f->same_host || f->restarted || f->stalled)
 		return true;
-	return !f->linked || f->beat_age_ms > BEAT_LATE_MS;
+	return !f->linked ||
+	    f->beat_age_ms > (f->reserve ? BEAT_LATE_RESERVE_MS : BEAT_LATE_MS);
 }
 
 bool
@@ -36,5 +41,7 @@
 		term = UNCHANGED_STALLED_MS;
 	if (f->no_leader || f->same_host || f->restarted)
 		term = 0;
+	if (f->reserve && f->core_alive && term < RESERVE_MS)
+		term = RESERVE_MS;
 	return f->unchanged_ms >= term + (int64_t)f->rank * RANK_MS;
 }
--- a/src/coordination/claim.h
+++ b/src/coordination/claim.h
@@ -28,6 +28,8 @@
 	bool served;	      /**< the store serves this host well */
 	int64_t beat_age_ms;  /**< since it was heard from */
 	int64_t unchanged_ms; /**< the row is as it was for this long */
+	bool reserve;	      /**< stronger hosts come first while one lives */
+	bool core_alive;      /**< such a host, not the leader, is heard of */
 	int rank;	      /**< of this host among those that may claim */
 };
 
--- a/src/coordination/lanes.c
+++ b/src/coordination/lanes.c
@@ -8,8 +8,9 @@
 #define QUICK_CALL_MS 150
 /** Calls that may stand in a quick lane; one waits while one is served. */
 #define QUICK_OPEN_MAX 2
-/** Share of the hosts that take quick calls, in eighths. */
+/** Share of the hosts that take quick calls, in eighths; and the most. */
 #define QUICK_EIGHTHS 3
+#define QUICK_LANES_MAX 24
 
 bool
 lanes_is_quick(double call_ms)
@@ -64,7 +65,9 @@
 static int
 quick_lanes(const struct lanes *l)
 {
-	return (l->n * QUICK_EIGHTHS + 7) / 8;
+	int n = (l->n * QUICK_EIGHTHS + 7) / 8;
+
+	return n < QUICK_LANES_MAX ? n : QUICK_LANES_MAX;
 }
 
 static struct lane *
@@ -97,6 +100,18 @@
 	return least_busy(l, quick, l->n, 1);
 }
 
+int
+lanes_idle(const struct lanes *l, double call_ms)
+{
+	bool quick = lanes_is_quick(call_ms) || l->n == 1;
+	int i = quick ? 0 : quick_lanes(l);
+	int to = quick ? quick_lanes(l) : l->n, n = 0;
+
+	for (; i < to; i++)
+		n += l->lanes[i].open == 0;
+	return n;
+}
+
 void
 lane_sent(struct lane *lane, double call_ms, int64_t now)
 {
--- a/src/coordination/lanes.h
+++ b/src/coordination/lanes.h
@@ -11,7 +11,7 @@
 #include <stdbool.h>
 #include <stdint.h>
 
-#define LANES_MAX 64
+#define LANES_MAX 1024
 
 struct lane {
 	char host[64];
@@ -31,6 +31,8 @@
 void lanes_set(struct lanes *l, const char (*hosts)[64], int n);
 /** The lane for a call now; NULL when it should wait for one. */
 struct lane *lanes_pick(struct lanes *l, double call_ms);
+/** Lanes for a call of this length that nobody uses now. */
+int lanes_idle(const struct lanes *l, double call_ms);
 void lane_sent(struct lane *lane, double call_ms, int64_t now);
 /** The call in the lane of this host was answered or given up. */
 void lanes_answered(struct lanes *l, const char *host, int64_t now);
--- a/src/member/lead.c
+++ b/src/member/lead.c
@@ -10,6 +10,7 @@
 #include "parts.h"
 
 #define WATCH_EVERY_MS 60
+#define WATCH_RESERVE_MS 300
 /** A store that answers a watch in this time serves this host well. */
 #define SERVED_MS 80
 #define CLAIM_TIMEOUT_MS 1200
@@ -17,6 +18,8 @@
 #define STRONGER_FACTOR 2
 #define STRONGER_BEAT_MS 1500
 #define STRONGER_MS 1500
+/** A core host heard from within this long may take over. */
+#define CORE_BEAT_MS 2000
 /** Weaker hosts leave the first claim of all to others for this long. */
 #define WEAK_POWER 200
 #define WEAK_WAIT_MS 600
@@ -92,7 +95,8 @@
 	    sizeof(m->leader.incarnation));
 	kvlog(KVLOG_INFO, "claimed", "fence=%llu generation=%u",
 	    (unsigned long long)fence, m->leader.generation);
-	m->beat_ms = 0;
+	m->beat_all = true;
+	m->lanes_ms = 0;
 	m->registry_ms = 0;
 	member_dial(m);
 	member_calls_moved(m);
@@ -282,6 +286,24 @@
 	}
 }
 
+/* Whether a host that comes before this one could take over. */
+static bool
+core_alive(const struct member *m)
+{
+	const struct other *o;
+	int i;
+
+	for (i = 0; i < m->nothers; i++) {
+		o = &m->others[i];
+		if (o->core && !o->leaving &&
+		    strcmp(o->host, m->leader.host) != 0 &&
+		    clock_boot_ms() - o->beat_ms < CORE_BEAT_MS &&
+		    member_linked(m, o->host))
+			return true;
+	}
+	return false;
+}
+
 static struct claim_facts
 gather_facts(struct member *m)
 {
@@ -291,6 +313,8 @@
 	    .known = follow_ready(m->members),
 	    .no_leader = !m->leader.known || m->leader.released,
 	    .rank = claim_rank(m),
+	    .reserve = !m->core,
+	    .core_alive = core_alive(m),
 	    .beat_age_ms = INT64_MAX,
 	};
 
@@ -340,7 +364,9 @@
 {
 	int64_t now = clock_boot_ms();
 
-	if (m->watching || now - m->watch_sent_ms < WATCH_EVERY_MS)
+	if (m->watching ||
+	    now - m->watch_sent_ms <
+		(m->core ? WATCH_EVERY_MS : WATCH_RESERVE_MS))
 		return;
 	m->watching = true;
 	m->watch_sent_ms = now;
--- a/src/member/member.c
+++ b/src/member/member.c
@@ -14,6 +14,8 @@
 #define TICK_MS 25
 /** Decisions of a burst of events are taken together. */
 #define WAKE_MS 3
+/** Between passes this many times as long as the last one took is left. */
+#define REST_FACTOR 2
 /** Beats tell of changes when a watch is deaf. */
 #define FOLLOW_WAIT_MS 3000
 /** Lease of runs at their runner, and of a start until the first hold. */
@@ -27,22 +29,26 @@
 on_wake(evutil_socket_t fd, short what, void *arg)
 {
 	struct member *m = arg;
+	int64_t start = clock_boot_ms();
 
 	(void)fd;
 	(void)what;
 	m->wake_set = false;
 	cell_pass(&m->cell);
+	m->pass_took_ms = clock_boot_ms() - start;
 }
 
 static void
 wake(void *arg)
 {
 	struct member *m = arg;
-	struct timeval tv = {0, WAKE_MS * 1000};
+	int64_t rest = m->pass_took_ms * REST_FACTOR;
+	struct timeval tv = {0, 0};
 
 	if (m->wake_set)
 		return;
 	m->wake_set = true;
+	tv.tv_usec = (rest > WAKE_MS ? rest : WAKE_MS) * 1000;
 	evtimer_add(m->wake, &tv);
 }
 
@@ -178,7 +184,7 @@
 	if (m->leaving)
 		return;
 	m->leaving = true;
-	m->beat_ms = 0;
+	m->beat_all = true;
 	if (member_leads(m))
 		member_release(m);
 }
--- a/src/member/members.c
+++ b/src/member/members.c
@@ -1,5 +1,6 @@
 /* The members of the cell: their rows, links and beats. */
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 
 #include "../base/err.h"
@@ -11,8 +12,9 @@
 #define LEADER_BEAT_MS 200
 #define FOLLOWER_BEAT_MS 900
 #define BEAT_TIMEOUT_MS 1500
-/** Hosts that are linked with all others. */
+/** Hosts that are linked with all others, and lead first. */
 #define CORE_HOSTS 8
+#define LANES_EVERY_MS 250
 #define ROW_RETRY_MS 300
 #define ROW_TIMEOUT_MS 1000
 
@@ -37,6 +39,7 @@
 	o = &m->others[m->nothers++];
 	memset(o, 0, sizeof(*o));
 	str_copy(o->host, host, sizeof(o->host));
+	m->ranks_stale = true;
 	return o;
 }
 
@@ -49,6 +52,7 @@
 		return;
 	peer_net_remove(m->peers, host);
 	*o = m->others[--m->nothers];
+	m->ranks_stale = true;
 }
 
 uint32_t
@@ -57,41 +61,62 @@
 	return (uint32_t)(m->settings->cores * 1000);
 }
 
-/* Hosts that come before one of this power and name, to lead. */
-int
-member_rank(const struct member *m, const char *host, uint32_t power)
+struct host_rank {
+	uint32_t power;
+	const char *host;
+	bool *core;
+};
+
+static int
+compare_ranks(const void *a, const void *b)
+{
+	const struct host_rank *x = a, *y = b;
+
+	if (x->power != y->power)
+		return x->power > y->power ? -1 : 1;
+	return strcmp(x->host, y->host);
+}
+
+/* The strongest hosts are core: one of them leads while any of them lives. */
+void
+member_set_core(struct member *m)
 {
+	struct host_rank *ranks;
 	int i, n = 0;
 
+	if (!m->ranks_stale)
+		return;
+	m->ranks_stale = false;
+	ranks = xcalloc((size_t)m->nothers + 1, sizeof(*ranks));
+	ranks[n++] =
+	    (struct host_rank){member_power(m), m->settings->host, &m->core};
 	for (i = 0; i < m->nothers; i++)
-		n += m->others[i].power > power ||
-		    (m->others[i].power == power &&
-			strcmp(m->others[i].host, host) < 0);
-	if (strcmp(m->settings->host, host) != 0)
-		n += member_power(m) > power ||
-		    (member_power(m) == power &&
-			strcmp(m->settings->host, host) < 0);
-	return n;
+		ranks[n++] = (struct host_rank){
+		    m->others[i].power, m->others[i].host, &m->others[i].core};
+	qsort(ranks, (size_t)n, sizeof(*ranks), compare_ranks);
+	for (i = 0; i < n; i++)
+		*ranks[i].core = i < CORE_HOSTS;
+	free(ranks);
 }
 
 /*
- * The strongest hosts, of which one leads, are linked with all; the others
- * with them and the leader only, so that links grow with the number of hosts.
+ * Core hosts are linked with all; the others with them and the leader only,
+ * so that links grow with the number of hosts.
  */
 void
 member_dial(struct member *m)
 {
-	bool core = member_leads(m) ||
-	    member_rank(m, m->settings->host, member_power(m)) < CORE_HOSTS;
+	bool all;
 	struct other *o;
 	int i;
 
+	member_set_core(m);
+	all = member_leads(m) || m->core;
 	for (i = 0; i < m->nothers; i++) {
 		o = &m->others[i];
 		if (o->dialled || o->addr[0] == '\0')
 			continue;
-		if (!core && member_rank(m, o->host, o->power) >= CORE_HOSTS &&
-		    strcmp(o->host, m->leader.host) != 0)
+		if (!all && !o->core && strcmp(o->host, m->leader.host) != 0)
 			continue;
 		peer_net_add(m->peers, o->host, o->addr, o->port);
 		o->dialled = true;
@@ -119,6 +144,7 @@
 	str_copy(o->incarnation, mr->incarnation, sizeof(o->incarnation));
 	str_copy(o->addr, mr->addr, sizeof(o->addr));
 	o->port = (uint16_t)mr->peer_port;
+	m->ranks_stale |= o->power != mr->power;
 	o->power = mr->power;
 	o->dialled = false;
 	member_dial(m);
@@ -190,6 +216,7 @@
 	return peer_net_up(m->peers, host);
 }
 
+/* The answer keeps the link alive. */
 static void
 on_beat_answer(int err, const Cc__Frame *f, void *arg)
 {
@@ -198,40 +225,55 @@
 	(void)arg;
 }
 
+static void
+fill_beat(const struct member *m, Cc__CellBeat *b, bool stalled)
+{
+	b->incarnation = (char *)(uintptr_t)m->incarnation;
+	b->leads = member_leads(m);
+	b->fence = m->cell.fence;
+	b->generation = m->leader.generation;
+	b->leaving = m->leaving;
+	b->stalled = stalled;
+	b->config_version = m->config != NULL ? m->config->version : 0;
+}
+
+/* Those that would take over hear of the leader more often. */
+static int64_t
+beat_every_ms(const struct member *m, const struct other *o)
+{
+	return member_leads(m) && o->core ? LEADER_BEAT_MS : FOLLOWER_BEAT_MS;
+}
+
 void
 member_beat(struct member *m)
 {
-	int64_t now = clock_boot_ms(), every = FOLLOWER_BEAT_MS;
+	int64_t now = clock_boot_ms();
 	bool stalled = member_leads(m) && cell_stalled(&m->cell);
+	bool news = (stalled && !m->told_stalled) || m->beat_all;
+	Cc__CellBeat b = CC__CELL_BEAT__INIT;
 	int i;
 
-	if (member_leads(m))
-		every = LEADER_BEAT_MS;
-	/* The others are told at once, so that one of them takes over. */
-	if (now - m->beat_ms < every && (!stalled || m->told_stalled))
-		return;
+	member_set_core(m);
 	if (stalled && !m->told_stalled)
 		kvlog(KVLOG_WARN, "stalled", "committed_ms_ago=%lld",
 		    (long long)(now - m->cell.committed_ms));
 	m->told_stalled = stalled;
-	m->beat_ms = now;
+	m->beat_all = false;
+	fill_beat(m, &b, stalled);
 	for (i = 0; i < m->nothers; i++) {
+		struct other *o = &m->others[i];
 		Cc__Frame f = CC__FRAME__INIT;
-		Cc__CellBeat b = CC__CELL_BEAT__INIT;
 
-		if (!member_linked(m, m->others[i].host))
+		/* Some are told at once, so that one of them takes over. */
+		if (!news && now - o->told_ms < beat_every_ms(m, o))
+			continue;
+		if (!member_linked(m, o->host))
 			continue;
-		b.incarnation = m->incarnation;
-		b.leads = member_leads(m);
-		b.fence = m->cell.fence;
-		b.generation = m->leader.generation;
-		b.leaving = m->leaving;
-		b.stalled = stalled;
-		b.config_version = m->config != NULL ? m->config->version : 0;
+		o->told_ms = now;
 		f.body_case = CC__FRAME__BODY_CELL_BEAT;
 		f.cell_beat = &b;
-		peer_call(m->peers, m->others[i].host, &f, BEAT_TIMEOUT_MS,
-		    on_beat_answer, m);
+		peer_call(
+		    m->peers, o->host, &f, BEAT_TIMEOUT_MS, on_beat_answer, m);
 	}
 }
 
@@ -313,9 +355,13 @@
 void
 member_lanes(struct member *m)
 {
-	char hosts[LANES_MAX][64];
+	static char hosts[LANES_MAX][64];
+	int64_t now = clock_boot_ms();
 	int i, n = 0;
 
+	if (now - m->lanes_ms < LANES_EVERY_MS)
+		return;
+	m->lanes_ms = now;
 	if (!m->leaving)
 		str_copy(hosts[n++], m->settings->host, 64);
 	for (i = 0; i < m->nothers && n < LANES_MAX; i++)
--- a/src/member/parts.h
+++ b/src/member/parts.h
@@ -8,7 +8,7 @@
 #include "follow.h"
 #include "member.h"
 
-#define MEMBERS_MAX 128
+#define MEMBERS_MAX 2048
 
 /** Another host of the cell. */
 struct other {
@@ -21,6 +21,8 @@
 	uint16_t port;
 	uint32_t power; /**< thousandths of a core */
 	bool dialled;
+	bool core;	 /**< one of those that lead before all others */
+	int64_t told_ms; /**< last beat to it */
 	bool leads;
 	bool stalled;
 	bool leaving;
@@ -63,6 +65,9 @@
 	struct leader leader;
 	struct other others[MEMBERS_MAX];
 	int nothers;
+	bool core;	  /**< this host is one of those that lead first */
+	bool ranks_stale; /**< members have come, gone or changed */
+	int64_t lanes_ms; /**< hosts that may ask were last listed */
 	/* config */
 	char *config_text;
 	size_t config_len;
@@ -75,6 +80,7 @@
 	int64_t watch_sent_ms;
 	int64_t watch_took_ms; /**< answer to the last watch */
 	bool told_stalled;     /**< the last beats said so */
+	bool beat_all;	       /**< there is news for all others */
 	int64_t member_row_ms; /**< own row last tried; 0: it is written */
 	bool member_row_open;
 	bool registry_open;
@@ -83,10 +89,10 @@
 	int64_t started_ms;
 	int64_t led_last_ms;
 	int64_t stronger_ms; /**< a stronger host could lead since; 0: none */
-	int64_t beat_ms;
 	struct event *tick;
 	struct event *wake;
 	bool wake_set;
+	int64_t pass_took_ms; /**< the last pass of the cell */
 	struct pending_list calls;
 	uint64_t call_serial;
 	struct hist submit_ms;
@@ -107,8 +113,8 @@
 /** Dials those that this host should be linked with, and isn't yet. */
 void member_dial(struct member *m);
 uint32_t member_power(const struct member *m);
-/** Hosts that come before the one of this name and power, to lead. */
-int member_rank(const struct member *m, const char *host, uint32_t power);
+/** Sets which hosts are core, after a change of members. */
+void member_set_core(struct member *m);
 bool member_linked(const struct member *m, const char *host);
 
 /* lead.c */
--- a/src/member/registry.c
+++ b/src/member/registry.c
@@ -8,7 +8,10 @@
 #include "../sys/clock.h"
 #include "parts.h"
 
+/** The list is read this often, and less often the longer it is. */
 #define READ_EVERY_MS 500
+#define READ_RUNNER_MS 2
+#define READ_EVERY_MAX_MS 2000
 #define PAGE_ROWS 500
 
 struct reading {
@@ -64,6 +67,16 @@
 	    m->ports.registry_part, r->from, PAGE_ROWS, on_page, r);
 }
 
+static int64_t
+read_every_ms(const struct member *m)
+{
+	int64_t ms = READ_RUNNER_MS * (int64_t)HASH_COUNT(m->cell.runners);
+
+	if (ms > READ_EVERY_MAX_MS)
+		return READ_EVERY_MAX_MS;
+	return ms > READ_EVERY_MS ? ms : READ_EVERY_MS;
+}
+
 void
 member_registry_tick(struct member *m)
 {
@@ -71,7 +84,7 @@
 	struct reading *r;
 
 	if (!member_leads(m) || m->cell.phase != CELL_SERVING ||
-	    m->registry_open || now - m->registry_ms < READ_EVERY_MS)
+	    m->registry_open || now - m->registry_ms < read_every_ms(m))
 		return;
 	m->registry_ms = now;
 	m->registry_open = true;
--- a/src/transport/peer_net.c
+++ b/src/transport/peer_net.c
@@ -27,7 +27,7 @@
 #define HANDSHAKE_MS 2000
 #define REDIAL_MS 500
 #define USER_TIMEOUT_MS 3000
-#define LINKS_MAX 512
+#define LINKS_MAX 2500
 
 enum link_state {
 	LINK_HELLO,
@@ -37,6 +37,7 @@
 
 struct link {
 	TAILQ_ENTRY(link) link;
+	UT_hash_handle hh; /**< by serial number */
 	struct peer_net *net;
 	struct bufferevent *bev;
 	struct peer *peer; /**< of a link that this host dialled */
@@ -51,6 +52,7 @@
 
 struct peer {
 	TAILQ_ENTRY(peer) link;
+	UT_hash_handle hh; /**< by host, once that is known */
 	char host[64];
 	char addr[48];
 	uint16_t port;
@@ -76,6 +78,8 @@
 	struct event *tick;
 	TAILQ_HEAD(link_list, link) links;
 	TAILQ_HEAD(peer_list, peer) peers;
+	struct link *by_serial;
+	struct peer *by_host;
 	struct call *calls;
 	uint64_t next_id;
 	uint64_t next_serial;
@@ -86,6 +90,24 @@
 	uint64_t received;
 };
 
+static void
+name_peer(struct peer_net *n, struct peer *p, const char *host)
+{
+	struct peer *other;
+
+	if (strcmp(p->host, host) == 0)
+		return;
+	if (p->host[0] != '\0')
+		HASH_DEL(n->by_host, p);
+	str_copy(p->host, host, sizeof(p->host));
+	HASH_FIND_STR(n->by_host, host, other);
+	if (other != NULL) {
+		HASH_DEL(n->by_host, other);
+		other->host[0] = '\0';
+	}
+	HASH_ADD_STR(n->by_host, host, p);
+}
+
 static void
 send_frame(struct link *l, Cc__Frame *f)
 {
@@ -170,6 +192,7 @@
 		p->redial_ms = clock_boot_ms() + REDIAL_MS;
 	}
 	TAILQ_REMOVE(&n->links, l, link);
+	HASH_DEL(n->by_serial, l);
 	n->nlinks--;
 	bufferevent_free(l->bev);
 	free(l);
@@ -213,7 +236,7 @@
 	if (l->peer == NULL)
 		send_auth(l);
 	else if (l->peer->host[0] == '\0')
-		str_copy(l->peer->host, l->host, sizeof(l->peer->host));
+		name_peer(l->net, l->peer, l->host);
 	l->state = LINK_UP;
 	kvlog(KVLOG_INFO, "peer_up", "peer=%s dialled=%d", l->host,
 	    l->peer != NULL);
@@ -259,10 +282,8 @@
 {
 	struct link *l;
 
-	TAILQ_FOREACH (l, &n->links, link)
-		if (l->serial == serial)
-			return l;
-	return NULL;
+	HASH_FIND(hh, n->by_serial, &serial, sizeof(serial), l);
+	return l;
 }
 
 static void
@@ -341,6 +362,7 @@
 	bufferevent_setcb(l->bev, on_read, NULL, on_event, l);
 	bufferevent_enable(l->bev, EV_READ | EV_WRITE);
 	TAILQ_INSERT_TAIL(&n->links, l, link);
+	HASH_ADD(hh, n->by_serial, serial, sizeof(l->serial), l);
 	n->nlinks++;
 	return l;
 }
@@ -484,6 +506,8 @@
 		link_delete(TAILQ_FIRST(&n->links), "shutdown");
 	while ((p = TAILQ_FIRST(&n->peers)) != NULL) {
 		TAILQ_REMOVE(&n->peers, p, link);
+		if (p->host[0] != '\0')
+			HASH_DEL(n->by_host, p);
 		free(p);
 	}
 	expire_calls(n, INT64_MAX);
@@ -497,10 +521,8 @@
 {
 	struct peer *p;
 
-	TAILQ_FOREACH (p, &n->peers, link)
-		if (strcmp(p->host, host) == 0)
-			return p;
-	return NULL;
+	HASH_FIND_STR(n->by_host, host, p);
+	return p;
 }
 
 void
@@ -519,7 +541,7 @@
 		TAILQ_INSERT_TAIL(&n->peers, p, link);
 	}
 	if (*host != '\0')
-		str_copy(p->host, host, sizeof(p->host));
+		name_peer(n, p, host);
 }
 
 void
@@ -532,6 +554,7 @@
 	if (p->out != NULL)
 		link_delete(p->out, "removed");
 	TAILQ_REMOVE(&n->peers, p, link);
+	HASH_DEL(n->by_host, p);
 	free(p);
 }
 
@@ -575,6 +598,40 @@
 	send_frame(p->out, f);
 }
 
+int
+peer_send(struct peer_net *n, const char *host, Cc__Frame *f)
+{
+	struct peer *p = find_peer(n, host);
+
+	if (p == NULL || p->out == NULL || p->out->state != LINK_UP)
+		return CC_ENOTSENT;
+	f->id = f->reply_to = 0;
+	send_frame(p->out, f);
+	return CC_OK;
+}
+
+int
+peer_send_link(struct peer_net *n, uint64_t link, Cc__Frame *f)
+{
+	struct link *l = find_link(n, link);
+
+	if (l == NULL)
+		return CC_ENOTSENT;
+	f->id = f->reply_to = 0;
+	send_frame(l, f);
+	return CC_OK;
+}
+
+uint64_t
+peer_net_link(const struct peer_net *n, const char *host)
+{
+	const struct peer *p = find_peer(n, host);
+
+	if (p == NULL || p->out == NULL || p->out->state != LINK_UP)
+		return 0;
+	return p->out->serial;
+}
+
 void
 peer_reply(struct peer_net *n, const struct peer_request *rq, Cc__Frame *f)
 {
--- a/src/transport/peer_net.h
+++ b/src/transport/peer_net.h
@@ -48,6 +48,12 @@
 
 void peer_call(struct peer_net *n, const char *host, Cc__Frame *f,
     int64_t timeout_ms, peer_reply_fn fn, void *arg);
+/** Sends a frame that has no reply; CC_ENOTSENT without a link. */
+int peer_send(struct peer_net *n, const char *host, Cc__Frame *f);
+/** The same, on the link that a request came in on. */
+int peer_send_link(struct peer_net *n, uint64_t link, Cc__Frame *f);
+/** Serial number of the link to the host that is up; 0: there is none. */
+uint64_t peer_net_link(const struct peer_net *n, const char *host);
 void peer_reply(
     struct peer_net *n, const struct peer_request *rq, Cc__Frame *f);
 void peer_net_traffic(
--- a/tests/unit/parts_test.c
+++ b/tests/unit/parts_test.c
@@ -8,6 +8,7 @@
 #include "../../src/base/err.h"
 #include "../../src/base/finding.h"
 #include "../../src/coordination/claim.h"
+#include "../../src/coordination/ask_plan.h"
 #include "../../src/coordination/lanes.h"
 #include "../../src/coordination/returns.h"
 #include "../../src/coordination/pacing.h"
@@ -257,6 +258,75 @@
 	CU_ASSERT(!claim_due(&f));
 }
 
+/* A weak host stays out of it while a strong one could take over. */
+void
+test_claim_reserve(void)
+{
+	struct claim_facts f = {.known = true,
+	    .linked = true,
+	    .served = true,
+	    .reserve = true,
+	    .core_alive = true,
+	    .beat_age_ms = 900};
+
+	CU_ASSERT(!claim_doubts(&f));
+	f.beat_age_ms = 2600;
+	CU_ASSERT(claim_doubts(&f));
+	f.unchanged_ms = 2999;
+	CU_ASSERT(!claim_due(&f));
+	f.unchanged_ms = 3000;
+	CU_ASSERT(claim_due(&f));
+	/* The leader is gone: still the strong ones first. */
+	f = (struct claim_facts){.known = true,
+	    .no_leader = true,
+	    .reserve = true,
+	    .core_alive = true,
+	    .unchanged_ms = 500};
+	CU_ASSERT(!claim_due(&f));
+	f.core_alive = false;
+	CU_ASSERT(claim_due(&f));
+}
+
+/* Wide batch steps behind slow advice: idle lanes share one long call. */
+void
+test_ask_plan_wide_steps(void)
+{
+	struct ask_share s;
+	int i;
+
+	/* Few hosts: one call of a bounded length. */
+	CU_ASSERT_EQUAL(ask_plan_most(5), ASK_CALL_MAX);
+	CU_ASSERT_EQUAL(ask_plan_calls(60, 559, 7.9, 5), 1);
+	/* Many: parts, as long as each one saves time. */
+	CU_ASSERT_EQUAL(ask_plan_most(100), ASK_CALLS_MAX * ASK_CALL_MAX);
+	CU_ASSERT(ask_plan_calls(60, 559, 7.9, 100) > 1);
+	CU_ASSERT(ask_plan_calls(200, 559, 7.9, 100) >= 4);
+	CU_ASSERT_EQUAL(ask_plan_calls(4, 559, 7.9, 100), 1);
+	ask_share_init(&s);
+	for (i = 0; i < 200; i++)
+		ask_share_learn(&s, 20, 7);
+	CU_ASSERT_DOUBLE_EQUAL(s.share, 0.35, 0.01);
+	for (i = 0; i < 500; i++)
+		ask_share_learn(&s, 20, 0);
+	CU_ASSERT(s.share >= 0.1);
+}
+
+/* Hundreds of hosts: the quick lanes stay few, the slow ones grow. */
+void
+test_lanes_many(void)
+{
+	struct lanes l;
+	struct lane *lane;
+
+	memset(&l, 0, sizeof(l));
+	set_lanes(&l, 147);
+	CU_ASSERT_EQUAL(lanes_idle(&l, 30), 24);
+	CU_ASSERT_EQUAL(lanes_idle(&l, 600), 123);
+	lane = lanes_pick(&l, 600);
+	lane_sent(lane, 600, 0);
+	CU_ASSERT_EQUAL(lanes_idle(&l, 600), 122);
+}
+
 /* A tail near its target halves the pace, one over it stops it. */
 void
 test_pacing(void)
