No scan of all runners in a pass; calls for advice split over idle lanes

Cause: a pass visited every run of every runner, cleared room for a candidate a runner at each step, looked each ticket's runner up by name, and listed and sorted all runners for each step that asked. At 1,100 runners commits came 570 ms apart.

Change: runners that need attention soon are on a list, and all are swept on the tick of 25 ms. Candidates share one buffer; tickets hold their runner; allowed ones have a list of their own. A step that asks chooses from a part of the runners, in turn, unless it is bound to a rack. How many a queue allows is learned. The commit comes first in a pass, which places for 20 ms at most. Preemption and asking ahead follow the tick.

Ruled out: a busy store (4 ms an answer throughout).

--- a/src/cell/advice.c
+++ b/src/cell/advice.c
@@ -12,11 +12,13 @@
 #include "../base/kvlog.h"
 #include "../base/xalloc.h"
 
+#include "../coordination/ask_plan.h"
 #include "grants.h"
 
-/** Runners named in one call. */
-#define NAMED_MAX 60
+/** Fewest runners named in a call. */
 #define NAMED_MIN 4
+/** A choice is made among this many times the most that are named. */
+#define CHOICES_MAX (3 * ASK_CALLS_MAX * ASK_CALL_MAX)
 /** Slots named beyond those that the step needs. */
 #define SPARE_FACTOR 1.3
 /** Beyond the call's own time, an answer may take this long. */
@@ -26,19 +28,25 @@
 #define AGAIN_MS 120
 /** A later step is asked for when this share of the one before has run. */
 #define AHEAD_SHARE 0.4
-/** Share of the runners that a queue allows, before any answer. */
-#define ALLOWED_FIRST 0.5
 
 struct call {
 	struct cell *cell;
 	uint64_t fence;
 	struct task_ref step; /**< index isn't used */
 	char host[64];
+	char queue[QUEUE_NAME_LEN];
 	char **named;
 	int nnamed;
 	int64_t sent_ms;
 };
 
+/** What the answers for a queue have told. */
+struct queue_share {
+	UT_hash_handle hh;
+	char queue[QUEUE_NAME_LEN];
+	struct ask_share share;
+};
+
 struct choice {
 	struct runner *runner;
 	double score;
@@ -46,6 +54,33 @@
 	enum standing standing;
 };
 
+static struct ask_share *
+share_of(struct cell *c, const char *queue)
+{
+	struct queue_share *s;
+
+	HASH_FIND_STR(c->shares, queue, s);
+	if (s == NULL) {
+		s = xcalloc(1, sizeof(*s));
+		str_copy(s->queue, queue, sizeof(s->queue));
+		ask_share_init(&s->share);
+		HASH_ADD_STR(c->shares, queue, s);
+	}
+	return &s->share;
+}
+
+void
+cell_advice_done(struct cell *c)
+{
+	struct queue_share *s, *tmp;
+
+	HASH_ITER(hh, c->shares, s, tmp)
+	{
+		HASH_DEL(c->shares, s);
+		free(s);
+	}
+}
+
 static double
 call_ms(const struct queue *q, int runners)
 {
@@ -85,7 +120,7 @@
 	    .now_ms = now};
 	uint32_t waiting = step_wanted(s);
 
-	if (a->asking || now < a->retry_ms || waiting == 0)
+	if (a->open > 0 || now < a->retry_ms || waiting == 0)
 		return false;
 	if (s->ready_ms == 0 && now < ask_from_ms(s, q))
 		return false;
@@ -102,6 +137,28 @@
 	return x->score < y->score ? -1 : x->score > y->score;
 }
 
+static bool
+add_choice(const struct step *s, const struct placing_want *w, struct runner *r,
+    struct choice *out)
+{
+	const struct grant *g;
+
+	if (s->ready_ms != 0 ? !placing_feasible(r, w) : !placing_allowed(r, w))
+		return false;
+	g = grant_find(s->advice, r->info.id);
+	if (g != NULL && g->standing == STANDING_DENIED)
+		return false;
+	out->runner = r;
+	out->slots = placing_slots(r, w);
+	out->score = placing_score(r, w);
+	out->standing = g != NULL ? g->standing : STANDING_UNKNOWN;
+	return true;
+}
+
+/*
+ * Looks at the runners in turn, from where the last list ended, until there
+ * is enough to choose from. Steps that are bound to a rack look at all.
+ */
 static int
 list_choices(struct cell *c, struct step *s, const struct queue *q, int64_t now,
     struct choice *out)
@@ -111,42 +168,37 @@
 	    .remote_factor = c->terms.remote_factor,
 	    .urgent = q->priority == 0,
 	    .now_ms = now};
-	const struct advice *a = s->advice;
-	struct runner *r;
+	bool all = s->spec->preferred_rack[0] != '\0' || s->spec->same_rack;
+	unsigned left = HASH_COUNT(c->runners);
+	struct runner *r = cell_runner(c, c->ask_from);
 	int n = 0;
 
-	for (r = c->runners; r != NULL; r = r->hh.next) {
-		const struct grant *g = grant_find(a, r->info.id);
-
-		if (g != NULL && g->standing == STANDING_DENIED)
-			continue;
-		if (s->ready_ms != 0 ? !placing_feasible(r, &w)
-				     : !placing_allowed(r, &w))
-			continue;
-		out[n].runner = r;
-		out[n].slots = placing_slots(r, &w);
-		out[n].score = placing_score(r, &w);
-		out[n].standing = g != NULL ? g->standing : STANDING_UNKNOWN;
-		n++;
+	for (; left > 0 && (all || n < CHOICES_MAX); left--) {
+		if (r == NULL)
+			r = c->runners;
+		if (add_choice(s, &w, r, &out[n]))
+			n++;
+		r = r->hh.next;
 	}
+	str_copy(c->ask_from, r != NULL ? r->info.id : "", sizeof(c->ask_from));
 	qsort(out, (size_t)n, sizeof(*out), compare_choices);
 	return n;
 }
 
 /* Enough runners that the step's tasks should find a place on them. */
 static int
-enough(const struct step *s, const struct choice *list, int n)
+enough(const struct step *s, const struct choice *list, int n, int most,
+    double share)
 {
 	double want = step_wanted(s) * SPARE_FACTOR;
 	double slots = 0;
 	int i;
 
-	for (i = 0; i < n && i < NAMED_MAX; i++) {
+	for (i = 0; i < n && i < most; i++) {
 		if (slots >= want && i >= NAMED_MIN)
 			break;
 		slots += list[i].slots *
-		    (list[i].standing == STANDING_ALLOWED ? 1.0
-							  : ALLOWED_FIRST);
+		    (list[i].standing == STANDING_ALLOWED ? 1.0 : share);
 	}
 	return i;
 }
@@ -179,20 +231,13 @@
 take_rows(struct cell *c, struct advice *a, const struct call *k,
     const struct advice_row *rows, int nrows, int64_t expires_ms)
 {
-	struct runner *r;
-	struct grant *g;
 	int i;
 
 	for (i = 0; i < k->nnamed; i++)
-		grant_get(a, k->named[i])->standing = STANDING_DENIED;
-	for (i = 0; i < nrows; i++) {
-		g = grant_get(a, rows[i].runner);
-		g->standing = STANDING_ALLOWED;
-		str_copy(g->ticket, rows[i].ticket, sizeof(g->ticket));
-		g->expires_ms = expires_ms;
-		r = cell_runner(c, rows[i].runner);
-		g->born_ms = r != NULL ? r->info.born_ms : 0;
-	}
+		grant_deny(a, k->named[i]);
+	for (i = 0; i < nrows; i++)
+		grant_allow(c, a, rows[i].runner, rows[i].ticket, expires_ms);
+	ask_share_learn(share_of(c, k->queue), k->nnamed, nrows);
 }
 
 static void
@@ -206,9 +251,9 @@
 	struct advice *a;
 
 	lanes_answered(&c->lanes, k->host, now);
-	if (s != NULL) {
-		a = step_advice(s);
-		a->asking = false;
+	if (s != NULL && s->advice != NULL) {
+		a = s->advice;
+		a->open -= a->open > 0;
 		a->retry_ms = now + (err == CC_OK ? AGAIN_MS : RETRY_MS);
 		kvlog(KVLOG_INFO, "advice",
 		    "step=%s.%u.%u asked=%d allowed=%d err=%s took_ms=%lld "
@@ -243,11 +288,11 @@
 	k->step.occurrence = s->occurrence->number;
 	k->step.step = s->index;
 	str_copy(k->host, lane->host, sizeof(k->host));
+	str_copy(k->queue, q->name, sizeof(k->queue));
 	k->named = xcalloc((size_t)n, sizeof(*k->named));
 	for (i = 0; i < n; i++)
 		k->named[k->nnamed++] = xstrdup(list[i].runner->info.id);
-	a->asking = true;
-	a->asked_ms = now;
+	a->open++;
 	lane_sent(lane, ms, now);
 	c->counters.advice_calls++;
 	step_name(s, name, sizeof(name));
@@ -256,22 +301,43 @@
 	    (int64_t)(ms * 2) + CALL_MARGIN_MS, on_advice, k);
 }
 
+/* Names the runners in turn, so that each call has good ones. */
+static void
+send_calls(struct cell *c, struct step *s, const struct queue *q,
+    const struct choice *list, int n, int idle, int64_t now)
+{
+	int calls =
+	    ask_plan_calls(n, q->advice.decision_ms, q->advice.runner_ms, idle);
+	struct choice part[ASK_CALL_MAX];
+	struct lane *lane;
+	int i, k, m;
+
+	for (k = 0; k < calls; k++) {
+		lane = lanes_pick(&c->lanes, call_ms(q, NAMED_MIN));
+		if (lane == NULL)
+			return;
+		for (i = k, m = 0; i < n && m < ASK_CALL_MAX; i += calls)
+			part[m++] = list[i];
+		if (m > 0)
+			send_call(c, s, q, part, m, lane, now);
+	}
+}
+
 /* @return whether another call of this kind may find a lane. */
 static bool
 ask_for(struct cell *c, struct step *s, const struct queue *q, int64_t now)
 {
 	struct choice *list;
-	struct lane *lane;
-	int n;
+	int n, idle = lanes_idle(&c->lanes, call_ms(q, NAMED_MIN));
 
-	lane = lanes_pick(&c->lanes, call_ms(q, NAMED_MIN));
-	if (lane == NULL)
+	if (lanes_pick(&c->lanes, call_ms(q, NAMED_MIN)) == NULL)
 		return false;
-	list = xcalloc(HASH_COUNT(c->runners) + 1, sizeof(*list));
+	list = xmalloc((HASH_COUNT(c->runners) + 1) * sizeof(*list));
 	n = list_choices(c, s, q, now, list);
-	n = enough(s, list, n);
+	n = enough(
+	    s, list, n, ask_plan_most(idle), share_of(c, q->name)->share);
 	if (n > 0)
-		send_call(c, s, q, list, n, lane, now);
+		send_calls(c, s, q, list, n, idle, now);
 	else
 		step_advice(s)->retry_ms = now + AGAIN_MS;
 	free(list);
@@ -314,7 +380,6 @@
 	w->list[w->n++].step = s;
 }
 
-/* Steps that are not ready yet come after those that are. */
 static void
 add_later_wishes(struct cell *c, struct wishes *w, int64_t now)
 {
@@ -335,29 +400,47 @@
 	}
 }
 
+static void
+ask_in_order(struct cell *c, struct wishes *w, int64_t now)
+{
+	bool quick = true, slow = true;
+	size_t i;
+
+	if (w->n > 0)
+		qsort(w->list, w->n, sizeof(*w->list), compare_wishes);
+	for (i = 0; i < w->n && c->ports.now() - now < PASS_MS; i++) {
+		const struct queue *q = w->list[i].queue;
+		bool *lane =
+		    lanes_is_quick(call_ms(q, NAMED_MIN)) ? &quick : &slow;
+
+		if (*lane)
+			*lane = ask_for(c, w->list[i].step, q, now);
+	}
+	free(w->list);
+}
+
 void
 cell_ask_advice(struct cell *c)
 {
 	int64_t now = c->ports.now();
 	struct wishes w = {0};
 	struct step *s;
-	bool quick = true, slow = true;
-	size_t i;
 
 	if (c->config == NULL || c->lanes.n == 0)
 		return;
 	TAILQ_FOREACH (s, &c->steps, link)
 		add_wish(c, &w, s, now);
-	add_later_wishes(c, &w, now);
-	if (w.n > 0)
-		qsort(w.list, w.n, sizeof(*w.list), compare_wishes);
-	for (i = 0; i < w.n; i++) {
-		const struct queue *q = w.list[i].queue;
-		bool *lane =
-		    lanes_is_quick(call_ms(q, NAMED_MIN)) ? &quick : &slow;
+	ask_in_order(c, &w, now);
+}
 
-		if (*lane)
-			*lane = ask_for(c, w.list[i].step, q, now);
-	}
-	free(w.list);
+void
+cell_ask_ahead(struct cell *c)
+{
+	int64_t now = c->ports.now();
+	struct wishes w = {0};
+
+	if (c->config == NULL || c->lanes.n == 0)
+		return;
+	add_later_wishes(c, &w, now);
+	ask_in_order(c, &w, now);
 }
--- a/src/cell/cell.c
+++ b/src/cell/cell.c
@@ -20,6 +20,8 @@
 	c->ports = *p;
 	str_copy(c->incarnation, incarnation, sizeof(c->incarnation));
 	returns_init(&c->returns);
+	c->runners_version = 1;
+	TAILQ_INIT(&c->due);
 	TAILQ_INIT(&c->steps);
 	TAILQ_INIT(&c->dirty);
 	TAILQ_INIT(&c->ended);
@@ -37,8 +39,7 @@
 	{
 		while ((run = TAILQ_FIRST(&r->runs)) != NULL)
 			run_delete(run);
-		HASH_DEL(c->runners, r);
-		runner_delete(r);
+		cell_drop_runner(c, r);
 	}
 }
 
@@ -80,6 +81,8 @@
 {
 	cell_resign(c);
 	returns_done(&c->returns);
+	cell_advice_done(c);
+	free(c->scratch);
 	if (c->config != NULL) {
 		config_done(c->config);
 		free(c->config);
@@ -135,7 +138,6 @@
 		free(c->config);
 	}
 	c->config = m;
-	c->room_version++;
 	apply_config_to_jobs(c);
 	c->ports.wake(c->ports.arg);
 }
@@ -152,11 +154,15 @@
 	cell_load_retry(c);
 	if (c->phase != CELL_SERVING)
 		return;
+	cell_commit(c);
 	cell_due_occurrences(c);
 	cell_check_blind(c);
 	cell_drain(c);
 	cell_want_copies(c);
+	cell_preempt(c);
+	cell_sweep(c);
 	cell_pass(c);
+	cell_ask_ahead(c);
 }
 
 void
@@ -164,9 +170,8 @@
 {
 	if (c->phase != CELL_SERVING)
 		return;
+	cell_commit(c);
 	cell_place(c);
-	cell_preempt(c);
 	cell_ask_advice(c);
-	cell_commit(c);
 	cell_holds(c);
 }
--- a/src/cell/cell.h
+++ b/src/cell/cell.h
@@ -100,8 +100,11 @@
 	struct commit *commit; /**< under way */
 };
 
+struct candidate;
+
 TAILQ_HEAD(step_list, step);
 TAILQ_HEAD(job_list, job);
+TAILQ_HEAD(runner_list, runner);
 
 struct cell {
 	struct cell_terms terms;
@@ -114,17 +117,22 @@
 	struct job *jobs;
 	struct job *loading; /**< read from the store, on no list yet */
 	struct runner *runners;
+	uint64_t runners_version;  /**< rises when one comes or goes */
+	struct runner_list due;	   /**< to be looked after in the next pass */
+	struct candidate *scratch; /**< room for all runners; see place.c */
+	size_t nscratch;
 	struct step_list steps; /**< with work to place */
 	struct job_list dirty;
 	struct job_list ended; /**< oldest first */
 	struct job_list live;  /**< that haven't ended */
 	struct job_list timed; /**< with occurrences to come */
 	struct lanes lanes;
-	struct returns returns; /**< of callers that were refused */
-	uint64_t room_version;	/**< rises whenever room may appear */
-	int64_t led_ms;		/**< this host leads since */
-	int64_t blind_until_ms; /**< inherited work waits until then, or
-				 *   until all runners are adopted */
+	struct queue_share *shares;   /**< of the runners, by queue */
+	char ask_from[RUNNER_ID_LEN]; /**< choices begin with this runner */
+	struct returns returns;	      /**< of callers that were refused */
+	int64_t led_ms;		      /**< this host leads since */
+	int64_t blind_until_ms;	      /**< inherited work waits until then, or
+				       *   until all runners are adopted */
 	bool blind;
 	struct commit_chain chains[COMMIT_CHAINS];
 	uint64_t store_version; /**< of the newest commit that was done */
@@ -160,9 +168,9 @@
 bool cell_store_fails(const struct cell *c);
 /** Whether another host should lead, if the store serves it. */
 bool cell_stalled(const struct cell *c);
-/** Every 50 ms: time limits, renewals, retries. */
+/** Every 25 ms: renewals, time limits, retries, and a look at all runners. */
 void cell_tick(struct cell *c);
-/** Places what can be placed and sends what is due. */
+/** Sends what is due and places what can be placed, for a bounded time. */
 void cell_pass(struct cell *c);
 
 /** Takes over @p row. */
--- a/src/cell/copies.c
+++ b/src/cell/copies.c
@@ -2,7 +2,6 @@
 #include <stdlib.h>
 
 #include "../base/kvlog.h"
-#include "../base/xalloc.h"
 #include "parts.h"
 
 /** A run is late after this many times its estimate... */
@@ -96,9 +95,7 @@
 	    .remote_factor = c->terms.remote_factor,
 	    .urgent = s->occurrence->job->priority == 0,
 	    .now_ms = now};
-	struct candidate *list =
-			     xcalloc(HASH_COUNT(c->runners) + 1, sizeof(*list)),
-			 *d;
+	struct candidate *list = cell_scratch(c), *d;
 	int n = step_candidates(c, s, &w, list);
 	uint32_t i;
 
@@ -115,5 +112,4 @@
 		if (d != NULL)
 			start_copy(c, t, d);
 	}
-	free(list);
 }
--- a/src/cell/ends.c
+++ b/src/cell/ends.c
@@ -170,7 +170,6 @@
 	uint32_t number = run->number;
 
 	c->counters.ends[how]++;
-	c->room_version++;
 	kvlog(how == END_DONE ? KVLOG_DEBUG : KVLOG_INFO, "run_ended",
 	    "task=%s run=%u how=%s runner=%s took_ms=%lld", run->name,
 	    run->number, end_names[how], run->runner->info.id,
--- a/src/cell/grants.c
+++ b/src/cell/grants.c
@@ -11,9 +11,13 @@
 struct advice *
 step_advice(struct step *s)
 {
-	if (s->advice == NULL)
-		s->advice = xcalloc(1, sizeof(struct advice));
-	return s->advice;
+	struct advice *a = s->advice;
+
+	if (a == NULL) {
+		s->advice = a = xcalloc(1, sizeof(*a));
+		TAILQ_INIT(&a->allowed);
+	}
+	return a;
 }
 
 struct grant *
@@ -26,7 +30,8 @@
 	return g;
 }
 
-struct grant *
+/* Finds a runner's grant or makes an unknown one. */
+static struct grant *
 grant_get(struct advice *a, const char *runner)
 {
 	struct grant *g = grant_find(a, runner);
@@ -39,6 +44,31 @@
 	return g;
 }
 
+void
+grant_deny(struct advice *a, const char *runner)
+{
+	struct grant *g = grant_get(a, runner);
+
+	if (g->standing == STANDING_ALLOWED)
+		TAILQ_REMOVE(&a->allowed, g, link);
+	g->standing = STANDING_DENIED;
+}
+
+void
+grant_allow(struct cell *c, struct advice *a, const char *runner,
+    const char *ticket, int64_t expires_ms)
+{
+	struct grant *g = grant_get(a, runner);
+	const struct runner *r = cell_runner(c, runner);
+
+	if (g->standing != STANDING_ALLOWED)
+		TAILQ_INSERT_TAIL(&a->allowed, g, link);
+	g->standing = STANDING_ALLOWED;
+	str_copy(g->ticket, ticket, sizeof(g->ticket));
+	g->expires_ms = expires_ms;
+	g->born_ms = r != NULL ? r->info.born_ms : 0;
+}
+
 void
 step_advice_free(struct step *s)
 {
@@ -56,12 +86,19 @@
 	s->advice = NULL;
 }
 
-static bool
-grant_valid(const struct grant *g, const struct runner *r, int64_t now)
+/* The runner, if the ticket for it is valid; else NULL. */
+static struct runner *
+grant_runner(struct cell *c, struct grant *g, int64_t now)
 {
-	return g != NULL && g->standing == STANDING_ALLOWED &&
-	    g->ticket[0] != '\0' && now < g->expires_ms - TICKET_MARGIN_MS &&
-	    g->born_ms == r->info.born_ms;
+	if (g->ticket[0] == '\0' || now >= g->expires_ms - TICKET_MARGIN_MS)
+		return NULL;
+	if (g->found_version != c->runners_version) {
+		g->at = cell_runner(c, g->runner);
+		g->found_version = c->runners_version;
+	}
+	if (g->at == NULL || g->born_ms != g->at->info.born_ms)
+		return NULL;
+	return g->at;
 }
 
 bool
@@ -77,16 +114,15 @@
 granted_candidates(struct cell *c, const struct advice *a,
     const struct placing_want *w, struct candidate *out)
 {
-	const struct grant *g;
+	struct grant *g;
 	struct runner *r;
 	int n = 0;
 
-	for (g = a != NULL ? a->grants : NULL; g != NULL; g = g->hh.next) {
-		if (g->standing != STANDING_ALLOWED)
-			continue;
-		r = cell_runner(c, g->runner);
-		if (r != NULL && grant_valid(g, r, w->now_ms) &&
-		    placing_feasible(r, w))
+	if (a == NULL)
+		return 0;
+	TAILQ_FOREACH (g, &a->allowed, link) {
+		r = grant_runner(c, g, w->now_ms);
+		if (r != NULL && placing_feasible(r, w))
 			out[n++] = (struct candidate){
 			    .runner = r, .ticket = g->ticket};
 	}
@@ -102,7 +138,7 @@
 	    .remote_factor = c->terms.remote_factor,
 	    .now_ms = c->ports.now()};
 	const struct advice *a = s->advice;
-	const struct grant *g;
+	struct grant *g;
 	struct runner *r;
 	int n = 0;
 
@@ -112,11 +148,13 @@
 				out[n++] = r;
 		return n;
 	}
-	for (g = a != NULL ? a->grants : NULL; g != NULL && n < max;
-	     g = g->hh.next) {
-		r = cell_runner(c, g->runner);
-		if (g->standing == STANDING_ALLOWED && r != NULL &&
-		    grant_valid(g, r, w.now_ms) && placing_allowed(r, &w))
+	if (a == NULL)
+		return 0;
+	TAILQ_FOREACH (g, &a->allowed, link) {
+		if (n == max)
+			break;
+		r = grant_runner(c, g, w.now_ms);
+		if (r != NULL && placing_allowed(r, &w))
 			out[n++] = r;
 	}
 	return n;
@@ -153,16 +191,13 @@
     struct cell *c, const struct step *s, const struct placing_want *w)
 {
 	const struct advice *a = s->advice;
-	const struct grant *g;
+	struct grant *g;
 	struct runner *r;
 	uint64_t sum = 0;
 
-	for (g = a->grants; g != NULL; g = g->hh.next) {
-		if (g->standing != STANDING_ALLOWED)
-			continue;
-		r = cell_runner(c, g->runner);
-		if (r != NULL && grant_valid(g, r, w->now_ms) &&
-		    placing_feasible(r, w))
+	TAILQ_FOREACH (g, &a->allowed, link) {
+		r = grant_runner(c, g, w->now_ms);
+		if (r != NULL && placing_feasible(r, w))
 			sum += placing_slots(r, w);
 	}
 	return sum > UINT32_MAX ? UINT32_MAX : (uint32_t)sum;
--- a/src/cell/grants.h
+++ b/src/cell/grants.h
@@ -12,7 +12,10 @@
 
 struct grant {
 	UT_hash_handle hh;
+	TAILQ_ENTRY(grant) link; /**< among the allowed ones */
 	char runner[RUNNER_ID_LEN];
+	struct runner *at;	/**< that runner, as of ... */
+	uint64_t found_version; /**< ... this version of the cell's runners */
 	enum standing standing;
 	char ticket[TICKET_LEN];
 	int64_t expires_ms;
@@ -21,8 +24,8 @@
 
 struct advice {
 	struct grant *grants;
-	bool asking;
-	int64_t asked_ms;
+	TAILQ_HEAD(grant_list, grant) allowed;
+	int open; /**< calls under way */
 	int64_t retry_ms;
 	int answers;
 };
@@ -30,8 +33,11 @@
 /** The advice of a step, made when it has none. */
 struct advice *step_advice(struct step *s);
 struct grant *grant_find(const struct advice *a, const char *runner);
-/** Finds a runner's grant or makes an unknown one. */
-struct grant *grant_get(struct advice *a, const char *runner);
+/** Notes that the step may not run there. */
+void grant_deny(struct advice *a, const char *runner);
+/** Notes a ticket for the runner. */
+void grant_allow(struct cell *c, struct advice *a, const char *runner,
+    const char *ticket, int64_t expires_ms);
 /** Tasks of the step that valid tickets give a place now. */
 uint32_t granted_slots(
     struct cell *c, const struct step *s, const struct placing_want *w);
--- a/src/cell/holds.c
+++ b/src/cell/holds.c
@@ -155,6 +155,7 @@
 		cell_take_lists(c, r, h, o.sent_ms);
 	else
 		hold_failed(c, r, h->result);
+	cell_attend(c, r);
 	c->ports.wake(c->ports.arg);
 }
 
@@ -295,12 +296,23 @@
 
 void
 cell_holds(struct cell *c)
+{
+	struct runner *r;
+
+	while ((r = TAILQ_FIRST(&c->due)) != NULL) {
+		TAILQ_REMOVE(&c->due, r, due_link);
+		r->due = false;
+		cell_resend_stops(c, r);
+		cell_look(c, r);
+	}
+}
+
+void
+cell_sweep(struct cell *c)
 {
 	int64_t now = c->ports.now();
 	struct runner *r, *tmp;
 
-	if (c->phase != CELL_SERVING)
-		return;
 	HASH_ITER(hh, c->runners, r, tmp)
 	{
 		cell_resend_stops(c, r);
@@ -326,7 +338,6 @@
 	if (missing > 0 && c->ports.now() < c->blind_until_ms)
 		return;
 	c->blind = false;
-	c->room_version++;
 	kvlog(KVLOG_INFO, "inherited_work_free",
 	    "after_ms=%lld unheard_runners=%d",
 	    (long long)(c->ports.now() - c->led_ms), missing);
--- a/src/cell/lists.c
+++ b/src/cell/lists.c
@@ -145,7 +145,6 @@
 		return;
 	r->adopted = true;
 	r->known = true;
-	c->room_version++;
 	kvlog(KVLOG_INFO, "runner_adopted", "runner=%s runs=%d ends=%llu",
 	    r->info.id, r->nruns, (unsigned long long)r->taken);
 	cell_check_blind(c);
--- a/src/cell/load.c
+++ b/src/cell/load.c
@@ -123,6 +123,8 @@
 	r->fence = c->fence;
 	r->missing_ms = r->order_sent_ms = c->ports.now();
 	HASH_ADD_STR(c->runners, info.id, r);
+	c->runners_version++;
+	cell_attend(c, r);
 	for (i = 0; i < row->n_runs; i++)
 		bind_ref(c, r, row->runs[i]);
 }
--- a/src/cell/parts.h
+++ b/src/cell/parts.h
@@ -57,6 +57,10 @@
 
 /* runners.c */
 struct runner *cell_runner(struct cell *c, const char *id);
+/** The next pass sends what is due to the runner. */
+void cell_attend(struct cell *c, struct runner *r);
+/** Takes it off all lists and frees it. */
+void cell_drop_runner(struct cell *c, struct runner *r);
 /** No start goes to the runner until a commit has opened it again. */
 void cell_close_runner(struct cell *c, struct runner *r);
 /** Forgets a runner that left the registry and holds nothing. */
@@ -70,7 +74,10 @@
     const struct hold_result *h, int64_t sent_ms);
 
 /* holds.c */
+/** Sends what is due to the runners that need it soon. */
 void cell_holds(struct cell *c);
+/** The same for all runners, with what only time brings about. */
+void cell_sweep(struct cell *c);
 void cell_hold(struct cell *c, struct runner *r);
 /** Reads a runner's lists at once where an order to it is open. */
 void cell_look(struct cell *c, struct runner *r);
@@ -86,7 +93,11 @@
 void cell_drain(struct cell *c);
 
 /* place.c */
+/** Work of one pass stops after this long, so that renewals are on time. */
+#define PASS_MS 20
 void cell_place(struct cell *c);
+/** Room for a candidate a runner, until the next call. */
+struct candidate *cell_scratch(struct cell *c);
 uint32_t cell_next_run(const struct cell *c, const struct task *t);
 struct urgency step_urgency(const struct step *s, int64_t now);
 
@@ -109,7 +120,11 @@
 void cell_preempt(struct cell *c);
 
 /* advice.c */
+/** Asks for the steps that are ready. */
 void cell_ask_advice(struct cell *c);
+/** Asks for steps that become ready soon. */
+void cell_ask_ahead(struct cell *c);
+void cell_advice_done(struct cell *c);
 /** A runner that a step may start on, with the ticket for it. */
 struct candidate {
 	struct runner *runner;
--- a/src/cell/place.c
+++ b/src/cell/place.c
@@ -83,6 +83,19 @@
 	return !(c->blind && j->inherited);
 }
 
+struct candidate *
+cell_scratch(struct cell *c)
+{
+	size_t n = HASH_COUNT(c->runners) + 1;
+
+	if (c->nscratch < n) {
+		c->nscratch = n * 2;
+		c->scratch =
+		    xrealloc(c->scratch, c->nscratch * sizeof(*c->scratch));
+	}
+	return c->scratch;
+}
+
 static bool
 pick_init(struct pick *p, struct cell *c, struct step *s, int64_t now)
 {
@@ -98,8 +111,7 @@
 	    .remote_factor = c->terms.remote_factor,
 	    .urgent = q->priority == 0,
 	    .now_ms = now};
-	p->candidates =
-	    xcalloc(HASH_COUNT(c->runners) + 1, sizeof(*p->candidates));
+	p->candidates = cell_scratch(c);
 	p->n = step_candidates(c, s, &p->want, p->candidates);
 	return true;
 }
@@ -289,7 +301,6 @@
 		place_gang(&p);
 	else if (p.n > 0)
 		place_tasks(&p);
-	free(p.candidates);
 	if (s->ncopies > 0)
 		cell_place_copies(c, s, now);
 }
@@ -357,8 +368,10 @@
 	if (TAILQ_EMPTY(&c->steps) || c->config == NULL)
 		return;
 	ranked = rank_steps(c, now, &n);
-	for (i = 0; i < n; i++)
+	for (i = 0; i < n && c->ports.now() - now < PASS_MS; i++)
 		if (room_for(&room, ranked[i].step->spec))
 			place_step(c, ranked[i].step, now);
+	if (i < n)
+		c->ports.wake(c->ports.arg);
 	free(ranked);
 }
--- a/src/cell/preempt.c
+++ b/src/cell/preempt.c
@@ -63,14 +63,17 @@
 cell_preempt(struct cell *c)
 {
 	int64_t now = c->ports.now(), total, need;
-	int64_t stopping = stopping_cpu(c, &total);
-	int64_t most = total * STOPPING_MAX_PERCENT / 100, wanted = 0;
+	int64_t stopping = -1, most = 0, wanted = 0;
 	struct step *s;
 
 	TAILQ_FOREACH (s, &c->steps, link) {
 		if (s->occurrence->job->queue == NULL ||
 		    !may_preempt_for(c, s, now))
 			continue;
+		if (stopping < 0) {
+			stopping = stopping_cpu(c, &total);
+			most = total * STOPPING_MAX_PERCENT / 100;
+		}
 		need = (int64_t)(s->spec->count - s->ndone - s->nheld) *
 		    s->spec->cpu;
 		wanted += need;
--- a/src/cell/runners.c
+++ b/src/cell/runners.c
@@ -19,6 +19,25 @@
 	return r;
 }
 
+void
+cell_attend(struct cell *c, struct runner *r)
+{
+	if (r->due)
+		return;
+	r->due = true;
+	TAILQ_INSERT_TAIL(&c->due, r, due_link);
+}
+
+void
+cell_drop_runner(struct cell *c, struct runner *r)
+{
+	if (r->due)
+		TAILQ_REMOVE(&c->due, r, due_link);
+	HASH_DEL(c->runners, r);
+	runner_delete(r);
+	c->runners_version++;
+}
+
 /* A later leader need not wait for what it can't hold. */
 void
 cell_close_runner(struct cell *c, struct runner *r)
@@ -42,8 +61,7 @@
 	if (!runner_gone(c, r, now))
 		return;
 	kvlog(KVLOG_INFO, "runner_forgotten", "runner=%s", r->info.id);
-	HASH_DEL(c->runners, r);
-	runner_delete(r);
+	cell_drop_runner(c, r);
 	c->runners_changed = true;
 }
 
@@ -70,7 +88,6 @@
 	if (other_incarnation)
 		cell_runner_reset(c, r);
 	if (!r->listed) {
-		c->room_version++;
 		c->runners_changed = true;
 	}
 	r->listed = true;
@@ -86,8 +103,9 @@
 	r->listed_born_ms = in->born_ms;
 	r->fence = c->fence;
 	HASH_ADD_STR(c->runners, info.id, r);
+	c->runners_version++;
+	cell_attend(c, r);
 	c->runners_changed = true;
-	c->room_version++;
 	kvlog(KVLOG_INFO, "runner_found",
 	    "runner=%s service=%s rack=%s cpu=%lld mem_mb=%lld draining=%d",
 	    in->id, in->service, in->rack, (long long)in->cpu,
--- a/src/state/job.h
+++ b/src/state/job.h
@@ -60,7 +60,6 @@
 	bool listed; /**< on the list of steps with work to place */
 	TAILQ_ENTRY(step) link;
 	void *advice;	    /**< owned by the module that asks for advice */
-	uint64_t room_seen; /**< room's version at the last failed attempt */
 };
 
 struct occurrence {
--- a/src/state/runner.h
+++ b/src/state/runner.h
@@ -50,6 +50,8 @@
 
 struct runner {
 	UT_hash_handle hh;
+	TAILQ_ENTRY(runner) due_link;
+	bool due; /**< on the list of those to be looked after soon */
 	struct runner_info info;
 	TAILQ_HEAD(run_list, run) runs;
 	int nruns;
