--- a/src/cell/holds.c
+++ b/src/cell/holds.c
@@ -222,7 +222,8 @@
 cell_hold(struct cell *c, struct runner *r)
 {
 	int64_t now = c->ports.now();
-	struct hold_order o = {.fence = r->fence, .seen = r->acked};
+	struct hold_order o = {
+	    .fence = r->fence, .seen = r->acked, .born_ms = r->info.born_ms};
 
 	if (!hold_due(c, r, now))
 		return;
@@ -254,7 +255,8 @@
 void
 cell_look(struct cell *c, struct runner *r)
 {
-	struct hold_order o = {.fence = r->fence, .seen = r->acked};
+	struct hold_order o = {
+	    .fence = r->fence, .seen = r->acked, .born_ms = r->info.born_ms};
 	int64_t now = c->ports.now();
 
 	if (!r->holding) {
--- /dev/null
+++ b/src/coordination/relay_plan.c
@@ -0,0 +1,102 @@
+#include "relay_plan.h"
+
+#include <math.h>
+#include <stdlib.h>
+#include <string.h>
+#include <xxhash.h>
+
+#define RUNNERS_PER_CORE 400.0
+#define RUNNERS_PER_MBIT 20.0
+/** The hosts chosen could carry this many times what they get. */
+#define SPARE_FACTOR 2.0
+
+double
+relay_carries(double cores, double link_mbps)
+{
+	double by_core = cores * RUNNERS_PER_CORE;
+	double by_link = link_mbps * RUNNERS_PER_MBIT;
+
+	return by_core < by_link ? by_core : by_link;
+}
+
+static int
+compare_hosts(const void *a, const void *b)
+{
+	const struct relay_host *x = a, *y = b;
+
+	if (x->carries != y->carries)
+		return x->carries > y->carries ? -1 : 1;
+	return strcmp(x->host, y->host);
+}
+
+static bool
+same_hosts(const struct relay_plan *p, const struct relay_host *list, int n)
+{
+	int i;
+
+	if (p->n != n)
+		return false;
+	for (i = 0; i < n; i++)
+		if (strcmp(p->hosts[i].host, list[i].host) != 0)
+			return false;
+	return true;
+}
+
+void
+relay_plan_set(struct relay_plan *p, struct relay_host *list, int n, double own,
+    unsigned nrunners)
+{
+	double sum = 0;
+	int chosen = 0;
+
+	qsort(list, (size_t)n, sizeof(*list), compare_hosts);
+	if (own < nrunners)
+		while (chosen < n && chosen < RELAYS_MAX &&
+		    sum < nrunners * SPARE_FACTOR)
+			sum += list[chosen++].carries;
+	if (same_hosts(p, list, chosen))
+		return;
+	if (chosen > 0)
+		memcpy(p->hosts, list, (size_t)chosen * sizeof(*list));
+	p->n = chosen;
+	p->version++;
+}
+
+void
+relay_plan_drop(struct relay_plan *p, const char *host)
+{
+	int i, k = 0;
+
+	for (i = 0; i < p->n; i++)
+		if (strcmp(p->hosts[i].host, host) != 0)
+			p->hosts[k++] = p->hosts[i];
+	p->version += k != p->n;
+	p->n = k;
+}
+
+/* Evenly spread over (0, 1). */
+static double
+uniform(const char *host, const char *runner)
+{
+	uint64_t seed = XXH64(host, strlen(host), 0);
+	uint64_t h = XXH64(runner, strlen(runner), seed);
+
+	return ((double)(h >> 11) + 0.5) / (double)(1ULL << 53);
+}
+
+int
+relay_plan_pick(const struct relay_plan *p, const char *runner)
+{
+	double best = 0, score;
+	int i, at = -1;
+
+	for (i = 0; i < p->n; i++) {
+		score = p->hosts[i].carries /
+		    -log(uniform(p->hosts[i].host, runner));
+		if (at < 0 || score > best) {
+			best = score;
+			at = i;
+		}
+	}
+	return at;
+}
--- /dev/null
+++ b/src/coordination/rtt.h
@@ -0,0 +1,23 @@
+/**
+ * @file Time-outs that follow the answers seen.
+ *
+ * A smoothed time of answers and its mean deviation, as TCP keeps them; a
+ * fixed time-out either gives up what is on its way or waits too long.
+ */
+#ifndef RTT_H
+#define RTT_H
+
+#include <stdint.h>
+
+struct rtt {
+	double mean_ms;
+	double deviation_ms;
+	int samples;
+};
+
+/** Notes an answer that took @p ms. */
+void rtt_sample(struct rtt *r, double ms);
+/** Time after which an answer is late, from @p least to @p most ms. */
+int64_t rtt_timeout_ms(const struct rtt *r, int64_t least, int64_t most);
+
+#endif
--- a/src/member/lead.c
+++ b/src/member/lead.c
@@ -96,7 +96,7 @@
 	kvlog(KVLOG_INFO, "claimed", "fence=%llu generation=%u",
 	    (unsigned long long)fence, m->leader.generation);
 	m->beat_all = true;
-	m->lanes_ms = 0;
+	m->lanes_ms = m->relays_ms = 0;
 	m->registry_ms = 0;
 	member_dial(m);
 	member_calls_moved(m);
--- a/src/member/member.c
+++ b/src/member/member.c
@@ -67,6 +67,8 @@
 	member_calls_tick(m);
 	if (member_leads(m)) {
 		member_lanes(m);
+		member_relays(m);
+		relay_port_tick(m->relays);
 		cell_tick(&m->cell);
 	}
 }
@@ -92,7 +94,7 @@
 	};
 	struct cell_ports ports = {
 	    .store = m->ports.store,
-	    .runners = m->ports.runners,
+	    .runners = relay_port_ops(m->relays),
 	    .advice = &m->advice,
 	    .now = clock_boot_ms,
 	    .wall_now = clock_wall_ms,
@@ -140,13 +142,15 @@
 	TAILQ_INIT(&m->calls);
 	set_incarnation(m);
 	set_peer_settings(m);
-	init_cell(m);
 	m->peers = peer_net_new(
 	    base, &m->peer_settings, m->incarnation, member_frame, m);
 	if (m->peers == NULL) {
 		free(m);
 		return NULL;
 	}
+	m->relays = relay_port_new(base, m->peers, p->runners);
+	m->served = relay_serve_new(base, m->peers, p->runners);
+	init_cell(m);
 	m->member_row_ms = 1;
 	m->started_ms = clock_boot_ms();
 	config_parts[0] = p->config_part;
@@ -169,7 +173,9 @@
 	event_free(m->wake);
 	follow_delete(m->members);
 	follow_delete(m->configs);
+	relay_serve_delete(m->served);
 	peer_net_delete(m->peers);
+	relay_port_delete(m->relays);
 	if (m->config != NULL) {
 		config_done(m->config);
 		free(m->config);
--- a/src/member/members.c
+++ b/src/member/members.c
@@ -15,6 +15,11 @@
 /** Hosts that are linked with all others, and lead first. */
 #define CORE_HOSTS 8
 #define LANES_EVERY_MS 250
+#define RELAYS_EVERY_MS 250
+/** A relay was heard from within this long. */
+#define RELAY_BEAT_MS 2500
+/** Link of a host whose row doesn't tell it. */
+#define LINK_MBPS_UNKNOWN 1000
 #define ROW_RETRY_MS 300
 #define ROW_TIMEOUT_MS 1000
 
@@ -144,6 +149,7 @@
 	str_copy(o->incarnation, mr->incarnation, sizeof(o->incarnation));
 	str_copy(o->addr, mr->addr, sizeof(o->addr));
 	o->port = (uint16_t)mr->peer_port;
+	o->link_mbps = mr->link_mbps != 0 ? mr->link_mbps : LINK_MBPS_UNKNOWN;
 	m->ranks_stale |= o->power != mr->power;
 	o->power = mr->power;
 	o->dialled = false;
@@ -204,6 +210,7 @@
 	mr.peer_port = (uint32_t)m->settings->peer_port;
 	mr.incarnation = m->incarnation;
 	mr.power = member_power(m);
+	mr.link_mbps = (uint32_t)m->settings->link_mbps;
 	row.value = buf;
 	row.len = cc__member_row__pack(&mr, buf);
 	m->ports.store->ops->txn(
@@ -343,6 +350,13 @@
 	case CC__FRAME__BODY_ADVISE_CALL:
 		member_serve_advise(m, rq, f->advise_call);
 		break;
+	case CC__FRAME__BODY_RELAY_BATCH:
+		reply_ack(m, rq);
+		relay_serve_batch(m->served, rq, f->relay_batch);
+		break;
+	case CC__FRAME__BODY_RELAY_ANSWERS:
+		relay_port_answers(m->relays, rq->host, f->relay_answers);
+		break;
 	case CC__FRAME__BODY_CONF_GET:
 		reply_config(m, rq);
 		break;
@@ -351,6 +365,43 @@
 	}
 }
 
+/* Hosts that have been heard of lately, and are as they were. */
+static int
+relay_hosts(const struct member *m, struct relay_host *list)
+{
+	int64_t now = clock_boot_ms();
+	const struct other *o;
+	int i, n = 0;
+
+	for (i = 0; i < m->nothers; i++) {
+		o = &m->others[i];
+		if (o->leaving || now - o->beat_ms > RELAY_BEAT_MS ||
+		    strcmp(o->beat_incarnation, o->incarnation) != 0 ||
+		    !member_linked(m, o->host))
+			continue;
+		str_copy(list[n].host, o->host, sizeof(list[n].host));
+		list[n++].carries =
+		    relay_carries(o->power / 1000.0, o->link_mbps);
+	}
+	return n;
+}
+
+void
+member_relays(struct member *m)
+{
+	int64_t now = clock_boot_ms();
+	struct relay_host *list;
+
+	if (now - m->relays_ms < RELAYS_EVERY_MS)
+		return;
+	m->relays_ms = now;
+	list = xcalloc((size_t)m->nothers + 1, sizeof(*list));
+	relay_port_set(m->relays, list, relay_hosts(m, list),
+	    relay_carries(m->settings->cores, m->settings->link_mbps),
+	    HASH_COUNT(m->cell.runners));
+	free(list);
+}
+
 /* Hosts that may ask for advice: this one and those linked. */
 void
 member_lanes(struct member *m)
--- a/src/member/parts.h
+++ b/src/member/parts.h
@@ -5,6 +5,8 @@
 #include <sys/queue.h>
 
 #include "../base/hist.h"
+#include "../relay/relay_port.h"
+#include "../relay/relay_serve.h"
 #include "follow.h"
 #include "member.h"
 
@@ -20,6 +22,7 @@
 	char addr[ADDR_LEN];
 	uint16_t port;
 	uint32_t power; /**< thousandths of a core */
+	uint32_t link_mbps;
 	bool dialled;
 	bool core;	 /**< one of those that lead before all others */
 	int64_t told_ms; /**< last beat to it */
@@ -58,6 +61,9 @@
 	struct advice_port advice; /**< asks in the lanes of members */
 	char incarnation[32];
 	struct peer_net *peers;
+	struct relay_port *relays;  /**< orders of the cell led here */
+	struct relay_serve *served; /**< orders of another host's cell */
+	int64_t relays_ms;	    /**< relays were last chosen */
 	struct follow *members;
 	struct follow *configs;
 	struct cell cell;
@@ -109,6 +115,8 @@
 void member_write_row(struct member *m);
 void member_beat(struct member *m);
 void member_lanes(struct member *m);
+/** Chooses the hosts that send this leader's orders. */
+void member_relays(struct member *m);
 void member_frame(const struct peer_request *rq, const Cc__Frame *f, void *arg);
 /** Dials those that this host should be linked with, and isn't yet. */
 void member_dial(struct member *m);
--- a/src/ports/ports.h
+++ b/src/ports/ports.h
@@ -154,6 +154,7 @@
 	 * runner, whose ends are numbered from 1 again.
 	 */
 	uint64_t seen;
+	int64_t born_ms; /**< incarnation whose ends those are; 0: not known */
 	int64_t wait_ms;
 };
 
--- a/src/protocol/peer.pb-c.c
+++ b/src/protocol/peer.pb-c.c
@@ -2302,6 +2302,276 @@
   assert(message->base.descriptor == &cc__advise_reply__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   cc__relay_order__init
+                     (Cc__RelayOrder         *message)
+{
+  static const Cc__RelayOrder init_value = CC__RELAY_ORDER__INIT;
+  *message = init_value;
+}
+size_t cc__relay_order__get_packed_size
+                     (const Cc__RelayOrder *message)
+{
+  assert(message->base.descriptor == &cc__relay_order__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t cc__relay_order__pack
+                     (const Cc__RelayOrder *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &cc__relay_order__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t cc__relay_order__pack_to_buffer
+                     (const Cc__RelayOrder *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &cc__relay_order__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Cc__RelayOrder *
+       cc__relay_order__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Cc__RelayOrder *)
+     protobuf_c_message_unpack (&cc__relay_order__descriptor,
+                                allocator, len, data);
+}
+void   cc__relay_order__free_unpacked
+                     (Cc__RelayOrder *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &cc__relay_order__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   cc__relay_batch__init
+                     (Cc__RelayBatch         *message)
+{
+  static const Cc__RelayBatch init_value = CC__RELAY_BATCH__INIT;
+  *message = init_value;
+}
+size_t cc__relay_batch__get_packed_size
+                     (const Cc__RelayBatch *message)
+{
+  assert(message->base.descriptor == &cc__relay_batch__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t cc__relay_batch__pack
+                     (const Cc__RelayBatch *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &cc__relay_batch__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t cc__relay_batch__pack_to_buffer
+                     (const Cc__RelayBatch *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &cc__relay_batch__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Cc__RelayBatch *
+       cc__relay_batch__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Cc__RelayBatch *)
+     protobuf_c_message_unpack (&cc__relay_batch__descriptor,
+                                allocator, len, data);
+}
+void   cc__relay_batch__free_unpacked
+                     (Cc__RelayBatch *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &cc__relay_batch__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   cc__relay_run__init
+                     (Cc__RelayRun         *message)
+{
+  static const Cc__RelayRun init_value = CC__RELAY_RUN__INIT;
+  *message = init_value;
+}
+size_t cc__relay_run__get_packed_size
+                     (const Cc__RelayRun *message)
+{
+  assert(message->base.descriptor == &cc__relay_run__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t cc__relay_run__pack
+                     (const Cc__RelayRun *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &cc__relay_run__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t cc__relay_run__pack_to_buffer
+                     (const Cc__RelayRun *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &cc__relay_run__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Cc__RelayRun *
+       cc__relay_run__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Cc__RelayRun *)
+     protobuf_c_message_unpack (&cc__relay_run__descriptor,
+                                allocator, len, data);
+}
+void   cc__relay_run__free_unpacked
+                     (Cc__RelayRun *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &cc__relay_run__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   cc__relay_end__init
+                     (Cc__RelayEnd         *message)
+{
+  static const Cc__RelayEnd init_value = CC__RELAY_END__INIT;
+  *message = init_value;
+}
+size_t cc__relay_end__get_packed_size
+                     (const Cc__RelayEnd *message)
+{
+  assert(message->base.descriptor == &cc__relay_end__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t cc__relay_end__pack
+                     (const Cc__RelayEnd *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &cc__relay_end__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t cc__relay_end__pack_to_buffer
+                     (const Cc__RelayEnd *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &cc__relay_end__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Cc__RelayEnd *
+       cc__relay_end__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Cc__RelayEnd *)
+     protobuf_c_message_unpack (&cc__relay_end__descriptor,
+                                allocator, len, data);
+}
+void   cc__relay_end__free_unpacked
+                     (Cc__RelayEnd *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &cc__relay_end__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   cc__relay_answer__init
+                     (Cc__RelayAnswer         *message)
+{
+  static const Cc__RelayAnswer init_value = CC__RELAY_ANSWER__INIT;
+  *message = init_value;
+}
+size_t cc__relay_answer__get_packed_size
+                     (const Cc__RelayAnswer *message)
+{
+  assert(message->base.descriptor == &cc__relay_answer__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t cc__relay_answer__pack
+                     (const Cc__RelayAnswer *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &cc__relay_answer__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t cc__relay_answer__pack_to_buffer
+                     (const Cc__RelayAnswer *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &cc__relay_answer__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Cc__RelayAnswer *
+       cc__relay_answer__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Cc__RelayAnswer *)
+     protobuf_c_message_unpack (&cc__relay_answer__descriptor,
+                                allocator, len, data);
+}
+void   cc__relay_answer__free_unpacked
+                     (Cc__RelayAnswer *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &cc__relay_answer__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   cc__relay_answers__init
+                     (Cc__RelayAnswers         *message)
+{
+  static const Cc__RelayAnswers init_value = CC__RELAY_ANSWERS__INIT;
+  *message = init_value;
+}
+size_t cc__relay_answers__get_packed_size
+                     (const Cc__RelayAnswers *message)
+{
+  assert(message->base.descriptor == &cc__relay_answers__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t cc__relay_answers__pack
+                     (const Cc__RelayAnswers *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &cc__relay_answers__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t cc__relay_answers__pack_to_buffer
+                     (const Cc__RelayAnswers *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &cc__relay_answers__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Cc__RelayAnswers *
+       cc__relay_answers__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Cc__RelayAnswers *)
+     protobuf_c_message_unpack (&cc__relay_answers__descriptor,
+                                allocator, len, data);
+}
+void   cc__relay_answers__free_unpacked
+                     (Cc__RelayAnswers *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &cc__relay_answers__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   cc__frame__init
                      (Cc__Frame         *message)
 {
@@ -6267,7 +6537,7 @@
   (ProtobufCMessageInit) cc__commit_row__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cc__member_row__field_descriptors[6] =
+static const ProtobufCFieldDescriptor cc__member_row__field_descriptors[7] =
 {
   {
     "host",
@@ -6341,11 +6611,24 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "link_mbps",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cc__MemberRow, link_mbps),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cc__member_row__field_indices_by_name[] = {
   1,   /* field[1] = addr */
   0,   /* field[0] = host */
   4,   /* field[4] = incarnation */
+  6,   /* field[6] = link_mbps */
   2,   /* field[2] = peer_port */
   5,   /* field[5] = power */
   3,   /* field[3] = zone */
@@ -6353,7 +6636,7 @@
 static const ProtobufCIntRange cc__member_row__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor cc__member_row__descriptor =
 {
@@ -6363,7 +6646,7 @@
   "Cc__MemberRow",
   "cc",
   sizeof(Cc__MemberRow),
-  6,
+  7,
   cc__member_row__field_descriptors,
   cc__member_row__field_indices_by_name,
   1,  cc__member_row__number_ranges,
@@ -6768,122 +7051,740 @@
   (ProtobufCMessageInit) cc__advise_reply__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cc__frame__field_descriptors[27] =
+static const ProtobufCFieldDescriptor cc__relay_order__field_descriptors[17] =
 {
   {
-    "id",
+    "serial",
     1,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Cc__Frame, id),
+    offsetof(Cc__RelayOrder, serial),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "reply_to",
+    "verb",
     2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Cc__Frame, reply_to),
+    offsetof(Cc__RelayOrder, verb),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "hello",
+    "runner",
     3,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Cc__Frame, body_case),
-    offsetof(Cc__Frame, hello),
-    &cc__hello__descriptor,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Cc__RelayOrder, runner),
     NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    &protobuf_c_empty_string,
+    0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "auth",
+    "addr",
     4,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Cc__Frame, body_case),
-    offsetof(Cc__Frame, auth),
-    &cc__auth__descriptor,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Cc__RelayOrder, addr),
     NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    &protobuf_c_empty_string,
+    0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "beat",
+    "port",
     5,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Cc__Frame, body_case),
-    offsetof(Cc__Frame, beat),
-    &cc__beat__descriptor,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cc__RelayOrder, port),
     NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    NULL,
+    0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "conf",
+    "fence",
     6,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Cc__Frame, body_case),
-    offsetof(Cc__Frame, conf),
-    &cc__conf__descriptor,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Cc__RelayOrder, fence),
     NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    NULL,
+    0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "conf_get",
+    "task",
     7,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Cc__Frame, body_case),
-    offsetof(Cc__Frame, conf_get),
-    &cc__conf_get__descriptor,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Cc__RelayOrder, task),
     NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    &protobuf_c_empty_string,
+    0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "route",
+    "run",
     8,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Cc__Frame, body_case),
-    offsetof(Cc__Frame, route),
-    &cc__route__descriptor,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cc__RelayOrder, run),
     NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    NULL,
+    0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "route_reply",
+    "spec",
     9,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Cc__Frame, body_case),
-    offsetof(Cc__Frame, route_reply),
-    &cc__route_reply__descriptor,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cc__RelayOrder, spec),
     NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    NULL,
+    0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "submit",
+    "until_ms",
     10,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Cc__Frame, body_case),
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Cc__RelayOrder, until_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "saved",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Cc__RelayOrder, saved),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "ticket",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Cc__RelayOrder, ticket),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "seen",
+    13,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Cc__RelayOrder, seen),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "wait_ms",
+    14,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Cc__RelayOrder, wait_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "percent",
+    15,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cc__RelayOrder, percent),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "fresh",
+    16,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Cc__RelayOrder, fresh),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "born_ms",
+    17,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Cc__RelayOrder, born_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned cc__relay_order__field_indices_by_name[] = {
+  3,   /* field[3] = addr */
+  16,   /* field[16] = born_ms */
+  5,   /* field[5] = fence */
+  15,   /* field[15] = fresh */
+  14,   /* field[14] = percent */
+  4,   /* field[4] = port */
+  7,   /* field[7] = run */
+  2,   /* field[2] = runner */
+  10,   /* field[10] = saved */
+  12,   /* field[12] = seen */
+  0,   /* field[0] = serial */
+  8,   /* field[8] = spec */
+  6,   /* field[6] = task */
+  11,   /* field[11] = ticket */
+  9,   /* field[9] = until_ms */
+  1,   /* field[1] = verb */
+  13,   /* field[13] = wait_ms */
+};
+static const ProtobufCIntRange cc__relay_order__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 17 }
+};
+const ProtobufCMessageDescriptor cc__relay_order__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "cc.RelayOrder",
+  "RelayOrder",
+  "Cc__RelayOrder",
+  "cc",
+  sizeof(Cc__RelayOrder),
+  17,
+  cc__relay_order__field_descriptors,
+  cc__relay_order__field_indices_by_name,
+  1,  cc__relay_order__number_ranges,
+  (ProtobufCMessageInit) cc__relay_order__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor cc__relay_batch__field_descriptors[2] =
+{
+  {
+    "specs",
+    1,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_STRING,
+    offsetof(Cc__RelayBatch, n_specs),
+    offsetof(Cc__RelayBatch, specs),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "orders",
+    2,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Cc__RelayBatch, n_orders),
+    offsetof(Cc__RelayBatch, orders),
+    &cc__relay_order__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned cc__relay_batch__field_indices_by_name[] = {
+  1,   /* field[1] = orders */
+  0,   /* field[0] = specs */
+};
+static const ProtobufCIntRange cc__relay_batch__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor cc__relay_batch__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "cc.RelayBatch",
+  "RelayBatch",
+  "Cc__RelayBatch",
+  "cc",
+  sizeof(Cc__RelayBatch),
+  2,
+  cc__relay_batch__field_descriptors,
+  cc__relay_batch__field_indices_by_name,
+  1,  cc__relay_batch__number_ranges,
+  (ProtobufCMessageInit) cc__relay_batch__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor cc__relay_run__field_descriptors[5] =
+{
+  {
+    "task",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Cc__RelayRun, task),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "run",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cc__RelayRun, run),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "saved",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Cc__RelayRun, saved),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "percent",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT32,
+    0,   /* quantifier_offset */
+    offsetof(Cc__RelayRun, percent),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "load",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT32,
+    0,   /* quantifier_offset */
+    offsetof(Cc__RelayRun, load),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned cc__relay_run__field_indices_by_name[] = {
+  4,   /* field[4] = load */
+  3,   /* field[3] = percent */
+  1,   /* field[1] = run */
+  2,   /* field[2] = saved */
+  0,   /* field[0] = task */
+};
+static const ProtobufCIntRange cc__relay_run__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 5 }
+};
+const ProtobufCMessageDescriptor cc__relay_run__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "cc.RelayRun",
+  "RelayRun",
+  "Cc__RelayRun",
+  "cc",
+  sizeof(Cc__RelayRun),
+  5,
+  cc__relay_run__field_descriptors,
+  cc__relay_run__field_indices_by_name,
+  1,  cc__relay_run__number_ranges,
+  (ProtobufCMessageInit) cc__relay_run__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor cc__relay_end__field_descriptors[5] =
+{
+  {
+    "number",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Cc__RelayEnd, number),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "task",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Cc__RelayEnd, task),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "run",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cc__RelayEnd, run),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "how",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cc__RelayEnd, how),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "saved",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Cc__RelayEnd, saved),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned cc__relay_end__field_indices_by_name[] = {
+  3,   /* field[3] = how */
+  0,   /* field[0] = number */
+  2,   /* field[2] = run */
+  4,   /* field[4] = saved */
+  1,   /* field[1] = task */
+};
+static const ProtobufCIntRange cc__relay_end__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 5 }
+};
+const ProtobufCMessageDescriptor cc__relay_end__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "cc.RelayEnd",
+  "RelayEnd",
+  "Cc__RelayEnd",
+  "cc",
+  sizeof(Cc__RelayEnd),
+  5,
+  cc__relay_end__field_descriptors,
+  cc__relay_end__field_indices_by_name,
+  1,  cc__relay_end__number_ranges,
+  (ProtobufCMessageInit) cc__relay_end__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor cc__relay_answer__field_descriptors[6] =
+{
+  {
+    "serial",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Cc__RelayAnswer, serial),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "result",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cc__RelayAnswer, result),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "clock_ms",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Cc__RelayAnswer, clock_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "born_ms",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Cc__RelayAnswer, born_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "runs",
+    5,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Cc__RelayAnswer, n_runs),
+    offsetof(Cc__RelayAnswer, runs),
+    &cc__relay_run__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "ends",
+    6,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Cc__RelayAnswer, n_ends),
+    offsetof(Cc__RelayAnswer, ends),
+    &cc__relay_end__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned cc__relay_answer__field_indices_by_name[] = {
+  3,   /* field[3] = born_ms */
+  2,   /* field[2] = clock_ms */
+  5,   /* field[5] = ends */
+  1,   /* field[1] = result */
+  4,   /* field[4] = runs */
+  0,   /* field[0] = serial */
+};
+static const ProtobufCIntRange cc__relay_answer__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 6 }
+};
+const ProtobufCMessageDescriptor cc__relay_answer__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "cc.RelayAnswer",
+  "RelayAnswer",
+  "Cc__RelayAnswer",
+  "cc",
+  sizeof(Cc__RelayAnswer),
+  6,
+  cc__relay_answer__field_descriptors,
+  cc__relay_answer__field_indices_by_name,
+  1,  cc__relay_answer__number_ranges,
+  (ProtobufCMessageInit) cc__relay_answer__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor cc__relay_answers__field_descriptors[1] =
+{
+  {
+    "answers",
+    1,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Cc__RelayAnswers, n_answers),
+    offsetof(Cc__RelayAnswers, answers),
+    &cc__relay_answer__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned cc__relay_answers__field_indices_by_name[] = {
+  0,   /* field[0] = answers */
+};
+static const ProtobufCIntRange cc__relay_answers__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor cc__relay_answers__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "cc.RelayAnswers",
+  "RelayAnswers",
+  "Cc__RelayAnswers",
+  "cc",
+  sizeof(Cc__RelayAnswers),
+  1,
+  cc__relay_answers__field_descriptors,
+  cc__relay_answers__field_indices_by_name,
+  1,  cc__relay_answers__number_ranges,
+  (ProtobufCMessageInit) cc__relay_answers__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor cc__frame__field_descriptors[29] =
+{
+  {
+    "id",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Cc__Frame, id),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "reply_to",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Cc__Frame, reply_to),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "hello",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Cc__Frame, body_case),
+    offsetof(Cc__Frame, hello),
+    &cc__hello__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "auth",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Cc__Frame, body_case),
+    offsetof(Cc__Frame, auth),
+    &cc__auth__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "beat",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Cc__Frame, body_case),
+    offsetof(Cc__Frame, beat),
+    &cc__beat__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "conf",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Cc__Frame, body_case),
+    offsetof(Cc__Frame, conf),
+    &cc__conf__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "conf_get",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Cc__Frame, body_case),
+    offsetof(Cc__Frame, conf_get),
+    &cc__conf_get__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "route",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Cc__Frame, body_case),
+    offsetof(Cc__Frame, route),
+    &cc__route__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "route_reply",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Cc__Frame, body_case),
+    offsetof(Cc__Frame, route_reply),
+    &cc__route_reply__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "submit",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Cc__Frame, body_case),
     offsetof(Cc__Frame, submit),
     &cc__submit__descriptor,
     NULL,
@@ -7094,6 +7995,30 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "relay_batch",
+    28,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Cc__Frame, body_case),
+    offsetof(Cc__Frame, relay_batch),
+    &cc__relay_batch__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "relay_answers",
+    29,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Cc__Frame, body_case),
+    offsetof(Cc__Frame, relay_answers),
+    &cc__relay_answers__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cc__frame__field_indices_by_name[] = {
   18,   /* field[18] = ack */
@@ -7116,6 +8041,8 @@
   19,   /* field[19] = list_tasks */
   14,   /* field[14] = place */
   15,   /* field[15] = place_reply */
+  28,   /* field[28] = relay_answers */
+  27,   /* field[27] = relay_batch */
   1,   /* field[1] = reply_to */
   7,   /* field[7] = route */
   8,   /* field[8] = route_reply */
@@ -7127,7 +8054,7 @@
 static const ProtobufCIntRange cc__frame__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 27 }
+  { 0, 29 }
 };
 const ProtobufCMessageDescriptor cc__frame__descriptor =
 {
@@ -7137,7 +8064,7 @@
   "Cc__Frame",
   "cc",
   sizeof(Cc__Frame),
-  27,
+  29,
   cc__frame__field_descriptors,
   cc__frame__field_indices_by_name,
   1,  cc__frame__number_ranges,
--- a/src/protocol/peer.pb-c.h
+++ b/src/protocol/peer.pb-c.h
@@ -66,6 +66,12 @@
 typedef struct Cc__CellBeat Cc__CellBeat;
 typedef struct Cc__AdviseCall Cc__AdviseCall;
 typedef struct Cc__AdviseReply Cc__AdviseReply;
+typedef struct Cc__RelayOrder Cc__RelayOrder;
+typedef struct Cc__RelayBatch Cc__RelayBatch;
+typedef struct Cc__RelayRun Cc__RelayRun;
+typedef struct Cc__RelayEnd Cc__RelayEnd;
+typedef struct Cc__RelayAnswer Cc__RelayAnswer;
+typedef struct Cc__RelayAnswers Cc__RelayAnswers;
 typedef struct Cc__Frame Cc__Frame;
 
 
@@ -841,10 +847,11 @@
    * thousandths of a core
    */
   uint32_t power;
+  uint32_t link_mbps;
 };
 #define CC__MEMBER_ROW__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cc__member_row__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0 }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0 }
 
 
 /*
@@ -925,6 +932,107 @@
     , 0, 0,NULL, 0,NULL, 0 }
 
 
+/*
+ * Orders to runners that a leader has another host send for it.
+ */
+struct  Cc__RelayOrder
+{
+  ProtobufCMessage base;
+  uint64_t serial;
+  uint32_t verb;
+  char *runner;
+  char *addr;
+  uint32_t port;
+  uint64_t fence;
+  char *task;
+  uint32_t run;
+  /*
+   * place in the batch's list from 1; 0: sent before
+   */
+  uint32_t spec;
+  int64_t until_ms;
+  char *saved;
+  char *ticket;
+  uint64_t seen;
+  int64_t wait_ms;
+  uint32_t percent;
+  protobuf_c_boolean fresh;
+  int64_t born_ms;
+};
+#define CC__RELAY_ORDER__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&cc__relay_order__descriptor) \
+    , 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, (char *)protobuf_c_empty_string, 0, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0 }
+
+
+struct  Cc__RelayBatch
+{
+  ProtobufCMessage base;
+  size_t n_specs;
+  char **specs;
+  size_t n_orders;
+  Cc__RelayOrder **orders;
+};
+#define CC__RELAY_BATCH__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&cc__relay_batch__descriptor) \
+    , 0,NULL, 0,NULL }
+
+
+struct  Cc__RelayRun
+{
+  ProtobufCMessage base;
+  char *task;
+  uint32_t run;
+  char *saved;
+  int32_t percent;
+  int32_t load;
+};
+#define CC__RELAY_RUN__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&cc__relay_run__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0, 0 }
+
+
+struct  Cc__RelayEnd
+{
+  ProtobufCMessage base;
+  uint64_t number;
+  char *task;
+  uint32_t run;
+  uint32_t how;
+  char *saved;
+};
+#define CC__RELAY_END__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&cc__relay_end__descriptor) \
+    , 0, (char *)protobuf_c_empty_string, 0, 0, (char *)protobuf_c_empty_string }
+
+
+struct  Cc__RelayAnswer
+{
+  ProtobufCMessage base;
+  uint64_t serial;
+  uint32_t result;
+  int64_t clock_ms;
+  int64_t born_ms;
+  size_t n_runs;
+  Cc__RelayRun **runs;
+  size_t n_ends;
+  Cc__RelayEnd **ends;
+};
+#define CC__RELAY_ANSWER__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&cc__relay_answer__descriptor) \
+    , 0, 0, 0, 0, 0,NULL, 0,NULL }
+
+
+struct  Cc__RelayAnswers
+{
+  ProtobufCMessage base;
+  size_t n_answers;
+  Cc__RelayAnswer **answers;
+};
+#define CC__RELAY_ANSWERS__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&cc__relay_answers__descriptor) \
+    , 0,NULL }
+
+
 typedef enum {
   CC__FRAME__BODY__NOT_SET = 0,
   CC__FRAME__BODY_HELLO = 3,
@@ -951,7 +1059,9 @@
   CC__FRAME__BODY_CELL_REPLY = 24,
   CC__FRAME__BODY_CELL_BEAT = 25,
   CC__FRAME__BODY_ADVISE_CALL = 26,
-  CC__FRAME__BODY_ADVISE_REPLY = 27
+  CC__FRAME__BODY_ADVISE_REPLY = 27,
+  CC__FRAME__BODY_RELAY_BATCH = 28,
+  CC__FRAME__BODY_RELAY_ANSWERS = 29
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(CC__FRAME__BODY__CASE)
 } Cc__Frame__BodyCase;
 
@@ -987,6 +1097,8 @@
     Cc__CellBeat *cell_beat;
     Cc__AdviseCall *advise_call;
     Cc__AdviseReply *advise_reply;
+    Cc__RelayBatch *relay_batch;
+    Cc__RelayAnswers *relay_answers;
   };
 };
 #define CC__FRAME__INIT \
@@ -1963,6 +2075,120 @@
 void   cc__advise_reply__free_unpacked
                      (Cc__AdviseReply *message,
                       ProtobufCAllocator *allocator);
+/* Cc__RelayOrder methods */
+void   cc__relay_order__init
+                     (Cc__RelayOrder         *message);
+size_t cc__relay_order__get_packed_size
+                     (const Cc__RelayOrder   *message);
+size_t cc__relay_order__pack
+                     (const Cc__RelayOrder   *message,
+                      uint8_t             *out);
+size_t cc__relay_order__pack_to_buffer
+                     (const Cc__RelayOrder   *message,
+                      ProtobufCBuffer     *buffer);
+Cc__RelayOrder *
+       cc__relay_order__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   cc__relay_order__free_unpacked
+                     (Cc__RelayOrder *message,
+                      ProtobufCAllocator *allocator);
+/* Cc__RelayBatch methods */
+void   cc__relay_batch__init
+                     (Cc__RelayBatch         *message);
+size_t cc__relay_batch__get_packed_size
+                     (const Cc__RelayBatch   *message);
+size_t cc__relay_batch__pack
+                     (const Cc__RelayBatch   *message,
+                      uint8_t             *out);
+size_t cc__relay_batch__pack_to_buffer
+                     (const Cc__RelayBatch   *message,
+                      ProtobufCBuffer     *buffer);
+Cc__RelayBatch *
+       cc__relay_batch__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   cc__relay_batch__free_unpacked
+                     (Cc__RelayBatch *message,
+                      ProtobufCAllocator *allocator);
+/* Cc__RelayRun methods */
+void   cc__relay_run__init
+                     (Cc__RelayRun         *message);
+size_t cc__relay_run__get_packed_size
+                     (const Cc__RelayRun   *message);
+size_t cc__relay_run__pack
+                     (const Cc__RelayRun   *message,
+                      uint8_t             *out);
+size_t cc__relay_run__pack_to_buffer
+                     (const Cc__RelayRun   *message,
+                      ProtobufCBuffer     *buffer);
+Cc__RelayRun *
+       cc__relay_run__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   cc__relay_run__free_unpacked
+                     (Cc__RelayRun *message,
+                      ProtobufCAllocator *allocator);
+/* Cc__RelayEnd methods */
+void   cc__relay_end__init
+                     (Cc__RelayEnd         *message);
+size_t cc__relay_end__get_packed_size
+                     (const Cc__RelayEnd   *message);
+size_t cc__relay_end__pack
+                     (const Cc__RelayEnd   *message,
+                      uint8_t             *out);
+size_t cc__relay_end__pack_to_buffer
+                     (const Cc__RelayEnd   *message,
+                      ProtobufCBuffer     *buffer);
+Cc__RelayEnd *
+       cc__relay_end__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   cc__relay_end__free_unpacked
+                     (Cc__RelayEnd *message,
+                      ProtobufCAllocator *allocator);
+/* Cc__RelayAnswer methods */
+void   cc__relay_answer__init
+                     (Cc__RelayAnswer         *message);
+size_t cc__relay_answer__get_packed_size
+                     (const Cc__RelayAnswer   *message);
+size_t cc__relay_answer__pack
+                     (const Cc__RelayAnswer   *message,
+                      uint8_t             *out);
+size_t cc__relay_answer__pack_to_buffer
+                     (const Cc__RelayAnswer   *message,
+                      ProtobufCBuffer     *buffer);
+Cc__RelayAnswer *
+       cc__relay_answer__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   cc__relay_answer__free_unpacked
+                     (Cc__RelayAnswer *message,
+                      ProtobufCAllocator *allocator);
+/* Cc__RelayAnswers methods */
+void   cc__relay_answers__init
+                     (Cc__RelayAnswers         *message);
+size_t cc__relay_answers__get_packed_size
+                     (const Cc__RelayAnswers   *message);
+size_t cc__relay_answers__pack
+                     (const Cc__RelayAnswers   *message,
+                      uint8_t             *out);
+size_t cc__relay_answers__pack_to_buffer
+                     (const Cc__RelayAnswers   *message,
+                      ProtobufCBuffer     *buffer);
+Cc__RelayAnswers *
+       cc__relay_answers__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   cc__relay_answers__free_unpacked
+                     (Cc__RelayAnswers *message,
+                      ProtobufCAllocator *allocator);
 /* Cc__Frame methods */
 void   cc__frame__init
                      (Cc__Frame         *message);
@@ -2137,6 +2363,24 @@
 typedef void (*Cc__AdviseReply_Closure)
                  (const Cc__AdviseReply *message,
                   void *closure_data);
+typedef void (*Cc__RelayOrder_Closure)
+                 (const Cc__RelayOrder *message,
+                  void *closure_data);
+typedef void (*Cc__RelayBatch_Closure)
+                 (const Cc__RelayBatch *message,
+                  void *closure_data);
+typedef void (*Cc__RelayRun_Closure)
+                 (const Cc__RelayRun *message,
+                  void *closure_data);
+typedef void (*Cc__RelayEnd_Closure)
+                 (const Cc__RelayEnd *message,
+                  void *closure_data);
+typedef void (*Cc__RelayAnswer_Closure)
+                 (const Cc__RelayAnswer *message,
+                  void *closure_data);
+typedef void (*Cc__RelayAnswers_Closure)
+                 (const Cc__RelayAnswers *message,
+                  void *closure_data);
 typedef void (*Cc__Frame_Closure)
                  (const Cc__Frame *message,
                   void *closure_data);
@@ -2197,6 +2441,12 @@
 extern const ProtobufCMessageDescriptor cc__cell_beat__descriptor;
 extern const ProtobufCMessageDescriptor cc__advise_call__descriptor;
 extern const ProtobufCMessageDescriptor cc__advise_reply__descriptor;
+extern const ProtobufCMessageDescriptor cc__relay_order__descriptor;
+extern const ProtobufCMessageDescriptor cc__relay_batch__descriptor;
+extern const ProtobufCMessageDescriptor cc__relay_run__descriptor;
+extern const ProtobufCMessageDescriptor cc__relay_end__descriptor;
+extern const ProtobufCMessageDescriptor cc__relay_answer__descriptor;
+extern const ProtobufCMessageDescriptor cc__relay_answers__descriptor;
 extern const ProtobufCMessageDescriptor cc__frame__descriptor;
 
 PROTOBUF_C__END_DECLS
--- /dev/null
+++ b/src/relay/relay_port.c
@@ -0,0 +1,649 @@
+#include "relay_port.h"
+
+#include <stdlib.h>
+#include <string.h>
+#include <sys/queue.h>
+#include <uthash.h>
+
+#include "../base/err.h"
+#include "../base/kvlog.h"
+#include "../base/xalloc.h"
+#include "../coordination/rtt.h"
+#include "../state/job.h"
+#include "../sys/clock.h"
+#include "relay_serve.h"
+
+/** An order that a relay doesn't answer is given up after this, beyond the
+ * time that it waits at the runner. */
+#define ORDER_MS 1000
+/** A relay whose receipt of a batch is this late is silent, at least ... */
+#define SILENT_MIN_MS 300
+/** ... and at most. */
+#define SILENT_MAX_MS 1000
+/** Holds may wait this long for others; starts and stops go at once. */
+#define FLUSH_HOLDS_MS 10
+/** A spec isn't sent again for this long; the relay keeps it longer. */
+#define SPEC_SENT_MS (RELAY_SPEC_MS / 2)
+/** Batches without a receipt that are timed. */
+#define RECEIPTS_MAX 64
+#define BATCH_TIMEOUT_MS 10000
+
+/** An order that a relay has, or is about to get. */
+struct open_order {
+	UT_hash_handle hh;
+	uint64_t serial;
+	char host[RELAY_HOST_LEN];
+	int64_t deadline_ms;
+	bool is_hold;
+	union {
+		order_fn order;
+		hold_fn hold;
+	} fn;
+	void *arg;
+};
+
+/** A job whose spec a relay has. */
+struct sent_spec {
+	UT_hash_handle hh;
+	char job[JOB_ID_LEN];
+	int64_t sent_ms;
+};
+
+/** What this host knows of a relay. */
+struct relay {
+	TAILQ_ENTRY(relay) link;
+	char host[RELAY_HOST_LEN];
+	uint64_t peer_link;	 /**< its link when a batch was last sent */
+	struct sent_spec *specs; /**< in the order of their sending */
+	Cc__RelayBatch batch;
+	size_t norders_max;
+	size_t nspecs_max;
+	int64_t sent_ms[RECEIPTS_MAX]; /**< of batches without a receipt */
+	int nsent;
+	struct rtt receipts;
+	bool silent;
+};
+
+struct relay_port {
+	struct runner_port port;
+	struct runner_port *direct;
+	struct peer_net *peers;
+	struct event *flush;
+	int64_t flush_ms; /**< when batches go out; 0: there are none */
+	struct relay_plan plan;
+	TAILQ_HEAD(relay_list, relay) relays;
+	struct open_order *open;
+	uint64_t next_serial;
+	struct relay_counters counters;
+};
+
+/* A batch whose receipt is to come; the relay may be gone by then. */
+struct receipt {
+	struct relay_port *port;
+	uint64_t peer_link;
+	char host[RELAY_HOST_LEN];
+};
+
+static struct relay *
+find_relay(const struct relay_port *p, const char *host)
+{
+	struct relay *r;
+
+	TAILQ_FOREACH (r, &p->relays, link)
+		if (strcmp(r->host, host) == 0)
+			return r;
+	return NULL;
+}
+
+static struct relay *
+get_relay(struct relay_port *p, const char *host)
+{
+	struct relay *r = find_relay(p, host);
+
+	if (r != NULL)
+		return r;
+	r = xcalloc(1, sizeof(*r));
+	str_copy(r->host, host, sizeof(r->host));
+	cc__relay_batch__init(&r->batch);
+	TAILQ_INSERT_TAIL(&p->relays, r, link);
+	return r;
+}
+
+static void
+forget_specs(struct relay *r)
+{
+	struct sent_spec *s, *tmp;
+
+	HASH_ITER(hh, r->specs, s, tmp)
+	{
+		HASH_DEL(r->specs, s);
+		free(s);
+	}
+}
+
+static void
+batch_clear(struct relay *r)
+{
+	size_t i;
+
+	for (i = 0; i < r->batch.n_orders; i++)
+		cc__relay_order__free_unpacked(r->batch.orders[i], NULL);
+	for (i = 0; i < r->batch.n_specs; i++)
+		free(r->batch.specs[i]);
+	r->batch.n_orders = r->batch.n_specs = 0;
+}
+
+static void
+relay_delete(struct relay_port *p, struct relay *r)
+{
+	batch_clear(r);
+	forget_specs(r);
+	free(r->batch.orders);
+	free(r->batch.specs);
+	TAILQ_REMOVE(&p->relays, r, link);
+	free(r);
+}
+
+static void
+finish(struct relay_port *p, struct open_order *o, enum order_result result)
+{
+	struct order_answer answer = {.result = result};
+	struct hold_result hold = {.result = result};
+
+	HASH_DEL(p->open, o);
+	if (o->is_hold)
+		o->fn.hold(&hold, o->arg);
+	else
+		o->fn.order(&answer, o->arg);
+	free(o);
+}
+
+/* Ends the open orders that the test chooses. */
+static void
+finish_all(struct relay_port *p, const char *host, int64_t now)
+{
+	struct open_order *o, *tmp;
+
+	HASH_ITER(hh, p->open, o, tmp)
+	{
+		bool due = host != NULL ? strcmp(o->host, host) == 0
+					: now >= o->deadline_ms;
+
+		if (!due)
+			continue;
+		p->counters.unanswered++;
+		finish(p, o, ORDER_UNKNOWN);
+	}
+}
+
+static void
+relay_is_silent(struct relay_port *p, struct relay *r, const char *why)
+{
+	r->silent = true;
+	p->counters.suspected++;
+	kvlog(KVLOG_WARN, "relay_silent", "peer=%s why=%s late_ms=%lld",
+	    r->host, why,
+	    r->nsent > 0 ? (long long)(clock_boot_ms() - r->sent_ms[0]) : 0LL);
+	relay_plan_drop(&p->plan, r->host);
+	finish_all(p, r->host, 0);
+}
+
+static void
+on_receipt(int err, const Cc__Frame *f, void *arg)
+{
+	struct receipt k = *(struct receipt *)arg;
+	struct relay *r = find_relay(k.port, k.host);
+
+	(void)f;
+	free(arg);
+	if (r == NULL || r->peer_link != k.peer_link || err != CC_OK)
+		return;
+	if (r->nsent > 0) {
+		rtt_sample(
+		    &r->receipts, (double)(clock_boot_ms() - r->sent_ms[0]));
+		memmove(r->sent_ms, r->sent_ms + 1,
+		    (size_t)--r->nsent * sizeof(r->sent_ms[0]));
+	}
+	if (r->silent)
+		kvlog(KVLOG_INFO, "relay_back", "peer=%s", r->host);
+	r->silent = false;
+}
+
+static void
+note_sent(struct relay *r, uint64_t peer_link)
+{
+	if (r->peer_link != peer_link) {
+		r->nsent = 0;
+		r->silent = false;
+		forget_specs(r);
+	}
+	r->peer_link = peer_link;
+	if (r->nsent < RECEIPTS_MAX)
+		r->sent_ms[r->nsent++] = clock_boot_ms();
+}
+
+static void
+fail_batch(struct relay_port *p, struct relay *r)
+{
+	struct open_order *o;
+	size_t i;
+
+	for (i = 0; i < r->batch.n_orders; i++) {
+		uint64_t serial = r->batch.orders[i]->serial;
+
+		HASH_FIND(hh, p->open, &serial, sizeof(serial), o);
+		if (o != NULL)
+			finish(p, o, ORDER_NOT_SENT);
+	}
+}
+
+static void
+send_batch(struct relay_port *p, struct relay *r)
+{
+	uint64_t peer_link = peer_net_link(p->peers, r->host);
+	Cc__Frame f = CC__FRAME__INIT;
+	struct receipt *k;
+
+	if (r->batch.n_orders == 0)
+		return;
+	if (peer_link == 0) {
+		fail_batch(p, r);
+		batch_clear(r);
+		forget_specs(r);
+		return;
+	}
+	k = xcalloc(1, sizeof(*k));
+	k->port = p;
+	k->peer_link = peer_link;
+	str_copy(k->host, r->host, sizeof(k->host));
+	note_sent(r, peer_link);
+	p->counters.batches++;
+	f.body_case = CC__FRAME__BODY_RELAY_BATCH;
+	f.relay_batch = &r->batch;
+	peer_call(p->peers, r->host, &f, BATCH_TIMEOUT_MS, on_receipt, k);
+	batch_clear(r);
+}
+
+static void
+on_flush(evutil_socket_t fd, short what, void *arg)
+{
+	struct relay_port *p = arg;
+	struct relay *r;
+
+	(void)fd;
+	(void)what;
+	p->flush_ms = 0;
+	TAILQ_FOREACH (r, &p->relays, link)
+		send_batch(p, r);
+}
+
+static void
+flush_in(struct relay_port *p, int64_t ms)
+{
+	struct timeval tv = {0, ms * 1000};
+	int64_t at = clock_boot_ms() + ms;
+
+	if (p->flush_ms != 0 && p->flush_ms <= at)
+		return;
+	p->flush_ms = at;
+	evtimer_add(p->flush, &tv);
+}
+
+/* The relay for a runner; NULL where orders go out from here. */
+static struct relay *
+relay_for(struct relay_port *p, const struct target *t)
+{
+	int at = relay_plan_pick(&p->plan, t->id);
+
+	return at >= 0 ? get_relay(p, p->plan.hosts[at].host) : NULL;
+}
+
+static struct open_order *
+open_new(
+    struct relay_port *p, const struct relay *r, int64_t wait_ms, void *arg)
+{
+	struct open_order *o = xcalloc(1, sizeof(*o));
+
+	o->serial = ++p->next_serial;
+	str_copy(o->host, r->host, sizeof(o->host));
+	o->deadline_ms = clock_boot_ms() + wait_ms + ORDER_MS;
+	o->arg = arg;
+	HASH_ADD(hh, p->open, serial, sizeof(o->serial), o);
+	return o;
+}
+
+/* Adds an order to the relay's batch; its texts are to be set. */
+static Cc__RelayOrder *
+add_order(struct relay_port *p, struct relay *r, enum relay_verb verb,
+    const struct target *t, uint64_t serial)
+{
+	Cc__RelayOrder *o = xcalloc(1, sizeof(*o));
+	Cc__RelayBatch *b = &r->batch;
+
+	if (b->n_orders == r->norders_max) {
+		r->norders_max = r->norders_max * 2 + 16;
+		b->orders =
+		    xrealloc(b->orders, r->norders_max * sizeof(*b->orders));
+	}
+	cc__relay_order__init(o);
+	o->serial = serial;
+	o->verb = verb;
+	o->runner = xstrdup(t->id);
+	o->addr = xstrdup(t->addr);
+	o->port = t->port;
+	b->orders[b->n_orders++] = o;
+	p->counters.orders++;
+	flush_in(p, verb == RELAY_HOLD ? FLUSH_HOLDS_MS : 0);
+	return o;
+}
+
+static bool
+spec_was_sent(struct relay *r, const char *job, int64_t now)
+{
+	struct sent_spec *s, *tmp;
+
+	HASH_ITER(hh, r->specs, s, tmp)
+	{
+		if (now - s->sent_ms <= SPEC_SENT_MS)
+			break;
+		HASH_DEL(r->specs, s);
+		free(s);
+	}
+	HASH_FIND_STR(r->specs, job, s);
+	return s != NULL;
+}
+
+static void
+note_spec(struct relay *r, const char *job, int64_t now)
+{
+	struct sent_spec *s = xcalloc(1, sizeof(*s));
+
+	str_copy(s->job, job, sizeof(s->job));
+	s->sent_ms = now;
+	HASH_ADD_STR(r->specs, job, s);
+}
+
+/* A relay gets the spec of a job once. @return its place in the batch. */
+static uint32_t
+add_spec(struct relay *r, const struct start_order *o, bool again)
+{
+	Cc__RelayBatch *b = &r->batch;
+	int64_t now = clock_boot_ms();
+	struct task_ref ref;
+
+	if (!task_ref_parse(&ref, o->task))
+		return 0;
+	if (!again && spec_was_sent(r, ref.id, now))
+		return 0;
+	if (b->n_specs == r->nspecs_max) {
+		r->nspecs_max = r->nspecs_max * 2 + 8;
+		b->specs =
+		    xrealloc(b->specs, r->nspecs_max * sizeof(*b->specs));
+	}
+	b->specs[b->n_specs++] = xstrdup(o->spec);
+	if (!spec_was_sent(r, ref.id, now))
+		note_spec(r, ref.id, now);
+	return (uint32_t)b->n_specs;
+}
+
+static struct relay_port *
+port_of(struct runner_port *p)
+{
+	return (struct relay_port *)p;
+}
+
+static void
+port_start(struct runner_port *rp, const struct target *t,
+    const struct start_order *s, bool fresh, order_fn fn, void *arg)
+{
+	struct relay_port *p = port_of(rp);
+	struct relay *r = relay_for(p, t);
+	struct open_order *open;
+	Cc__RelayOrder *o;
+
+	if (r == NULL) {
+		p->counters.direct++;
+		p->direct->ops->start(p->direct, t, s, fresh, fn, arg);
+		return;
+	}
+	open = open_new(p, r, 0, arg);
+	open->fn.order = fn;
+	o = add_order(p, r, RELAY_START, t, open->serial);
+	o->task = xstrdup(s->task);
+	o->run = s->run;
+	o->spec = add_spec(r, s, fresh);
+	o->until_ms = s->until_ms;
+	o->fence = s->fence;
+	o->saved = xstrdup(s->saved);
+	o->ticket = xstrdup(s->ticket);
+	o->fresh = fresh;
+}
+
+static void
+port_stop(struct runner_port *rp, const struct target *t, const char *task,
+    uint32_t run, uint64_t fence, order_fn fn, void *arg)
+{
+	struct relay_port *p = port_of(rp);
+	struct relay *r = relay_for(p, t);
+	struct open_order *open;
+	Cc__RelayOrder *o;
+
+	if (r == NULL) {
+		p->counters.direct++;
+		p->direct->ops->stop(p->direct, t, task, run, fence, fn, arg);
+		return;
+	}
+	open = open_new(p, r, 0, arg);
+	open->fn.order = fn;
+	o = add_order(p, r, RELAY_STOP, t, open->serial);
+	o->task = xstrdup(task);
+	o->run = run;
+	o->fence = fence;
+}
+
+static void
+port_hold(struct runner_port *rp, const struct target *t,
+    const struct hold_order *h, bool fresh, hold_fn fn, void *arg)
+{
+	struct relay_port *p = port_of(rp);
+	struct relay *r = relay_for(p, t);
+	struct open_order *open;
+	Cc__RelayOrder *o;
+
+	if (r == NULL) {
+		p->counters.direct++;
+		p->direct->ops->hold(p->direct, t, h, fresh, fn, arg);
+		return;
+	}
+	open = open_new(p, r, h->wait_ms, arg);
+	open->is_hold = true;
+	open->fn.hold = fn;
+	o = add_order(p, r, RELAY_HOLD, t, open->serial);
+	o->until_ms = h->until_ms;
+	o->fence = h->fence;
+	o->seen = h->seen;
+	o->born_ms = h->born_ms;
+	o->wait_ms = h->wait_ms;
+	o->fresh = fresh;
+}
+
+static void
+port_pace(struct runner_port *rp, const struct target *t, const char *task,
+    uint32_t run, int percent, uint64_t fence, order_fn fn, void *arg)
+{
+	struct relay_port *p = port_of(rp);
+	struct relay *r = relay_for(p, t);
+	struct open_order *open;
+	Cc__RelayOrder *o;
+
+	if (r == NULL) {
+		p->counters.direct++;
+		p->direct->ops->pace(
+		    p->direct, t, task, run, percent, fence, fn, arg);
+		return;
+	}
+	open = open_new(p, r, 0, arg);
+	open->fn.order = fn;
+	o = add_order(p, r, RELAY_PACE, t, open->serial);
+	o->task = xstrdup(task);
+	o->run = run;
+	o->percent = (uint32_t)percent;
+	o->fence = fence;
+}
+
+static const struct runner_ops relay_ops = {
+    port_start, port_stop, port_hold, port_pace};
+
+static void
+finish_hold(struct open_order *o, const Cc__RelayAnswer *a)
+{
+	struct run_seen *runs = xcalloc(a->n_runs + 1, sizeof(*runs));
+	struct end_seen *ends = xcalloc(a->n_ends + 1, sizeof(*ends));
+	struct hold_result h = {
+	    .result = (enum order_result)a->result,
+	    .clock_ms = a->clock_ms,
+	    .born_ms = a->born_ms,
+	    .runs = runs,
+	    .nruns = (int)a->n_runs,
+	    .ends = ends,
+	    .nends = (int)a->n_ends,
+	};
+	size_t i;
+
+	for (i = 0; i < a->n_runs; i++)
+		runs[i] = (struct run_seen){a->runs[i]->task, a->runs[i]->run,
+		    a->runs[i]->saved, a->runs[i]->percent, a->runs[i]->load};
+	for (i = 0; i < a->n_ends; i++)
+		ends[i] = (struct end_seen){a->ends[i]->number,
+		    a->ends[i]->task, a->ends[i]->run,
+		    a->ends[i]->how <= END_LOST ? (enum run_end)a->ends[i]->how
+						: END_LOST,
+		    a->ends[i]->saved};
+	o->fn.hold(&h, o->arg);
+	free(runs);
+	free(ends);
+}
+
+static void
+take_answer(struct relay_port *p, const char *host, Cc__RelayAnswer *a)
+{
+	struct order_answer answer = {.clock_ms = a->clock_ms};
+	struct open_order *o;
+
+	HASH_FIND(hh, p->open, &a->serial, sizeof(a->serial), o);
+	if (o == NULL || strcmp(o->host, host) != 0)
+		return;
+	if (a->result > ORDER_UNKNOWN)
+		a->result = ORDER_UNKNOWN;
+	answer.result = (enum order_result)a->result;
+	HASH_DEL(p->open, o);
+	if (o->is_hold)
+		finish_hold(o, a);
+	else
+		o->fn.order(&answer, o->arg);
+	free(o);
+}
+
+void
+relay_port_answers(
+    struct relay_port *p, const char *host, const Cc__RelayAnswers *a)
+{
+	size_t i;
+
+	for (i = 0; i < a->n_answers; i++)
+		take_answer(p, host, a->answers[i]);
+}
+
+void
+relay_port_set(struct relay_port *p, struct relay_host *hosts, int n,
+    double own, unsigned nrunners)
+{
+	uint64_t version = p->plan.version;
+	const struct relay *r;
+	int i, k = 0;
+
+	for (i = 0; i < n; i++) {
+		r = find_relay(p, hosts[i].host);
+		if (r == NULL || !r->silent ||
+		    r->peer_link != peer_net_link(p->peers, hosts[i].host))
+			hosts[k++] = hosts[i];
+	}
+	relay_plan_set(&p->plan, hosts, k, own, nrunners);
+	if (p->plan.version != version)
+		kvlog(KVLOG_INFO, "relays_set",
+		    "relays=%d candidates=%d runners=%u carries=%.0f",
+		    p->plan.n, k, nrunners, own);
+}
+
+static void
+check_relay(struct relay_port *p, struct relay *r, int64_t now)
+{
+	int64_t late =
+	    rtt_timeout_ms(&r->receipts, SILENT_MIN_MS, SILENT_MAX_MS);
+
+	if (r->silent || r->peer_link == 0)
+		return;
+	if (peer_net_link(p->peers, r->host) != r->peer_link)
+		relay_is_silent(p, r, "link");
+	else if (r->nsent > 0 && now - r->sent_ms[0] > late)
+		relay_is_silent(p, r, "receipt");
+}
+
+void
+relay_port_tick(struct relay_port *p)
+{
+	int64_t now = clock_boot_ms();
+	struct relay *r;
+
+	TAILQ_FOREACH (r, &p->relays, link)
+		check_relay(p, r, now);
+	finish_all(p, NULL, now);
+}
+
+int
+relay_port_relays(const struct relay_port *p)
+{
+	return p->plan.n;
+}
+
+const struct relay_counters *
+relay_port_counters(const struct relay_port *p)
+{
+	return &p->counters;
+}
+
+struct runner_port *
+relay_port_ops(struct relay_port *p)
+{
+	return &p->port;
+}
+
+struct relay_port *
+relay_port_new(
+    struct event_base *base, struct peer_net *peers, struct runner_port *direct)
+{
+	struct relay_port *p = xcalloc(1, sizeof(*p));
+
+	p->port.ops = &relay_ops;
+	p->direct = direct;
+	p->peers = peers;
+	p->flush = evtimer_new(base, on_flush, p);
+	TAILQ_INIT(&p->relays);
+	return p;
+}
+
+void
+relay_port_delete(struct relay_port *p)
+{
+	struct open_order *o, *tmp;
+
+	HASH_ITER(hh, p->open, o, tmp)
+	{
+		HASH_DEL(p->open, o);
+		free(o);
+	}
+	while (!TAILQ_EMPTY(&p->relays))
+		relay_delete(p, TAILQ_FIRST(&p->relays));
+	event_free(p->flush);
+	free(p);
+}
--- a/src/state/cell_settings.c
+++ b/src/state/cell_settings.c
@@ -34,6 +34,7 @@
     {"status_s", YAML_INT, S(status_s), 0, 1, DAY_S, false, NULL, NULL},
     {"grace_s", YAML_INT, S(grace_s), 0, 1, 600, false, NULL, NULL},
     {"remote_factor", YAML_MONEY, S(remote_factor), 0, 0, 0, false, NULL, NULL},
+    {"link_mbps", YAML_MONEY, S(link_mbps), 0, 0, 0, false, NULL, NULL},
     {"cores", YAML_MONEY, S(cores), 0, 0, 0, false, NULL, NULL},
     {NULL, YAML_TEXT, 0, 0, 0, 0, false, NULL, NULL},
 };
@@ -49,6 +50,7 @@
 	s->grace_s = 6;
 	s->remote_factor = 1.0;
 	s->cores = 1.0;
+	s->link_mbps = 1000.0;
 }
 
 static bool
--- a/src/state/cell_settings.h
+++ b/src/state/cell_settings.h
@@ -21,7 +21,8 @@
 	int64_t status_s;      /**< ended jobs are known this long */
 	int64_t grace_s;       /**< from the term signal to the kill */
 	double remote_factor;
-	double cores; /**< this host's processor, in cores */
+	double link_mbps; /**< of this host, each way */
+	double cores;	  /**< this host's processor, in cores */
 };
 
 void cell_settings_parse(
--- a/src/state/job.h
+++ b/src/state/job.h
@@ -59,7 +59,7 @@
 	int64_t first_start_ms;
 	bool listed; /**< on the list of steps with work to place */
 	TAILQ_ENTRY(step) link;
-	void *advice;	    /**< owned by the module that asks for advice */
+	void *advice; /**< owned by the module that asks for advice */
 };
 
 struct occurrence {
--- a/tests/scripts/fail-cell.sh
+++ b/tests/scripts/fail-cell.sh
@@ -19,7 +19,7 @@
 	key: $KEY
 	peer_port: $((PORT + 102))
 	metrics_port: $((PORT + 103))
-	cores: 0.25
+	cores: ${CELL_CORES:-0.25}
 	EOF
 }
 cell_daemon() {
@@ -55,6 +55,12 @@
 wait_port 127.0.0.1 $((PORT + 2))
 for i in 1 2 3; do cell_daemon $i; done
 check "all hosts are ready" until_true 10 all_ready
+relays() { curl -s -m 1 "http://$(cell_addr "$(leader)"):$((PORT + 103))/metrics" |
+    sed -n 's/^celerycart_relays //p'; }
+if [ -n "${CELL_CORES:-}" ]; then
+	has_relays() { [ "$(relays)" -gt 0 ]; }
+	check "orders go through relays" until_true 10 has_relays
+fi
 
 # calm
 check "a job is accepted" accepted 1 00000000000000a1
--- a/tests/soak/hosts.c
+++ b/tests/soak/hosts.c
@@ -14,6 +14,9 @@
 #define PEER_PORT 2
 #define METRICS_PORT 3
 #define HOST_PORTS 100
+#define CORES "0.25"
+/** So weak that a leader gives its orders to relays. */
+#define CORES_WEAK "0.005"
 
 void
 soak_host_addr(int i, char buf[32])
@@ -35,10 +38,10 @@
 	    "host: e%d\nzone: z%d\naddr: %s\ncallers: %s:%d\n"
 	    "readiness: %s:%d\nstore: 127.0.0.1:%d\nadvice: 127.0.0.1:%d\n"
 	    "key: soak-key-of-the-cell\npeer_port: %d\nmetrics_port: %d\n"
-	    "max_hold_ms: 10000\nstop_grace_ms: 400\ncores: 0.25\n",
+	    "max_hold_ms: 10000\nstop_grace_ms: 400\ncores: %s\n",
 	    i, i % 3, addr, addr, base + CALLERS_PORT, addr, base + READY_PORT,
 	    s->port + 60 + i, s->port + 1, base + PEER_PORT,
-	    base + METRICS_PORT);
+	    base + METRICS_PORT, s->relays ? CORES_WEAK : CORES);
 	fclose(f);
 }
 
--- a/tests/soak/soak.c
+++ b/tests/soak/soak.c
@@ -124,6 +124,7 @@
 		return 2;
 	}
 	signal(SIGPIPE, SIG_IGN);
+	s.relays = seed->ival[0] % 2 == 1;
 	s.rng = (uint32_t)seed->ival[0] * 2654435761u + 1;
 	s.loud = loud->count > 0;
 	if (port->count > 0)
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -38,6 +38,7 @@
 	uint32_t rng;
 	int port;
 	int nhosts;
+	bool relays;	 /**< leaders give their orders to other hosts */
 	const char *bin; /**< directory of the programs */
 	const char *dir; /**< logs and settings */
 	pid_t standin;
--- a/tests/unit/parts_test.c
+++ b/tests/unit/parts_test.c
@@ -7,9 +7,12 @@
 #include "../../platform/submission.h"
 #include "../../src/base/err.h"
 #include "../../src/base/finding.h"
+#include "../../src/base/xalloc.h"
 #include "../../src/coordination/claim.h"
 #include "../../src/coordination/ask_plan.h"
 #include "../../src/coordination/lanes.h"
+#include "../../src/coordination/relay_plan.h"
+#include "../../src/coordination/rtt.h"
 #include "../../src/coordination/returns.h"
 #include "../../src/coordination/pacing.h"
 #include "../../src/coordination/urgency.h"
@@ -327,6 +330,100 @@
 	CU_ASSERT_EQUAL(lanes_idle(&l, 600), 122);
 }
 
+static int
+make_hosts(struct relay_host *list, int strong, int weak)
+{
+	int i;
+
+	for (i = 0; i < strong + weak; i++) {
+		snprintf(list[i].host, sizeof(list[i].host), "h%d", i);
+		list[i].carries = i < strong ? relay_carries(0.5, 200)
+					     : relay_carries(0.12, 20);
+	}
+	return strong + weak;
+}
+
+/* Hundreds of runners: strong hosts share them by what they can carry. */
+void
+test_relay_plan_spread(void)
+{
+	struct relay_host list[160];
+	struct relay_plan p = {.n = 0};
+	int i, count[RELAYS_MAX] = {0}, most = 0;
+	char runner[16];
+
+	relay_plan_set(&p, list, make_hosts(list, 15, 130), 200, 48);
+	CU_ASSERT_EQUAL(p.n, 0);
+	CU_ASSERT_EQUAL(relay_plan_pick(&p, "r1"), -1);
+	relay_plan_set(&p, list, make_hosts(list, 15, 130), 200, 1100);
+	CU_ASSERT_EQUAL(p.n, 11);
+	for (i = 0; i < p.n; i++)
+		CU_ASSERT_DOUBLE_EQUAL(p.hosts[i].carries, 200, 0.1);
+	for (i = 0; i < 1100; i++) {
+		snprintf(runner, sizeof(runner), "r%d", i);
+		count[relay_plan_pick(&p, runner)]++;
+	}
+	for (i = 0; i < p.n; i++)
+		most = count[i] > most ? count[i] : most;
+	CU_ASSERT(most < 200);
+}
+
+/* When a relay is lost only its own runners move. */
+void
+test_relay_plan_loss(void)
+{
+	struct relay_host list[32];
+	struct relay_plan p = {.n = 0}, q;
+	char runner[16], lost[RELAY_HOST_LEN];
+	uint64_t version;
+	int i, moved = 0;
+
+	relay_plan_set(&p, list, make_hosts(list, 0, 30), 48, 500);
+	q = p;
+	str_copy(lost, p.hosts[0].host, sizeof(lost));
+	version = q.version;
+	relay_plan_drop(&q, lost);
+	CU_ASSERT_EQUAL(q.n, p.n - 1);
+	CU_ASSERT_EQUAL(q.version, version + 1);
+	for (i = 0; i < 500; i++) {
+		const char *was, *is;
+
+		snprintf(runner, sizeof(runner), "r%d", i);
+		was = p.hosts[relay_plan_pick(&p, runner)].host;
+		is = q.hosts[relay_plan_pick(&q, runner)].host;
+		moved += strcmp(was, is) != 0 && strcmp(was, lost) != 0;
+	}
+	CU_ASSERT_EQUAL(moved, 0);
+	/* The same hosts again are no change. */
+	version = p.version;
+	relay_plan_set(&p, list, make_hosts(list, 0, 30), 48, 500);
+	CU_ASSERT_EQUAL(p.version, version);
+	relay_plan_drop(&p, "unknown");
+	CU_ASSERT_EQUAL(p.version, version);
+}
+
+/* A full link: time-outs grow with the answers, and shrink after it. */
+void
+test_rtt(void)
+{
+	struct rtt r = {0};
+	int i;
+
+	CU_ASSERT_EQUAL(rtt_timeout_ms(&r, 120, 1000), 120);
+	for (i = 0; i < 20; i++)
+		rtt_sample(&r, 4);
+	CU_ASSERT_EQUAL(rtt_timeout_ms(&r, 120, 1000), 120);
+	for (i = 0; i < 20; i++)
+		rtt_sample(&r, 300);
+	CU_ASSERT(rtt_timeout_ms(&r, 120, 1000) > 300);
+	for (i = 0; i < 20; i++)
+		rtt_sample(&r, 3000);
+	CU_ASSERT_EQUAL(rtt_timeout_ms(&r, 120, 1000), 1000);
+	for (i = 0; i < 60; i++)
+		rtt_sample(&r, 4);
+	CU_ASSERT(rtt_timeout_ms(&r, 120, 1000) < 150);
+}
+
 /* A tail near its target halves the pace, one over it stops it. */
 void
 test_pacing(void)
