No row beyond the store's limit; a refused commit is split or set aside

Cause: the row of all runners passes 64 KB when many of 1,100 are closed with their runs. The progress of a job of some thousand tasks could do the same.

Change: runners are spread over 64 rows by their ids, and only the rows that changed are written. Progress takes a row for each 400 tasks. The adapter tells an invalid call (400) from a failed one: such a commit is halved until it is one job, which is refused if it is new; what is refused by itself is logged and not sent again until it changes.

--- a/src/cell/cell.c
+++ b/src/cell/cell.c
@@ -6,7 +6,7 @@
 #include "../base/err.h"
 #include "../base/kvlog.h"
 #include "../base/xalloc.h"
-#include "parts.h"
+#include "commit.h"
 
 /** Beyond its lease, what an unseen runner may still have been given. */
 #define BLIND_MARGIN_MS 1000
@@ -21,6 +21,7 @@
 	str_copy(c->incarnation, incarnation, sizeof(c->incarnation));
 	returns_init(&c->returns);
 	c->runners_version = 1;
+	c->commit_jobs = COMMIT_JOBS_MAX;
 	TAILQ_INIT(&c->due);
 	TAILQ_INIT(&c->steps);
 	TAILQ_INIT(&c->dirty);
@@ -101,6 +102,7 @@
 	memset(c->chains, 0, sizeof(c->chains));
 	c->chains[0].version = c->store_version = commit_version;
 	c->ack_seq = 0;
+	c->stale_rows = 0;
 	c->led_ms = c->committed_ms = c->commit_ms = c->renewed_ms = now;
 	c->store_down_ms = c->registry_ms = c->unanswered_ms = 0;
 	c->blind = true;
--- a/src/cell/cell.h
+++ b/src/cell/cell.h
@@ -23,7 +23,9 @@
 #define LEADER_KEY "leader"
 /** Row of the first chain; the others' have its number behind. */
 #define COMMIT_KEY "commit"
-#define RUNNERS_KEY "runners"
+/** Runners are spread over rows by their ids; a row's number is behind. */
+#define RUNNERS_PREFIX "runners/"
+#define RUNNERS_ROWS 64
 #define JOB_PREFIX "j/"
 #define PROGRESS_PREFIX "p/"
 
@@ -146,10 +148,11 @@
 	double answer_ms;	   /**< of the store to commits, usually */
 	int64_t answered_sent_ms;  /**< newest commit with an answer was sent */
 	int64_t store_down_ms;	   /**< since when it fails; 0: it doesn't */
-	bool runners_changed;	   /**< the row of runners is to be written */
-	int64_t unanswered_ms;	   /**< a runner that was well last left an
-				    * order unanswered */
-	int64_t registry_ms;	   /**< the registry was last read */
+	uint64_t stale_rows;   /**< rows of runners to be written, a bit each */
+	int commit_jobs;       /**< a commit takes so many jobs at most */
+	int64_t unanswered_ms; /**< a runner that was well last left an
+				* order unanswered */
+	int64_t registry_ms;   /**< the registry was last read */
 	struct cell_counters counters;
 };
 
--- a/src/cell/commit.h
+++ b/src/cell/commit.h
@@ -6,11 +6,13 @@
 
 /** Entries of a transaction: jobs need two, others three in all. */
 #define COMMIT_ENTRIES_MAX 90
+/** Jobs in a commit. */
+#define COMMIT_JOBS_MAX COMMIT_ENTRIES_MAX
 /** Pause between attempts while the store fails. */
 #define COMMIT_RETRY_MS 60
 
 struct entry {
-	char key[JOB_ID_LEN + 4];
+	char key[JOB_ID_LEN + 20];
 	uint8_t *value;
 	size_t len;
 };
@@ -29,10 +31,10 @@
 	struct job **jobs; /**< whose progress it carries */
 	enum job_state *states;
 	int njobs;
-	bool has_runners;
-	bool forgets;	 /**< it removes rows of jobs that are forgotten */
-	bool maybe_done; /**< an attempt had no answer */
-	int under_way;	 /**< attempts without an answer so far */
+	uint64_t runner_rows; /**< rows of runners in it, a bit each */
+	bool forgets;	      /**< it removes rows of jobs that are forgotten */
+	bool maybe_done;      /**< an attempt had no answer */
+	int under_way;	      /**< attempts without an answer so far */
 	int64_t first_ms;
 	int64_t sent_ms; /**< last attempt */
 	int64_t retry_ms;
--- a/src/cell/commit_build.c
+++ b/src/cell/commit_build.c
@@ -8,6 +8,8 @@
 
 #include "../base/xalloc.h"
 
+/** Name of a row of progress, without its prefix. */
+#define PART_NAME_LEN (JOB_ID_LEN + 12)
 /** Bytes of a transaction, below the store's megabyte in base64. */
 #define COMMIT_BYTES_MAX (512 << 10)
 
@@ -23,10 +25,58 @@
 	return e;
 }
 
+static void
+add_remove(struct commit *k, const char *prefix, const char *id)
+{
+	snprintf(k->removes[k->nremoves++].key, sizeof(k->removes->key), "%s%s",
+	    prefix, id);
+}
+
+static void
+part_name(char *buf, size_t len, const struct job *j, uint32_t part)
+{
+	if (part == 0)
+		str_copy(buf, j->id, len);
+	else
+		snprintf(buf, len, "%s/%u", j->id, part);
+}
+
+static void
+add_progress(struct commit *k, struct job *j)
+{
+	uint32_t i, n = job_progress_parts(j);
+	char name[PART_NAME_LEN];
+	Cc__JobProgress *p;
+	struct entry *e;
+
+	for (i = 0; i < n; i++) {
+		p = job_progress(j, i);
+		part_name(name, sizeof(name), j, i);
+		e = add_entry(k, PROGRESS_PREFIX, name,
+		    cc__job_progress__get_packed_size(p));
+		cc__job_progress__pack(p, e->value);
+		job_progress_free(p);
+	}
+	for (i = n; i < j->stored_parts; i++) {
+		part_name(name, sizeof(name), j, i);
+		add_remove(k, PROGRESS_PREFIX, name);
+	}
+	if (j->stored_parts < n)
+		j->stored_parts = n;
+}
+
+/** Entries that the job may need. */
+static uint32_t
+entries_of(const struct job *j)
+{
+	uint32_t n = job_progress_parts(j);
+
+	return (n > j->stored_parts ? n : j->stored_parts) + 1;
+}
+
 static void
 add_job(struct commit *k, struct job *j)
 {
-	Cc__JobProgress *p = job_progress(j);
 	struct entry *e;
 
 	if (!j->stored && !job_ended(j)) {
@@ -36,14 +86,9 @@
 	}
 	/* What has ended needs no more than its outcome. */
 	if (j->stored && job_ended(j) && j->stored_state < JOB_COMPLETED)
-		snprintf(k->removes[k->nremoves++].key, sizeof(k->removes->key),
-		    "%s%s", JOB_PREFIX, j->id);
-	if (j->stored || job_ended(j)) {
-		e = add_entry(k, PROGRESS_PREFIX, j->id,
-		    cc__job_progress__get_packed_size(p));
-		cc__job_progress__pack(p, e->value);
-	}
-	job_progress_free(p);
+		add_remove(k, JOB_PREFIX, j->id);
+	if (j->stored || job_ended(j))
+		add_progress(k, j);
 	k->states[k->njobs] = j->state;
 	k->jobs[k->njobs++] = j;
 	j->in_commit = true;
@@ -86,30 +131,60 @@
 }
 
 static void
-add_runners(struct cell *c, struct commit *k)
+add_runner(Cc__RunnersRow *list, struct runner *r, bool closed)
 {
-	Cc__RunnersRow *list = xcalloc(1, sizeof(*list));
-	struct runner *r;
-	struct entry *e;
+	list->runners = xrealloc(
+	    list->runners, (list->n_runners + 1) * sizeof(*list->runners));
+	list->runners[list->n_runners++] = pack_runner(r, closed);
+	r->opening = !closed;
+	/* From now on a later leader may rely on it. */
+	if (closed)
+		r->recorded = false;
+}
 
-	cc__runners_row__init(list);
-	list->runners =
-	    xcalloc(HASH_COUNT(c->runners) + 1, sizeof(*list->runners));
-	for (r = c->runners; r != NULL; r = r->hh.next) {
-		bool closed = should_close(c, r);
+static void
+add_runners_row(struct commit *k, int n, const Cc__RunnersRow *list)
+{
+	char name[8];
+	struct entry *e;
 
-		list->runners[list->n_runners++] = pack_runner(r, closed);
-		r->opening = !closed;
-		/* From now on a later leader may rely on it. */
-		if (closed)
-			r->recorded = false;
+	snprintf(name, sizeof(name), "%d", n);
+	if (list->n_runners == 0) {
+		snprintf(k->removes[k->nremoves++].key, sizeof(k->removes->key),
+		    "%s%s", RUNNERS_PREFIX, name);
+		return;
 	}
 	e = add_entry(
-	    k, "", RUNNERS_KEY, cc__runners_row__get_packed_size(list));
+	    k, RUNNERS_PREFIX, name, cc__runners_row__get_packed_size(list));
 	cc__runners_row__pack(list, e->value);
-	cc__runners_row__free_unpacked(list, NULL);
-	k->has_runners = true;
-	c->runners_changed = false;
+}
+
+/* Writes the stale rows of runners; an empty one is removed. */
+static void
+add_runners(struct cell *c, struct commit *k)
+{
+	Cc__RunnersRow *rows = xcalloc(RUNNERS_ROWS, sizeof(*rows));
+	struct runner *r;
+	int i, n;
+
+	for (i = 0; i < RUNNERS_ROWS; i++)
+		cc__runners_row__init(&rows[i]);
+	for (r = c->runners; r != NULL; r = r->hh.next) {
+		n = runner_row(r);
+		if (c->stale_rows & 1ULL << n)
+			add_runner(&rows[n], r, should_close(c, r));
+	}
+	for (i = 0; i < RUNNERS_ROWS; i++) {
+		if (c->stale_rows & 1ULL << i)
+			add_runners_row(k, i, &rows[i]);
+		while (rows[i].n_runners > 0)
+			cc__runner_row__free_unpacked(
+			    rows[i].runners[--rows[i].n_runners], NULL);
+		free(rows[i].runners);
+	}
+	free(rows);
+	k->runner_rows = c->stale_rows;
+	c->stale_rows = 0;
 }
 
 /*
@@ -127,8 +202,7 @@
 	    j->stored_state == j->state &&
 	    now - j->ended_ms > c->terms.status_ms &&
 	    k->nremoves + k->nwrites + 2 < COMMIT_ENTRIES_MAX) {
-		snprintf(k->removes[k->nremoves++].key, sizeof(k->removes->key),
-		    "%s%s", PROGRESS_PREFIX, j->id);
+		add_remove(k, PROGRESS_PREFIX, j->id);
 		cell_forget_job(c, j);
 		k->forgets = true;
 	}
@@ -157,7 +231,7 @@
 
 	for (i = 0; i < COMMIT_CHAINS; i++)
 		if (c->chains[i].commit != NULL &&
-		    c->chains[i].commit->has_runners)
+		    c->chains[i].commit->runner_rows != 0)
 			return true;
 	return false;
 }
@@ -167,7 +241,7 @@
 {
 	const struct job *j;
 
-	if (c->runners_changed && !runners_under_way(c))
+	if (c->stale_rows != 0 && !runners_under_way(c))
 		return true;
 	TAILQ_FOREACH (j, &c->dirty, dirty_link)
 		if (!j->in_commit)
@@ -183,8 +257,9 @@
 
 	for (j = TAILQ_FIRST(&c->dirty); j != NULL; j = next) {
 		next = TAILQ_NEXT(j, dirty_link);
-		if (k->nwrites + k->nremoves + 3 >= COMMIT_ENTRIES_MAX ||
-		    k->bytes >= COMMIT_BYTES_MAX)
+		if (k->nwrites + k->nremoves + (int)entries_of(j) >
+			COMMIT_ENTRIES_MAX ||
+		    k->bytes >= COMMIT_BYTES_MAX || k->njobs >= c->commit_jobs)
 			return;
 		if (!j->in_commit)
 			add_job(k, j);
@@ -204,7 +279,7 @@
 	k->first_ms = now;
 	k->jobs = xcalloc(COMMIT_ENTRIES_MAX, sizeof(*k->jobs));
 	k->states = xcalloc(COMMIT_ENTRIES_MAX, sizeof(*k->states));
-	if (c->runners_changed && !runners_under_way(c))
+	if (c->stale_rows != 0 && !runners_under_way(c))
 		add_runners(c, k);
 	add_jobs(c, k);
 	add_removes(c, k, now);
--- a/src/cell/commit_send.c
+++ b/src/cell/commit_send.c
@@ -101,8 +101,10 @@
 	c->counters.commits++;
 	for (i = 0; i < k->njobs; i++)
 		job_committed(c, k->jobs[i], k->states[i]);
-	if (k->has_runners)
+	if (k->runner_rows != 0)
 		runners_committed(c);
+	if (c->commit_jobs < COMMIT_JOBS_MAX)
+		c->commit_jobs *= 2;
 	acks_committed(c);
 	commit_free(k);
 	c->ports.wake(c->ports.arg);
@@ -219,7 +221,7 @@
 
 /* Nothing of it was done: it is taken apart, and built anew later. */
 static void
-commit_undo(struct cell *c, struct commit *k)
+commit_take_apart(struct cell *c, struct commit *k)
 {
 	struct runner *r;
 
@@ -227,12 +229,66 @@
 		r->acking = r->acked;
 	c->ack_seq = 0;
 	c->chains[k->chain].commit = NULL;
+	c->stale_rows |= k->runner_rows;
+}
+
+static void
+commit_undo(struct cell *c, struct commit *k)
+{
+	commit_take_apart(c, k);
 	refuse_new_jobs(c, k);
-	if (k->has_runners)
-		c->runners_changed = true;
 	commit_free(k);
 }
 
+/* Its jobs are written again, in smaller commits. */
+static void
+commit_split(struct cell *c, struct commit *k)
+{
+	int i;
+
+	commit_take_apart(c, k);
+	c->commit_jobs = k->njobs > 1 ? k->njobs / 2 : 1;
+	for (i = 0; i < k->njobs; i++) {
+		k->jobs[i]->in_commit = false;
+		cell_mark_dirty(c, k->jobs[i]);
+	}
+	commit_free(k);
+}
+
+/* What the store refuses by itself is not sent again until it changes. */
+static void
+commit_set_aside(struct cell *c, struct commit *k)
+{
+	struct cell_answer a = {.error = CC_EINVAL};
+	struct job *j = k->njobs > 0 ? k->jobs[0] : NULL;
+
+	commit_take_apart(c, k);
+	c->stale_rows &= ~k->runner_rows;
+	if (j != NULL) {
+		j->in_commit = false;
+		job_answer(j, &a);
+		if (!j->stored)
+			cell_forget_job(c, j);
+	}
+	commit_free(k);
+}
+
+/* The store can't take it as it is, however often it is sent. */
+static void
+commit_invalid(struct cell *c, struct commit *k)
+{
+	kvlog(KVLOG_ERROR, "commit_refused",
+	    "seq=%llu jobs=%d first=%s bytes=%zu writes=%d runner_rows=%llx",
+	    (unsigned long long)k->seq, k->njobs,
+	    k->njobs > 0 ? k->jobs[0]->id : "", k->bytes, k->nwrites,
+	    (unsigned long long)k->runner_rows);
+	c->counters.commit_errors++;
+	if (k->njobs > 1 || (k->njobs > 0 && k->runner_rows != 0))
+		commit_split(c, k);
+	else
+		commit_set_aside(c, k);
+}
+
 static void
 commit_failed(struct cell *c, struct commit *k, int err)
 {
@@ -281,6 +337,8 @@
 		commit_done(c, k, r->version);
 	} else if (r->err == CC_ECONFLICT) {
 		commit_conflict(c, k, r);
+	} else if (r->err == CC_EINVAL && k->under_way == 0) {
+		commit_invalid(c, k);
 	} else {
 		commit_failed(c, k, r->err);
 	}
--- a/src/cell/lists.c
+++ b/src/cell/lists.c
@@ -168,7 +168,7 @@
 		    r->info.id, (long long)(now - r->unheard_since_ms));
 	r->heard_ms = now;
 	if (r->unheard_since_ms != 0 || r->closed)
-		c->runners_changed = true;
+		cell_runner_changed(c, r);
 	r->closed = false;
 	r->unheard_since_ms = 0;
 	r->hold_errors = 0;
--- a/src/cell/load.c
+++ b/src/cell/load.c
@@ -59,23 +59,31 @@
 }
 
 static void
-load_progress(struct cell *c, const char *id, const struct row *row)
+load_progress(struct cell *c, const char *name, const struct row *row)
 {
 	Cc__JobProgress *p =
 	    cc__job_progress__unpack(NULL, row->len, row->value);
+	const char *slash = strchr(name, '/');
+	char id[JOB_ID_LEN];
+	uint32_t part;
 	struct job *j;
 
 	if (p == NULL) {
 		kvlog(KVLOG_ERROR, "row_unreadable", "key=%s", row->key);
 		return;
 	}
+	part = slash != NULL ? (uint32_t)strtoul(slash + 1, NULL, 10) : 0;
+	str_copy(id, name,
+	    slash != NULL && (size_t)(slash - name) < sizeof(id)
+		? (size_t)(slash - name) + 1
+		: sizeof(id));
 	HASH_FIND_STR(c->loading, id, j);
 	if (j == NULL && p->state >= JOB_COMPLETED)
 		j = ended_job(c, id, p);
 	if (j == NULL) {
 		kvlog(KVLOG_ERROR, "row_without_job", "key=%s", row->key);
 	} else {
-		job_load_progress(j, p);
+		job_load_progress(j, p, part);
 		if (job_ended(j))
 			j->ended_ms = c->ports.now();
 	}
@@ -153,7 +161,7 @@
 	else if (strncmp(row->key, PROGRESS_PREFIX, strlen(PROGRESS_PREFIX)) ==
 	    0)
 		load_progress(c, row->key + strlen(PROGRESS_PREFIX), row);
-	else if (strcmp(row->key, RUNNERS_KEY) == 0)
+	else if (strncmp(row->key, RUNNERS_PREFIX, strlen(RUNNERS_PREFIX)) == 0)
 		load_runners(c, row);
 	else if (strncmp(row->key, COMMIT_KEY, strlen(COMMIT_KEY)) == 0)
 		cell_chain_row(c, row);
--- a/src/cell/parts.h
+++ b/src/cell/parts.h
@@ -59,6 +59,10 @@
 struct runner *cell_runner(struct cell *c, const char *id);
 /** The next pass sends what is due to the runner. */
 void cell_attend(struct cell *c, struct runner *r);
+/** Its row in the store is to be written. */
+void cell_runner_changed(struct cell *c, const struct runner *r);
+/** The row of the store that the runner is in. */
+int runner_row(const struct runner *r);
 /** Takes it off all lists and frees it. */
 void cell_drop_runner(struct cell *c, struct runner *r);
 /** No start goes to the runner until a commit has opened it again. */
--- a/src/cell/runners.c
+++ b/src/cell/runners.c
@@ -1,6 +1,7 @@
 /* The runners of a cell, as the registry shows them. */
 #include <stdlib.h>
 #include <string.h>
+#include <xxhash.h>
 
 #include "../base/kvlog.h"
 #include "parts.h"
@@ -19,6 +20,18 @@
 	return r;
 }
 
+int
+runner_row(const struct runner *r)
+{
+	return (int)(XXH64(r->info.id, strlen(r->info.id), 0) % RUNNERS_ROWS);
+}
+
+void
+cell_runner_changed(struct cell *c, const struct runner *r)
+{
+	c->stale_rows |= 1ULL << runner_row(r);
+}
+
 void
 cell_attend(struct cell *c, struct runner *r)
 {
@@ -43,7 +56,7 @@
 cell_close_runner(struct cell *c, struct runner *r)
 {
 	r->recorded = false;
-	c->runners_changed = true;
+	cell_runner_changed(c, r);
 }
 
 static bool
@@ -61,8 +74,8 @@
 	if (!runner_gone(c, r, now))
 		return;
 	kvlog(KVLOG_INFO, "runner_forgotten", "runner=%s", r->info.id);
+	cell_runner_changed(c, r);
 	cell_drop_runner(c, r);
-	c->runners_changed = true;
 }
 
 static void
@@ -80,16 +93,15 @@
 		    (long long)in->remaining_ms);
 	}
 	if (strcmp(r->info.addr, in->addr) != 0 || r->info.port != in->port)
-		c->runners_changed = true;
+		cell_runner_changed(c, r);
 	r->info = *in;
 	r->listed_born_ms = in->born_ms;
 	if (!other_incarnation && born > in->born_ms)
 		r->info.born_ms = born;
 	if (other_incarnation)
 		cell_runner_reset(c, r);
-	if (!r->listed) {
-		c->runners_changed = true;
-	}
+	if (!r->listed)
+		cell_runner_changed(c, r);
 	r->listed = true;
 	r->missing_ms = 0;
 }
@@ -105,7 +117,7 @@
 	HASH_ADD_STR(c->runners, info.id, r);
 	c->runners_version++;
 	cell_attend(c, r);
-	c->runners_changed = true;
+	cell_runner_changed(c, r);
 	kvlog(KVLOG_INFO, "runner_found",
 	    "runner=%s service=%s rack=%s cpu=%lld mem_mb=%lld draining=%d",
 	    in->id, in->service, in->rack, (long long)in->cpu,
--- a/src/ports/ports.h
+++ b/src/ports/ports.h
@@ -45,7 +45,8 @@
 	 * CC_OK; CC_ECONFLICT with the rows of the conditions; CC_EUNAVAIL
 	 * when certainly nothing was done; CC_ETIMEOUT when it may have been
 	 * done or may still be done; CC_ENOENT when the history asked for is
-	 * gone.
+	 * gone; CC_EINVAL when the call breaks a limit of the store: nothing
+	 * was done, and nothing will be however often it is repeated.
 	 */
 	int err;
 	uint64_t version; /**< newest version of the store */
--- a/src/state/job.h
+++ b/src/state/job.h
@@ -82,6 +82,7 @@
 	bool started;		     /**< a task has begun, now or earlier */
 	bool inherited;		     /**< accepted under an earlier leader */
 	bool dirty;		     /**< its progress is to be written */
+	uint32_t stored_parts;	     /**< rows of progress in the store */
 	bool in_commit;		     /**< a commit under way carries it */
 	int64_t accepted_ms;
 	int64_t ended_ms;
@@ -147,11 +148,13 @@
 /** The task of that name in this job; NULL when there is none. */
 struct task *job_task(struct job *j, const struct task_ref *ref);
 
-/** Progress as a row; free with job_progress_free. */
-Cc__JobProgress *job_progress(const struct job *j);
+/** Rows that the progress takes; a row of the store is limited. */
+uint32_t job_progress_parts(const struct job *j);
+/** One part of the progress as a row; free with job_progress_free. */
+Cc__JobProgress *job_progress(const struct job *j, uint32_t part);
 void job_progress_free(Cc__JobProgress *p);
 /** Sets a fresh job to a stored progress. */
-void job_load_progress(struct job *j, const Cc__JobProgress *p);
+void job_load_progress(struct job *j, const Cc__JobProgress *p, uint32_t part);
 
 const char *job_state_name(enum job_state s);
 
--- a/src/state/job_progress.c
+++ b/src/state/job_progress.c
@@ -5,6 +5,11 @@
 #include "../base/xalloc.h"
 #include "job.h"
 
+/** Tasks whose progress is in one row, so that it stays below the limit. */
+#define PART_TASKS 400
+/** Rows of a job, so that one transaction can write them all. */
+#define PARTS_MAX 80
+
 static bool
 task_is_plain(const struct task *t)
 {
@@ -27,8 +32,9 @@
 	return p;
 }
 
+/* Tasks of the step from one index up to another. */
 static Cc__StepProgress *
-pack_step(const struct step *s)
+pack_step(const struct step *s, uint32_t from, uint32_t to)
 {
 	Cc__StepProgress *p = xcalloc(1, sizeof(*p));
 	uint32_t i;
@@ -36,10 +42,10 @@
 	cc__step_progress__init(p);
 	p->occurrence = s->occurrence->number;
 	p->step = s->index;
-	p->done.len = (s->spec->count + 7) / 8;
+	p->done.len = (to + 7) / 8;
 	p->done.data = xcalloc(1, p->done.len);
-	p->tasks = xcalloc(s->spec->count, sizeof(*p->tasks));
-	for (i = 0; i < s->spec->count; i++) {
+	p->tasks = xcalloc(to - from, sizeof(*p->tasks));
+	for (i = from; i < to; i++) {
 		const struct task *t = &s->tasks[i];
 
 		if (t->done)
@@ -51,24 +57,76 @@
 }
 
 static bool
-step_is_plain(const struct step *s)
+step_is_plain(const struct step *s, uint32_t from, uint32_t to)
 {
 	uint32_t i;
 
-	if (s->ndone > 0)
-		return false;
-	for (i = 0; i < s->spec->count; i++)
-		if (!task_is_plain(&s->tasks[i]))
+	for (i = from; i < to; i++)
+		if (s->tasks[i].done || !task_is_plain(&s->tasks[i]))
 			return false;
 	return true;
 }
 
+static uint32_t
+count_tasks(const struct job *j)
+{
+	uint32_t n = 0;
+	size_t k;
+
+	for (k = 0; k < j->row->n_steps; k++)
+		n += j->row->steps[k]->count;
+	return n * j->noccurrences;
+}
+
+static uint32_t
+tasks_a_part(const struct job *j)
+{
+	uint32_t n = (count_tasks(j) + PARTS_MAX - 1) / PARTS_MAX;
+
+	return n > PART_TASKS ? n : PART_TASKS;
+}
+
+uint32_t
+job_progress_parts(const struct job *j)
+{
+	uint32_t n, tasks = tasks_a_part(j);
+
+	if (job_ended(j))
+		return 1;
+	n = (count_tasks(j) + tasks - 1) / tasks;
+	return n > 1 ? n : 1;
+}
+
+static uint32_t
+min_u32(uint32_t a, uint32_t b)
+{
+	return a < b ? a : b;
+}
+
+/* Packs the tasks of the step, the first of which has number @p first in the
+ * job, as far as they are in the part. */
+static void
+add_step(
+    Cc__JobProgress *p, const struct step *s, uint32_t first, uint32_t part)
+{
+	uint32_t tasks = tasks_a_part(s->occurrence->job);
+	uint32_t begin = part * tasks, end = begin + tasks;
+	uint32_t from = begin > first ? begin - first : 0;
+	uint32_t to;
+
+	if (first >= end)
+		return;
+	to = min_u32(end - first, s->spec->count);
+	if (from < to && !step_is_plain(s, from, to))
+		p->steps[p->n_steps++] = pack_step(s, from, to);
+}
+
 Cc__JobProgress *
-job_progress(const struct job *j)
+job_progress(const struct job *j, uint32_t part)
 {
 	Cc__JobProgress *p = xcalloc(1, sizeof(*p));
+	uint32_t i, first = 0;
 	size_t k;
-	uint32_t i;
 
 	cc__job_progress__init(p);
 	p->state = j->state;
@@ -81,10 +139,8 @@
 	    (size_t)j->noccurrences * j->row->n_steps, sizeof(*p->steps));
 	for (i = 0; i < j->noccurrences; i++)
 		for (k = 0; k < j->row->n_steps; k++) {
-			const struct step *s = &j->occurrences[i]->steps[k];
-
-			if (!step_is_plain(s))
-				p->steps[p->n_steps++] = pack_step(s);
+			add_step(p, &j->occurrences[i]->steps[k], first, part);
+			first += j->row->steps[k]->count;
 		}
 	return p;
 }
@@ -131,14 +187,18 @@
 }
 
 void
-job_load_progress(struct job *j, const Cc__JobProgress *p)
+job_load_progress(struct job *j, const Cc__JobProgress *p, uint32_t part)
 {
 	size_t i;
 
-	j->state =
-	    p->state <= JOB_CANCELED ? (enum job_state)p->state : JOB_QUEUED;
-	j->stored_state = j->state;
-	j->started = p->started;
+	if (part >= j->stored_parts)
+		j->stored_parts = part + 1;
+	if (part == 0) {
+		j->state = p->state <= JOB_CANCELED ? (enum job_state)p->state
+						    : JOB_QUEUED;
+		j->stored_state = j->state;
+		j->started = p->started;
+	}
 	if (job_ended(j))
 		return;
 	for (i = 0; i < p->n_steps; i++)
--- a/tests/unit/cell_test.c
+++ b/tests/unit/cell_test.c
@@ -559,3 +559,128 @@
 	world_cut_store(w, 0, false);
 	finish(w);
 }
+
+static void
+set_links(struct world *w, int ms)
+{
+	int i;
+
+	for (i = 0; i < 3; i++)
+		world_runner_link(w, i, ms);
+}
+
+/* Half of the runners are behind a link that fills when jobs have started, and
+ * then makes each answer late for some seconds. */
+static struct world *
+play_slow_link(int link_ms, bool fixed)
+{
+	struct world *w = start(6);
+	char id[17];
+	int i;
+
+	if (fixed)
+		world_fixed_timeouts(w);
+	for (i = 0; i < 8; i++) {
+		job_id(id, i + 1);
+		world_submit(w, id, "urgent", &urgent_step, 1);
+		world_run(w, 100);
+		set_links(w, link_ms);
+		world_run(w, 6000);
+		set_links(w, 0);
+		world_run(w, 1500);
+	}
+	world_run(w, 8000);
+	return w;
+}
+
+/*
+ * What a runner has told in an answer that is late is not started again. With
+ * time-outs that don't follow the answers it is.
+ */
+void
+test_cell_slow_link(void)
+{
+	static const int links[] = {40, 200, 400, 800};
+	struct world *w;
+	size_t i;
+
+	for (i = 0; i < sizeof(links) / sizeof(links[0]); i++) {
+		w = play_slow_link(links[i], false);
+		CU_ASSERT(world_all_ended(w));
+		finish(w);
+	}
+	w = play_slow_link(400, true);
+	CU_ASSERT(world_broken(w) > 0);
+	world_delete(w);
+}
+
+/* Rows of the store are limited: runners that are lost with all their work
+ * fit in, and keep neither this leader from writing nor the next waiting. */
+void
+test_cell_runners_beyond_a_row(void)
+{
+	const struct world_step many = {
+	    .count = 64, .cpu = 1000, .ms = 20000, .after = -1};
+	const struct world_step two[2] = {
+	    {.count = 1, .cpu = 1000, .ms = 200, .after = -1},
+	    {.count = 1, .cpu = 1000, .ms = 200, .after = 0}};
+	struct world *w = start(16);
+	int i;
+
+	world_row_bytes(w, 1200);
+	world_submit(w, "0000000000000001", "batch", &many, 1);
+	world_run(w, 2000);
+	for (i = 0; i < 4; i++)
+		world_runner_cut(w, i, true);
+	world_run(w, 2000);
+	world_submit(w, "0000000000000002", "urgent", two, 2);
+	world_run(w, 100);
+	CU_ASSERT(world_accepted(w, "0000000000000002"));
+	/* The next leader reads that it needn't wait for them. */
+	world_claim(w, 1);
+	world_run(w, 1200);
+	CU_ASSERT_EQUAL(world_state(w, "0000000000000002"), JOB_COMPLETED);
+	world_delete(w);
+}
+
+/* A job of more tasks than a row of progress holds, and a takeover amid it. */
+void
+test_cell_wide_job(void)
+{
+	const struct world_step wide = {
+	    .count = 3000, .cpu = 100, .ms = 1000, .after = -1};
+	struct world *w = start(8);
+	const struct world_faults fail = {.run_fails = 400}, none = {0};
+
+	world_row_bytes(w, 5000);
+	world_set_faults(w, &fail);
+	world_submit(w, "0000000000000001", "batch", &wide, 1);
+	world_run(w, 1600);
+	world_set_faults(w, &none);
+	CU_ASSERT_EQUAL(world_cell(w, 0)->counters.commit_errors, 0);
+	world_claim(w, 1);
+	world_run(w, 9000);
+	CU_ASSERT_EQUAL(world_state(w, "0000000000000001"), JOB_COMPLETED);
+	finish(w);
+}
+
+/* A job that no row takes is refused by itself; others go on. */
+void
+test_cell_job_beyond_a_row(void)
+{
+	struct world_step steps[8];
+	struct world *w = start(4);
+	int i;
+
+	for (i = 0; i < 8; i++)
+		steps[i] = (struct world_step){
+		    .count = 1, .cpu = 1000, .ms = 100, .after = i - 1};
+	world_row_bytes(w, 90);
+	world_submit(w, "0000000000000001", "urgent", steps, 8);
+	world_submit(w, "0000000000000002", "urgent", &urgent_step, 1);
+	world_run(w, 3000);
+	CU_ASSERT(!world_accepted(w, "0000000000000001"));
+	CU_ASSERT(world_accepted(w, "0000000000000002"));
+	CU_ASSERT_EQUAL(world_state(w, "0000000000000002"), JOB_COMPLETED);
+	finish(w);
+}
--- a/tests/unit/parts_test.c
+++ b/tests/unit/parts_test.c
@@ -113,8 +113,8 @@
 	CU_ASSERT(task_add_failure(t, 5));
 	CU_ASSERT(!task_add_failure(t, 5));
 	CU_ASSERT(task_add_failure(t, 2));
-	p = job_progress(a);
-	job_load_progress(b, p);
+	p = job_progress(a, 0);
+	job_load_progress(b, p, 0);
 	job_progress_free(p);
 	t = job_task(b, &ref);
 	CU_ASSERT_EQUAL(t->last_run, 5);
--- a/tests/world/world.c
+++ b/tests/world/world.c
@@ -6,6 +6,7 @@
 
 #include "../../src/base/err.h"
 #include "../../src/base/xalloc.h"
+#include "../../src/coordination/rtt.h"
 
 #define TICK_MS 25
 #define GANG_TIMEOUT_MS 3000
@@ -19,6 +20,13 @@
 #define JOBS_MAX 512
 #define REGISTRY_MS 500
 #define QUICK_CALL_MS 25.0
+#define ROW_BYTES 65536
+#define TXN_ENTRIES 100
+/** The adapter's time-outs follow the answers seen, up to this. */
+#define TIMEOUT_MAX_MS 1000
+#define DOUBLINGS_MAX 3
+/** An end that an answer has told counts as known so soon after. */
+#define LISTED_MS 100
 
 struct order_event;
 
@@ -57,6 +65,7 @@
 	uint32_t run;
 	enum run_end how;
 	bool noted; /**< an acknowledgement has reached it */
+	bool listed;
 };
 
 /** Highest run stopped or ended here, of each task. */
@@ -79,12 +88,20 @@
 	int64_t born_ms;
 	int64_t up_at; /**< it is down before this time */
 	bool cut;
+	int link_ms;
 	bool fails_all;
 	double slow;
 	int64_t drain_until;	     /**< 0: it doesn't drain */
 	struct order_event *waiting; /**< a hold that waits for an end */
 };
 
+struct task_seen {
+	bool done;  /**< it ended done, and that was noted */
+	bool ended; /**< a run of it ended done, ever */
+	int failures;
+	int64_t listed_ms; /**< a done end was told in an answer */
+};
+
 struct world_job {
 	char id[JOB_ID_LEN];
 	char queue[QUEUE_NAME_LEN];
@@ -96,9 +113,8 @@
 	bool lasting;
 	int64_t since_ms;
 	int64_t completed_ms;
-	uint8_t done[8][64];  /**< tasks that ended done, and were noted */
-	uint8_t ended[8][64]; /**< tasks of which a run ended done, ever */
-	uint8_t failures[8][64];
+	struct task_seen *tasks; /**< of all steps, each of the same width */
+	uint32_t width;
 	int submitted_to;
 };
 
@@ -114,6 +130,8 @@
 	int incarnation;
 	int64_t
 	    linked[WORLD_RUNNERS_MAX]; /**< incarnation that answered last */
+	struct rtt answers;
+	int unanswered[WORLD_RUNNERS_MAX]; /**< holds in a row */
 };
 
 struct world {
@@ -136,6 +154,8 @@
 	bool loud;
 	int advice_calls;
 	int holds;
+	size_t row_bytes;
+	bool fixed_timeouts;
 	struct start_count {
 		char task[TASK_NAME_LEN];
 		int n;
@@ -220,6 +240,12 @@
 	return task_ref_parse(ref, task) ? find_job(w, ref->id) : NULL;
 }
 
+static struct task_seen *
+seen_of(const struct world_job *j, uint32_t step, uint32_t index)
+{
+	return &j->tasks[step * j->width + index];
+}
+
 /* Runners */
 
 static bool
@@ -399,20 +425,20 @@
 	struct world_job *j = job_of(w, e->task, &ref);
 	uint32_t i;
 
-	if (e->noted || j == NULL || ref.index >= 64 || j->lasting)
+	if (e->noted || j == NULL || j->lasting)
 		return;
 	e->noted = true;
 	if (w->loud)
 		printf("  %lld noted %s run=%u how=%d\n", (long long)w->now,
 		    e->task, e->run, (int)e->how);
 	if (e->how == END_FAILED)
-		j->failures[ref.step][ref.index]++;
+		seen_of(j, ref.step, ref.index)->failures++;
 	if (e->how != END_DONE)
 		return;
-	j->done[ref.step][ref.index] = 1;
+	seen_of(j, ref.step, ref.index)->done = true;
 	if (j->steps[ref.step].gang)
 		for (i = 0; i < j->steps[ref.step].count; i++)
-			j->done[ref.step][i] = 1;
+			seen_of(j, ref.step, i)->done = true;
 }
 
 static void
@@ -456,7 +482,7 @@
 	uint32_t i;
 
 	for (i = 0; i < j->steps[step].count; i++)
-		if (!j->ended[step][i])
+		if (!seen_of(j, (uint32_t)step, i)->ended)
 			return false;
 	return true;
 }
@@ -466,12 +492,24 @@
 {
 	struct task_ref ref;
 	struct world_job *j = job_of(w, task, &ref);
+	uint32_t i;
 
-	if (j == NULL || ref.index >= 64)
+	if (j == NULL)
 		return;
-	j->ended[ref.step][ref.index] = 1;
+	seen_of(j, ref.step, ref.index)->ended = true;
 	if (j->steps[ref.step].gang)
-		memset(j->ended[ref.step], 1, sizeof(j->ended[0]));
+		for (i = 0; i < j->steps[ref.step].count; i++)
+			seen_of(j, ref.step, i)->ended = true;
+}
+
+/* Whether an answer that is only slow has told that the task is done. */
+static bool
+was_told_done(const struct world *w, const struct world_job *j,
+    const struct task_ref *ref)
+{
+	int64_t at = seen_of(j, ref->step, ref->index)->listed_ms;
+
+	return at != 0 && w->now - at > LISTED_MS;
 }
 
 static void
@@ -482,9 +520,11 @@
 
 	if (!s->speculative && runs_elsewhere(w, r, o->task, o->run))
 		broke(w, "twice", o->task);
-	if (!s->speculative && j->done[ref->step][ref->index])
+	if (!s->speculative && seen_of(j, ref->step, ref->index)->done)
 		broke(w, "after-done", o->task);
-	if (j->failures[ref->step][ref->index] >= 3)
+	if (!s->speculative && was_told_done(w, j, ref))
+		broke(w, "after-told", o->task);
+	if (seen_of(j, ref->step, ref->index)->failures >= 3)
 		broke(w, "budget", o->task);
 	if (j->refused && !j->accepted)
 		broke(w, "refused", o->task);
@@ -626,6 +666,12 @@
 	w->runners[i].cut = cut;
 }
 
+void
+world_runner_link(struct world *w, int r, int ms)
+{
+	w->runners[r].link_ms = ms;
+}
+
 void
 world_runner_drain(struct world *w, int i, int64_t left_ms)
 {
@@ -685,6 +731,25 @@
 	free(o);
 }
 
+/* Time after which the adapter gives a call up, beyond its wait. */
+static int64_t
+timeout_ms(const struct world_cell *c, int doublings)
+{
+	int64_t ms =
+	    rtt_timeout_ms(&c->answers, ORDER_TIMEOUT_MS, TIMEOUT_MAX_MS);
+
+	if (c->world->fixed_timeouts)
+		return ORDER_TIMEOUT_MS;
+	ms <<= doublings < DOUBLINGS_MAX ? doublings : DOUBLINGS_MAX;
+	return ms < TIMEOUT_MAX_MS ? ms : TIMEOUT_MAX_MS;
+}
+
+static void
+sample(struct world_cell *c, double ms)
+{
+	rtt_sample(&c->answers, ms);
+}
+
 static void
 do_order(struct world *w, void *arg)
 {
@@ -709,10 +774,15 @@
 	    : do_stop(r, o->task, o->start.run, o->start.fence);
 	o->answer.clock_ms = runner_clock_now(r);
 	o->answered_by = r->born_ms;
-	if (o->silent)
+	if (o->silent) {
 		free(o);
-	else
-		at(w, ORDER_MS, give_order_answer, o);
+	} else if (r->link_ms > timeout_ms(o->cell, 0)) {
+		o->answer = (struct order_answer){.result = ORDER_UNKNOWN};
+		at(w, timeout_ms(o->cell, 0), give_order_answer, o);
+	} else {
+		sample(o->cell, ORDER_MS + r->link_ms);
+		at(w, ORDER_MS + r->link_ms, give_order_answer, o);
+	}
 }
 
 static void
@@ -830,51 +900,110 @@
 	struct hold_result r = {.result = ORDER_UNKNOWN};
 
 	(void)w;
+	o->cell->unanswered[o->runner->index]++;
 	if (o->cell->alive && o->cell->incarnation == o->incarnation)
 		o->hold_fn(&r, o->arg);
 	free(o);
 }
 
+/* The runner tells its ends, whether or not the answer is taken. */
+static void
+list_ends(struct world *w, const struct world_runner *r)
+{
+	struct ended_run *e;
+	struct task_ref ref;
+	struct world_job *j;
+
+	for (e = r->ends; e != NULL; e = e->next) {
+		j = job_of(w, e->task, &ref);
+		if (e->listed || e->how != END_DONE || j == NULL)
+			continue;
+		e->listed = true;
+		seen_of(j, ref.step, ref.index)->listed_ms = w->now;
+	}
+}
+
+struct held {
+	struct hold_result result;
+	struct run_seen runs[256];
+	struct end_seen ends[512];
+	char names[512][TASK_NAME_LEN];
+	struct order_event *order;
+};
+
+static void
+give_hold_answer(struct world *w, void *arg)
+{
+	struct held *k = arg;
+	struct order_event *o = k->order;
+
+	(void)w;
+	o->cell->unanswered[o->runner->index] = 0;
+	if (o->cell->alive && o->cell->incarnation == o->incarnation) {
+		o->cell->linked[o->runner->index] = o->born_ms;
+		o->hold_fn(&k->result, o->arg);
+	}
+	free(o);
+	free(k);
+}
+
 static void
 answer_hold(struct world *w, void *arg)
 {
 	struct order_event *o = arg;
 	struct world_runner *r = o->runner;
-	struct hold_result res = {.result = o->answer.result};
-	struct run_seen runs[256];
-	struct end_seen ends[512];
 	const struct live_run *l;
 	const struct ended_run *e;
+	struct held *k;
+	int64_t late;
 	uint64_t n;
+	int names = 0;
 
 	/* A connection ends with the process at its other end. */
 	if (!runner_up(r) || r->cut || o->born_ms != r->born_ms) {
 		at(w, ORDER_TIMEOUT_MS, hold_error, o);
 		return;
 	}
-	res.clock_ms = runner_clock_now(r);
-	res.born_ms = r->born_ms + 1;
-	for (l = r->runs; l != NULL && res.nruns < 256; l = l->next)
-		runs[res.nruns++] = (struct run_seen){.task = l->task,
-		    .run = l->number,
-		    .saved = "",
-		    .percent = 100};
-	for (n = 1; n <= r->end_count && res.nends < 500; n++)
+	k = xcalloc(1, sizeof(*k));
+	k->order = o;
+	k->result = (struct hold_result){.result = o->answer.result,
+	    .clock_ms = runner_clock_now(r),
+	    .born_ms = r->born_ms + 1,
+	    .runs = k->runs,
+	    .ends = k->ends};
+	for (l = r->runs; l != NULL && k->result.nruns < 256; l = l->next) {
+		str_copy(k->names[names], l->task, TASK_NAME_LEN);
+		k->runs[k->result.nruns++] =
+		    (struct run_seen){.task = k->names[names++],
+			.run = l->number,
+			.saved = "",
+			.percent = 100};
+	}
+	for (n = 1; n <= r->end_count && names < 500; n++)
 		for (e = r->ends; e != NULL; e = e->next)
-			if (e->number == n && n > o->hold.seen)
-				ends[res.nends++] =
+			if (e->number == n && n > o->hold.seen) {
+				str_copy(
+				    k->names[names], e->task, TASK_NAME_LEN);
+				k->ends[k->result.nends++] =
 				    (struct end_seen){.number = n,
-					.task = e->task,
+					.task = k->names[names++],
 					.run = e->run,
 					.how = e->how,
 					.saved = ""};
-	res.runs = runs;
-	res.ends = ends;
-	if (o->cell->alive && o->cell->incarnation == o->incarnation) {
-		o->cell->linked[r->index] = r->born_ms;
-		o->hold_fn(&res, o->arg);
+			}
+	if (r->link_ms > 0)
+		list_ends(w, r);
+	late = timeout_ms(o->cell, o->cell->unanswered[r->index]);
+	if (r->link_ms > late) {
+		free(k);
+		at(w, late, hold_error, o);
+		return;
 	}
-	free(o);
+	sample(o->cell, ORDER_MS + r->link_ms);
+	if (r->link_ms == 0)
+		give_hold_answer(w, k);
+	else
+		at(w, r->link_ms, give_hold_answer, k);
 }
 
 /** Ends the wait of a hold, if it is still that hold which waits. */
@@ -1047,6 +1176,19 @@
 	free_store_event(e);
 }
 
+static bool
+within_limits(const struct world *w, const struct store_event *e)
+{
+	int i;
+
+	if (e->txn.nwrites + e->txn.nremoves + e->txn.nconditions > TXN_ENTRIES)
+		return false;
+	for (i = 0; i < e->txn.nwrites; i++)
+		if (e->writes[i].len > w->row_bytes)
+			return false;
+	return true;
+}
+
 static void
 do_txn(struct world *w, void *arg)
 {
@@ -1057,6 +1199,10 @@
 	int i;
 
 	r.err = conditions_hold(w, e, rows) ? CC_OK : CC_ECONFLICT;
+	if (!within_limits(w, e)) {
+		r.err = CC_EINVAL;
+		r.nrows = 0;
+	}
 	if (r.err == CC_OK) {
 		r.nrows = 0;
 		w->version++;
@@ -1349,6 +1495,7 @@
 	w->now = 1000;
 	w->rng = seed * 2654435761u + 1;
 	w->nrunners = nrunners;
+	w->row_bytes = ROW_BYTES;
 	w->leader = -1;
 	for (i = 0; i < nrunners; i++) {
 		w->runners[i].world = w;
@@ -1384,9 +1531,23 @@
 	}
 	for (i = 0; i < w->nrows; i++)
 		free(w->rows[i].value);
+	for (i = 0; i < w->njobs; i++)
+		free(w->jobs[i].tasks);
 	free(w);
 }
 
+void
+world_row_bytes(struct world *w, size_t most)
+{
+	w->row_bytes = most;
+}
+
+void
+world_fixed_timeouts(struct world *w)
+{
+	w->fixed_timeouts = true;
+}
+
 void
 world_set_faults(struct world *w, const struct world_faults *f)
 {
@@ -1660,8 +1821,12 @@
 		j->since_ms = w->now;
 		j->n = n;
 		memcpy(j->steps, steps, (size_t)n * sizeof(*steps));
-		for (i = 0; i < n; i++)
+		for (i = 0; i < n; i++) {
 			j->lasting |= steps[i].lasting;
+			if (steps[i].count > j->width)
+				j->width = steps[i].count;
+		}
+		j->tasks = xcalloc((size_t)n * j->width, sizeof(*j->tasks));
 	}
 	/* A new try of what was refused may be accepted. */
 	j->refused = false;
--- a/tests/world/world.h
+++ b/tests/world/world.h
@@ -30,6 +30,10 @@
 void world_delete(struct world *w);
 void world_set_faults(struct world *w, const struct world_faults *f);
 int64_t world_now(const struct world *w);
+/** Longest value that a row of the store takes. */
+void world_row_bytes(struct world *w, size_t most);
+/** Time-outs of calls to runners that don't follow the answers. */
+void world_fixed_timeouts(struct world *w);
 /** Runs everything that is due in this many ms. */
 void world_run(struct world *w, int64_t ms);
 
@@ -45,6 +49,8 @@
 void world_runner_crash(struct world *w, int r, int64_t down_ms);
 /** Nobody reaches the runner, which runs on. */
 void world_runner_cut(struct world *w, int r, bool cut);
+/** Each answer of the runner takes so much longer. */
+void world_runner_link(struct world *w, int r, int ms);
 void world_runner_drain(struct world *w, int r, int64_t left_ms);
 
 /** A step as tests write it. */
