Late work gets a bounded share of the cell

When enough has come together the oldest such step is served before all others, in advice and in placing, and its work is charged.

Test: cell late work in a crowd; fails with a share of nothing.

--- a/src/cell/cell.c
+++ b/src/cell/cell.c
@@ -161,6 +161,7 @@
 	cell_check_blind(c);
 	cell_drain(c);
 	cell_want_copies(c);
+	cell_favor_late(c);
 	cell_preempt(c);
 	cell_sweep(c);
 	cell_pass(c);
--- a/src/cell/cell.h
+++ b/src/cell/cell.h
@@ -10,6 +10,7 @@
 #define CELL_H
 
 #include "../coordination/lanes.h"
+#include "../coordination/late_turn.h"
 #include "../coordination/returns.h"
 #include "../ports/ports.h"
 #include "../state/job.h"
@@ -131,6 +132,7 @@
 	struct lanes lanes;
 	struct queue_share *shares;   /**< of the runners, by queue */
 	char ask_from[RUNNER_ID_LEN]; /**< choices begin with this runner */
+	struct late_turn late; /**< share of work past its objective */
 	struct returns returns;	      /**< of callers that were refused */
 	int64_t led_ms;		      /**< this host leads since */
 	int64_t blind_until_ms;	      /**< inherited work waits until then, or
--- a/src/cell/parts.h
+++ b/src/cell/parts.h
@@ -100,6 +100,8 @@
 /** Work of one pass stops after this long, so that renewals are on time. */
 #define PASS_MS 20
 void cell_place(struct cell *c);
+/** Gives late work its share: one step at a time goes before all others. */
+void cell_favor_late(struct cell *c);
 /** Room for a candidate a runner, until the next call. */
 struct candidate *cell_scratch(struct cell *c);
 uint32_t cell_next_run(const struct cell *c, const struct task *t);
--- a/src/cell/place.c
+++ b/src/cell/place.c
@@ -2,6 +2,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "../base/kvlog.h"
 #include "../base/xalloc.h"
 
 #include "parts.h"
@@ -59,6 +60,7 @@
 	    .due_ms = j->due_ms,
 	    .remaining_ms = remaining_ms(s),
 	    .priority = j->priority,
+	    .favored = s->favored,
 	    .lasting = s->spec->long_running,
 	};
 
@@ -345,7 +347,7 @@
 		next = TAILQ_NEXT(s, link);
 		if (step_wanted(s) == 0) {
 			TAILQ_REMOVE(&c->steps, s, link);
-			s->listed = false;
+			s->listed = s->favored = false;
 			continue;
 		}
 		if (!may_start(c, s))
@@ -357,6 +359,61 @@
 	return ranked;
 }
 
+static double
+step_work(const struct step *s)
+{
+	return (double)step_wanted(s) * s->spec->cpu / 1000.0 *
+	    s->spec->estimate_ms;
+}
+
+static double
+cell_cores(const struct cell *c)
+{
+	const struct runner *r;
+	int64_t cpu = 0;
+
+	for (r = c->runners; r != NULL; r = r->hh.next)
+		cpu += r->info.cpu;
+	return (double)cpu / 1000.0;
+}
+
+/* The oldest step that is past all use to its caller; NULL while another one
+ * has its turn. */
+static struct step *
+oldest_expired(const struct cell *c, int64_t now)
+{
+	struct step *s, *oldest = NULL;
+	struct urgency u;
+
+	TAILQ_FOREACH (s, &c->steps, link) {
+		if (s->favored)
+			return NULL;
+		u = step_urgency(s, now);
+		if (!urgency_is_expired(&u) || !may_start(c, s))
+			continue;
+		if (oldest == NULL ||
+		    s->occurrence->job->accepted_ms <
+			oldest->occurrence->job->accepted_ms)
+			oldest = s;
+	}
+	return oldest;
+}
+
+void
+cell_favor_late(struct cell *c)
+{
+	int64_t now = c->ports.now();
+	struct step *s = oldest_expired(c, now);
+
+	if (s == NULL || !late_turn_due(&c->late, cell_cores(c), now))
+		return;
+	s->favored = true;
+	late_turn_take(&c->late, step_work(s));
+	kvlog(KVLOG_INFO, "late_turn", "id=%s step=%u late_ms=%lld wanted=%u",
+	    s->occurrence->job->id, s->index,
+	    (long long)(now - s->occurrence->job->due_ms), step_wanted(s));
+}
+
 void
 cell_place(struct cell *c)
 {
--- a/src/coordination/urgency.c
+++ b/src/coordination/urgency.c
@@ -1,5 +1,6 @@
 #include "urgency.h"
 
+#define FAVORED_RANK (-1)
 #define LATE_RANK 1000
 #define EXPIRED_RANK 2000
 
@@ -12,6 +13,10 @@
 
 	if (j->lasting)
 		return u;
+	if (j->favored) {
+		u.rank = FAVORED_RANK;
+		return u;
+	}
 	if (end > j->accepted_ms + OBJECTIVE_LATE_FACTOR * objective)
 		u.rank += EXPIRED_RANK;
 	else if (now > j->due_ms)
@@ -19,6 +24,12 @@
 	return u;
 }
 
+bool
+urgency_is_expired(const struct urgency *u)
+{
+	return u->rank >= EXPIRED_RANK;
+}
+
 int
 urgency_compare(const struct urgency *a, const struct urgency *b)
 {
--- a/src/coordination/urgency.h
+++ b/src/coordination/urgency.h
@@ -23,10 +23,13 @@
 	int64_t due_ms;	      /**< accepted + objective */
 	int64_t remaining_ms; /**< estimate of what is left of its chain */
 	int priority;
+	bool favored; /**< late work whose turn it is */
 	bool lasting; /**< its tasks run until it is cancelled */
 };
 
 struct urgency urgency_of(const struct urgency_job *j, int64_t now);
+/** Whether it is so late that it ranks behind all that isn't. */
+bool urgency_is_expired(const struct urgency *u);
 /** Negative when @p a comes before @p b. */
 int urgency_compare(const struct urgency *a, const struct urgency *b);
 /** Latency objective in ms: stretch times the chain, and the target. */
--- a/tests/unit/cell_test.c
+++ b/tests/unit/cell_test.c
@@ -684,3 +684,28 @@
 	CU_ASSERT_EQUAL(world_state(w, "0000000000000002"), JOB_COMPLETED);
 	finish(w);
 }
+
+/* A crowd that never ends: accepted work past its objective runs all the same.
+ */
+void
+test_cell_late_work_in_a_crowd(void)
+{
+	const struct world_step late = {
+	    .count = 4, .cpu = 2000, .ms = 800, .after = -1};
+	struct world *w = start(2);
+	char id[17];
+	int i;
+
+	for (i = 0; i < 6; i++) {
+		job_id(id, i + 2);
+		world_submit(w, id, "urgent", &urgent_step, 1);
+	}
+	world_submit(w, "0000000000000001", "batch", &late, 1);
+	for (; i < 440; i++) {
+		job_id(id, i + 2);
+		world_submit(w, id, "urgent", &urgent_step, 1);
+		world_run(w, 100);
+	}
+	CU_ASSERT_EQUAL(world_state(w, "0000000000000001"), JOB_COMPLETED);
+	finish(w);
+}
