--- a/bench/bench.c
+++ b/bench/bench.c
@@ -7,6 +7,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "cell_bench.h"
 #include "../src/base/err.h"
 #include "../src/base/hist.h"
 #include "../src/base/xalloc.h"
@@ -218,9 +219,14 @@
 int
 main(void)
 {
+	static const int sizes[] = {50, 350, 1100, 8000};
+	size_t i;
+
 	measure_rate("", choose_best);
 	measure_rate("_baseline_first_fit", choose_first);
 	measure_packing(50);
 	measure_packing(1100);
+	for (i = 0; i < sizeof(sizes) / sizeof(sizes[0]); i++)
+		cell_bench(sizes[i]);
 	return 0;
 }
--- /dev/null
+++ b/bench/cell_bench.c
@@ -0,0 +1,445 @@
+/*
+ * What a leader's decisions cost by the number of runners: a cell over ports
+ * that answer at once in virtual time. Jobs come in proportion to the runners,
+ * so the time a start should stay about the same.
+ */
+#include "cell_bench.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <time.h>
+
+#include "../src/base/err.h"
+#include "../src/base/xalloc.h"
+#include "../src/cell/parts.h"
+
+#define STEP_MS 5
+#define WARM_MS 3000
+#define RUN_MS 5000
+#define ANSWER_MS 5
+#define ADVICE_MS 30
+#define TASK_MS 500
+#define TASKS 13
+/** Jobs a second and runner. */
+#define JOBS_RATE 0.06
+#define RUNNERS_PER_HOST 8
+#define ALLOWED_PERCENT 70
+#define TICK_MS 25
+#define RUNS_MAX 64
+
+struct event {
+	STAILQ_ENTRY(event) link;
+	void (*fn)(struct event *e);
+	void *arg;
+	union {
+		store_fn store;
+		order_fn order;
+		hold_fn hold;
+		advice_fn advice;
+	} call;
+	int runner;
+	char task[TASK_NAME_LEN];
+	uint32_t run;
+	char **named;
+	int nnamed;
+};
+STAILQ_HEAD(event_list, event);
+
+#define RING 1024 /* steps ahead */
+
+static struct {
+	int64_t now;
+	struct event_list ring[RING];
+	uint64_t version;
+	int n;
+	uint64_t *ends; /**< of each runner */
+	uint64_t starts;
+	struct cell cell;
+} sim;
+
+static int64_t
+sim_now(void)
+{
+	return sim.now;
+}
+
+static struct event *
+later(int64_t ms, void (*fn)(struct event *e), void *arg)
+{
+	struct event *e = xcalloc(1, sizeof(*e));
+
+	e->fn = fn;
+	e->arg = arg;
+	STAILQ_INSERT_TAIL(
+	    &sim.ring[((sim.now + ms) / STEP_MS + 1) % RING], e, link);
+	return e;
+}
+
+static void
+on_stored(struct event *e)
+{
+	struct store_result r = {.err = CC_OK, .version = ++sim.version};
+
+	e->call.store(&r, e->arg);
+}
+
+static void
+sim_txn(struct store *s, const struct store_txn *t, int64_t timeout_ms,
+    store_fn fn, void *arg)
+{
+	(void)s;
+	(void)t;
+	(void)timeout_ms;
+	later(ANSWER_MS, on_stored, arg)->call.store = fn;
+}
+
+static void
+sim_list(struct store *s, const char *table, const char *part, const char *from,
+    int limit, store_fn fn, void *arg)
+{
+	(void)s;
+	(void)table;
+	(void)part;
+	(void)from;
+	(void)limit;
+	later(ANSWER_MS, on_stored, arg)->call.store = fn;
+}
+
+static int
+runner_of(const struct target *t)
+{
+	return atoi(t->id + 1);
+}
+
+static void
+on_ordered(struct event *e)
+{
+	struct order_answer a = {.result = ORDER_OK, .clock_ms = sim.now};
+
+	e->call.order(&a, e->arg);
+}
+
+static struct runner *
+find_runner(int n)
+{
+	char id[RUNNER_ID_LEN];
+
+	snprintf(id, sizeof(id), "r%d", n);
+	return cell_runner(&sim.cell, id);
+}
+
+static int
+list_runs(const struct runner *r, struct run_seen *runs, const char *but)
+{
+	struct run *run;
+	int n = 0;
+
+	TAILQ_FOREACH (run, &r->runs, link)
+		if (n < RUNS_MAX && strcmp(run->name, but) != 0)
+			runs[n++] = (struct run_seen){
+			    .task = run->name, .run = run->number, .saved = ""};
+	return n;
+}
+
+/* The run has ended, and the hold that waits is answered. */
+static void
+on_end(struct event *e)
+{
+	struct runner *r = find_runner(e->runner);
+	struct end_seen end = {.task = e->task,
+	    .run = e->run,
+	    .how = END_DONE,
+	    .saved = "",
+	    .number = ++sim.ends[e->runner]};
+	struct run_seen runs[RUNS_MAX];
+	struct hold_result h = {.result = ORDER_OK,
+	    .clock_ms = sim.now,
+	    .born_ms = 1,
+	    .runs = runs,
+	    .ends = &end,
+	    .nends = 1};
+
+	if (r == NULL)
+		return;
+	h.nruns = list_runs(r, runs, e->task);
+	cell_take_lists(&sim.cell, r, &h, sim.now);
+}
+
+static void
+sim_start(struct runner_port *p, const struct target *t,
+    const struct start_order *o, bool fresh, order_fn fn, void *arg)
+{
+	struct event *e;
+
+	(void)p;
+	(void)fresh;
+	sim.starts++;
+	later(ANSWER_MS, on_ordered, arg)->call.order = fn;
+	e = later(TASK_MS, on_end, NULL);
+	e->runner = runner_of(t);
+	e->run = o->run;
+	str_copy(e->task, o->task, sizeof(e->task));
+}
+
+static void
+sim_stop(struct runner_port *p, const struct target *t, const char *task,
+    uint32_t run, uint64_t fence, order_fn fn, void *arg)
+{
+	(void)p;
+	(void)t;
+	(void)task;
+	(void)run;
+	(void)fence;
+	later(ANSWER_MS, on_ordered, arg)->call.order = fn;
+}
+
+static void
+on_held(struct event *e)
+{
+	struct hold_result h = {
+	    .result = ORDER_OK, .clock_ms = sim.now, .born_ms = 1};
+	struct run_seen runs[RUNS_MAX];
+	struct runner *r = find_runner(e->runner);
+
+	if (r != NULL)
+		h.nruns = list_runs(r, runs, "");
+	h.runs = runs;
+	e->call.hold(&h, e->arg);
+}
+
+static void
+sim_hold(struct runner_port *p, const struct target *t,
+    const struct hold_order *o, bool fresh, hold_fn fn, void *arg)
+{
+	struct event *e = later(o->wait_ms + ANSWER_MS, on_held, arg);
+
+	(void)p;
+	(void)fresh;
+	e->call.hold = fn;
+	e->runner = runner_of(t);
+}
+
+static void
+on_advised(struct event *e)
+{
+	struct advice_row *rows = xcalloc((size_t)e->nnamed, sizeof(*rows));
+	int i, n = 0;
+
+	for (i = 0; i < e->nnamed; i++)
+		if (rand() % 100 < ALLOWED_PERCENT)
+			rows[n++] = (struct advice_row){e->named[i], "t"};
+	e->call.advice(CC_OK, rows, n, 2500, e->arg);
+	for (i = 0; i < e->nnamed; i++)
+		free(e->named[i]);
+	free(e->named);
+	free(rows);
+}
+
+static void
+sim_ask(struct advice_port *p, const char *member, const char *step,
+    const char *const *runners, int nrunners, int64_t timeout_ms, advice_fn fn,
+    void *arg)
+{
+	struct event *e = later(ADVICE_MS, on_advised, arg);
+	int i;
+
+	(void)p;
+	(void)member;
+	(void)step;
+	(void)timeout_ms;
+	e->call.advice = fn;
+	e->named = xcalloc((size_t)nrunners, sizeof(*e->named));
+	for (i = 0; i < nrunners; i++)
+		e->named[e->nnamed++] = xstrdup(runners[i]);
+}
+
+static const struct store_ops store_ops = {sim_txn, sim_list, NULL};
+static const struct runner_ops runner_ops = {
+    sim_start, sim_stop, sim_hold, NULL};
+static const struct advice_ops advice_ops = {sim_ask};
+static struct store store = {&store_ops};
+static struct runner_port runners = {&runner_ops};
+static struct advice_port advice = {&advice_ops};
+
+static void
+no_wake(void *arg)
+{
+	(void)arg;
+}
+
+static void
+on_accepted(const struct cell_answer *a, void *arg)
+{
+	(void)a;
+	(void)arg;
+}
+
+static struct config *
+make_config(void)
+{
+	struct config *m = xcalloc(1, sizeof(*m));
+
+	config_init(m);
+	m->version = 1;
+	m->queues = xcalloc(1, sizeof(*m->queues));
+	m->nqueues = 1;
+	str_copy(m->queues[0].name, "urgent", QUEUE_NAME_LEN);
+	str_copy(m->queues[0].service, "svc", sizeof(m->queues[0].service));
+	m->queues[0].target_latency_ms = 250;
+	m->queues[0].max_attempts = 3;
+	m->queues[0].stretch = 1.5;
+	m->queues[0].advice = (struct advice_terms){.needed = true,
+	    .decision_ms = 22,
+	    .runner_ms = 0.3,
+	    .validity_ms = 2500};
+	return m;
+}
+
+static void
+list_runners(int n)
+{
+	struct runner_info *infos = xcalloc((size_t)n, sizeof(*infos));
+	int i;
+
+	for (i = 0; i < n; i++) {
+		snprintf(infos[i].id, sizeof(infos[i].id), "r%d", i);
+		str_copy(infos[i].addr, "127.0.0.1", sizeof(infos[i].addr));
+		infos[i].port = 1;
+		str_copy(infos[i].service, "svc", sizeof(infos[i].service));
+		snprintf(infos[i].rack, sizeof(infos[i].rack), "k%d", i / 12);
+		infos[i].cpu = 16000;
+		infos[i].mem_mb = 65536;
+		infos[i].born_ms = 1;
+	}
+	cell_set_runners(&sim.cell, infos, n);
+	free(infos);
+}
+
+static void
+list_hosts(int n)
+{
+	char(*hosts)[64] = xcalloc((size_t)n, sizeof(*hosts));
+	int i;
+
+	for (i = 0; i < n; i++)
+		snprintf(hosts[i], sizeof(hosts[i]), "h%d", i);
+	cell_set_hosts(&sim.cell, (const char(*)[64])hosts, n);
+	free(hosts);
+}
+
+static void
+submit(int serial)
+{
+	Cc__JobRow *row = xcalloc(1, sizeof(*row));
+	Cc__StepSpec *s = xcalloc(1, sizeof(*s));
+	char id[JOB_ID_LEN];
+
+	cc__job_row__init(row);
+	cc__step_spec__init(s);
+	row->queue = xstrdup("urgent");
+	row->spec = xstrdup("work");
+	row->steps = xcalloc(1, sizeof(*row->steps));
+	row->steps[row->n_steps++] = s;
+	s->count = TASKS;
+	s->cpu = 3500;
+	s->mem_mb = 100;
+	s->estimate_ms = TASK_MS;
+	s->preferred_rack = xstrdup("");
+	s->required_label = xstrdup("");
+	s->image = xstrdup("");
+	snprintf(id, sizeof(id), "%016x", serial);
+	cell_submit(&sim.cell, id, row, on_accepted, NULL);
+}
+
+static void
+run_due(void)
+{
+	struct event_list *due = &sim.ring[sim.now / STEP_MS % RING];
+	struct event *e;
+
+	while ((e = STAILQ_FIRST(due)) != NULL) {
+		STAILQ_REMOVE_HEAD(due, link);
+		e->fn(e);
+		free(e);
+	}
+}
+
+static double
+cpu_s(void)
+{
+	return (double)clock() / CLOCKS_PER_SEC;
+}
+
+static void
+play(int64_t ms, int n, int *serial, double *owed)
+{
+	int64_t end = sim.now + ms;
+
+	for (; sim.now < end; sim.now += STEP_MS) {
+		run_due();
+		*owed += JOBS_RATE * n * STEP_MS / 1000.0;
+		for (; *owed >= 1; *owed -= 1)
+			submit(++*serial);
+		if (sim.now % TICK_MS == 0)
+			cell_tick(&sim.cell);
+		else
+			cell_pass(&sim.cell);
+	}
+}
+
+static void
+setup(int n)
+{
+	struct cell_terms terms = {.max_hold_ms = 10000,
+	    .lease_ms = 4000,
+	    .start_ms = 2500,
+	    .hold_wait_ms = 1000,
+	    .stop_grace_ms = 400,
+	    .status_ms = 2000,
+	    .remote_factor = 2};
+	struct cell_ports ports = {.store = &store,
+	    .runners = &runners,
+	    .advice = &advice,
+	    .now = sim_now,
+	    .wall_now = sim_now,
+	    .wake = no_wake,
+	    .deposed = no_wake};
+	int i;
+
+	memset(&sim, 0, sizeof(sim));
+	sim.now = 1000;
+	sim.n = n;
+	sim.ends = xcalloc((size_t)n, sizeof(*sim.ends));
+	for (i = 0; i < RING; i++)
+		STAILQ_INIT(&sim.ring[i]);
+	cell_init(&sim.cell, &terms, &ports, "bench");
+	cell_set_config(&sim.cell, make_config());
+	list_hosts(n / RUNNERS_PER_HOST + 1);
+	sim.version = 1;
+	cell_lead(&sim.cell, sim.version, 0, sim.version);
+}
+
+void
+cell_bench(int n)
+{
+	int serial = 0;
+	double owed = 0, t;
+	uint64_t starts, asks;
+
+	setup(n);
+	play(50, 0, &serial, &owed);
+	list_runners(n);
+	play(WARM_MS, n, &serial, &owed);
+	starts = sim.starts;
+	asks = sim.cell.counters.advice_calls;
+	t = cpu_s();
+	play(RUN_MS, n, &serial, &owed);
+	t = cpu_s() - t;
+	starts = sim.starts - starts;
+	asks = sim.cell.counters.advice_calls - asks;
+	printf("cell_us_a_start_%d=%.1f\n", n, t * 1e6 / (double)starts);
+	printf(
+	    "cell_starts_per_s_%d=%.0f\n", n, (double)starts * 1000.0 / RUN_MS);
+	printf("cell_asks_per_s_%d=%.0f\n", n, (double)asks * 1000.0 / RUN_MS);
+}
