A start that may never have reached a dark runner doesn't begin its job

Cause: a leader closes a silent runner in the store with the runs that it may hold, among them starts without an answer. The next leader took each for begun, so jobs that still waited were missing from the counts that callers see.

Change: the row tells of each run whether it is known to have begun.

--- a/src/cell/load.c
+++ b/src/cell/load.c
@@ -112,7 +112,7 @@
 	t->step->nheld++;
 	if (ref->run > t->last_run)
 		t->last_run = ref->run;
-	j->started = true;
+	j->started |= ref->begun;
 }
 
 static void
--- a/src/protocol/peer.pb-c.c
+++ b/src/protocol/peer.pb-c.c
@@ -6230,7 +6230,7 @@
   (ProtobufCMessageInit) cc__job_progress__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cc__run_ref__field_descriptors[2] =
+static const ProtobufCFieldDescriptor cc__run_ref__field_descriptors[3] =
 {
   {
     "task",
@@ -6256,15 +6256,28 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "begun",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Cc__RunRef, begun),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cc__run_ref__field_indices_by_name[] = {
+  2,   /* field[2] = begun */
   1,   /* field[1] = run */
   0,   /* field[0] = task */
 };
 static const ProtobufCIntRange cc__run_ref__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 3 }
 };
 const ProtobufCMessageDescriptor cc__run_ref__descriptor =
 {
@@ -6274,7 +6287,7 @@
   "Cc__RunRef",
   "cc",
   sizeof(Cc__RunRef),
-  2,
+  3,
   cc__run_ref__field_descriptors,
   cc__run_ref__field_indices_by_name,
   1,  cc__run_ref__number_ranges,
--- a/src/protocol/peer.pb-c.h
+++ b/src/protocol/peer.pb-c.h
@@ -769,10 +769,14 @@
   ProtobufCMessage base;
   char *task;
   uint32_t run;
+  /*
+   * it is known to have started
+   */
+  protobuf_c_boolean begun;
 };
 #define CC__RUN_REF__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cc__run_ref__descriptor) \
-    , (char *)protobuf_c_empty_string, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0 }
 
 
 struct  Cc__RunnerRow
--- a/tests/unit/cell_test.c
+++ b/tests/unit/cell_test.c
@@ -709,3 +709,30 @@
 	CU_ASSERT_EQUAL(world_state(w, "0000000000000001"), JOB_COMPLETED);
 	finish(w);
 }
+
+/* Starts that never reached a runner which went dark: for the next leader, too,
+ * the job still waits. */
+void
+test_cell_unsure_start_still_waits(void)
+{
+	struct world *w = start(3);
+	struct cell_answer a;
+	int i;
+
+	for (i = 0; i < 3; i++)
+		world_runner_cut(w, i, true);
+	world_submit(w, "0000000000000001", "urgent", &urgent_step, 1);
+	world_run(w, 1500);
+	cell_pending(world_cell(w, 0), "urgent", &a);
+	CU_ASSERT_EQUAL(a.pending, 1);
+	world_claim(w, 1);
+	world_run(w, 200);
+	cell_pending(world_cell(w, 1), "urgent", &a);
+	CU_ASSERT_EQUAL(a.error, CC_OK);
+	CU_ASSERT_EQUAL(a.pending, 1);
+	for (i = 0; i < 3; i++)
+		world_runner_cut(w, i, false);
+	world_run(w, 9000);
+	CU_ASSERT(world_all_ended(w));
+	finish(w);
+}
