A slow store doesn't keep a free lead from being claimed

Cause: a host that doubts the leader watches the leader's row, and claimed only while no watch was under way.

Change: the claim is looked at before the next watch is sent.

Test: fail-cell.sh, "accepted within 4 s though the store is slow"; failed before, passes now.

--- a/src/member/lead.c
+++ b/src/member/lead.c
@@ -388,9 +388,11 @@
 		unwatch(m);
 		return;
 	}
-	watch_commits(m);
+	/* Where the store is slow, one watch follows the other. */
 	if (m->watched_ms != 0 && !m->watching && claim_due(&f))
 		claim(m);
+	else
+		watch_commits(m);
 }
 
 static void
--- a/tests/scripts/fail-cell.sh
+++ b/tests/scripts/fail-cell.sh
@@ -115,6 +115,18 @@
 cell_daemon "$L"
 check "ready again" until_true 10 all_ready
 
+# the leader is stopped while the store is slow
+cell_fault store=slow
+L=$(leader)
+O=$(other)
+kill -TERM "${DAEMON[$L]}"
+sleep 0.3
+check "accepted within 4 s though the store is slow" until_true 4 accepted "$O" 00000000000000e2
+cell_fault store=ok
+until_true 7 bash -c "! kill -0 ${DAEMON[$L]} 2>/dev/null"
+cell_daemon "$L"
+check "ready after a slow store" until_true 10 all_ready
+
 # the store is away
 cell_fault store=silent
 sleep 2
