The leader follows the registry's feed; relays are chosen before they are used

Change: the leader watches the registry, an entry at a time, and reads it whole every 5 s, or every 0.5 s while an entry is missing. Entries carry their version: a list from a stale copy neither takes back a change that the feed has told nor counts a newer runner as missing. A missing entry has 2.5 s to return, from its removal or from when the registry is heard of again. A new leader chooses relays as soon as it knows its runners; a relay is silent after 0.5 s.

--- a/bench/cell_bench.c
+++ b/bench/cell_bench.c
@@ -312,7 +312,7 @@
 		infos[i].mem_mb = 65536;
 		infos[i].born_ms = 1;
 	}
-	cell_set_runners(&sim.cell, infos, n);
+	cell_set_runners(&sim.cell, infos, n, sim.version);
 	free(infos);
 }
 
--- a/src/cell/cell.c
+++ b/src/cell/cell.c
@@ -105,6 +105,7 @@
 	c->stale_rows = 0;
 	c->led_ms = c->committed_ms = c->commit_ms = c->renewed_ms = now;
 	c->store_down_ms = c->registry_ms = c->unanswered_ms = 0;
+	c->registry_doubted_ms = 0;
 	c->blind = true;
 	c->blind_until_ms =
 	    now + c->terms.lease_ms * 100 / 98 + BLIND_MARGIN_MS;
--- a/src/cell/cell.h
+++ b/src/cell/cell.h
@@ -132,7 +132,7 @@
 	struct lanes lanes;
 	struct queue_share *shares;   /**< of the runners, by queue */
 	char ask_from[RUNNER_ID_LEN]; /**< choices begin with this runner */
-	struct late_turn late; /**< share of work past its objective */
+	struct late_turn late;	      /**< share of work past its objective */
 	struct returns returns;	      /**< of callers that were refused */
 	int64_t led_ms;		      /**< this host leads since */
 	int64_t blind_until_ms;	      /**< inherited work waits until then, or
@@ -154,7 +154,9 @@
 	int commit_jobs;       /**< a commit takes so many jobs at most */
 	int64_t unanswered_ms; /**< a runner that was well last left an
 				* order unanswered */
-	int64_t registry_ms;   /**< the registry was last read */
+	int64_t registry_ms;   /**< the registry was last heard of; 0: never */
+	bool missing;	       /**< it lacks a runner that is in use */
+	int64_t registry_doubted_ms; /**< it was last heard of after a gap */
 	struct cell_counters counters;
 };
 
@@ -168,7 +170,16 @@
 void cell_resign(struct cell *c);
 void cell_set_config(struct cell *c, struct config *m);
 void cell_set_hosts(struct cell *c, const char (*hosts)[64], int n);
-void cell_set_runners(struct cell *c, const struct runner_info *infos, int n);
+/** An entry of the registry, of whatever age. */
+void cell_runner_listed(struct cell *c, const struct runner_info *in);
+/** From this version on the registry has no entry of the runner that can be
+ * read. */
+void cell_runner_missing(struct cell *c, const char *id, uint64_t version);
+/** All changes up to so long ago have been told. */
+void cell_registry_heard(struct cell *c, int64_t age_ms);
+/** The whole registry as of a version. */
+void cell_set_runners(
+    struct cell *c, const struct runner_info *infos, int n, uint64_t version);
 /** Whether the store has failed the last commit. */
 bool cell_store_fails(const struct cell *c);
 /** Whether another host should lead, if the store serves it. */
--- a/src/cell/commit_build.c
+++ b/src/cell/commit_build.c
@@ -125,8 +125,7 @@
 		cc__run_ref__init(ref);
 		ref->task = xstrdup(run->name);
 		ref->run = run->number;
-		ref->begun = run->confirmed_ms != 0 &&
-		    run->task != NULL &&
+		ref->begun = run->confirmed_ms != 0 && run->task != NULL &&
 		    run->task->step->occurrence->job->started;
 		row->runs[row->n_runs++] = ref;
 	}
--- a/src/cell/holds.c
+++ b/src/cell/holds.c
@@ -315,11 +315,13 @@
 	int64_t now = c->ports.now();
 	struct runner *r, *tmp;
 
+	c->missing = false;
 	HASH_ITER(hh, c->runners, r, tmp)
 	{
 		cell_resend_stops(c, r);
 		cell_look(c, r);
 		check_lapse(c, r, now);
+		cell_check_missing(c, r, now);
 		cell_forget_runner(c, r, now);
 	}
 }
--- a/src/cell/parts.h
+++ b/src/cell/parts.h
@@ -67,6 +67,8 @@
 void cell_drop_runner(struct cell *c, struct runner *r);
 /** No start goes to the runner until a commit has opened it again. */
 void cell_close_runner(struct cell *c, struct runner *r);
+/** A runner that the registry has lacked for long enough has left. */
+void cell_check_missing(struct cell *c, struct runner *r, int64_t now);
 /** Forgets a runner that left the registry and holds nothing. */
 void cell_forget_runner(struct cell *c, struct runner *r, int64_t now);
 
--- a/src/cell/runners.c
+++ b/src/cell/runners.c
@@ -132,32 +132,74 @@
 }
 
 void
-cell_set_runners(struct cell *c, const struct runner_info *infos, int n)
+cell_runner_listed(struct cell *c, const struct runner_info *in)
+{
+	struct runner *r = cell_runner(c, in->id);
+
+	if (c->phase != CELL_SERVING)
+		return;
+	if (r == NULL)
+		add_runner(c, in);
+	else if (in->version >= r->info.version)
+		update_runner(c, r, in);
+	c->ports.wake(c->ports.arg);
+}
+
+void
+cell_runner_missing(struct cell *c, const char *id, uint64_t version)
+{
+	struct runner *r = cell_runner(c, id);
+
+	if (r == NULL || version < r->info.version)
+		return;
+	r->info.version = version;
+	if (r->missing_ms == 0)
+		r->missing_ms = c->ports.now();
+}
+
+void
+cell_registry_heard(struct cell *c, int64_t age_ms)
+{
+	int64_t now = c->ports.now();
+
+	if (registry_doubtful(c, now))
+		c->registry_doubted_ms = now;
+	c->registry_ms = now - age_ms;
+}
+
+void
+cell_set_runners(
+    struct cell *c, const struct runner_info *infos, int n, uint64_t version)
 {
 	int64_t now = c->ports.now();
-	bool doubtful = c->registry_ms != 0 && registry_doubtful(c, now);
 	struct runner *r;
 	int i;
 
 	if (c->phase != CELL_SERVING)
 		return;
 	for (r = c->runners; r != NULL; r = r->hh.next)
-		if (r->missing_ms == 0)
+		if (r->missing_ms == 0 && r->info.version <= version)
 			r->missing_ms = now;
-	for (i = 0; i < n; i++) {
-		r = cell_runner(c, infos[i].id);
-		if (r != NULL)
-			update_runner(c, r, &infos[i]);
-		else
-			add_runner(c, &infos[i]);
-	}
-	for (r = c->runners; r != NULL; r = r->hh.next) {
-		if (!r->listed || r->missing_ms == 0 || doubtful ||
-		    now - r->missing_ms < REGISTRY_GRACE_MS)
-			continue;
-		r->listed = false;
-		cell_close_runner(c, r);
-	}
-	c->registry_ms = now;
-	c->ports.wake(c->ports.arg);
+	for (i = 0; i < n; i++)
+		cell_runner_listed(c, &infos[i]);
+	cell_registry_heard(c, 0);
+}
+
+/* Entries may lapse while the store is away, and are back soon after it. */
+void
+cell_check_missing(struct cell *c, struct runner *r, int64_t now)
+{
+	int64_t since = r->missing_ms;
+
+	if (!r->listed || since == 0)
+		return;
+	c->missing = true;
+	if (registry_doubtful(c, now))
+		return;
+	if (c->registry_doubted_ms > since)
+		since = c->registry_doubted_ms;
+	if (now - since < REGISTRY_GRACE_MS)
+		return;
+	r->listed = false;
+	cell_close_runner(c, r);
 }
--- a/src/member/member.c
+++ b/src/member/member.c
@@ -173,6 +173,8 @@
 	event_free(m->wake);
 	follow_delete(m->members);
 	follow_delete(m->configs);
+	if (m->registry != NULL)
+		follow_delete(m->registry);
 	relay_serve_delete(m->served);
 	peer_net_delete(m->peers);
 	relay_port_delete(m->relays);
--- a/src/member/members.c
+++ b/src/member/members.c
@@ -392,7 +392,9 @@
 	int64_t now = clock_boot_ms();
 	struct relay_host *list;
 
-	if (now - m->relays_ms < RELAYS_EVERY_MS)
+	/* A new leader needs them before it speaks to all runners. */
+	if (now - m->relays_ms < RELAYS_EVERY_MS &&
+	    relay_port_relays(m->relays) > 0)
 		return;
 	m->relays_ms = now;
 	list = xcalloc((size_t)m->nothers + 1, sizeof(*list));
--- a/src/member/parts.h
+++ b/src/member/parts.h
@@ -89,8 +89,10 @@
 	bool beat_all;	       /**< there is news for all others */
 	int64_t member_row_ms; /**< own row last tried; 0: it is written */
 	bool member_row_open;
+	struct follow *registry; /**< NULL: this host doesn't lead */
+	uint64_t registry_fence; /**< it is followed for this leadership */
 	bool registry_open;
-	int64_t registry_ms;
+	int64_t registry_ms; /**< last read whole */
 	bool leaving;
 	int64_t started_ms;
 	int64_t led_last_ms;
--- a/src/member/registry.c
+++ b/src/member/registry.c
@@ -1,4 +1,7 @@
-/* The leader reads the registry of runners. */
+/*
+ * The leader follows the registry of runners, and reads it whole from time to
+ * time: a watch doesn't tell what went while its history was lost.
+ */
 #include <stdlib.h>
 #include <string.h>
 
@@ -8,10 +11,10 @@
 #include "../sys/clock.h"
 #include "parts.h"
 
-/** The list is read this often, and less often the longer it is. */
-#define READ_EVERY_MS 500
-#define READ_RUNNER_MS 2
-#define READ_EVERY_MAX_MS 2000
+#define READ_EVERY_MS 5000
+/** The same, while a runner in use is missing. */
+#define READ_MISSING_MS 500
+#define FOLLOW_WAIT_MS 1000
 #define PAGE_ROWS 500
 
 struct reading {
@@ -19,6 +22,7 @@
 	struct runner_info *infos;
 	int n;
 	char from[RUNNER_ID_LEN + 2];
+	uint64_t version; /**< of the first page */
 };
 
 static void read_page(struct reading *r);
@@ -44,6 +48,8 @@
 	}
 	r->infos = xrealloc(
 	    r->infos, (size_t)(r->n + res->nrows + 1) * sizeof(*r->infos));
+	if (r->version == 0)
+		r->version = res->version;
 	for (i = 0; i < res->nrows; i++)
 		if (m->ports.registry_decode(&res->rows[i], &r->infos[r->n]))
 			r->n++;
@@ -54,7 +60,7 @@
 		read_page(r);
 		return;
 	}
-	cell_set_runners(&m->cell, r->infos, r->n);
+	cell_set_runners(&m->cell, r->infos, r->n, r->version);
 	reading_free(r);
 }
 
@@ -67,24 +73,54 @@
 	    m->ports.registry_part, r->from, PAGE_ROWS, on_page, r);
 }
 
-static int64_t
-read_every_ms(const struct member *m)
+static void
+on_entry(const struct row *row, void *arg)
+{
+	struct member *m = arg;
+	struct runner_info info;
+
+	if (!row->deleted && m->ports.registry_decode(row, &info))
+		cell_runner_listed(&m->cell, &info);
+	else
+		cell_runner_missing(&m->cell, row->key, row->version);
+}
+
+/* Each leadership follows anew: all entries are told again. */
+static void
+follow_registry(struct member *m, bool leads)
 {
-	int64_t ms = READ_RUNNER_MS * (int64_t)HASH_COUNT(m->cell.runners);
+	static const char *parts[2];
 
-	if (ms > READ_EVERY_MAX_MS)
-		return READ_EVERY_MAX_MS;
-	return ms > READ_EVERY_MS ? ms : READ_EVERY_MS;
+	parts[0] = m->ports.registry_part;
+	if (leads && m->registry == NULL) {
+		m->registry_ms = clock_boot_ms();
+		m->registry =
+		    follow_new(m->base, m->ports.store, m->ports.registry_table,
+			parts, FOLLOW_WAIT_MS, on_entry, m);
+	} else if (!leads && m->registry != NULL) {
+		follow_delete(m->registry);
+		m->registry = NULL;
+	}
 }
 
 void
 member_registry_tick(struct member *m)
 {
 	int64_t now = clock_boot_ms();
+	bool leads = member_leads(m) && m->cell.phase == CELL_SERVING;
 	struct reading *r;
 
-	if (!member_leads(m) || m->cell.phase != CELL_SERVING ||
-	    m->registry_open || now - m->registry_ms < read_every_ms(m))
+	if (m->registry != NULL && m->registry_fence != m->cell.fence)
+		follow_registry(m, false);
+	follow_registry(m, leads);
+	m->registry_fence = m->cell.fence;
+	if (!leads)
+		return;
+	if (follow_ready(m->registry))
+		cell_registry_heard(&m->cell, follow_age_ms(m->registry));
+	if (m->registry_open ||
+	    now - m->registry_ms <
+		(m->cell.missing ? READ_MISSING_MS : READ_EVERY_MS))
 		return;
 	m->registry_ms = now;
 	m->registry_open = true;
--- a/src/ports/ports.h
+++ b/src/ports/ports.h
@@ -197,6 +197,7 @@
 	    remaining_ms; /**< least time left while draining; -1: unknown */
 	int64_t born_ms;  /**< 0: not given */
 	int64_t cold_ms;
+	uint64_t version; /**< of the entry; an older one is not news */
 };
 
 struct advice_row {
--- a/src/relay/relay_port.c
+++ b/src/relay/relay_port.c
@@ -17,7 +17,7 @@
  * time that it waits at the runner. */
 #define ORDER_MS 1000
 /** A relay whose receipt of a batch is this late is silent, at least ... */
-#define SILENT_MIN_MS 300
+#define SILENT_MIN_MS 500
 /** ... and at most. */
 #define SILENT_MAX_MS 1000
 /** Holds may wait this long for others; starts and stops go at once. */
--- a/tests/unit/cell_test.c
+++ b/tests/unit/cell_test.c
@@ -736,3 +736,70 @@
 	CU_ASSERT(world_all_ended(w));
 	finish(w);
 }
+
+static struct runner_info
+entry_of(struct cell *c, const char *id, uint64_t version)
+{
+	struct runner *r;
+	struct runner_info in;
+
+	HASH_FIND_STR(c->runners, id, r);
+	in = r->info;
+	in.version = version;
+	return in;
+}
+
+static bool
+is_listed(struct cell *c, const char *id)
+{
+	struct runner *r;
+
+	HASH_FIND_STR(c->runners, id, r);
+	return r != NULL && r->listed && !r->info.draining;
+}
+
+/*
+ * The registry's feed is newer than its lists: a list read from a stale copy
+ * neither brings back a runner that drains nor takes away one that came.
+ */
+void
+test_cell_registry_stale_list(void)
+{
+	struct world *w = start(3);
+	struct cell *c = world_cell(w, 0);
+	struct runner_info ra = entry_of(c, "ra", 900000);
+	struct runner_info old[2];
+
+	old[0] = entry_of(c, "ra", 800000);
+	old[1] = entry_of(c, "rb", 800000);
+	ra.draining = true;
+	cell_runner_listed(c, &ra);
+	CU_ASSERT(!is_listed(c, "ra"));
+	cell_set_runners(c, old, 2, 850000);
+	CU_ASSERT(!is_listed(c, "ra"));
+	/* A runner that lapsed while the store was away has time to return. */
+	cell_runner_missing(c, "rb", 900001);
+	world_run(w, 2000);
+	CU_ASSERT(is_listed(c, "rb"));
+	old[1].version = 900002;
+	cell_runner_listed(c, &old[1]);
+	world_run(w, 1000);
+	CU_ASSERT(is_listed(c, "rb"));
+	finish(w);
+}
+
+/* An entry that is gone, and doesn't return, takes its runner out of use. */
+void
+test_cell_registry_gone(void)
+{
+	struct world *w = start(3);
+	struct cell *c = world_cell(w, 0);
+
+	world_runner_crash(w, 1, 1000000);
+	cell_runner_missing(c, "rb", 900001);
+	world_run(w, 2400);
+	CU_ASSERT(is_listed(c, "rb"));
+	world_run(w, 1200);
+	CU_ASSERT(!is_listed(c, "rb"));
+	finish(w);
+}
--- a/tests/unit/main.c
+++ b/tests/unit/main.c
@@ -45,6 +45,8 @@
     {"cell", "cell runs of unknown size", test_cell_runs_of_unknown_size},
     {"cell", "cell frozen leader", test_cell_frozen_leader},
     {"cell", "cell slow link", test_cell_slow_link},
+    {"cell", "cell registry stale list", test_cell_registry_stale_list},
+    {"cell", "cell registry gone", test_cell_registry_gone},
     {"cell", "cell unsure start still waits", test_cell_unsure_start_still_waits},
     {"cell", "cell late work in a crowd", test_cell_late_work_in_a_crowd},
     {"cell", "cell runners beyond a row", test_cell_runners_beyond_a_row},
--- a/tests/unit/unit.h
+++ b/tests/unit/unit.h
@@ -40,6 +40,8 @@
 void test_cell_runs_of_unknown_size(void);
 void test_cell_frozen_leader(void);
 void test_cell_slow_link(void);
+void test_cell_registry_stale_list(void);
+void test_cell_registry_gone(void);
 void test_cell_unsure_start_still_waits(void);
 void test_cell_late_work_in_a_crowd(void);
 void test_cell_runners_beyond_a_row(void);
--- a/tests/world/world.c
+++ b/tests/world/world.c
@@ -1591,7 +1591,7 @@
 		in->remaining_ms = in->draining ? r->drain_until - w->now : -1;
 		n++;
 	}
-	cell_set_runners(&c->cell, infos, n);
+	cell_set_runners(&c->cell, infos, n, w->version);
 }
 
 static void
