Slow links and processors in the properties; a relay refuses what makes no sense

A relay looks at verb, address and port of an order before it uses them (an address that can't be read would have ended the process in the connection pool). `celerycartctl cell` shows the number of relays.

--- a/src/member/view.c
+++ b/src/member/view.c
@@ -19,14 +19,15 @@
 	int64_t now = clock_boot_ms();
 
 	return json_pack(
-	    "{s:s,s:s,s:s,s:b,s:s,s:I,s:i,s:I,s:i,s:i,s:i,s:I,s:b}", "host",
+	    "{s:s,s:s,s:s,s:b,s:s,s:I,s:i,s:I,s:i,s:i,s:i,s:i,s:I,s:b}", "host",
 	    m->settings->host, "zone", m->settings->zone, "phase",
 	    phases[c->phase], "ready", member_ready(m), "leader",
 	    m->leader.host, "fence", (json_int_t)m->leader.version,
 	    "generation", (int)m->leader.generation, "config_version",
 	    (json_int_t)(m->config != NULL ? m->config->version : 0), "members",
 	    m->nothers + 1, "runners", (int)HASH_COUNT(c->runners), "jobs",
-	    (int)HASH_COUNT(c->jobs), "committed_ms_ago",
+	    (int)HASH_COUNT(c->jobs), "relays", relay_port_relays(m->relays),
+	    "committed_ms_ago",
 	    (json_int_t)(member_leads(m) ? now - c->committed_ms : -1),
 	    "store_down", cell_store_fails(c));
 }
--- a/src/relay/relay_serve.c
+++ b/src/relay/relay_serve.c
@@ -1,5 +1,6 @@
 #include "relay_serve.h"
 
+#include <arpa/inet.h>
 #include <stdlib.h>
 #include <string.h>
 #include <sys/queue.h>
@@ -281,19 +282,43 @@
 	s->runners->ops->hold(s->runners, t, &hold, o->fresh, on_hold, k);
 }
 
+static bool
+order_is_valid(const Cc__RelayOrder *o)
+{
+	struct in6_addr ip;
+
+	return o->verb <= RELAY_PACE && o->port > 0 && o->port <= UINT16_MAX &&
+	    (inet_pton(AF_INET, o->addr, &ip) == 1 ||
+		inet_pton(AF_INET6, o->addr, &ip) == 1);
+}
+
+static void
+refuse_order(struct relay_serve *s, uint64_t peer_link, const Cc__RelayOrder *o)
+{
+	kvlog(KVLOG_WARN, "relay_order_invalid",
+	    "verb=%u runner=%s addr=%s port=%u task=%s", o->verb, o->runner,
+	    o->addr, o->port, o->task);
+	answer(s, peer_link, answer_new(o->serial, ORDER_NOT_SENT, 0));
+}
+
 static void
 send_order(struct relay_serve *s, uint64_t peer_link,
     const Cc__RelayBatch *batch, const Cc__RelayOrder *o)
 {
 	struct target t = {
 	    .addr = o->addr, .port = (uint16_t)o->port, .id = o->runner};
-	struct serving *k = xcalloc(1, sizeof(*k));
+	struct serving *k;
 
+	if (!order_is_valid(o)) {
+		refuse_order(s, peer_link, o);
+		return;
+	}
+	k = xcalloc(1, sizeof(*k));
 	k->serve = s;
 	k->peer_link = peer_link;
 	k->serial = o->serial;
 	s->orders++;
-	switch (o->verb) {
+	switch ((enum relay_verb)o->verb) {
 	case RELAY_START:
 		send_start(s, &t, batch, o, k);
 		break;
@@ -308,10 +333,6 @@
 		s->runners->ops->pace(s->runners, &t, o->task, o->run,
 		    (int)o->percent, o->fence, on_order, k);
 		break;
-	default:
-		kvlog(KVLOG_WARN, "relay_verb_unknown", "verb=%u", o->verb);
-		answer(s, peer_link, answer_new(o->serial, ORDER_NOT_SENT, 0));
-		free(k);
 	}
 }
 
--- a/tests/prop/cells.cc
+++ b/tests/prop/cells.cc
@@ -143,11 +143,70 @@
 	return run_schedule(seed, list, f);
 }
 
+// Links that fill and empty, answers and orders that overtake each other,
+// leaders whose processor is slow, and the lead that moves.
+void
+slow_down(struct world *w, const happening &h, int *jobs)
+{
+	int r = (int)(h.a % RUNNERS), c = (int)(h.a % CELLS);
+	if (getenv("LOUD") != nullptr)
+		printf("at %lld: slow kind=%d a=%u b=%u ms=%lld\n",
+		    (long long)world_now(w), h.kind, h.a, h.b, (long long)h.ms);
+	switch (h.kind) {
+	case 0:
+		world_claim(w, c);
+		break;
+	case 1:
+	case 2:
+	case 3:
+		world_runner_link(w, r, (int)(h.b * 7 / 10));
+		break;
+	case 4:
+		for (int i = 0; i < RUNNERS; i++)
+			world_runner_link(w, i, (int)(h.b / 2));
+		break;
+	case 5:
+		world_slow_cell(w, c, (int)(h.b / 2));
+		break;
+	default:
+		submit(w, h, (*jobs)++);
+	}
+	world_run(w, h.ms);
+}
+
+bool
+any_slowness()
+{
+	struct world *w = world_new(*in_range<uint32_t>(1, 1000000), RUNNERS);
+	auto n = *in_range(5, 40);
+	int jobs = 0;
+	world_loud(w, getenv("LOUD") != nullptr);
+	if (getenv("LOGS") != nullptr) {
+		setvbuf(stdout, nullptr, _IONBF, 0);
+		kvlog_open("world", KVLOG_DEBUG);
+	}
+	world_claim(w, 0);
+	world_run(w, 1500);
+	for (int i = 0; i < n; i++)
+		slow_down(w, gen_happening(), &jobs);
+	for (int i = 0; i < RUNNERS; i++)
+		world_runner_link(w, i, 0);
+	for (int i = 0; i < CELLS; i++)
+		world_slow_cell(w, i, 0);
+	world_run(w, 60000);
+	bool kept = world_broken(w) == 0 && world_all_ended(w);
+	world_delete(w);
+	return kept;
+}
+
 } // namespace
 
 bool
 prop_cells()
 {
-	return property("a cell keeps its promises under faults",
+	bool faults = property("a cell keeps its promises under faults",
 	    rc::check("cells", [] { RC_ASSERT(any_schedule()); }));
+	bool slow = property("a cell keeps its promises at any slowness",
+	    rc::check("slow", [] { RC_ASSERT(any_slowness()); }));
+	return faults && slow;
 }
--- a/tests/scripts/fail-cell.sh
+++ b/tests/scripts/fail-cell.sh
@@ -106,6 +106,19 @@
 check "completes once" completed "$O" 00000000000000d1
 check "the former leader follows" until_true 5 all_ready
 
+# another host is frozen, which may have orders of the leader
+L=$(leader)
+O=$(other)
+P=$((6 - L - O))
+check "a job before a follower is frozen" accepted "$O" 00000000000000d2
+kill -STOP "${DAEMON[$P]}"
+check "accepted while a follower is frozen" accepted "$O" 00000000000000d3
+check "and completes" completed "$O" 00000000000000d3
+check "so does the one before" completed "$O" 00000000000000d2
+kill -CONT "${DAEMON[$P]}"
+check "the follower is ready again" until_true 5 all_ready
+check "a late order of it broke nothing" unbroken
+
 # the leader is stopped in order
 L=$(leader)
 O=$(other)
--- a/tests/world/world.c
+++ b/tests/world/world.c
@@ -127,6 +127,8 @@
 	bool alive;
 	bool cut_store;
 	bool wants_pass;
+	int every_ms;	/**< it gets to its work this often; 0: at once */
+	int64_t ran_ms; /**< it last did */
 	int incarnation;
 	int64_t
 	    linked[WORLD_RUNNERS_MAX]; /**< incarnation that answered last */
@@ -666,6 +668,12 @@
 	w->runners[i].cut = cut;
 }
 
+void
+world_slow_cell(struct world *w, int i, int every_ms)
+{
+	w->cells[i].every_ms = every_ms;
+}
+
 void
 world_runner_link(struct world *w, int r, int ms)
 {
@@ -785,6 +793,13 @@
 	}
 }
 
+/* Orders on several connections overtake each other. */
+static int64_t
+on_the_way(struct world *w, const struct world_runner *r)
+{
+	return r->link_ms > 0 ? (int64_t)rnd(w, (uint32_t)r->link_ms) : 0;
+}
+
 static void
 send_order(struct world *w, struct order_event *o)
 {
@@ -813,7 +828,7 @@
 		at(w, ORDER_TIMEOUT_MS, give_order_answer, o);
 		return;
 	}
-	at(w, ORDER_MS, do_order, o);
+	at(w, ORDER_MS + on_the_way(w, o->runner), do_order, o);
 }
 
 static struct world_cell *
@@ -1074,7 +1089,7 @@
 	if (chance(w, w->faults.order_dropped))
 		at(w, o->hold.wait_ms + ORDER_TIMEOUT_MS, hold_error, o);
 	else
-		at(w, ORDER_MS, do_hold, o);
+		at(w, ORDER_MS + on_the_way(w, o->runner), do_hold, o);
 }
 
 static const struct runner_ops runner_ops = {
@@ -1594,6 +1609,17 @@
 	cell_set_runners(&c->cell, infos, n, w->version);
 }
 
+static bool
+has_processor(struct world_cell *c)
+{
+	int64_t now = c->world->now;
+
+	if (c->every_ms > 0 && now - c->ran_ms < c->every_ms)
+		return false;
+	c->ran_ms = now;
+	return true;
+}
+
 static void
 tick_cells(struct world *w)
 {
@@ -1606,7 +1632,8 @@
 			continue;
 		if (w->now % REGISTRY_MS == 0 && !c->cut_store)
 			feed_registry(w, c);
-		cell_tick(&c->cell);
+		if (has_processor(c))
+			cell_tick(&c->cell);
 	}
 }
 
@@ -1616,7 +1643,8 @@
 	int i;
 
 	for (i = 0; i < WORLD_CELLS_MAX; i++) {
-		if (!w->cells[i].alive || !w->cells[i].wants_pass)
+		if (!w->cells[i].alive || !w->cells[i].wants_pass ||
+		    w->cells[i].every_ms > 0)
 			continue;
 		w->cells[i].wants_pass = false;
 		cell_pass(&w->cells[i].cell);
--- a/tests/world/world.h
+++ b/tests/world/world.h
@@ -49,8 +49,10 @@
 void world_runner_crash(struct world *w, int r, int64_t down_ms);
 /** Nobody reaches the runner, which runs on. */
 void world_runner_cut(struct world *w, int r, bool cut);
-/** Each answer of the runner takes so much longer. */
+/** Each answer of the runner takes so much longer, each order up to that. */
 void world_runner_link(struct world *w, int r, int ms);
+/** The cell's processor gets to its work only this often. */
+void world_slow_cell(struct world *w, int i, int every_ms);
 void world_runner_drain(struct world *w, int r, int64_t left_ms);
 
 /** A step as tests write it. */
