A slow store is no lost one; a leaving host hands its late claim on

And a host whose claim was under way when it was told to leave led for 0.5 s unawares and for 0.8 s more while leaving: 236 calls were refused meanwhile.

Change: the store is lost after three times its usual answer, 0.65 to 2 s. A claim that succeeds while the host leaves is released at once. A new leader takes the time of its claim for the usual answer, and is not stalled at its first commit.

--- a/src/cell/commit.c
+++ b/src/cell/commit.c
@@ -41,8 +41,10 @@
 #define UNANSWERED_MS 300
 /** The store counts as down when commits have failed for this long. */
 #define STORE_DOWN_MS 350
-/** So it does when a commit has no answer for this long; slow ones take 450. */
+/** So it does when a commit has no answer for this long, or for some times the
+ * usual where answers are slow, up to ... */
 #define SILENT_MS 650
+#define SILENT_MAX_MS 2000
 
 void
 cell_mark_dirty(struct cell *c, struct job *j)
@@ -67,14 +69,24 @@
 	return oldest;
 }
 
+static int64_t
+silent_ms(const struct cell *c)
+{
+	int64_t ms = (int64_t)(ANSWER_LATE_FACTOR * c->answer_ms);
+
+	if (ms > SILENT_MAX_MS)
+		return SILENT_MAX_MS;
+	return ms > SILENT_MS ? ms : SILENT_MS;
+}
+
 bool
 cell_store_down(const struct cell *c)
 {
 	const struct commit *k = commit_oldest(c);
-	int64_t now = c->ports.now();
+	int64_t now = c->ports.now(), silent = silent_ms(c);
 
-	if (k != NULL && now - k->first_ms > SILENT_MS &&
-	    now - c->committed_ms > SILENT_MS)
+	if (k != NULL && now - k->first_ms > silent &&
+	    now - c->committed_ms > silent)
 		return true;
 	return c->store_down_ms != 0 && now - c->store_down_ms > STORE_DOWN_MS;
 }
--- a/src/member/lead.c
+++ b/src/member/lead.c
@@ -101,6 +101,9 @@
 	member_dial(m);
 	member_calls_moved(m);
 	cell_lead(&m->cell, fence, m->leader.generation, commit_version);
+	/* The claim was under way when this host began to leave. */
+	if (m->leaving)
+		member_release(m);
 }
 
 static bool
@@ -158,6 +161,9 @@
 		return;
 	if (r->err == CC_OK) {
 		m->leader.generation++;
+		/* Its commits won't be answered sooner. */
+		m->cell.answer_ms =
+		    (double)(clock_boot_ms() - m->claim_sent_ms);
 		start_leading(m, r->version, r->version);
 		return;
 	}
@@ -208,6 +214,7 @@
 	writes[0].len = cc__leader_row__pack(&lr, leader);
 	writes[1].len = cc__commit_row__pack(&cr, commit);
 	m->state = MEMBER_CLAIMING;
+	m->claim_sent_ms = clock_boot_ms();
 	kvlog(KVLOG_INFO, "claiming",
 	    "leader=%s version=%llu commit_version=%llu unchanged_ms=%lld",
 	    m->leader.host, (unsigned long long)m->leader.version,
--- a/src/member/parts.h
+++ b/src/member/parts.h
@@ -96,6 +96,7 @@
 	bool leaving;
 	int64_t started_ms;
 	int64_t led_last_ms;
+	int64_t claim_sent_ms;
 	int64_t stronger_ms; /**< a stronger host could lead since; 0: none */
 	struct event *tick;
 	struct event *wake;
--- a/src/state/job.h
+++ b/src/state/job.h
@@ -57,7 +57,7 @@
 	uint32_t ncopies; /**< tasks that want a copy */
 	int64_t ready_ms; /**< it became ready; 0: it is not yet */
 	int64_t first_start_ms;
-	bool listed; /**< on the list of steps with work to place */
+	bool listed;  /**< on the list of steps with work to place */
 	bool favored; /**< late, and served before all others now */
 	TAILQ_ENTRY(step) link;
 	void *advice; /**< owned by the module that asks for advice */
--- a/tests/unit/cell_test.c
+++ b/tests/unit/cell_test.c
@@ -803,3 +803,30 @@
 	CU_ASSERT(!is_listed(c, "rb"));
 	finish(w);
 }
+
+/* A store that is only slow: once that is known, new work is accepted. */
+void
+test_cell_store_slow(void)
+{
+	struct world *w = start(4);
+	char id[17];
+	int i;
+
+	world_store_ms(w, 800);
+	world_run(w, 4000);
+	for (i = 0; i < 5; i++) {
+		job_id(id, i + 1);
+		world_submit(w, id, "urgent", &urgent_step, 1);
+		world_run(w, 300);
+		CU_ASSERT(!world_refused(w, id));
+	}
+	world_run(w, 2500);
+	for (i = 0; i < 5; i++) {
+		job_id(id, i + 1);
+		CU_ASSERT(world_accepted(w, id));
+	}
+	world_store_ms(w, 4);
+	world_run(w, 4000);
+	CU_ASSERT(world_all_ended(w));
+	finish(w);
+}
--- a/tests/world/world.c
+++ b/tests/world/world.c
@@ -157,6 +157,7 @@
 	int advice_calls;
 	int holds;
 	size_t row_bytes;
+	int store_ms;
 	bool fixed_timeouts;
 	struct start_count {
 		char task[TASK_NAME_LEN];
@@ -1313,7 +1314,7 @@
 		silent_copy(w, e, t, 1000 + rnd(w, 5000));
 		at(w, timeout_ms, store_error, e);
 	} else {
-		at(w, STORE_MS, do_txn, e);
+		at(w, w->store_ms, do_txn, e);
 	}
 }
 
@@ -1511,6 +1512,7 @@
 	w->rng = seed * 2654435761u + 1;
 	w->nrunners = nrunners;
 	w->row_bytes = ROW_BYTES;
+	w->store_ms = STORE_MS;
 	w->leader = -1;
 	for (i = 0; i < nrunners; i++) {
 		w->runners[i].world = w;
@@ -1557,6 +1559,12 @@
 	w->row_bytes = most;
 }
 
+void
+world_store_ms(struct world *w, int ms)
+{
+	w->store_ms = ms;
+}
+
 void
 world_fixed_timeouts(struct world *w)
 {
--- a/tests/world/world.h
+++ b/tests/world/world.h
@@ -32,6 +32,8 @@
 int64_t world_now(const struct world *w);
 /** Longest value that a row of the store takes. */
 void world_row_bytes(struct world *w, size_t most);
+/** Each transaction of the store takes so long. */
+void world_store_ms(struct world *w, int ms);
 /** Time-outs of calls to runners that don't follow the answers. */
 void world_fixed_timeouts(struct world *w);
 /** Runs everything that is due in this many ms. */
