--- /dev/null
+++ b/src/cell/late.c
@@ -0,0 +1,58 @@
+/* Work past its objective gets its share: one step at a time. */
+#include "../base/kvlog.h"
+#include "parts.h"
+
+static double
+step_work(const struct step *s)
+{
+	return (double)step_wanted(s) * s->spec->cpu / 1000.0 *
+	    s->spec->estimate_ms;
+}
+
+static double
+cell_cores(const struct cell *c)
+{
+	const struct runner *r;
+	int64_t cpu = 0;
+
+	for (r = c->runners; r != NULL; r = r->hh.next)
+		cpu += r->info.cpu;
+	return (double)cpu / 1000.0;
+}
+
+/* The oldest step that is past all use to its caller; NULL while another one
+ * has its turn. */
+static struct step *
+oldest_expired(const struct cell *c, int64_t now)
+{
+	struct step *s, *oldest = NULL;
+	struct urgency u;
+
+	TAILQ_FOREACH (s, &c->steps, link) {
+		if (s->favored)
+			return NULL;
+		u = step_urgency(s, now);
+		if (!urgency_is_expired(&u) || !cell_may_start(c, s))
+			continue;
+		if (oldest == NULL ||
+		    s->occurrence->job->accepted_ms <
+			oldest->occurrence->job->accepted_ms)
+			oldest = s;
+	}
+	return oldest;
+}
+
+void
+cell_favor_late(struct cell *c)
+{
+	int64_t now = c->ports.now();
+	struct step *s = oldest_expired(c, now);
+
+	if (s == NULL || !late_turn_due(&c->late, cell_cores(c), now))
+		return;
+	s->favored = true;
+	late_turn_take(&c->late, step_work(s));
+	kvlog(KVLOG_INFO, "late_turn", "id=%s step=%u late_ms=%lld wanted=%u",
+	    s->occurrence->job->id, s->index,
+	    (long long)(now - s->occurrence->job->due_ms), step_wanted(s));
+}
--- a/src/cell/parts.h
+++ b/src/cell/parts.h
@@ -102,13 +102,17 @@
 /** Work of one pass stops after this long, so that renewals are on time. */
 #define PASS_MS 20
 void cell_place(struct cell *c);
-/** Gives late work its share: one step at a time goes before all others. */
-void cell_favor_late(struct cell *c);
+/** Whether the step may be given runners at all. */
+bool cell_may_start(const struct cell *c, const struct step *s);
 /** Room for a candidate a runner, until the next call. */
 struct candidate *cell_scratch(struct cell *c);
 uint32_t cell_next_run(const struct cell *c, const struct task *t);
 struct urgency step_urgency(const struct step *s, int64_t now);
 
+/* late.c */
+/** Gives late work its share: one step at a time goes before all others. */
+void cell_favor_late(struct cell *c);
+
 /* copies.c */
 /** Marks tasks of speculative steps whose run is late or out of sight. */
 void cell_want_copies(struct cell *c);
--- /dev/null
+++ b/src/member/helpers.c
@@ -0,0 +1,71 @@
+/* Which hosts help the leader: those that ask for advice, and its relays. */
+#include <stdlib.h>
+#include <string.h>
+
+#include "../base/xalloc.h"
+#include "../sys/clock.h"
+#include "parts.h"
+
+#define LANES_EVERY_MS 250
+#define RELAYS_EVERY_MS 250
+/** A relay was heard from within this long. */
+#define RELAY_BEAT_MS 2500
+
+/* Hosts that have been heard of lately, and are as they were. */
+static int
+relay_hosts(const struct member *m, struct relay_host *list)
+{
+	int64_t now = clock_boot_ms();
+	const struct other *o;
+	int i, n = 0;
+
+	for (i = 0; i < m->nothers; i++) {
+		o = &m->others[i];
+		if (o->leaving || now - o->beat_ms > RELAY_BEAT_MS ||
+		    strcmp(o->beat_incarnation, o->incarnation) != 0 ||
+		    !member_linked(m, o->host))
+			continue;
+		str_copy(list[n].host, o->host, sizeof(list[n].host));
+		list[n++].carries =
+		    relay_carries(o->power / 1000.0, o->link_mbps);
+	}
+	return n;
+}
+
+void
+member_relays(struct member *m)
+{
+	int64_t now = clock_boot_ms();
+	struct relay_host *list;
+
+	/* A new leader needs them before it speaks to all runners. */
+	if (now - m->relays_ms < RELAYS_EVERY_MS &&
+	    relay_port_relays(m->relays) > 0)
+		return;
+	m->relays_ms = now;
+	list = xcalloc((size_t)m->nothers + 1, sizeof(*list));
+	relay_port_set(m->relays, list, relay_hosts(m, list),
+	    relay_carries(m->settings->cores, m->settings->link_mbps),
+	    HASH_COUNT(m->cell.runners));
+	free(list);
+}
+
+/* Hosts that may ask for advice: this one and those linked. */
+void
+member_lanes(struct member *m)
+{
+	static char hosts[LANES_MAX][64];
+	int64_t now = clock_boot_ms();
+	int i, n = 0;
+
+	if (now - m->lanes_ms < LANES_EVERY_MS)
+		return;
+	m->lanes_ms = now;
+	if (!m->leaving)
+		str_copy(hosts[n++], m->settings->host, 64);
+	for (i = 0; i < m->nothers && n < LANES_MAX; i++)
+		if (member_linked(m, m->others[i].host) &&
+		    !m->others[i].leaving)
+			str_copy(hosts[n++], m->others[i].host, 64);
+	cell_set_hosts(&m->cell, (const char(*)[64])hosts, n);
+}
--- a/src/member/parts.h
+++ b/src/member/parts.h
@@ -117,9 +117,6 @@
 void member_row(const struct row *row, void *arg);
 void member_write_row(struct member *m);
 void member_beat(struct member *m);
-void member_lanes(struct member *m);
-/** Chooses the hosts that send this leader's orders. */
-void member_relays(struct member *m);
 void member_frame(const struct peer_request *rq, const Cc__Frame *f, void *arg);
 /** Dials those that this host should be linked with, and isn't yet. */
 void member_dial(struct member *m);
@@ -128,6 +125,12 @@
 void member_set_core(struct member *m);
 bool member_linked(const struct member *m, const char *host);
 
+/* helpers.c */
+/** Lists the hosts that may ask for advice. */
+void member_lanes(struct member *m);
+/** Chooses the hosts that send this leader's orders. */
+void member_relays(struct member *m);
+
 /* lead.c */
 void member_leader_row(struct member *m, const struct row *row);
 void member_lead_tick(struct member *m);
--- a/src/relay/relay_port.c
+++ b/src/relay/relay_port.c
@@ -8,24 +8,14 @@
 #include "../base/err.h"
 #include "../base/kvlog.h"
 #include "../base/xalloc.h"
-#include "../coordination/rtt.h"
-#include "../state/job.h"
 #include "../sys/clock.h"
-#include "relay_serve.h"
+#include "relay.h"
 
 /** An order that a relay doesn't answer is given up after this, beyond the
  * time that it waits at the runner. */
 #define ORDER_MS 1000
-/** A relay whose receipt of a batch is this late is silent, at least ... */
-#define SILENT_MIN_MS 500
-/** ... and at most. */
-#define SILENT_MAX_MS 1000
 /** Holds may wait this long for others; starts and stops go at once. */
 #define FLUSH_HOLDS_MS 10
-/** A spec isn't sent again for this long; the relay keeps it longer. */
-#define SPEC_SENT_MS (RELAY_SPEC_MS / 2)
-/** Batches without a receipt that are timed. */
-#define RECEIPTS_MAX 64
 #define BATCH_TIMEOUT_MS 10000
 
 /** An order that a relay has, or is about to get. */
@@ -42,28 +32,6 @@
 	void *arg;
 };
 
-/** A job whose spec a relay has. */
-struct sent_spec {
-	UT_hash_handle hh;
-	char job[JOB_ID_LEN];
-	int64_t sent_ms;
-};
-
-/** What this host knows of a relay. */
-struct relay {
-	TAILQ_ENTRY(relay) link;
-	char host[RELAY_HOST_LEN];
-	uint64_t peer_link;	 /**< its link when a batch was last sent */
-	struct sent_spec *specs; /**< in the order of their sending */
-	Cc__RelayBatch batch;
-	size_t norders_max;
-	size_t nspecs_max;
-	int64_t sent_ms[RECEIPTS_MAX]; /**< of batches without a receipt */
-	int nsent;
-	struct rtt receipts;
-	bool silent;
-};
-
 struct relay_port {
 	struct runner_port port;
 	struct runner_port *direct;
@@ -102,48 +70,11 @@
 
 	if (r != NULL)
 		return r;
-	r = xcalloc(1, sizeof(*r));
-	str_copy(r->host, host, sizeof(r->host));
-	cc__relay_batch__init(&r->batch);
+	r = relay_new(host);
 	TAILQ_INSERT_TAIL(&p->relays, r, link);
 	return r;
 }
 
-static void
-forget_specs(struct relay *r)
-{
-	struct sent_spec *s, *tmp;
-
-	HASH_ITER(hh, r->specs, s, tmp)
-	{
-		HASH_DEL(r->specs, s);
-		free(s);
-	}
-}
-
-static void
-batch_clear(struct relay *r)
-{
-	size_t i;
-
-	for (i = 0; i < r->batch.n_orders; i++)
-		cc__relay_order__free_unpacked(r->batch.orders[i], NULL);
-	for (i = 0; i < r->batch.n_specs; i++)
-		free(r->batch.specs[i]);
-	r->batch.n_orders = r->batch.n_specs = 0;
-}
-
-static void
-relay_delete(struct relay_port *p, struct relay *r)
-{
-	batch_clear(r);
-	forget_specs(r);
-	free(r->batch.orders);
-	free(r->batch.specs);
-	TAILQ_REMOVE(&p->relays, r, link);
-	free(r);
-}
-
 static void
 finish(struct relay_port *p, struct open_order *o, enum order_result result)
 {
@@ -182,8 +113,7 @@
 	r->silent = true;
 	p->counters.suspected++;
 	kvlog(KVLOG_WARN, "relay_silent", "peer=%s why=%s late_ms=%lld",
-	    r->host, why,
-	    r->nsent > 0 ? (long long)(clock_boot_ms() - r->sent_ms[0]) : 0LL);
+	    r->host, why, (long long)relay_late_ms(r, clock_boot_ms()));
 	relay_plan_drop(&p->plan, r->host);
 	finish_all(p, r->host, 0);
 }
@@ -196,30 +126,8 @@
 
 	(void)f;
 	free(arg);
-	if (r == NULL || r->peer_link != k.peer_link || err != CC_OK)
-		return;
-	if (r->nsent > 0) {
-		rtt_sample(
-		    &r->receipts, (double)(clock_boot_ms() - r->sent_ms[0]));
-		memmove(r->sent_ms, r->sent_ms + 1,
-		    (size_t)--r->nsent * sizeof(r->sent_ms[0]));
-	}
-	if (r->silent)
-		kvlog(KVLOG_INFO, "relay_back", "peer=%s", r->host);
-	r->silent = false;
-}
-
-static void
-note_sent(struct relay *r, uint64_t peer_link)
-{
-	if (r->peer_link != peer_link) {
-		r->nsent = 0;
-		r->silent = false;
-		forget_specs(r);
-	}
-	r->peer_link = peer_link;
-	if (r->nsent < RECEIPTS_MAX)
-		r->sent_ms[r->nsent++] = clock_boot_ms();
+	if (r != NULL && err == CC_OK)
+		relay_confirmed(r, k.peer_link);
 }
 
 static void
@@ -248,20 +156,19 @@
 		return;
 	if (peer_link == 0) {
 		fail_batch(p, r);
-		batch_clear(r);
-		forget_specs(r);
+		relay_not_sent(r);
 		return;
 	}
 	k = xcalloc(1, sizeof(*k));
 	k->port = p;
 	k->peer_link = peer_link;
 	str_copy(k->host, r->host, sizeof(k->host));
-	note_sent(r, peer_link);
+	relay_sent(r, peer_link);
 	p->counters.batches++;
 	f.body_case = CC__FRAME__BODY_RELAY_BATCH;
 	f.relay_batch = &r->batch;
 	peer_call(p->peers, r->host, &f, BATCH_TIMEOUT_MS, on_receipt, k);
-	batch_clear(r);
+	relay_clear_batch(r);
 }
 
 static void
@@ -312,78 +219,13 @@
 	return o;
 }
 
-/* Adds an order to the relay's batch; its texts are to be set. */
 static Cc__RelayOrder *
 add_order(struct relay_port *p, struct relay *r, enum relay_verb verb,
     const struct target *t, uint64_t serial)
 {
-	Cc__RelayOrder *o = xcalloc(1, sizeof(*o));
-	Cc__RelayBatch *b = &r->batch;
-
-	if (b->n_orders == r->norders_max) {
-		r->norders_max = r->norders_max * 2 + 16;
-		b->orders =
-		    xrealloc(b->orders, r->norders_max * sizeof(*b->orders));
-	}
-	cc__relay_order__init(o);
-	o->serial = serial;
-	o->verb = verb;
-	o->runner = xstrdup(t->id);
-	o->addr = xstrdup(t->addr);
-	o->port = t->port;
-	b->orders[b->n_orders++] = o;
 	p->counters.orders++;
 	flush_in(p, verb == RELAY_HOLD ? FLUSH_HOLDS_MS : 0);
-	return o;
-}
-
-static bool
-spec_was_sent(struct relay *r, const char *job, int64_t now)
-{
-	struct sent_spec *s, *tmp;
-
-	HASH_ITER(hh, r->specs, s, tmp)
-	{
-		if (now - s->sent_ms <= SPEC_SENT_MS)
-			break;
-		HASH_DEL(r->specs, s);
-		free(s);
-	}
-	HASH_FIND_STR(r->specs, job, s);
-	return s != NULL;
-}
-
-static void
-note_spec(struct relay *r, const char *job, int64_t now)
-{
-	struct sent_spec *s = xcalloc(1, sizeof(*s));
-
-	str_copy(s->job, job, sizeof(s->job));
-	s->sent_ms = now;
-	HASH_ADD_STR(r->specs, job, s);
-}
-
-/* A relay gets the spec of a job once. @return its place in the batch. */
-static uint32_t
-add_spec(struct relay *r, const struct start_order *o, bool again)
-{
-	Cc__RelayBatch *b = &r->batch;
-	int64_t now = clock_boot_ms();
-	struct task_ref ref;
-
-	if (!task_ref_parse(&ref, o->task))
-		return 0;
-	if (!again && spec_was_sent(r, ref.id, now))
-		return 0;
-	if (b->n_specs == r->nspecs_max) {
-		r->nspecs_max = r->nspecs_max * 2 + 8;
-		b->specs =
-		    xrealloc(b->specs, r->nspecs_max * sizeof(*b->specs));
-	}
-	b->specs[b->n_specs++] = xstrdup(o->spec);
-	if (!spec_was_sent(r, ref.id, now))
-		note_spec(r, ref.id, now);
-	return (uint32_t)b->n_specs;
+	return relay_add(r, verb, t, serial);
 }
 
 static struct relay_port *
@@ -411,7 +253,7 @@
 	o = add_order(p, r, RELAY_START, t, open->serial);
 	o->task = xstrdup(s->task);
 	o->run = s->run;
-	o->spec = add_spec(r, s, fresh);
+	o->spec = relay_add_spec(r, s, fresh);
 	o->until_ms = s->until_ms;
 	o->fence = s->fence;
 	o->saved = xstrdup(s->saved);
@@ -578,14 +420,11 @@
 static void
 check_relay(struct relay_port *p, struct relay *r, int64_t now)
 {
-	int64_t late =
-	    rtt_timeout_ms(&r->receipts, SILENT_MIN_MS, SILENT_MAX_MS);
-
 	if (r->silent || r->peer_link == 0)
 		return;
 	if (peer_net_link(p->peers, r->host) != r->peer_link)
 		relay_is_silent(p, r, "link");
-	else if (r->nsent > 0 && now - r->sent_ms[0] > late)
+	else if (relay_is_late(r, now))
 		relay_is_silent(p, r, "receipt");
 }
 
@@ -636,14 +475,17 @@
 relay_port_delete(struct relay_port *p)
 {
 	struct open_order *o, *tmp;
+	struct relay *r;
 
 	HASH_ITER(hh, p->open, o, tmp)
 	{
 		HASH_DEL(p->open, o);
 		free(o);
 	}
-	while (!TAILQ_EMPTY(&p->relays))
-		relay_delete(p, TAILQ_FIRST(&p->relays));
+	while ((r = TAILQ_FIRST(&p->relays)) != NULL) {
+		TAILQ_REMOVE(&p->relays, r, link);
+		relay_delete(r);
+	}
 	event_free(p->flush);
 	free(p);
 }
