--- a/src/coordination/relay_plan.c
+++ b/src/coordination/relay_plan.c
@@ -84,19 +84,30 @@
 	return ((double)(h >> 11) + 0.5) / (double)(1ULL << 53);
 }
 
+static double
+score_of(const struct relay_host *h, const char *runner)
+{
+	return h->carries / -log(uniform(h->host, runner));
+}
+
 int
-relay_plan_pick(const struct relay_plan *p, const char *runner)
+relay_plan_pick(const struct relay_plan *p, const char *runner, int nth)
 {
-	double best = 0, score;
+	double scores[RELAYS_MAX];
 	int i, at = -1;
 
-	for (i = 0; i < p->n; i++) {
-		score = p->hosts[i].carries /
-		    -log(uniform(p->hosts[i].host, runner));
-		if (at < 0 || score > best) {
-			best = score;
-			at = i;
-		}
+	for (i = 0; i < p->n; i++)
+		scores[i] = score_of(&p->hosts[i], runner);
+	if (p->n > 0)
+		nth %= p->n;
+	for (; nth >= 0; nth--) {
+		at = -1;
+		for (i = 0; i < p->n; i++)
+			if (scores[i] >= 0 &&
+			    (at < 0 || scores[i] > scores[at]))
+				at = i;
+		if (at >= 0 && nth > 0)
+			scores[at] = -1;
 	}
 	return at;
 }
--- a/src/coordination/relay_plan.h
+++ b/src/coordination/relay_plan.h
@@ -35,7 +35,10 @@
     double own, unsigned nrunners);
 /** Takes a host out that doesn't answer. */
 void relay_plan_drop(struct relay_plan *p, const char *host);
-/** @return the place of the runner's host, or -1 where there is none. */
-int relay_plan_pick(const struct relay_plan *p, const char *runner);
+/**
+ * @param nth the host that comes so many places behind the first choice
+ * @return the place of the runner's host, or -1 where there is none.
+ */
+int relay_plan_pick(const struct relay_plan *p, const char *runner, int nth);
 
 #endif
--- a/src/relay/relay_port.c
+++ b/src/relay/relay_port.c
@@ -9,6 +9,7 @@
 #include "../base/kvlog.h"
 #include "../base/xalloc.h"
 #include "../sys/clock.h"
+#include "../coordination/detours.h"
 #include "relay.h"
 
 /** An order that a relay doesn't answer is given up after this, beyond the
@@ -25,6 +26,7 @@
 	char host[RELAY_HOST_LEN];
 	int64_t deadline_ms;
 	bool is_hold;
+	char runner[RUNNER_ID_LEN];
 	union {
 		order_fn order;
 		hold_fn hold;
@@ -39,6 +41,7 @@
 	struct event *flush;
 	int64_t flush_ms; /**< when batches go out; 0: there are none */
 	struct relay_plan plan;
+	struct detours detours;
 	TAILQ_HEAD(relay_list, relay) relays;
 	struct open_order *open;
 	uint64_t next_serial;
@@ -200,7 +203,8 @@
 static struct relay *
 relay_for(struct relay_port *p, const struct target *t)
 {
-	int at = relay_plan_pick(&p->plan, t->id);
+	int at =
+	    relay_plan_pick(&p->plan, t->id, detours_nth(&p->detours, t->id));
 
 	return at >= 0 ? get_relay(p, p->plan.hosts[at].host) : NULL;
 }
@@ -299,6 +303,7 @@
 	}
 	open = open_new(p, r, h->wait_ms, arg);
 	open->is_hold = true;
+	str_copy(open->runner, t->id, sizeof(open->runner));
 	open->fn.hold = fn;
 	o = add_order(p, r, RELAY_HOLD, t, open->serial);
 	o->until_ms = h->until_ms;
@@ -336,6 +341,19 @@
 static const struct runner_ops relay_ops = {
     port_start, port_stop, port_hold, port_pace};
 
+/* A hold tells whether the relay reaches the runner. */
+static void
+note_path(
+    struct relay_port *p, const struct open_order *o, enum order_result result)
+{
+	bool answered = result != ORDER_UNKNOWN && result != ORDER_NOT_SENT;
+
+	if (detours_note(&p->detours, o->runner, answered))
+		kvlog(KVLOG_INFO, "relay_detour",
+		    "runner=%s from=%s result=%d nth=%d", o->runner, o->host,
+		    (int)result, detours_nth(&p->detours, o->runner));
+}
+
 static void
 finish_hold(struct open_order *o, const Cc__RelayAnswer *a)
 {
@@ -379,10 +397,12 @@
 		a->result = ORDER_UNKNOWN;
 	answer.result = (enum order_result)a->result;
 	HASH_DEL(p->open, o);
-	if (o->is_hold)
+	if (o->is_hold) {
+		note_path(p, o, answer.result);
 		finish_hold(o, a);
-	else
+	} else {
 		o->fn.order(&answer, o->arg);
+	}
 	free(o);
 }
 
@@ -486,6 +506,7 @@
 		TAILQ_REMOVE(&p->relays, r, link);
 		relay_delete(r);
 	}
+	detours_done(&p->detours);
 	event_free(p->flush);
 	free(p);
 }
--- a/tests/unit/parts_test.c
+++ b/tests/unit/parts_test.c
@@ -11,6 +11,7 @@
 #include "../../src/coordination/claim.h"
 #include "../../src/coordination/ask_plan.h"
 #include "../../src/coordination/lanes.h"
+#include "../../src/coordination/detours.h"
 #include "../../src/coordination/relay_plan.h"
 #include "../../src/coordination/rtt.h"
 #include "../../src/coordination/returns.h"
@@ -354,14 +355,14 @@
 
 	relay_plan_set(&p, list, make_hosts(list, 15, 130), 200, 48);
 	CU_ASSERT_EQUAL(p.n, 0);
-	CU_ASSERT_EQUAL(relay_plan_pick(&p, "r1"), -1);
+	CU_ASSERT_EQUAL(relay_plan_pick(&p, "r1", 0), -1);
 	relay_plan_set(&p, list, make_hosts(list, 15, 130), 200, 1100);
 	CU_ASSERT_EQUAL(p.n, 11);
 	for (i = 0; i < p.n; i++)
 		CU_ASSERT_DOUBLE_EQUAL(p.hosts[i].carries, 200, 0.1);
 	for (i = 0; i < 1100; i++) {
 		snprintf(runner, sizeof(runner), "r%d", i);
-		count[relay_plan_pick(&p, runner)]++;
+		count[relay_plan_pick(&p, runner, 0)]++;
 	}
 	for (i = 0; i < p.n; i++)
 		most = count[i] > most ? count[i] : most;
@@ -389,8 +390,8 @@
 		const char *was, *is;
 
 		snprintf(runner, sizeof(runner), "r%d", i);
-		was = p.hosts[relay_plan_pick(&p, runner)].host;
-		is = q.hosts[relay_plan_pick(&q, runner)].host;
+		was = p.hosts[relay_plan_pick(&p, runner, 0)].host;
+		is = q.hosts[relay_plan_pick(&q, runner, 0)].host;
 		moved += strcmp(was, is) != 0 && strcmp(was, lost) != 0;
 	}
 	CU_ASSERT_EQUAL(moved, 0);
@@ -402,6 +403,36 @@
 	CU_ASSERT_EQUAL(p.version, version);
 }
 
+/* A path is cut between one relay and some runners: these take another. */
+void
+test_relay_detour(void)
+{
+	struct relay_host list[32];
+	struct relay_plan p = {.n = 0};
+	struct detours d = {.list = NULL};
+	int first, second;
+
+	relay_plan_set(&p, list, make_hosts(list, 15, 0), 200, 1100);
+	first = relay_plan_pick(&p, "r1", detours_nth(&d, "r1"));
+	CU_ASSERT(!detours_note(&d, "r1", false));
+	CU_ASSERT(!detours_note(&d, "r1", true));
+	CU_ASSERT(!detours_note(&d, "r1", false));
+	CU_ASSERT_EQUAL(
+	    relay_plan_pick(&p, "r1", detours_nth(&d, "r1")), first);
+	CU_ASSERT(detours_note(&d, "r1", false));
+	second = relay_plan_pick(&p, "r1", detours_nth(&d, "r1"));
+	CU_ASSERT(second != first && second >= 0);
+	/* It stays where there is an answer. */
+	CU_ASSERT(!detours_note(&d, "r1", true));
+	CU_ASSERT_EQUAL(
+	    relay_plan_pick(&p, "r1", detours_nth(&d, "r1")), second);
+	CU_ASSERT_EQUAL(detours_nth(&d, "r2"), 0);
+	/* With one relay there is no other. */
+	p.n = 1;
+	CU_ASSERT_EQUAL(relay_plan_pick(&p, "r1", 3), 0);
+	detours_done(&d);
+}
+
 /* A full link: time-outs grow with the answers, and shrink after it. */
 void
 test_rtt(void)
