--- a/tests/unit/parts_test.c
+++ b/tests/unit/parts_test.c
@@ -419,6 +419,7 @@
 	CU_ASSERT(!detours_note(&d, "r1", false));
 	CU_ASSERT_EQUAL(
 	    relay_plan_pick(&p, "r1", detours_nth(&d, "r1")), first);
+	CU_ASSERT(!detours_note(&d, "r1", false));
 	CU_ASSERT(detours_note(&d, "r1", false));
 	second = relay_plan_pick(&p, "r1", detours_nth(&d, "r1"));
 	CU_ASSERT(second != first && second >= 0);
