A refused row of runners keeps no job waiting

Cause: a commit with runners' rows and one job, refused by the store, was split into the same again: for ever, while jobs kept coming.

Change: after a refused commit rows and jobs go in commits of their own until one is taken, so that the one at fault is found and set aside.

Test: cell refused runners row; failed before (no job accepted), passes now. unit 72 passed.

--- a/src/cell/commit_build.c
+++ b/src/cell/commit_build.c
@@ -283,7 +283,10 @@
 	k->states = xcalloc(COMMIT_ENTRIES_MAX, sizeof(*k->states));
 	if (c->stale_rows != 0 && !runners_under_way(c))
 		add_runners(c, k);
-	add_jobs(c, k);
+	/* After a refused commit each kind goes alone, so that the one at fault
+	 * is found. */
+	if (k->runner_rows == 0 || c->commit_jobs == COMMIT_JOBS_MAX)
+		add_jobs(c, k);
 	add_removes(c, k, now);
 	note_acks(c, k);
 	return k;
--- a/src/cell/commit_send.c
+++ b/src/cell/commit_send.c
@@ -103,8 +103,9 @@
 		job_committed(c, k->jobs[i], k->states[i]);
 	if (k->runner_rows != 0)
 		runners_committed(c);
-	if (c->commit_jobs < COMMIT_JOBS_MAX)
-		c->commit_jobs *= 2;
+	c->commit_jobs *= 2;
+	if (c->commit_jobs > COMMIT_JOBS_MAX)
+		c->commit_jobs = COMMIT_JOBS_MAX;
 	acks_committed(c);
 	commit_free(k);
 	c->ports.wake(c->ports.arg);
--- a/tests/unit/cell_test.c
+++ b/tests/unit/cell_test.c
@@ -830,3 +830,35 @@
 	CU_ASSERT(world_all_ended(w));
 	finish(w);
 }
+
+/* A row of runners that the store refuses keeps no job from being accepted. */
+void
+test_cell_refused_runners_row(void)
+{
+	const struct world_step many = {
+	    .count = 64, .cpu = 1000, .ms = 20000, .after = -1};
+	const struct world_step one = {
+	    .count = 1, .cpu = 100, .ms = 100, .after = -1};
+	struct world *w = start(16);
+	char id[17];
+	int i;
+
+	world_submit(w, "00000000000000ff", "batch", &many, 1);
+	world_run(w, 2000);
+	world_row_bytes(w, 250);
+	for (i = 0; i < 4; i++)
+		world_runner_cut(w, i, true);
+	for (i = 0; i < 300; i++) {
+		job_id(id, i + 1);
+		world_submit(w, id, "urgent", &one, 1);
+		world_run(w, 10);
+	}
+	world_run(w, 300);
+	for (i = 0; i < 300; i++) {
+		job_id(id, i + 1);
+		CU_ASSERT(world_accepted(w, id));
+	}
+	CU_ASSERT(world_cell(w, 0)->counters.commit_errors > 0);
+	CU_ASSERT(world_cell(w, 0)->counters.commit_errors < 40);
+	world_delete(w);
+}
--- a/tests/unit/main.c
+++ b/tests/unit/main.c
@@ -45,6 +45,7 @@
     {"cell", "cell runs of unknown size", test_cell_runs_of_unknown_size},
     {"cell", "cell frozen leader", test_cell_frozen_leader},
     {"cell", "cell slow link", test_cell_slow_link},
+    {"cell", "cell refused runners row", test_cell_refused_runners_row},
     {"cell", "cell store slow", test_cell_store_slow},
     {"cell", "cell registry stale list", test_cell_registry_stale_list},
     {"cell", "cell registry gone", test_cell_registry_gone},
--- a/tests/unit/unit.h
+++ b/tests/unit/unit.h
@@ -40,6 +40,7 @@
 void test_cell_runs_of_unknown_size(void);
 void test_cell_frozen_leader(void);
 void test_cell_slow_link(void);
+void test_cell_refused_runners_row(void);
 void test_cell_store_slow(void);
 void test_cell_registry_stale_list(void);
 void test_cell_registry_gone(void);
