--- a/src/daemon/home_ops.c
+++ b/src/daemon/home_ops.c
@@ -147,7 +147,7 @@
 		reply_error(fn, arg, CC_ECONFLICT);
 		return;
 	}
-	/* The same submission, asked again after a lost answer. */
+	/* The same request, asked again after a lost answer. */
 	o = op_new(s, a->id, fn, arg);
 	o->created = e->nonce == a->nonce;
 	journal_append(&s->journal, JOURNAL_NOW, NULL, op_durable, o);
--- a/src/state/ledger.h
+++ b/src/state/ledger.h
@@ -78,7 +78,7 @@
 	uint32_t count;
 	uint64_t run_ms; /**< as declared */
 	uint64_t body_hash;
-	uint64_t nonce; /**< of the submission that made it */
+	uint64_t nonce; /**< of the call that made it */
 	bool routed;
 	bool repeatable;
 	bool cancelled;
