A new leader chooses relays before its first holds

Cause: relays were chosen by the tick, for the number of runners known then; the pass that follows the load came first and sent a hold to each of 1,100 runners directly, half a second of the leader's processor.

Ruled out: the load itself (80 to 120 ms), the runners' answers.

Change: the first pass after the load chooses them. The check in fail-cell-relays failed before (6 orders went out directly).

--- a/src/member/helpers.c
+++ b/src/member/helpers.c
@@ -32,15 +32,25 @@
 	return n;
 }
 
+/* A new leader needs relays as soon as it has read how many runners there are,
+ * before it speaks to all of them. */
+static bool
+relays_due(struct member *m, int64_t now)
+{
+	bool reads = m->cell.phase != CELL_SERVING;
+	bool first = m->relays_for_load && !reads;
+
+	m->relays_for_load = reads;
+	return first || now - m->relays_ms >= RELAYS_EVERY_MS;
+}
+
 void
 member_relays(struct member *m)
 {
 	int64_t now = clock_boot_ms();
 	struct relay_host *list;
 
-	/* A new leader needs them before it speaks to all runners. */
-	if (now - m->relays_ms < RELAYS_EVERY_MS &&
-	    relay_port_relays(m->relays) > 0)
+	if (!relays_due(m, now))
 		return;
 	m->relays_ms = now;
 	list = xcalloc((size_t)m->nothers + 1, sizeof(*list));
--- a/src/member/member.c
+++ b/src/member/member.c
@@ -34,6 +34,8 @@
 	(void)fd;
 	(void)what;
 	m->wake_set = false;
+	if (member_leads(m))
+		member_relays(m);
 	cell_pass(&m->cell);
 	m->pass_took_ms = clock_boot_ms() - start;
 }
--- a/tests/scripts/fail-cell.sh
+++ b/tests/scripts/fail-cell.sh
@@ -55,10 +55,10 @@
 wait_port 127.0.0.1 $((PORT + 2))
 for i in 1 2 3; do cell_daemon $i; done
 check "all hosts are ready" until_true 10 all_ready
-relays() { curl -s -m 1 "http://$(cell_addr "$(leader)"):$((PORT + 103))/metrics" |
-    sed -n 's/^celerycart_relays //p'; }
+metric() { curl -s -m 1 "http://$(cell_addr "$(leader)"):$((PORT + 103))/metrics" |
+    sed -n "s/^celerycart_$1 //p"; }
 if [ -n "${CELL_CORES:-}" ]; then
-	has_relays() { [ "$(relays)" -gt 0 ]; }
+	has_relays() { [ "$(metric relays)" -gt 0 ]; }
 	check "orders go through relays" until_true 10 has_relays
 fi
 
@@ -93,6 +93,10 @@
 check "accepted again within 3 s of the leader's loss" until_true 3 accepted "$O" 00000000000000c2
 echo "  takeover_ms=$((($(date +%s%N) - T) / 1000000))"
 check "what was accepted before completes" completed "$O" 00000000000000c1
+if [ -n "${CELL_CORES:-}" ]; then
+	check "a new leader's orders all went through relays" \
+	    status_is "$(metric orders_direct_total)" 0
+fi
 cell_daemon "$L"
 check "the host is back" until_true 10 all_ready
 
