Orders without an answer are settled after 60 ms, lost stops at once

Ruled out: the look after the time-out (16 ms) and the new place (3 ms).

Change: the least time-out of orders and the margin of holds are 60 ms and stand with the ports, for the adapter and tests/world alike; while calls are given up the time-outs double, and for a runner that leaves holds unanswered they grow by four each. A stop without an answer is repeated at once where the runner answers otherwise. Holds wait 100 ms while orders are lost, longer where that makes more than 4,000 holds a second.

Checks that changed: tests/world takes the time-outs from the ports and tells rtt of calls given up, as the adapter does; no bound was eased.

--- a/src/cell/cell.h
+++ b/src/cell/cell.h
@@ -120,6 +120,7 @@
 	struct job *jobs;
 	struct job *loading; /**< read from the store, on no list yet */
 	struct runner *runners;
+	int busy_runners;	   /**< with runs, as of the last sweep */
 	uint64_t runners_version;  /**< rises when one comes or goes */
 	struct runner_list due;	   /**< to be looked after in the next pass */
 	struct candidate *scratch; /**< room for all runners; see place.c */
--- a/src/cell/holds.c
+++ b/src/cell/holds.c
@@ -18,8 +18,10 @@
 #define ACK_WAIT_MS 250
 /** Orders are being lost when one was within this long. */
 #define LOSSY_MS 2000
-/** Holds wait this long meanwhile: a lost one hides the ends of its wait. */
-#define LOSSY_WAIT_MS 200
+/** Holds wait this long meanwhile, since a lost one hides the ends of its
+ * wait; longer where that makes more than so many holds a second. */
+#define LOSSY_WAIT_MS 100
+#define LOSSY_HOLDS_S 4000
 /** Looks at the same runner are at least this far apart. */
 #define LOOK_GAP_MS 10
 /** A runner that leaves this many holds in a row unanswered counts as silent.
@@ -172,13 +174,23 @@
 	return r->nruns > 0;
 }
 
+static int64_t
+lossy_wait_ms(const struct cell *c)
+{
+	int64_t ms = c->busy_runners * 1000LL / LOSSY_HOLDS_S;
+
+	if (ms > c->terms.hold_wait_ms)
+		return c->terms.hold_wait_ms;
+	return ms > LOSSY_WAIT_MS ? ms : LOSSY_WAIT_MS;
+}
+
 static int64_t
 wait_ms(const struct cell *c, const struct runner *r, int64_t now)
 {
 	if (!may_wait(r))
 		return 0;
 	if (c->unanswered_ms != 0 && now - c->unanswered_ms < LOSSY_MS)
-		return LOSSY_WAIT_MS;
+		return lossy_wait_ms(c);
 	return runner_is_mixed(r) ? MIXED_WAIT_MS : c->terms.hold_wait_ms;
 }
 
@@ -316,8 +328,10 @@
 	struct runner *r, *tmp;
 
 	c->missing = false;
+	c->busy_runners = 0;
 	HASH_ITER(hh, c->runners, r, tmp)
 	{
+		c->busy_runners += r->nruns > 0;
 		cell_resend_stops(c, r);
 		cell_look(c, r);
 		check_lapse(c, r, now);
--- a/src/cell/orders.c
+++ b/src/cell/orders.c
@@ -9,7 +9,7 @@
 
 /** A start that certainly did nothing is sent this often. */
 #define START_TRIES 3
-/** Pause before a stop is sent again. */
+/** Pause before a stop is sent again to a runner that doesn't answer. */
 #define STOP_RETRY_MS 400
 /** A runner that left an order unanswered gets no work for this long. */
 #define SUSPECT_MS 300
@@ -289,6 +289,15 @@
 	send_start(c, run);
 }
 
+/* A runner that answers otherwise is asked again at once. */
+static void
+stop_unanswered(struct cell *c, struct run *run)
+{
+	run->stop_lost = run->stop_ok_ms == 0;
+	cell_attend(c, run->runner);
+	c->ports.wake(c->ports.arg);
+}
+
 static void
 on_stopped(const struct order_answer *a, void *arg)
 {
@@ -304,6 +313,8 @@
 			deposed_by(c, o->runner);
 		else if (a->result == ORDER_OK)
 			cell_look(c, run->runner);
+		else if (a->result == ORDER_UNKNOWN)
+			stop_unanswered(c, run);
 	}
 	free(o);
 }
@@ -314,6 +325,7 @@
 	struct target t = runner_target(run->runner);
 
 	run->stop_sent_ms = c->ports.now();
+	run->stop_lost = false;
 	c->ports.runners->ops->stop(c->ports.runners, &t, run->name,
 	    run->number, run->runner->fence, on_stopped, order_new(c, run));
 }
@@ -340,7 +352,8 @@
 
 	TAILQ_FOREACH (run, &r->runs, link)
 		if (run->stop_sent_ms != 0 && run->stop_ok_ms == 0 &&
-		    now - run->stop_sent_ms > STOP_RETRY_MS)
+		    (now - run->stop_sent_ms > STOP_RETRY_MS ||
+			(run->stop_lost && r->hold_errors == 0)))
 			send_stop(c, run);
 }
 
--- a/src/coordination/rtt.c
+++ b/src/coordination/rtt.c
@@ -5,12 +5,15 @@
 #define MEAN_WEIGHT 0.125
 #define DEVIATION_WEIGHT 0.25
 #define DEVIATIONS 4
+/** Time-outs double this often at most. */
+#define DOUBLINGS_MAX 6
 
 void
 rtt_sample(struct rtt *r, double ms)
 {
 	double off = ms - r->mean_ms;
 
+	r->overdue = 0;
 	if (r->samples++ == 0) {
 		r->mean_ms = ms;
 		r->deviation_ms = ms / 2;
@@ -20,12 +23,28 @@
 	r->mean_ms += MEAN_WEIGHT * off;
 }
 
+void
+rtt_overdue(struct rtt *r)
+{
+	if (r->overdue < DOUBLINGS_MAX)
+		r->overdue++;
+}
+
 int64_t
 rtt_timeout_ms(const struct rtt *r, int64_t least, int64_t most)
 {
 	double ms = r->mean_ms + DEVIATIONS * r->deviation_ms;
 
+	if (ms < (double)least)
+		ms = (double)least;
 	if (ms > (double)most)
 		return most;
-	return ms > (double)least ? (int64_t)ms : least;
+	return rtt_backoff_ms((int64_t)ms, r->overdue, most);
+}
+
+int64_t
+rtt_backoff_ms(int64_t ms, int unanswered, int64_t most)
+{
+	ms <<= unanswered < DOUBLINGS_MAX ? unanswered : DOUBLINGS_MAX;
+	return ms < most ? ms : most;
 }
--- a/src/ports/ports.h
+++ b/src/ports/ports.h
@@ -125,6 +125,11 @@
 	int nends;
 };
 
+/** An order without an answer for this long is settled by other means; a
+ * runner answers within milliseconds. Longer while answers are slow. */
+#define ORDER_TIMEOUT_MIN_MS 60
+#define ORDER_TIMEOUT_MAX_MS 1000
+
 struct order_answer {
 	enum order_result result;
 	int64_t clock_ms;
--- a/src/state/runner.h
+++ b/src/state/runner.h
@@ -39,6 +39,7 @@
 	int64_t until_ms;     /**< of the start order, runner's clock */
 	int64_t doubted_ms;   /**< the start had no answer; 0: it isn't open */
 	int64_t stop_sent_ms; /**< 0: no stop is asked for */
+	bool stop_lost;	      /**< the stop had no answer */
 	int64_t stop_ok_ms;   /**< the runner took the stop; 0: not yet */
 	int orders;	      /**< starts sent */
 	int open_orders;      /**< of these, without an answer so far */
--- a/tests/unit/cell_test.c
+++ b/tests/unit/cell_test.c
@@ -507,6 +507,38 @@
 	finish(w);
 }
 
+/*
+ * Runners leave 6% of all orders unanswered and carry some of them out seconds
+ * later: nine of ten urgent jobs are still in time.
+ */
+void
+test_cell_orders_unanswered(void)
+{
+	const struct world_step steps[3] = {
+	    {.count = 13, .cpu = 1300, .ms = URGENT_WORK_MS / 3, .after = -1},
+	    {.count = 13, .cpu = 1300, .ms = URGENT_WORK_MS / 3, .after = 0},
+	    {.count = 13, .cpu = 1300, .ms = URGENT_WORK_MS / 3, .after = 1}};
+	struct world *w = start(16);
+	struct world_faults f = {.order_dropped = 30, .order_late = 30};
+	char id[17];
+	int i, late = 0;
+
+	world_set_faults(w, &f);
+	for (i = 0; i < 60; i++) {
+		job_id(id, i + 1);
+		world_submit(w, id, "urgent", steps, 3);
+		world_run(w, 150);
+	}
+	world_set_faults(w, &(struct world_faults){0});
+	world_run(w, 15000);
+	for (i = 0; i < 60; i++) {
+		job_id(id, i + 1);
+		late += !took_within(w, id, URGENT_OBJECTIVE_MS);
+	}
+	CU_ASSERT(late <= 6);
+	finish(w);
+}
+
 /* An idle cell looks at no runner. */
 void
 test_cell_idle(void)
--- a/tests/unit/main.c
+++ b/tests/unit/main.c
@@ -37,6 +37,7 @@
     {"cell", "cell drain", test_cell_drain},
     {"cell", "cell advice ahead", test_cell_advice_ahead},
     {"cell", "cell advice crowd", test_cell_advice_crowd},
+    {"cell", "cell orders unanswered", test_cell_orders_unanswered},
     {"cell", "cell idle", test_cell_idle},
     {"cell", "cell answers lost", test_cell_answers_lost},
     {"cell", "cell answers lost under load", test_cell_answers_lost_load},
--- a/tests/unit/parts_test.c
+++ b/tests/unit/parts_test.c
@@ -492,6 +492,18 @@
 	for (i = 0; i < 60; i++)
 		rtt_sample(&r, 4);
 	CU_ASSERT(rtt_timeout_ms(&r, 120, 1000) < 150);
+	/* All are slow from one moment on: nothing is given up for ever. */
+	for (i = 0; i < 3; i++)
+		rtt_overdue(&r);
+	CU_ASSERT(rtt_timeout_ms(&r, 60, 1000) >= 480);
+	for (i = 0; i < 60; i++)
+		rtt_overdue(&r);
+	CU_ASSERT_EQUAL(rtt_timeout_ms(&r, 60, 1000), 1000);
+	rtt_sample(&r, 400);
+	CU_ASSERT(rtt_timeout_ms(&r, 60, 1000) > 400);
+	for (i = 0; i < 60; i++)
+		rtt_sample(&r, 4);
+	CU_ASSERT(rtt_timeout_ms(&r, 60, 1000) < 75);
 }
 
 /* A tail near its target halves the pace, one over it stops it. */
--- a/tests/unit/unit.h
+++ b/tests/unit/unit.h
@@ -32,6 +32,7 @@
 void test_cell_drain(void);
 void test_cell_advice_ahead(void);
 void test_cell_advice_crowd(void);
+void test_cell_orders_unanswered(void);
 void test_cell_idle(void);
 void test_cell_answers_lost(void);
 void test_cell_answers_lost_load(void);
--- a/tests/world/world.c
+++ b/tests/world/world.c
@@ -12,7 +12,6 @@
 #define GANG_TIMEOUT_MS 3000
 #define STORE_MS 4
 #define ORDER_MS 3
-#define ORDER_TIMEOUT_MS 150
 #define STOP_GRACE_MS 400
 #define RUNNER_CPU 16000
 #define RUNNER_MEM 65536
@@ -22,9 +21,6 @@
 #define QUICK_CALL_MS 25.0
 #define ROW_BYTES 65536
 #define TXN_ENTRIES 100
-/** The adapter's time-outs follow the answers seen, up to this. */
-#define TIMEOUT_MAX_MS 1000
-#define DOUBLINGS_MAX 3
 /** An end that an answer has told counts as known so soon after. */
 #define LISTED_MS 100
 
@@ -732,6 +728,8 @@
 	struct order_event *o = arg;
 
 	(void)w;
+	if (o->answer.result == ORDER_UNKNOWN)
+		rtt_overdue(&o->cell->answers);
 	if (o->cell->alive && o->cell->incarnation == o->incarnation) {
 		if (o->answer.clock_ms != 0)
 			o->cell->linked[o->runner->index] = o->answered_by;
@@ -744,13 +742,12 @@
 static int64_t
 timeout_ms(const struct world_cell *c, int doublings)
 {
-	int64_t ms =
-	    rtt_timeout_ms(&c->answers, ORDER_TIMEOUT_MS, TIMEOUT_MAX_MS);
+	int64_t ms = rtt_timeout_ms(
+	    &c->answers, ORDER_TIMEOUT_MIN_MS, ORDER_TIMEOUT_MAX_MS);
 
 	if (c->world->fixed_timeouts)
-		return ORDER_TIMEOUT_MS;
-	ms <<= doublings < DOUBLINGS_MAX ? doublings : DOUBLINGS_MAX;
-	return ms < TIMEOUT_MAX_MS ? ms : TIMEOUT_MAX_MS;
+		return ORDER_TIMEOUT_MIN_MS;
+	return rtt_backoff_ms(ms, doublings, ORDER_TIMEOUT_MAX_MS);
 }
 
 static void
@@ -775,7 +772,7 @@
 		if (o->silent)
 			free(o);
 		else
-			at(w, ORDER_TIMEOUT_MS, give_order_answer, o);
+			at(w, ORDER_TIMEOUT_MIN_MS, give_order_answer, o);
 		return;
 	}
 	o->answer.result = o->kind == KIND_START
@@ -813,7 +810,7 @@
 	}
 	if (chance(w, w->faults.order_dropped)) {
 		o->answer.result = ORDER_UNKNOWN;
-		at(w, ORDER_TIMEOUT_MS, give_order_answer, o);
+		at(w, ORDER_TIMEOUT_MIN_MS, give_order_answer, o);
 		return;
 	}
 	if (chance(w, w->faults.order_late) ||
@@ -826,7 +823,7 @@
 		copy->born_ms = o->runner->born_ms;
 		at(w, late ? 2000 + rnd(w, 10000) : ORDER_MS, do_order, copy);
 		o->answer.result = ORDER_UNKNOWN;
-		at(w, ORDER_TIMEOUT_MS, give_order_answer, o);
+		at(w, ORDER_TIMEOUT_MIN_MS, give_order_answer, o);
 		return;
 	}
 	at(w, ORDER_MS + on_the_way(w, o->runner), do_order, o);
@@ -917,6 +914,8 @@
 
 	(void)w;
 	o->cell->unanswered[o->runner->index]++;
+	if (o->hold.wait_ms == 0)
+		rtt_overdue(&o->cell->answers);
 	if (o->cell->alive && o->cell->incarnation == o->incarnation)
 		o->hold_fn(&r, o->arg);
 	free(o);
@@ -977,7 +976,7 @@
 
 	/* A connection ends with the process at its other end. */
 	if (!runner_up(r) || r->cut || o->born_ms != r->born_ms) {
-		at(w, ORDER_TIMEOUT_MS, hold_error, o);
+		at(w, ORDER_TIMEOUT_MIN_MS, hold_error, o);
 		return;
 	}
 	k = xcalloc(1, sizeof(*k));
@@ -1009,7 +1008,7 @@
 			}
 	if (r->link_ms > 0)
 		list_ends(w, r);
-	late = timeout_ms(o->cell, o->cell->unanswered[r->index]);
+	late = timeout_ms(o->cell, 2 * o->cell->unanswered[r->index]);
 	if (r->link_ms > late) {
 		free(k);
 		at(w, late, hold_error, o);
@@ -1047,7 +1046,7 @@
 	struct hold_timer *t;
 
 	if (!runner_up(r) || r->cut) {
-		at(w, o->hold.wait_ms + ORDER_TIMEOUT_MS, hold_error, o);
+		at(w, o->hold.wait_ms + ORDER_TIMEOUT_MIN_MS, hold_error, o);
 		return;
 	}
 	o->answer.result = ORDER_OK;
@@ -1088,7 +1087,7 @@
 	o->hold_fn = fn;
 	o->arg = arg;
 	if (chance(w, w->faults.order_dropped))
-		at(w, o->hold.wait_ms + ORDER_TIMEOUT_MS, hold_error, o);
+		at(w, o->hold.wait_ms + ORDER_TIMEOUT_MIN_MS, hold_error, o);
 	else
 		at(w, ORDER_MS + on_the_way(w, o->runner), do_hold, o);
 }
