A leader that went silent is no relay of the next one

Cause: a relay is any strong host heard of within 2.5 s, and so was the leader that had just been lost.

Ruled out: the runners' lost answers (at most 0.2 s), the load (28 ms).

Change: when a host claims from a leader whose beats stopped, that leader counts as not heard of until it beats again.

--- a/src/coordination/claim.c
+++ b/src/coordination/claim.c
@@ -17,6 +17,12 @@
 /** Hosts of the next rank wait this much longer, so that few collide. */
 #define RANK_MS 40
 
+bool
+claim_beat_late(int64_t beat_age_ms)
+{
+	return beat_age_ms > BEAT_LATE_MS;
+}
+
 bool
 claim_doubts(const struct claim_facts *f)
 {
@@ -24,8 +30,10 @@
 		return false;
 	if (f->no_leader || f->same_host || f->restarted || f->stalled)
 		return true;
-	return !f->linked ||
-	    f->beat_age_ms > (f->reserve ? BEAT_LATE_RESERVE_MS : BEAT_LATE_MS);
+	if (!f->linked)
+		return true;
+	return f->reserve ? f->beat_age_ms > BEAT_LATE_RESERVE_MS
+			  : claim_beat_late(f->beat_age_ms);
 }
 
 bool
--- a/src/member/lead.c
+++ b/src/member/lead.c
@@ -83,9 +83,20 @@
 	unwatch(m);
 }
 
+/* A leader whose beats stopped is no relay until it is heard of again. */
+static void
+doubt_former(struct member *m)
+{
+	struct other *o = member_other(m, m->leader.host);
+
+	if (o != NULL && claim_beat_late(clock_boot_ms() - o->beat_ms))
+		o->beat_ms = 0;
+}
+
 static void
 start_leading(struct member *m, uint64_t fence, uint64_t commit_version)
 {
+	doubt_former(m);
 	m->state = MEMBER_LEADING;
 	m->leader.known = true;
 	m->leader.released = false;
--- a/tests/scripts/fail-cell.sh
+++ b/tests/scripts/fail-cell.sh
@@ -106,6 +106,8 @@
 kill -STOP "${DAEMON[$L]}"
 check "accepted while the leader is frozen" until_true 5 accepted "$O" 00000000000000d1
 sleep 1
+check "a leader that went silent isn't a relay" \
+    status_is "$(metric relays_suspected_total)" 0
 kill -CONT "${DAEMON[$L]}"
 check "completes once" completed "$O" 00000000000000d1
 check "the former leader follows" until_true 5 all_ready
