Time-outs of calls beside each other count once; doubts after 0.25 s

And the former leader was still taken for a relay when its last beat was less than 0.25 s old.

Change: of calls that were on their way at one time-out only one doubles the next; before the first answer a call has 0.3 s; one unanswered hold of a runner doesn't lengthen its next; a former leader is no relay until it is heard of. The leader beats core hosts each 100 ms, who watch its row after 250 ms of silence; the claim still waits for the row.

Checks that changed: the unit test of claims asks for a doubt after 300 ms in place of 600 (stricter); rtt without samples has 300 ms (the test said 120); beside it stand two checks that bursts count once.

--- a/src/coordination/claim.c
+++ b/src/coordination/claim.c
@@ -1,7 +1,8 @@
 #include "claim.h"
 
-/** A leader not heard from for this long is doubted; it beats every 200 ms. */
-#define BEAT_LATE_MS 450
+/** A leader not heard from for this long is doubted, two beats and a half. A
+ * doubt costs reads of a row; the claim waits for the row. */
+#define BEAT_LATE_MS 250
 /** The same for a host in reserve, which hears of the leader less often. */
 #define BEAT_LATE_RESERVE_MS 2500
 /** A host in reserve leaves the lead to core hosts for this long. */
@@ -17,12 +18,6 @@
 /** Hosts of the next rank wait this much longer, so that few collide. */
 #define RANK_MS 40
 
-bool
-claim_beat_late(int64_t beat_age_ms)
-{
-	return beat_age_ms > BEAT_LATE_MS;
-}
-
 bool
 claim_doubts(const struct claim_facts *f)
 {
@@ -30,10 +25,8 @@
 		return false;
 	if (f->no_leader || f->same_host || f->restarted || f->stalled)
 		return true;
-	if (!f->linked)
-		return true;
-	return f->reserve ? f->beat_age_ms > BEAT_LATE_RESERVE_MS
-			  : claim_beat_late(f->beat_age_ms);
+	return !f->linked ||
+	    f->beat_age_ms > (f->reserve ? BEAT_LATE_RESERVE_MS : BEAT_LATE_MS);
 }
 
 bool
--- a/src/coordination/claim.h
+++ b/src/coordination/claim.h
@@ -33,8 +33,6 @@
 	int rank;	      /**< of this host among those that may claim */
 };
 
-/** Whether a leader that was last heard of so long ago is doubted for that. */
-bool claim_beat_late(int64_t beat_age_ms);
 /** Whether the row should be watched. */
 bool claim_doubts(const struct claim_facts *f);
 /** Whether to claim now. */
--- a/src/coordination/rtt.c
+++ b/src/coordination/rtt.c
@@ -5,6 +5,8 @@
 #define MEAN_WEIGHT 0.125
 #define DEVIATION_WEIGHT 0.25
 #define DEVIATIONS 4
+/** Least time-out while there is no answer to go by. */
+#define UNKNOWN_MS 300
 /** Time-outs double this often at most. */
 #define DOUBLINGS_MAX 6
 
@@ -24,8 +26,11 @@
 }
 
 void
-rtt_overdue(struct rtt *r)
+rtt_overdue(struct rtt *r, int64_t sent_ms, int64_t now)
 {
+	if (sent_ms < r->overdue_ms)
+		return;
+	r->overdue_ms = now;
 	if (r->overdue < DOUBLINGS_MAX)
 		r->overdue++;
 }
@@ -35,6 +40,8 @@
 {
 	double ms = r->mean_ms + DEVIATIONS * r->deviation_ms;
 
+	if (r->samples == 0 && ms < UNKNOWN_MS)
+		ms = UNKNOWN_MS;
 	if (ms < (double)least)
 		ms = (double)least;
 	if (ms > (double)most)
--- a/src/coordination/rtt.h
+++ b/src/coordination/rtt.h
@@ -13,14 +13,16 @@
 	double mean_ms;
 	double deviation_ms;
 	int samples;
-	int overdue; /**< calls given up since the last answer */
+	int overdue;	    /**< time-outs in a row since the last answer */
+	int64_t overdue_ms; /**< the last of them */
 };
 
 /** Notes an answer that took @p ms. */
 void rtt_sample(struct rtt *r, double ms);
-/** Notes a call that was given up: without answers time-outs double, since
- * what is slow for all calls alike leaves nothing to learn from. */
-void rtt_overdue(struct rtt *r);
+/** Notes a call, sent at @p sent_ms, that was given up: without answers
+ * time-outs double, since what is slow for all calls alike leaves nothing to
+ * learn from. Of calls beside each other one counts. */
+void rtt_overdue(struct rtt *r, int64_t sent_ms, int64_t now);
 /** Time after which an answer is late, from @p least to @p most ms. */
 int64_t rtt_timeout_ms(const struct rtt *r, int64_t least, int64_t most);
 /** A time-out doubled for each of @p unanswered calls, up to @p most ms. */
--- a/src/member/lead.c
+++ b/src/member/lead.c
@@ -83,13 +83,13 @@
 	unwatch(m);
 }
 
-/* A leader whose beats stopped is no relay until it is heard of again. */
+/* The leader before may be lost: no relay until it is heard of again. */
 static void
 doubt_former(struct member *m)
 {
 	struct other *o = member_other(m, m->leader.host);
 
-	if (o != NULL && claim_beat_late(clock_boot_ms() - o->beat_ms))
+	if (o != NULL)
 		o->beat_ms = 0;
 }
 
--- a/src/member/members.c
+++ b/src/member/members.c
@@ -9,7 +9,7 @@
 #include "../sys/clock.h"
 #include "parts.h"
 
-#define LEADER_BEAT_MS 200
+#define LEADER_BEAT_MS 100
 #define FOLLOWER_BEAT_MS 900
 #define BEAT_TIMEOUT_MS 1500
 /** Hosts that are linked with all others, and lead first. */
--- a/tests/unit/parts_test.c
+++ b/tests/unit/parts_test.c
@@ -232,7 +232,9 @@
 	CU_ASSERT(!claim_doubts(&f));
 	f.unchanged_ms = 100000;
 	CU_ASSERT(!claim_due(&f));
-	f.beat_age_ms = 600;
+	/* A leader is replaced within 0.6 s: no more than half goes by
+	 * before its row is watched. */
+	f.beat_age_ms = 300;
 	CU_ASSERT(claim_doubts(&f));
 	f.unchanged_ms = 499;
 	CU_ASSERT(!claim_due(&f));
@@ -479,7 +481,8 @@
 	struct rtt r = {0};
 	int i;
 
-	CU_ASSERT_EQUAL(rtt_timeout_ms(&r, 120, 1000), 120);
+	/* Before the first answer nothing is known of them. */
+	CU_ASSERT_EQUAL(rtt_timeout_ms(&r, 120, 1000), 300);
 	for (i = 0; i < 20; i++)
 		rtt_sample(&r, 4);
 	CU_ASSERT_EQUAL(rtt_timeout_ms(&r, 120, 1000), 120);
@@ -494,10 +497,14 @@
 	CU_ASSERT(rtt_timeout_ms(&r, 120, 1000) < 150);
 	/* All are slow from one moment on: nothing is given up for ever. */
 	for (i = 0; i < 3; i++)
-		rtt_overdue(&r);
+		rtt_overdue(&r, 1000 * i, 1000 * i + 500);
 	CU_ASSERT(rtt_timeout_ms(&r, 60, 1000) >= 480);
+	/* Those that were sent beside each other count once. */
 	for (i = 0; i < 60; i++)
-		rtt_overdue(&r);
+		rtt_overdue(&r, 3000 + i, 3500 + i);
+	CU_ASSERT(rtt_timeout_ms(&r, 60, 10000) < 60 * 32);
+	for (i = 0; i < 3; i++)
+		rtt_overdue(&r, 1000 * i + 5000, 1000 * i + 5500);
 	CU_ASSERT_EQUAL(rtt_timeout_ms(&r, 60, 1000), 1000);
 	rtt_sample(&r, 400);
 	CU_ASSERT(rtt_timeout_ms(&r, 60, 1000) > 400);
--- a/tests/world/world.c
+++ b/tests/world/world.c
@@ -715,7 +715,8 @@
 	order_fn fn;
 	hold_fn hold_fn;
 	void *arg;
-	bool silent;	     /**< done late, or its answer is lost */
+	bool silent; /**< done late, or its answer is lost */
+	int64_t sent_ms;
 	int64_t answered_by; /**< incarnation that answers */
 	int64_t
 	    born_ms; /**< incarnation that received a hold or a silent order */
@@ -727,9 +728,8 @@
 {
 	struct order_event *o = arg;
 
-	(void)w;
 	if (o->answer.result == ORDER_UNKNOWN)
-		rtt_overdue(&o->cell->answers);
+		rtt_overdue(&o->cell->answers, o->sent_ms, w->now);
 	if (o->cell->alive && o->cell->incarnation == o->incarnation) {
 		if (o->answer.clock_ms != 0)
 			o->cell->linked[o->runner->index] = o->answered_by;
@@ -856,6 +856,7 @@
 	o->cell = c;
 	o->incarnation = c->incarnation;
 	o->runner = find_runner(c->world, t->id);
+	o->sent_ms = c->world->now;
 	return o;
 }
 
@@ -912,10 +913,9 @@
 	struct order_event *o = arg;
 	struct hold_result r = {.result = ORDER_UNKNOWN};
 
-	(void)w;
 	o->cell->unanswered[o->runner->index]++;
 	if (o->hold.wait_ms == 0)
-		rtt_overdue(&o->cell->answers);
+		rtt_overdue(&o->cell->answers, o->sent_ms, w->now);
 	if (o->cell->alive && o->cell->incarnation == o->incarnation)
 		o->hold_fn(&r, o->arg);
 	free(o);
@@ -1008,7 +1008,8 @@
 			}
 	if (r->link_ms > 0)
 		list_ends(w, r);
-	late = timeout_ms(o->cell, 2 * o->cell->unanswered[r->index]);
+	late =
+	    timeout_ms(o->cell, hold_doublings(o->cell->unanswered[r->index]));
 	if (r->link_ms > late) {
 		free(k);
 		at(w, late, hold_error, o);
