--- a/src/relay/relay_port.c
+++ b/src/relay/relay_port.c
@@ -223,13 +223,30 @@
 	return o;
 }
 
-static Cc__RelayOrder *
-add_order(struct relay_port *p, struct relay *r, enum relay_verb verb,
-    const struct target *t, uint64_t serial)
+/* An order on its way to a relay, and what is to become of its answer. */
+struct relayed {
+	struct relay *relay;
+	struct open_order *open;
+	Cc__RelayOrder *order;
+};
+
+/* @return false where orders to the runner go out from here. */
+static bool
+relay_order(struct relay_port *p, const struct target *t, enum relay_verb verb,
+    int64_t wait_ms, void *arg, struct relayed *out)
 {
+	struct relay *r = relay_for(p, t);
+
+	if (r == NULL) {
+		p->counters.direct++;
+		return false;
+	}
 	p->counters.orders++;
 	flush_in(p, verb == RELAY_HOLD ? FLUSH_HOLDS_MS : 0);
-	return relay_add(r, verb, t, serial);
+	out->relay = r;
+	out->open = open_new(p, r, wait_ms, arg);
+	out->order = relay_add(r, verb, t, out->open->serial);
+	return true;
 }
 
 static struct relay_port *
@@ -243,26 +260,21 @@
     const struct start_order *s, bool fresh, order_fn fn, void *arg)
 {
 	struct relay_port *p = port_of(rp);
-	struct relay *r = relay_for(p, t);
-	struct open_order *open;
-	Cc__RelayOrder *o;
+	struct relayed x;
 
-	if (r == NULL) {
-		p->counters.direct++;
+	if (!relay_order(p, t, RELAY_START, 0, arg, &x)) {
 		p->direct->ops->start(p->direct, t, s, fresh, fn, arg);
 		return;
 	}
-	open = open_new(p, r, 0, arg);
-	open->fn.order = fn;
-	o = add_order(p, r, RELAY_START, t, open->serial);
-	o->task = xstrdup(s->task);
-	o->run = s->run;
-	o->spec = relay_add_spec(r, s, fresh);
-	o->until_ms = s->until_ms;
-	o->fence = s->fence;
-	o->saved = xstrdup(s->saved);
-	o->ticket = xstrdup(s->ticket);
-	o->fresh = fresh;
+	x.open->fn.order = fn;
+	x.order->task = xstrdup(s->task);
+	x.order->run = s->run;
+	x.order->spec = relay_add_spec(x.relay, s, fresh);
+	x.order->until_ms = s->until_ms;
+	x.order->fence = s->fence;
+	x.order->saved = xstrdup(s->saved);
+	x.order->ticket = xstrdup(s->ticket);
+	x.order->fresh = fresh;
 }
 
 static void
@@ -270,21 +282,16 @@
     uint32_t run, uint64_t fence, order_fn fn, void *arg)
 {
 	struct relay_port *p = port_of(rp);
-	struct relay *r = relay_for(p, t);
-	struct open_order *open;
-	Cc__RelayOrder *o;
+	struct relayed x;
 
-	if (r == NULL) {
-		p->counters.direct++;
+	if (!relay_order(p, t, RELAY_STOP, 0, arg, &x)) {
 		p->direct->ops->stop(p->direct, t, task, run, fence, fn, arg);
 		return;
 	}
-	open = open_new(p, r, 0, arg);
-	open->fn.order = fn;
-	o = add_order(p, r, RELAY_STOP, t, open->serial);
-	o->task = xstrdup(task);
-	o->run = run;
-	o->fence = fence;
+	x.open->fn.order = fn;
+	x.order->task = xstrdup(task);
+	x.order->run = run;
+	x.order->fence = fence;
 }
 
 static void
@@ -292,26 +299,21 @@
     const struct hold_order *h, bool fresh, hold_fn fn, void *arg)
 {
 	struct relay_port *p = port_of(rp);
-	struct relay *r = relay_for(p, t);
-	struct open_order *open;
-	Cc__RelayOrder *o;
+	struct relayed x;
 
-	if (r == NULL) {
-		p->counters.direct++;
+	if (!relay_order(p, t, RELAY_HOLD, h->wait_ms, arg, &x)) {
 		p->direct->ops->hold(p->direct, t, h, fresh, fn, arg);
 		return;
 	}
-	open = open_new(p, r, h->wait_ms, arg);
-	open->is_hold = true;
-	str_copy(open->runner, t->id, sizeof(open->runner));
-	open->fn.hold = fn;
-	o = add_order(p, r, RELAY_HOLD, t, open->serial);
-	o->until_ms = h->until_ms;
-	o->fence = h->fence;
-	o->seen = h->seen;
-	o->born_ms = h->born_ms;
-	o->wait_ms = h->wait_ms;
-	o->fresh = fresh;
+	x.open->is_hold = true;
+	str_copy(x.open->runner, t->id, sizeof(x.open->runner));
+	x.open->fn.hold = fn;
+	x.order->until_ms = h->until_ms;
+	x.order->fence = h->fence;
+	x.order->seen = h->seen;
+	x.order->born_ms = h->born_ms;
+	x.order->wait_ms = h->wait_ms;
+	x.order->fresh = fresh;
 }
 
 static void
@@ -319,23 +321,18 @@
     uint32_t run, int percent, uint64_t fence, order_fn fn, void *arg)
 {
 	struct relay_port *p = port_of(rp);
-	struct relay *r = relay_for(p, t);
-	struct open_order *open;
-	Cc__RelayOrder *o;
+	struct relayed x;
 
-	if (r == NULL) {
-		p->counters.direct++;
+	if (!relay_order(p, t, RELAY_PACE, 0, arg, &x)) {
 		p->direct->ops->pace(
 		    p->direct, t, task, run, percent, fence, fn, arg);
 		return;
 	}
-	open = open_new(p, r, 0, arg);
-	open->fn.order = fn;
-	o = add_order(p, r, RELAY_PACE, t, open->serial);
-	o->task = xstrdup(task);
-	o->run = run;
-	o->percent = (uint32_t)percent;
-	o->fence = fence;
+	x.open->fn.order = fn;
+	x.order->task = xstrdup(task);
+	x.order->run = run;
+	x.order->percent = (uint32_t)percent;
+	x.order->fence = fence;
 }
 
 static const struct runner_ops relay_ops = {
