What steps are about to take never counts below nothing; names in advice and rtt

Read as a newcomer: the share of a call that was given back to a runner whose record was made anew meanwhile could have counted as room that isn't there; quick and slow calls were told apart by the queue's priority in one place and by the length of the call in the other. Both by the length now. Patience with a runner that doesn't answer has one function in rtt, for the adapter and tests/world; claims are of the lead only, so advice says asked.

--- a/src/cell/advice.c
+++ b/src/cell/advice.c
@@ -34,7 +34,7 @@
 	char **named;
 	int nnamed;
 	bool quick;
-	int64_t share_cpu; /**< that the step is likely to take of each */
+	int64_t asked_cpu; /**< that the step is likely to take of each */
 	int64_t sent_ms;
 };
 
@@ -137,11 +137,14 @@
 	return x->score < y->score ? -1 : x->score > y->score;
 }
 
-/* Slots that are left when the steps that asked before have taken theirs. */
+/*
+ * Slots that are left when the steps that asked before have taken theirs. What
+ * waits for a slow answer comes after a step that asks quickly.
+ */
 static uint32_t
-unclaimed_slots(const struct runner *r, const struct placing_want *w)
+slots_left(const struct runner *r, const struct placing_want *w, bool quick)
 {
-	int64_t asked = w->urgent ? r->asked_quick_cpu : r->asked_cpu;
+	int64_t asked = quick ? r->asked_quick_cpu : r->asked_cpu;
 	uint32_t cpu = w->step->spec->cpu, slots = placing_slots(r, w);
 	int64_t taken = cpu > 0 ? (asked + cpu / 2) / cpu : 0;
 
@@ -149,8 +152,8 @@
 }
 
 static bool
-add_choice(const struct step *s, const struct placing_want *w, struct runner *r,
-    struct choice *out)
+add_choice(const struct step *s, const struct placing_want *w, bool quick,
+    struct runner *r, struct choice *out)
 {
 	const struct grant *g;
 
@@ -160,7 +163,7 @@
 	if (g != NULL && g->standing == STANDING_DENIED)
 		return false;
 	out->runner = r;
-	out->slots = unclaimed_slots(r, w);
+	out->slots = slots_left(r, w, quick);
 	out->score = placing_score(r, w);
 	out->standing = g != NULL ? g->standing : STANDING_UNKNOWN;
 	return true;
@@ -179,6 +182,7 @@
 	    .remote_factor = c->terms.remote_factor,
 	    .urgent = q->priority == 0,
 	    .now_ms = now};
+	bool quick = lanes_is_quick(call_ms(q, ASK_NAMED_MIN));
 	bool all = s->spec->preferred_rack[0] != '\0' || s->spec->same_rack;
 	unsigned left = HASH_COUNT(c->runners);
 	struct runner *r = cell_runner(c, c->ask_from);
@@ -187,7 +191,7 @@
 	for (; left > 0 && (all || n < CHOICES_MAX); left--) {
 		if (r == NULL)
 			r = c->runners;
-		if (add_choice(s, &w, r, &out[n]))
+		if (add_choice(s, &w, quick, r, &out[n]))
 			n++;
 		r = r->hh.next;
 	}
@@ -228,8 +232,15 @@
 	free(k);
 }
 
+static int64_t
+add_asked(int64_t asked, int64_t cpu)
+{
+	return asked + cpu > 0 ? asked + cpu : 0;
+}
+
+/* Notes what the step is likely to take of the runners named, or no longer. */
 static void
-claim_shares(struct cell *c, const struct call *k, int64_t cpu)
+note_asked(struct cell *c, const struct call *k, int64_t cpu)
 {
 	struct runner *r;
 	int i;
@@ -238,9 +249,9 @@
 		r = cell_runner(c, k->named[i]);
 		if (r == NULL)
 			continue;
-		r->asked_cpu += cpu;
+		r->asked_cpu = add_asked(r->asked_cpu, cpu);
 		if (k->quick)
-			r->asked_quick_cpu += cpu;
+			r->asked_quick_cpu = add_asked(r->asked_quick_cpu, cpu);
 	}
 }
 
@@ -282,7 +293,7 @@
 
 	lanes_answered(&c->lanes, k->host, now);
 	if (c->fence == k->fence)
-		claim_shares(c, k, -k->share_cpu);
+		note_asked(c, k, -k->asked_cpu);
 	if (s != NULL && s->advice != NULL) {
 		a = s->advice;
 		a->open -= a->open > 0;
@@ -305,7 +316,7 @@
 
 static void
 send_call(struct cell *c, struct step *s, const struct queue *q,
-    const struct choice *list, int n, int64_t share_cpu, struct lane *lane,
+    const struct choice *list, int n, int64_t asked_cpu, struct lane *lane,
     int64_t now)
 {
 	struct call *k = xcalloc(1, sizeof(*k));
@@ -326,8 +337,8 @@
 	for (i = 0; i < n; i++)
 		k->named[k->nnamed++] = xstrdup(list[i].runner->info.id);
 	k->quick = lanes_is_quick(call_ms(q, ASK_NAMED_MIN));
-	k->share_cpu = share_cpu;
-	claim_shares(c, k, share_cpu);
+	k->asked_cpu = asked_cpu;
+	note_asked(c, k, asked_cpu);
 	a->open++;
 	lane_sent(lane, ms, now);
 	c->counters.advice_calls++;
@@ -344,7 +355,7 @@
 {
 	int calls =
 	    ask_plan_calls(n, q->advice.decision_ms, q->advice.runner_ms, idle);
-	int64_t share_cpu = (int64_t)(step_wanted(s) * (double)s->spec->cpu /
+	int64_t asked_cpu = (int64_t)(step_wanted(s) * (double)s->spec->cpu /
 	    (n * share_of(c, q->name)->share));
 	struct choice part[ASK_CALL_MAX];
 	struct lane *lane;
@@ -357,7 +368,7 @@
 		for (i = k, m = 0; i < n && m < ASK_CALL_MAX; i += calls)
 			part[m++] = list[i];
 		if (m > 0)
-			send_call(c, s, q, part, m, share_cpu, lane, now);
+			send_call(c, s, q, part, m, asked_cpu, lane, now);
 	}
 }
 
--- a/src/coordination/rtt.c
+++ b/src/coordination/rtt.c
@@ -10,6 +10,13 @@
 /** Time-outs double this often at most. */
 #define DOUBLINGS_MAX 6
 
+static int64_t
+doubled(int64_t ms, int times, int64_t most)
+{
+	ms <<= times < DOUBLINGS_MAX ? times : DOUBLINGS_MAX;
+	return ms < most ? ms : most;
+}
+
 void
 rtt_sample(struct rtt *r, double ms)
 {
@@ -46,12 +53,11 @@
 		ms = (double)least;
 	if (ms > (double)most)
 		return most;
-	return rtt_backoff_ms((int64_t)ms, r->overdue, most);
+	return doubled((int64_t)ms, r->overdue, most);
 }
 
 int64_t
-rtt_backoff_ms(int64_t ms, int unanswered, int64_t most)
+rtt_patience_ms(int64_t ms, int unanswered, int64_t most)
 {
-	ms <<= unanswered < DOUBLINGS_MAX ? unanswered : DOUBLINGS_MAX;
-	return ms < most ? ms : most;
+	return unanswered > 1 ? doubled(ms, 2 * (unanswered - 1), most) : ms;
 }
--- a/src/coordination/rtt.h
+++ b/src/coordination/rtt.h
@@ -25,7 +25,9 @@
 void rtt_overdue(struct rtt *r, int64_t sent_ms, int64_t now);
 /** Time after which an answer is late, from @p least to @p most ms. */
 int64_t rtt_timeout_ms(const struct rtt *r, int64_t least, int64_t most);
-/** A time-out doubled for each of @p unanswered calls, up to @p most ms. */
-int64_t rtt_backoff_ms(int64_t ms, int unanswered, int64_t most);
+/** Patience with one that left so many calls in a row unanswered: one lost
+ * answer says nothing of it, after more of them it grows by four each, so that
+ * what it tells is heard long before its leases lapse. */
+int64_t rtt_patience_ms(int64_t ms, int unanswered, int64_t most);
 
 #endif
--- a/src/member/helpers.c
+++ b/src/member/helpers.c
@@ -37,10 +37,10 @@
 static bool
 relays_due(struct member *m, int64_t now)
 {
-	bool reads = m->cell.phase != CELL_SERVING;
-	bool first = m->relays_for_load && !reads;
+	bool loading = m->cell.phase != CELL_SERVING;
+	bool first = m->relays_loading && !loading;
 
-	m->relays_for_load = reads;
+	m->relays_loading = loading;
 	return first || now - m->relays_ms >= RELAYS_EVERY_MS;
 }
 
--- a/src/member/lead.c
+++ b/src/member/lead.c
@@ -108,7 +108,7 @@
 	    (unsigned long long)fence, m->leader.generation);
 	m->beat_all = true;
 	m->lanes_ms = m->relays_ms = 0;
-	m->relays_for_load = true;
+	m->relays_loading = true;
 	m->registry_ms = 0;
 	member_dial(m);
 	member_calls_moved(m);
--- a/src/member/parts.h
+++ b/src/member/parts.h
@@ -64,7 +64,7 @@
 	struct relay_port *relays;  /**< orders of the cell led here */
 	struct relay_serve *served; /**< orders of another host's cell */
 	int64_t relays_ms;	    /**< relays were last chosen */
-	bool relays_for_load;	    /**< chosen while the rows were read */
+	bool relays_loading;	    /**< the runners weren't read by then */
 	struct follow *members;
 	struct follow *configs;
 	struct cell cell;
--- a/src/ports/ports.h
+++ b/src/ports/ports.h
@@ -130,14 +130,6 @@
 #define ORDER_TIMEOUT_MIN_MS 60
 #define ORDER_TIMEOUT_MAX_MS 1000
 
-/** One lost answer says nothing of a runner; after more of them patience grows
- * fast, so that what it tells is heard long before its leases lapse. */
-static inline int
-hold_doublings(int unanswered)
-{
-	return unanswered > 1 ? 2 * (unanswered - 1) : 0;
-}
-
 struct order_answer {
 	enum order_result result;
 	int64_t clock_ms;
--- a/tests/world/world.c
+++ b/tests/world/world.c
@@ -740,14 +740,14 @@
 
 /* Time after which the adapter gives a call up, beyond its wait. */
 static int64_t
-timeout_ms(const struct world_cell *c, int doublings)
+timeout_ms(const struct world_cell *c, int unanswered)
 {
 	int64_t ms = rtt_timeout_ms(
 	    &c->answers, ORDER_TIMEOUT_MIN_MS, ORDER_TIMEOUT_MAX_MS);
 
 	if (c->world->fixed_timeouts)
 		return ORDER_TIMEOUT_MIN_MS;
-	return rtt_backoff_ms(ms, doublings, ORDER_TIMEOUT_MAX_MS);
+	return rtt_patience_ms(ms, unanswered, ORDER_TIMEOUT_MAX_MS);
 }
 
 static void
@@ -1008,8 +1008,7 @@
 			}
 	if (r->link_ms > 0)
 		list_ends(w, r);
-	late =
-	    timeout_ms(o->cell, hold_doublings(o->cell->unanswered[r->index]));
+	late = timeout_ms(o->cell, o->cell->unanswered[r->index]);
 	if (r->link_ms > late) {
 		free(k);
 		at(w, late, hold_error, o);
