--- a/tests/prop/cells.cc
+++ b/tests/prop/cells.cc
@@ -48,14 +48,32 @@
 	world_submit(w, id, queues[h.b % 3], steps, nsteps);
 }
 
+// LOUD=1 prints what happens, LOGS=1 the cells' logs.
+void
+set_output(struct world *w)
+{
+	world_loud(w, getenv("LOUD") != nullptr);
+	if (getenv("LOGS") != nullptr) {
+		setvbuf(stdout, nullptr, _IONBF, 0);
+		kvlog_open("world", KVLOG_DEBUG);
+	}
+}
+
+void
+print_happening(struct world *w, const char *what, const happening &h)
+{
+	if (getenv("LOUD") != nullptr)
+		printf("at %lld: %s=%d a=%u b=%u ms=%lld\n",
+		    (long long)world_now(w), what, h.kind, h.a, h.b,
+		    (long long)h.ms);
+}
+
 void
 happen(struct world *w, const happening &h, int *jobs)
 {
 	int r = (int)(h.a % RUNNERS), c = (int)(h.a % CELLS);
 	char id[32];
-	if (getenv("LOUD") != nullptr)
-		printf("at %lld: kind=%d a=%u b=%u ms=%lld\n",
-		    (long long)world_now(w), h.kind, h.a, h.b, (long long)h.ms);
+	print_happening(w, "kind", h);
 	switch (h.kind) {
 	case 0:
 		world_claim(w, c);
@@ -107,11 +125,7 @@
 {
 	struct world *w = world_new(seed, RUNNERS);
 	int jobs = 0;
-	world_loud(w, getenv("LOUD") != nullptr);
-	if (getenv("LOGS") != nullptr) {
-		setvbuf(stdout, nullptr, _IONBF, 0);
-		kvlog_open("world", KVLOG_DEBUG);
-	}
+	set_output(w);
 	world_claim(w, 0);
 	world_run(w, 1500);
 	world_set_faults(w, &faults);
@@ -149,9 +163,7 @@
 slow_down(struct world *w, const happening &h, int *jobs)
 {
 	int r = (int)(h.a % RUNNERS), c = (int)(h.a % CELLS);
-	if (getenv("LOUD") != nullptr)
-		printf("at %lld: slow kind=%d a=%u b=%u ms=%lld\n",
-		    (long long)world_now(w), h.kind, h.a, h.b, (long long)h.ms);
+	print_happening(w, "slow kind", h);
 	switch (h.kind) {
 	case 0:
 		world_claim(w, c);
@@ -180,11 +192,7 @@
 	struct world *w = world_new(*in_range<uint32_t>(1, 1000000), RUNNERS);
 	auto n = *in_range(5, 40);
 	int jobs = 0;
-	world_loud(w, getenv("LOUD") != nullptr);
-	if (getenv("LOGS") != nullptr) {
-		setvbuf(stdout, nullptr, _IONBF, 0);
-		kvlog_open("world", KVLOG_DEBUG);
-	}
+	set_output(w);
 	world_claim(w, 0);
 	world_run(w, 1500);
 	for (int i = 0; i < n; i++)
--- a/tests/unit/parts_test.c
+++ b/tests/unit/parts_test.c
@@ -232,8 +232,7 @@
 	CU_ASSERT(!claim_doubts(&f));
 	f.unchanged_ms = 100000;
 	CU_ASSERT(!claim_due(&f));
-	/* A leader is replaced within 0.6 s: no more than half goes by
-	 * before its row is watched. */
+	/* Three beats are missing. */
 	f.beat_age_ms = 300;
 	CU_ASSERT(claim_doubts(&f));
 	f.unchanged_ms = 499;
