A claim keeps its generation and its former leader until it is answered

A host that follows its own table may read the row of its claim before the answer to it. The row set the leader's host to itself and the generation to the new one; the answer then counted the generation up once more and doubted itself in place of the former leader. So the memory of a leader had another generation than its row, the next leader took the same number, and run numbers of two leaders began at the same value: an order of the first could name a run of the second. The former leader, frozen, was chosen as a relay for 0.5 s.

Ruled out: two takeovers in a row (one claim in each of the four logs); a late receipt of a live relay (the silent peer is the former leader).

Change: the generation and the former leader are kept with the claim, from sending it to its answer. The stand-in's store has answers to writes that come after watches tell of them (store=late).

--- a/src/member/lead.c
+++ b/src/member/lead.c
@@ -87,7 +87,7 @@
 static void
 doubt_former(struct member *m)
 {
-	struct other *o = member_other(m, m->leader.host);
+	struct other *o = member_other(m, m->claim.former);
 
 	if (o != NULL)
 		o->beat_ms = 0;
@@ -101,6 +101,7 @@
 	m->leader.known = true;
 	m->leader.released = false;
 	m->leader.version = fence;
+	m->leader.generation = m->claim.generation;
 	str_copy(m->leader.host, m->settings->host, sizeof(m->leader.host));
 	str_copy(m->leader.incarnation, m->incarnation,
 	    sizeof(m->leader.incarnation));
@@ -146,13 +147,11 @@
 	for (i = 0; i < r->nrows; i++) {
 		if (strcmp(r->rows[i].key, LEADER_KEY) != 0)
 			continue;
-		if (row_is_mine(m, &r->rows[i])) {
-			m->leader.generation++;
+		if (row_is_mine(m, &r->rows[i]))
 			start_leading(
 			    m, r->rows[i].version, r->rows[i].version);
-		} else {
+		else
 			member_leader_row(m, &r->rows[i]);
-		}
 	}
 }
 
@@ -172,10 +171,9 @@
 	if (m->state != MEMBER_CLAIMING)
 		return;
 	if (r->err == CC_OK) {
-		m->leader.generation++;
 		/* Its commits won't be answered sooner. */
 		m->cell.answer_ms =
-		    (double)(clock_boot_ms() - m->claim_sent_ms);
+		    (double)(clock_boot_ms() - m->claim.sent_ms);
 		start_leading(m, r->version, r->version);
 		return;
 	}
@@ -220,13 +218,13 @@
 	lr.incarnation = m->incarnation;
 	/* The first leader of all has generation 0. */
 	lr.generation = m->leader.version == 0 ? 0 : m->leader.generation + 1;
-	if (m->leader.version == 0)
-		m->leader.generation = UINT32_MAX;
+	m->claim.generation = lr.generation;
+	str_copy(m->claim.former, m->leader.host, sizeof(m->claim.former));
 	cr.incarnation = m->incarnation;
 	writes[0].len = cc__leader_row__pack(&lr, leader);
 	writes[1].len = cc__commit_row__pack(&cr, commit);
 	m->state = MEMBER_CLAIMING;
-	m->claim_sent_ms = clock_boot_ms();
+	m->claim.sent_ms = clock_boot_ms();
 	kvlog(KVLOG_INFO, "claiming",
 	    "leader=%s version=%llu commit_version=%llu unchanged_ms=%lld",
 	    m->leader.host, (unsigned long long)m->leader.version,
--- a/src/member/parts.h
+++ b/src/member/parts.h
@@ -43,6 +43,13 @@
 	uint64_t version;
 };
 
+/** A claim under way. The row that it writes may be read before its answer. */
+struct claim_sent {
+	char former[64]; /**< leader when it was sent */
+	uint32_t generation;
+	int64_t sent_ms;
+};
+
 enum member_state {
 	MEMBER_FOLLOWING,
 	MEMBER_CLAIMING,
@@ -70,6 +77,7 @@
 	struct cell cell;
 	enum member_state state;
 	struct leader leader;
+	struct claim_sent claim;
 	struct other others[MEMBERS_MAX];
 	int nothers;
 	bool core;	  /**< this host is one of those that lead first */
@@ -97,7 +105,6 @@
 	bool leaving;
 	int64_t started_ms;
 	int64_t led_last_ms;
-	int64_t claim_sent_ms;
 	int64_t stronger_ms; /**< a stronger host could lead since; 0: none */
 	struct event *tick;
 	struct event *wake;
--- a/tests/cellstandin/main.c
+++ b/tests/cellstandin/main.c
@@ -24,6 +24,7 @@
     {"silent", FAULT_SILENT},
     {"lost", FAULT_LOST},
     {"slow", FAULT_SLOW},
+    {"late", FAULT_LATE},
 };
 
 struct standin {
--- a/tests/cellstandin/standin.h
+++ b/tests/cellstandin/standin.h
@@ -20,6 +20,7 @@
 	FAULT_SILENT, /**< no answer, nothing done */
 	FAULT_LOST,   /**< some calls are done and not answered */
 	FAULT_SLOW,   /**< answers come late */
+	FAULT_LATE,   /**< answers to writes come after watches tell of them */
 };
 
 struct store_sim;
--- a/tests/cellstandin/store_sim.c
+++ b/tests/cellstandin/store_sim.c
@@ -12,6 +12,7 @@
 
 #define ANSWER_MS 4
 #define SLOW_MS 250
+#define LATE_MS 60
 #define LOST_SHARE 4 /* one write of so many */
 
 struct cell_row {
@@ -77,10 +78,10 @@
 }
 
 static void
-reply(struct store_sim *s, struct evhttp_request *req, int status, json_t *body)
+reply_in(struct store_sim *s, struct evhttp_request *req, int status,
+    json_t *body, int ms)
 {
 	struct late *l = xcalloc(1, sizeof(*l));
-	int ms = s->mode == FAULT_SLOW ? SLOW_MS : ANSWER_MS;
 	struct timeval tv = {0, ms * 1000};
 
 	json_object_set_new(
@@ -94,6 +95,13 @@
 	event_base_once(s->base, -1, EV_TIMEOUT, on_late, l, &tv);
 }
 
+static void
+reply(struct store_sim *s, struct evhttp_request *req, int status, json_t *body)
+{
+	reply_in(
+	    s, req, status, body, s->mode == FAULT_SLOW ? SLOW_MS : ANSWER_MS);
+}
+
 /* @return whether the call must not be served. */
 static bool
 fails(struct store_sim *s, struct evhttp_request *req)
@@ -287,6 +295,8 @@
 		apply(s, body);
 		if (s->mode == FAULT_LOST && s->writes++ % LOST_SHARE == 0)
 			reply_reset(req);
+		else if (s->mode == FAULT_LATE)
+			reply_in(s, req, 200, json_object(), LATE_MS);
 		else
 			reply(s, req, 200, json_object());
 	} else {
--- a/tests/scripts/fail-cell.sh
+++ b/tests/scripts/fail-cell.sh
@@ -46,6 +46,10 @@
 	done
 }
 other() { local l; l=$(leader); echo $((l % 3 + 1)); }
+hears_leader() {
+	curl -s -m 2 "http://$(cell_addr "$1"):$((PORT + 103))/cell/members" |
+	    jq -e '[.members[] | select(.leads and .beat_ms_ago >= 0 and .beat_ms_ago < 1000)] | length == 1' > /dev/null
+}
 all_ready() { cell_ready 1 && cell_ready 2 && cell_ready 3; }
 unbroken() { curl -s -m 2 "http://127.0.0.1:$((PORT + 2))/report" | jq -e '.broken == 0' > /dev/null; }
 status_is() { [ "$1" = "$2" ] || { echo "got $1, not $2"; return 1; }; }
@@ -100,14 +104,20 @@
 cell_daemon "$L"
 check "the host is back" until_true 10 all_ready
 
-# the leader is frozen, and wakes as a former leader
+# the leader is frozen, and wakes as a former leader; the next one reads its own
+# row before the answer to its claim
+cell_fault store=late
 L=$(leader)
 O=$(other)
+P=$((6 - L - O))
+followers_hear() { hears_leader "$O" && hears_leader "$P"; }
+check "the followers hear the leader" until_true 5 followers_hear
 kill -STOP "${DAEMON[$L]}"
 check "accepted while the leader is frozen" until_true 5 accepted "$O" 00000000000000d1
 sleep 1
 check "a leader that went silent isn't a relay" \
     status_is "$(metric relays_suspected_total)" 0
+cell_fault store=ok
 kill -CONT "${DAEMON[$L]}"
 check "completes once" completed "$O" 00000000000000d1
 check "the former leader follows" until_true 5 all_ready
@@ -165,10 +175,6 @@
 cell_daemon "$H"
 check "a host at another address is ready" until_true 10 cell_ready "$H"
 check "and serves" accepted "$H" 00000000000000f5
-hears_leader() {
-	curl -s -m 2 "http://$(cell_addr "$1"):$((PORT + 103))/cell/members" |
-	    jq -e '[.members[] | select(.leads and .beat_ms_ago >= 0 and .beat_ms_ago < 1000)] | length == 1' > /dev/null
-}
 check "and hears the leader's beats" until_true 5 hears_leader "$H"
 
 # a runner dies under work, another leaves
@@ -185,6 +191,20 @@
 check "what was accepted completes" completed 3 00000000000000f4
 check "nothing broken by the runners' record" unbroken
 
+# run numbers start from the generation, so no two leaders may have one
+generations() { sed -n 's/.* event=claimed .*generation=//p' "$RUN"/c*.log; }
+check "each leader had a generation of its own" \
+    status_is "$(generations | sort | uniq -d | wc -l)" 0
+rows_differ() {
+	local fence generation n=0
+	while read -r fence generation; do
+		grep -hq " event=leader_seen .* version=$fence generation=$generation " \
+		    "$RUN"/c*.log || n=$((n + 1))
+	done < <(sed -n 's/.* event=claimed fence=\([0-9]*\) generation=/\1 /p' "$RUN"/c*.log)
+	echo $n
+}
+check "and the one that its row has" status_is "$(rows_differ)" 0
+
 # from an id to its cause
 logs() { cat "$RUN"/c*.log; }
 check "why a job was refused" bash -c "cat $RUN/c*.log | grep -q 'event=submit_refused id=00000000000000f1 why=store-down'"
