--- a/src/cell/cell.c
+++ b/src/cell/cell.c
@@ -72,6 +72,7 @@
 	    (unsigned long long)c->fence,
 	    (long long)(c->ports.now() - c->led_ms));
 	c->phase = CELL_IDLE;
+	cell_load_drop(c);
 	cell_commit_drop(c);
 	drop_jobs(c, &a);
 	drop_runners(c);
@@ -100,8 +101,10 @@
 	c->fence = fence;
 	c->generation = generation;
 	memset(c->chains, 0, sizeof(c->chains));
+	memset(c->parts, 0, sizeof(c->parts));
 	c->chains[0].version = c->store_version = commit_version;
-	c->ack_seq = 0;
+	c->changes = 1;
+	c->ack_change = 0;
 	c->stale_rows = 0;
 	c->led_ms = c->committed_ms = c->commit_ms = c->renewed_ms = now;
 	c->store_down_ms = c->registry_ms = c->unanswered_ms = 0;
--- a/src/cell/cell.h
+++ b/src/cell/cell.h
@@ -19,11 +19,15 @@
 
 #define CELL_TABLE "celerycart-jobs"
 #define MEMBER_TABLE "celerycart-members"
+/** Of the store's parts that hold jobs, the one with the leader's row and the
+ * runners; see part.h. */
 #define CELL_PART "c0"
 #define MEMBER_PART "m"
 #define LEADER_KEY "leader"
-/** Row of the first chain; the others' have its number behind. */
+/** Row of a part's first chain; the others' have their number behind. */
 #define COMMIT_KEY "commit"
+/** In all parts but the first; see part.h. */
+#define GUARD_KEY "guard"
 /** Runners are spread over rows by their ids; a row's number is behind. */
 #define RUNNERS_PREFIX "runners/"
 #define RUNNERS_ROWS 64
@@ -94,8 +98,11 @@
 struct commit;
 struct load;
 
-/** Commits beside each other, while the store is slow. */
-#define COMMIT_CHAINS 8
+/** Parts of the store that hold jobs. */
+#define CELL_PARTS 4
+/** Commits beside each other in a part, while the store is slow. */
+#define PART_CHAINS 8
+#define COMMIT_CHAINS (CELL_PARTS * PART_CHAINS)
 
 /** Each commit of a chain is conditional on the one before. */
 struct commit_chain {
@@ -103,6 +110,13 @@
 	struct commit *commit; /**< under way */
 };
 
+/** What is known of a part of the store. */
+struct part {
+	uint64_t guard;	   /**< version of its guard's row; not of the first */
+	int64_t commit_ms; /**< last commit sent */
+	int64_t answered_sent_ms; /**< newest commit with an answer was sent */
+};
+
 struct candidate;
 
 TAILQ_HEAD(step_list, step);
@@ -140,17 +154,18 @@
 				       *   until all runners are adopted */
 	bool blind;
 	struct commit_chain chains[COMMIT_CHAINS];
+	struct part parts[CELL_PARTS];
 	uint64_t store_version; /**< of the newest commit that was done */
-	uint64_t commit_seq; /**< number of the last commit of this process */
-	uint64_t ack_seq;    /**< commits up to this one carry what is being
-			      * acknowledged; 0: nothing is */
-	struct load *load_stalled; /**< a read to be repeated */
-	int64_t commit_ms;	   /**< last sent */
-	int64_t committed_ms;	   /**< last known to be done */
-	int64_t renewed_ms;	   /**< last commit that was done was sent */
-	double answer_ms;	   /**< of the store to commits, usually */
-	int64_t answered_sent_ms;  /**< newest commit with an answer was sent */
-	int64_t store_down_ms;	   /**< since when it fails; 0: it doesn't */
+	uint64_t commit_seq;  /**< number of the last commit of this process */
+	uint64_t changes;     /**< of jobs, so far */
+	uint64_t ack_change;  /**< what is being acknowledged is stored when the
+			       * changes up to this one are; 0: nothing is */
+	struct load *load;    /**< of jobs and runners, under way */
+	int64_t commit_ms;    /**< last sent, to any part */
+	int64_t committed_ms; /**< last known to be done */
+	int64_t renewed_ms;   /**< last commit that was done was sent */
+	double answer_ms;     /**< of the store to commits, usually */
+	int64_t store_down_ms; /**< since when it fails; 0: it doesn't */
 	uint64_t stale_rows;   /**< rows of runners to be written, a bit each */
 	int commit_jobs;       /**< a commit takes so many jobs at most */
 	int64_t unanswered_ms; /**< a runner that was well last left an
--- a/src/cell/commit.c
+++ b/src/cell/commit.c
@@ -3,8 +3,8 @@
  * Each commit is conditional on the leader's row and on the row of its chain,
  * which the commit before in the chain wrote: of a commit and its repetition
  * only one can take effect, however late, and none after another leader's
- * claim. While the store is slow, commits of several chains are under way
- * beside each other; a job is in one of them at most.
+ * claim. While the store is slow, commits of several chains and parts are under
+ * way beside each other; a job is in one of them at most.
  */
 #include <stdlib.h>
 
@@ -19,6 +19,9 @@
 #define OVERLAP_MS 40
 /** ... and this part of a usual answer: the store does one after another. */
 #define OVERLAP_SHARE 0.55
+/** Part of a usual answer between commits to any parts, while these are used
+ * beside each other: a second one to each, evenly spread. */
+#define SPREAD_SHARE (1.0 / (OPEN_MAX * CELL_PARTS))
 /** A commit without changes shows that the leader is alive. */
 #define RENEW_MS 150
 /** Commits that are under way and whose answer may yet come. */
@@ -52,23 +55,46 @@
 	if (j->dirty)
 		return;
 	j->dirty = true;
+	j->change = ++c->changes;
 	TAILQ_INSERT_TAIL(&c->dirty, j, dirty_link);
 }
 
+static struct commit *
+older(struct commit *a, struct commit *b)
+{
+	if (a == NULL || b == NULL)
+		return a != NULL ? a : b;
+	return a->seq < b->seq ? a : b;
+}
+
 struct commit *
 commit_oldest(const struct cell *c)
 {
-	struct commit *k, *oldest = NULL;
+	struct commit *oldest = NULL;
 	int i;
 
-	for (i = 0; i < COMMIT_CHAINS; i++) {
-		k = c->chains[i].commit;
-		if (k != NULL && (oldest == NULL || k->seq < oldest->seq))
-			oldest = k;
-	}
+	for (i = 0; i < COMMIT_CHAINS; i++)
+		oldest = older(oldest, c->chains[i].commit);
+	return oldest;
+}
+
+struct commit *
+commit_oldest_in(const struct cell *c, int part)
+{
+	struct commit *oldest = NULL;
+	int i;
+
+	for (i = 0; i < PART_CHAINS; i++)
+		oldest = older(oldest, c->chains[part_chain(part, i)].commit);
 	return oldest;
 }
 
+bool
+commit_spreads(const struct cell *c)
+{
+	return c->store_down_ms == 0 && c->answer_ms > OVERLAP_MS;
+}
+
 static int64_t
 silent_ms(const struct cell *c)
 {
@@ -135,7 +161,8 @@
 static bool
 answer_lost(const struct cell *c, const struct commit *k)
 {
-	return k->sent_ms + OVERTAKE_MS < c->answered_sent_ms;
+	return k->sent_ms + OVERTAKE_MS <
+	    c->parts[chain_part(k->chain)].answered_sent_ms;
 }
 
 static bool
@@ -155,7 +182,8 @@
 		return now >= k->retry_ms;
 	return k->under_way < ATTEMPTS_MAX &&
 	    (answer_lost(c, k) ||
-		(k == commit_oldest(c) && answer_late(c, k, now)));
+		(k == commit_oldest_in(c, chain_part(k->chain)) &&
+		    answer_late(c, k, now)));
 }
 
 /* While the store fails, only the oldest commit tries whether it is back. */
@@ -183,64 +211,103 @@
 	return ms > OVERLAP_MS ? ms : OVERLAP_MS;
 }
 
-/* @return the chain that the next commit goes to, or -1 while it must wait. */
-static int
-next_chain(const struct cell *c, int64_t now)
+/* Whether a commit under way lets no other be sent beside it. */
+static bool
+stands_alone(const struct cell *c, const struct commit *k)
+{
+	return k->forgets || c->store_down_ms != 0 || c->phase != CELL_SERVING;
+}
+
+static bool
+must_wait(const struct cell *c)
 {
-	int64_t gap = c->store_down_ms != 0 ? COMMIT_RETRY_MS : COMMIT_GAP_MS;
 	const struct commit *k;
-	int i, open = 0, chain = -1;
+	int i;
 
-	for (i = COMMIT_CHAINS - 1; i >= 0; i--) {
+	for (i = 0; i < COMMIT_CHAINS; i++) {
 		k = c->chains[i].commit;
-		if (k == NULL) {
-			chain = i;
-			continue;
-		}
-		if (k->forgets || c->store_down_ms != 0 ||
-		    c->phase != CELL_SERVING)
-			return -1;
-		if (!answer_lost(c, k))
-			open++;
+		if (k != NULL && stands_alone(c, k))
+			return true;
+	}
+	return false;
+}
+
+/* Least time since the last commit: to the part, or to any. */
+static bool
+gap_over(const struct cell *c, int part, int open, int64_t now)
+{
+	int64_t gap = c->store_down_ms != 0 ? COMMIT_RETRY_MS : COMMIT_GAP_MS;
+
+	if (commit_spreads(c) &&
+	    (double)(now - c->commit_ms) < c->answer_ms * SPREAD_SHARE)
+		return false;
+	return now - c->parts[part].commit_ms >=
+	    (open > 0 ? overlap_ms(c) : gap);
+}
+
+/* @return the part's chain that its next commit goes to, or -1 while it must
+ * wait. */
+static int
+next_chain(const struct cell *c, int part, int64_t now)
+{
+	const struct commit *k;
+	int i, chain, open = 0, next = -1;
+
+	for (i = 0; i < PART_CHAINS; i++) {
+		chain = part_chain(part, i);
+		k = c->chains[chain].commit;
+		if (k == NULL && next < 0)
+			next = chain;
+		open += k != NULL && !answer_lost(c, k);
 	}
-	if (open > 0)
-		gap = overlap_ms(c);
-	return open < OPEN_MAX && now - c->commit_ms >= gap ? chain : -1;
+	return open < OPEN_MAX && gap_over(c, part, open, now) ? next : -1;
 }
 
-/* The answer of an empty commit tells whether that of the oldest is lost. */
+/* An empty commit tells that the leader is alive, and its answer whether that
+ * of the oldest is lost. */
 static bool
-probe_due(const struct cell *c, int64_t now)
+renewal_due(const struct cell *c, int64_t now)
 {
-	return (double)(now - commit_oldest(c)->sent_ms) >
+	const struct commit *k = commit_oldest_in(c, PART_FIRST);
+
+	if (k == NULL)
+		return now - c->parts[PART_FIRST].commit_ms >= RENEW_MS;
+	return (double)(now - k->sent_ms) >
 	    OVERLAP_MS + PROBE_FACTOR * c->answer_ms;
 }
 
+static void
+commit_part(struct cell *c, int part, int64_t now)
+{
+	int chain = must_wait(c) ? -1 : next_chain(c, part, now);
+
+	if (chain < 0)
+		return;
+	c->commit_ms = c->parts[part].commit_ms = now;
+	c->chains[chain].commit = commit_build(c, chain, now);
+	commit_send(c, c->chains[chain].commit);
+}
+
 void
 cell_commit(struct cell *c)
 {
 	int64_t now = c->ports.now();
-	bool wanted = commit_wanted(c);
-	int chain;
+	unsigned wanted;
+	int part;
 
 	if (c->phase == CELL_IDLE)
 		return;
 	if (cell_store_down(c))
 		commit_refuse_waiting(c);
 	resend_commits(c, now);
-	if (!wanted && commit_oldest(c) != NULL && !probe_due(c, now))
-		return;
-	if (!wanted && commit_oldest(c) == NULL && has_unacked(c))
+	wanted = commit_wanted(c);
+	if (wanted == 0 && commit_oldest(c) == NULL && has_unacked(c))
 		ack_plain_ends(c);
-	if (!wanted && commit_oldest(c) == NULL &&
-	    now - c->commit_ms < RENEW_MS)
-		return;
-	chain = next_chain(c, now);
-	if (chain < 0)
-		return;
-	c->commit_ms = now;
-	c->chains[chain].commit = commit_build(c, chain, now);
-	commit_send(c, c->chains[chain].commit);
+	if ((wanted & 1u << PART_FIRST) != 0 || renewal_due(c, now))
+		commit_part(c, PART_FIRST, now);
+	for (part = PART_FIRST + 1; part < CELL_PARTS; part++)
+		if ((wanted & 1u << part) != 0)
+			commit_part(c, part, now);
 }
 
 static void
--- a/src/cell/commit.h
+++ b/src/cell/commit.h
@@ -2,6 +2,7 @@
 #ifndef CELL_COMMIT_H
 #define CELL_COMMIT_H
 
+#include "part.h"
 #include "parts.h"
 
 /** Entries of a transaction: jobs need two, others three in all. */
@@ -19,10 +20,10 @@
 
 struct commit {
 	struct cell *cell;
-	uint64_t fence;
 	uint64_t seq;
 	int chain;
 	uint64_t base_version; /**< of the chain's row that it builds on */
+	uint64_t first_change; /**< of its jobs; UINT64_MAX: it has none */
 	struct entry writes[COMMIT_ENTRIES_MAX];
 	int nwrites;
 	struct entry removes[COMMIT_ENTRIES_MAX];
@@ -40,9 +41,13 @@
 	int64_t retry_ms;
 };
 
-/** Whether something waits that no commit under way touches. */
-bool commit_wanted(const struct cell *c);
-/** Takes all that is to be written, up to what a transaction holds. */
+/** Parts for which something waits that no commit under way touches, a bit
+ * each. */
+unsigned commit_wanted(const struct cell *c);
+/** Whether new jobs go to any part that is free. */
+bool commit_spreads(const struct cell *c);
+/** Takes all that is to be written to the chain's part, up to what a
+ * transaction holds. */
 struct commit *commit_build(struct cell *c, int chain, int64_t now);
 void commit_free(struct commit *k);
 /** Sends it, or sends it once more. */
@@ -51,5 +56,7 @@
 void commit_refuse_waiting(struct cell *c);
 /** The oldest commit under way; NULL when there is none. */
 struct commit *commit_oldest(const struct cell *c);
+/** The same of one part. */
+struct commit *commit_oldest_in(const struct cell *c, int part);
 
 #endif
--- a/src/cell/commit_build.c
+++ b/src/cell/commit_build.c
@@ -9,7 +9,7 @@
 #include "../base/xalloc.h"
 
 /** Name of a row of progress, without its prefix. */
-#define PART_NAME_LEN (JOB_ID_LEN + 12)
+#define PROGRESS_NAME_LEN (JOB_ID_LEN + 12)
 /** Bytes of a transaction, below the store's megabyte in base64. */
 #define COMMIT_BYTES_MAX (512 << 10)
 
@@ -33,45 +33,45 @@
 }
 
 static void
-part_name(char *buf, size_t len, const struct job *j, uint32_t part)
+progress_name(char *buf, size_t len, const struct job *j, uint32_t number)
 {
-	if (part == 0)
+	if (number == 0)
 		str_copy(buf, j->id, len);
 	else
-		snprintf(buf, len, "%s/%u", j->id, part);
+		snprintf(buf, len, "%s/%u", j->id, number);
 }
 
 static void
 add_progress(struct commit *k, struct job *j)
 {
-	uint32_t i, n = job_progress_parts(j);
-	char name[PART_NAME_LEN];
+	uint32_t i, n = job_progress_rows(j);
+	char name[PROGRESS_NAME_LEN];
 	Cc__JobProgress *p;
 	struct entry *e;
 
 	for (i = 0; i < n; i++) {
 		p = job_progress(j, i);
-		part_name(name, sizeof(name), j, i);
+		progress_name(name, sizeof(name), j, i);
 		e = add_entry(k, PROGRESS_PREFIX, name,
 		    cc__job_progress__get_packed_size(p));
 		cc__job_progress__pack(p, e->value);
 		job_progress_free(p);
 	}
-	for (i = n; i < j->stored_parts; i++) {
-		part_name(name, sizeof(name), j, i);
+	for (i = n; i < j->stored_rows; i++) {
+		progress_name(name, sizeof(name), j, i);
 		add_remove(k, PROGRESS_PREFIX, name);
 	}
-	if (j->stored_parts < n)
-		j->stored_parts = n;
+	if (j->stored_rows < n)
+		j->stored_rows = n;
 }
 
 /** Entries that the job may need. */
 static uint32_t
 entries_of(const struct job *j)
 {
-	uint32_t n = job_progress_parts(j);
+	uint32_t n = job_progress_rows(j);
 
-	return (n > j->stored_parts ? n : j->stored_parts) + 1;
+	return (n > j->stored_rows ? n : j->stored_rows) + 1;
 }
 
 static void
@@ -89,6 +89,9 @@
 		add_remove(k, JOB_PREFIX, j->id);
 	if (j->stored || job_ended(j))
 		add_progress(k, j);
+	j->part = chain_part(k->chain);
+	if (j->change < k->first_change)
+		k->first_change = j->change;
 	k->states[k->njobs] = j->state;
 	k->jobs[k->njobs++] = j;
 	j->in_commit = true;
@@ -161,9 +164,39 @@
 	cc__runners_row__pack(list, e->value);
 }
 
-/* Writes the stale rows of runners; an empty one is removed. */
+static bool
+runners_under_way(const struct cell *c)
+{
+	int i;
+
+	for (i = 0; i < COMMIT_CHAINS; i++)
+		if (c->chains[i].commit != NULL &&
+		    c->chains[i].commit->runner_rows != 0)
+			return true;
+	return false;
+}
+
+/*
+ * Stale rows that may be written. A later leader takes a closed runner to hold
+ * nothing beyond its row, so what has ended there must be stored before.
+ */
+static uint64_t
+rows_ready(const struct cell *c)
+{
+	uint64_t rows = c->stale_rows;
+	const struct runner *r;
+
+	if (rows == 0 || runners_under_way(c))
+		return 0;
+	for (r = c->runners; r != NULL; r = r->hh.next)
+		if (r->taken > r->acked && should_close(c, r))
+			rows &= ~(1ULL << runner_row(r));
+	return rows;
+}
+
+/* Writes these rows of runners; an empty one is removed. */
 static void
-add_runners(struct cell *c, struct commit *k)
+add_runners(struct cell *c, struct commit *k, uint64_t stale)
 {
 	Cc__RunnersRow *rows = xcalloc(RUNNERS_ROWS, sizeof(*rows));
 	struct runner *r;
@@ -173,11 +206,11 @@
 		cc__runners_row__init(&rows[i]);
 	for (r = c->runners; r != NULL; r = r->hh.next) {
 		n = runner_row(r);
-		if (c->stale_rows & 1ULL << n)
+		if (stale & 1ULL << n)
 			add_runner(&rows[n], r, should_close(c, r));
 	}
 	for (i = 0; i < RUNNERS_ROWS; i++) {
-		if (c->stale_rows & 1ULL << i)
+		if (stale & 1ULL << i)
 			add_runners_row(k, i, &rows[i]);
 		while (rows[i].n_runners > 0)
 			cc__runner_row__free_unpacked(
@@ -185,24 +218,30 @@
 		free(rows[i].runners);
 	}
 	free(rows);
-	k->runner_rows = c->stale_rows;
-	c->stale_rows = 0;
+	k->runner_rows = stale;
+	c->stale_rows &= ~stale;
 }
 
 /*
  * A job of the same id may come anew and be written by another chain, so rows
  * are removed only while no other commit is under way.
  */
+static bool
+may_forget(const struct cell *c, const struct job *j, int64_t now)
+{
+	return commit_oldest(c) == NULL && !j->dirty &&
+	    j->stored_state == j->state &&
+	    now - j->ended_ms > c->terms.status_ms;
+}
+
 static void
 add_removes(struct cell *c, struct commit *k, int64_t now)
 {
+	int part = chain_part(k->chain);
 	struct job *j;
 
-	if (commit_oldest(c) != NULL)
-		return;
-	while ((j = TAILQ_FIRST(&c->ended)) != NULL && !j->dirty &&
-	    j->stored_state == j->state &&
-	    now - j->ended_ms > c->terms.status_ms &&
+	while ((j = TAILQ_FIRST(&c->ended)) != NULL && j->part == part &&
+	    may_forget(c, j, now) &&
 	    k->nremoves + k->nwrites + 2 < COMMIT_ENTRIES_MAX) {
 		add_remove(k, PROGRESS_PREFIX, j->id);
 		cell_forget_job(c, j);
@@ -210,51 +249,60 @@
 	}
 }
 
-/*
- * The ends processed so far are acknowledged when this commit, and those under
- * way before it, are done.
- */
+/* The ends processed so far are acknowledged when all changes so far are
+ * stored. */
 static void
-note_acks(struct cell *c, const struct commit *k)
+note_acks(struct cell *c)
 {
 	struct runner *r;
 
-	if (c->ack_seq != 0 || !TAILQ_EMPTY(&c->dirty))
+	if (c->ack_change != 0)
 		return;
 	for (r = c->runners; r != NULL; r = r->hh.next)
 		r->acking = r->taken;
-	c->ack_seq = k->seq;
+	c->ack_change = c->changes;
 }
 
-static bool
-runners_under_way(const struct cell *c)
+/* Parts that new jobs may go to, a bit each. */
+static unsigned
+parts_for_new(const struct cell *c)
 {
-	int i;
+	return commit_spreads(c) ? ALL_PARTS : 1u << PART_FIRST;
+}
 
-	for (i = 0; i < COMMIT_CHAINS; i++)
-		if (c->chains[i].commit != NULL &&
-		    c->chains[i].commit->runner_rows != 0)
-			return true;
-	return false;
+static unsigned
+parts_of(const struct job *j, unsigned for_new)
+{
+	return j->part != PART_NONE ? 1u << j->part : for_new;
 }
 
-bool
+unsigned
 commit_wanted(const struct cell *c)
 {
-	const struct job *j;
-
-	if (c->stale_rows != 0 && !runners_under_way(c))
-		return true;
-	TAILQ_FOREACH (j, &c->dirty, dirty_link)
+	const struct job *j = TAILQ_FIRST(&c->ended);
+	unsigned for_new = parts_for_new(c), parts = 0;
+
+	if (rows_ready(c) != 0)
+		parts |= 1u << PART_FIRST;
+	/* The first part has commits enough to forget jobs with. */
+	if (j != NULL && j->part > PART_FIRST &&
+	    may_forget(c, j, c->ports.now()))
+		parts |= 1u << j->part;
+	TAILQ_FOREACH (j, &c->dirty, dirty_link) {
+		if (parts == ALL_PARTS)
+			break;
 		if (!j->in_commit)
-			return true;
-	return false;
+			parts |= parts_of(j, for_new);
+	}
+	return parts;
 }
 
 /* A job is in one commit at a time, so that its rows are written in order. */
 static void
 add_jobs(struct cell *c, struct commit *k)
 {
+	unsigned part = 1u << chain_part(k->chain);
+	unsigned for_new = parts_for_new(c);
 	struct job *j, *next;
 
 	for (j = TAILQ_FIRST(&c->dirty); j != NULL; j = next) {
@@ -263,7 +311,7 @@
 			COMMIT_ENTRIES_MAX ||
 		    k->bytes >= COMMIT_BYTES_MAX || k->njobs >= c->commit_jobs)
 			return;
-		if (!j->in_commit)
+		if (!j->in_commit && (parts_of(j, for_new) & part) != 0)
 			add_job(k, j);
 	}
 }
@@ -272,23 +320,24 @@
 commit_build(struct cell *c, int chain, int64_t now)
 {
 	struct commit *k = xcalloc(1, sizeof(*k));
+	uint64_t rows = chain_part(chain) == PART_FIRST ? rows_ready(c) : 0;
 
 	k->cell = c;
-	k->fence = c->fence;
 	k->seq = ++c->commit_seq;
 	k->chain = chain;
 	k->base_version = c->chains[chain].version;
+	k->first_change = UINT64_MAX;
 	k->first_ms = now;
 	k->jobs = xcalloc(COMMIT_ENTRIES_MAX, sizeof(*k->jobs));
 	k->states = xcalloc(COMMIT_ENTRIES_MAX, sizeof(*k->states));
-	if (c->stale_rows != 0 && !runners_under_way(c))
-		add_runners(c, k);
+	if (rows != 0)
+		add_runners(c, k, rows);
 	/* After a refused commit each kind goes alone, so that the one at fault
 	 * is found. */
 	if (k->runner_rows == 0 || c->commit_jobs == COMMIT_JOBS_MAX)
 		add_jobs(c, k);
 	add_removes(c, k, now);
-	note_acks(c, k);
+	note_acks(c);
 	return k;
 }
 
--- a/src/cell/commit_send.c
+++ b/src/cell/commit_send.c
@@ -12,7 +12,6 @@
 /** Weight of the newest answer in the usual time of one, if slower, if not. */
 #define SLOWER_WEIGHT 0.5
 #define FASTER_WEIGHT 0.2
-#define CHAIN_KEY_LEN 16
 
 /** One sending of a commit, which may be over when the answer comes. */
 struct attempt {
@@ -68,15 +67,32 @@
 	}
 }
 
+/* Whether all changes up to this one are stored. */
+static bool
+changes_stored(const struct cell *c, uint64_t change)
+{
+	const struct job *j = TAILQ_FIRST(&c->dirty);
+	const struct commit *k;
+	int i;
+
+	if (j != NULL && j->change <= change)
+		return false;
+	for (i = 0; i < COMMIT_CHAINS; i++) {
+		k = c->chains[i].commit;
+		if (k != NULL && k->first_change <= change)
+			return false;
+	}
+	return true;
+}
+
 static void
 acks_committed(struct cell *c)
 {
-	const struct commit *oldest = commit_oldest(c);
 	struct runner *r;
 
-	if (c->ack_seq == 0 || (oldest != NULL && oldest->seq <= c->ack_seq))
+	if (c->ack_change == 0 || !changes_stored(c, c->ack_change))
 		return;
-	c->ack_seq = 0;
+	c->ack_change = 0;
 	for (r = c->runners; r != NULL; r = r->hh.next)
 		if (r->acking > r->acked)
 			r->acked = r->acking;
@@ -92,7 +108,8 @@
 	if (version > c->store_version)
 		c->store_version = version;
 	c->committed_ms = c->ports.now();
-	if (k->sent_ms > c->renewed_ms)
+	/* Only the first part's depend on the leader's row. */
+	if (chain_part(k->chain) == PART_FIRST && k->sent_ms > c->renewed_ms)
 		c->renewed_ms = k->sent_ms;
 	if (c->store_down_ms != 0)
 		kvlog(KVLOG_INFO, "store_back", "down_ms=%lld",
@@ -111,24 +128,6 @@
 	c->ports.wake(c->ports.arg);
 }
 
-static const char *
-chain_key(int chain, char key[CHAIN_KEY_LEN])
-{
-	if (chain == 0)
-		return COMMIT_KEY;
-	snprintf(key, CHAIN_KEY_LEN, COMMIT_KEY "%d", chain);
-	return key;
-}
-
-void
-cell_chain_row(struct cell *c, const struct row *row)
-{
-	int chain = atoi(row->key + strlen(COMMIT_KEY));
-
-	if (chain > 0 && chain < COMMIT_CHAINS)
-		c->chains[chain].version = row->version;
-}
-
 static const struct row *
 find_row(const struct store_result *r, const char *key)
 {
@@ -163,18 +162,20 @@
 {
 	char key[CHAIN_KEY_LEN];
 	const struct row *commit = find_row(r, chain_key(k->chain, key));
-	const struct row *leader = find_row(r, LEADER_KEY);
+	struct row wanted = part_guard(c, chain_part(k->chain));
+	const struct row *guard = find_row(r, wanted.key);
+	uint64_t version = guard != NULL ? guard->version : 0;
 
 	if (shows_commit(k, commit)) {
 		commit_done(c, k, commit->version);
-		if (leader != NULL && leader->version != c->fence)
+		if (guard != NULL && version != wanted.version)
 			c->ports.deposed(c->ports.arg);
 		return;
 	}
 	kvlog(KVLOG_WARN, "deposed",
-	    "fence=%llu leader_version=%llu why=commit",
-	    (unsigned long long)c->fence,
-	    (unsigned long long)(leader != NULL ? leader->version : 0));
+	    "fence=%llu part=%s guard=%llu seen=%llu why=commit",
+	    (unsigned long long)c->fence, part_name(chain_part(k->chain)),
+	    (unsigned long long)wanted.version, (unsigned long long)version);
 	c->ports.deposed(c->ports.arg);
 }
 
@@ -228,7 +229,7 @@
 
 	for (r = c->runners; r != NULL; r = r->hh.next)
 		r->acking = r->acked;
-	c->ack_seq = 0;
+	c->ack_change = 0;
 	c->chains[k->chain].commit = NULL;
 	c->stale_rows |= k->runner_rows;
 }
@@ -306,8 +307,8 @@
 	}
 	k->retry_ms = now + COMMIT_RETRY_MS;
 	if (!k->maybe_done && cell_store_down(c)) {
+		c->commit_ms = c->parts[chain_part(k->chain)].commit_ms = now;
 		commit_undo(c, k);
-		c->commit_ms = now;
 	}
 }
 
@@ -325,14 +326,15 @@
 	struct attempt a = *(struct attempt *)arg;
 	struct cell *c = a.cell;
 	struct commit *k = c->chains[a.chain].commit;
+	struct part *p = &c->parts[chain_part(a.chain)];
 
 	free(arg);
 	if (c->fence != a.fence || k == NULL || k->seq != a.seq)
 		return;
 	k->under_way--;
 	if ((r->err == CC_OK || r->err == CC_ECONFLICT) &&
-	    a.sent_ms > c->answered_sent_ms)
-		c->answered_sent_ms = a.sent_ms;
+	    a.sent_ms > p->answered_sent_ms)
+		p->answered_sent_ms = a.sent_ms;
 	if (r->err == CC_OK) {
 		note_answer(c, (double)(c->ports.now() - a.sent_ms));
 		commit_done(c, k, r->version);
@@ -377,13 +379,14 @@
 {
 	char key[CHAIN_KEY_LEN];
 	const char *row_key = chain_key(k->chain, key);
+	int part = chain_part(k->chain);
 	struct row conds[2] = {
-	    {.table = MEMBER_TABLE, .key = LEADER_KEY, .version = k->fence},
+	    part_guard(c, part),
 	    {.table = CELL_TABLE, .key = row_key, .version = k->base_version},
 	};
 	struct row writes[COMMIT_ENTRIES_MAX + 1] = {0};
 	struct row removes[COMMIT_ENTRIES_MAX] = {0};
-	struct store_txn t = {.part = CELL_PART,
+	struct store_txn t = {.part = part_name(part),
 	    .conditions = conds,
 	    .nconditions = 2,
 	    .writes = writes,
--- a/src/cell/load.c
+++ b/src/cell/load.c
@@ -1,4 +1,11 @@
-/* A new leader reads jobs, their progress and the runners from the store. */
+/*
+ * A new leader reads the parts beside each other. The first is its own since
+ * its claim. Any other is taken by a write of its guard, conditional on that
+ * and on the chains as they were when the read began: done, it shows that the
+ * read missed nothing, and that the leader before writes there no more.
+ */
+#include "load.h"
+
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -6,243 +13,262 @@
 #include "../base/err.h"
 #include "../base/kvlog.h"
 #include "../base/xalloc.h"
-#include "parts.h"
 
 #define PAGE_ROWS 500
+#define TAKE_TIMEOUT_MS 1000
 
-struct load {
-	struct cell *cell;
-	uint64_t fence;
-	char from[128];
-};
+static void read_page(struct part_load *p);
 
-static void load_page(struct load *l);
+static bool
+all_done(const struct load *l)
+{
+	int i;
+
+	for (i = 0; i < CELL_PARTS; i++)
+		if (!l->parts[i].done)
+			return false;
+	return true;
+}
 
 static void
-load_job(struct cell *c, const char *id, const struct row *row)
+part_done(struct part_load *p)
 {
-	Cc__JobRow *jr = cc__job_row__unpack(NULL, row->len, row->value);
-	struct job *j;
-	const char *why;
+	struct load *l = p->load;
+	struct cell *c = l->cell;
 
-	if (jr == NULL || job_check(jr, &why) != CC_OK) {
-		kvlog(KVLOG_ERROR, "row_unreadable", "key=%s", row->key);
-		if (jr != NULL)
-			cc__job_row__free_unpacked(jr, NULL);
+	p->done = true;
+	if (!all_done(l))
 		return;
-	}
-	j = job_new(id, jr);
-	j->stored = true;
-	j->inherited = true;
-	j->accepted_ms =
-	    c->ports.now() - (c->ports.wall_now() - jr->accepted_wall_ms);
-	if (j->accepted_ms > c->ports.now())
-		j->accepted_ms = c->ports.now();
-	HASH_ADD_STR(c->loading, id, j);
+	load_apply(l);
+	c->load = NULL;
+	load_free(l);
+	c->phase = CELL_SERVING;
+	c->committed_ms = c->ports.now();
+	kvlog(KVLOG_INFO, "leading",
+	    "fence=%llu generation=%u jobs=%u runners=%u load_ms=%lld",
+	    (unsigned long long)c->fence, c->generation, HASH_COUNT(c->jobs),
+	    HASH_COUNT(c->runners), (long long)(c->ports.now() - c->led_ms));
+	cell_check_blind(c);
+	c->ports.wake(c->ports.arg);
 }
 
-/* Of a job that has ended only its outcome is kept. */
-static struct job *
-ended_job(struct cell *c, const char *id, const Cc__JobProgress *p)
+static void
+part_stalled(struct part_load *p, const char *what, int err)
 {
-	Cc__JobRow *jr = xcalloc(1, sizeof(*jr));
-	struct job *j;
+	kvlog(KVLOG_WARN, "load_retry", "part=%s call=%s why=%s",
+	    part_name(p->part), what, cc_strerror(err));
+	p->stalled = true;
+}
 
-	cc__job_row__init(jr);
-	jr->queue = xstrdup(p->queue);
-	jr->spec = xstrdup("");
-	j = job_new(id, jr);
-	j->stored = true;
-	j->inherited = true;
-	HASH_ADD_STR(c->loading, id, j);
-	return j;
+/* @return whether the load is still wanted. */
+static bool
+call_over(struct load *l)
+{
+	l->ncalls--;
+	if (l->cell != NULL)
+		return true;
+	if (l->ncalls == 0)
+		load_free(l);
+	return false;
 }
 
-static void
-load_progress(struct cell *c, const char *name, const struct row *row)
+/* Whether a leader with a newer claim has the part. */
+static bool
+guarded_by_newer(const struct cell *c, const struct row *row)
 {
-	Cc__JobProgress *p =
-	    cc__job_progress__unpack(NULL, row->len, row->value);
-	const char *slash = strchr(name, '/');
-	char id[JOB_ID_LEN];
-	uint32_t part;
-	struct job *j;
+	Cc__GuardRow *g = cc__guard_row__unpack(NULL, row->len, row->value);
+	bool newer = g != NULL && g->fence > c->fence;
 
-	if (p == NULL) {
+	if (g == NULL)
 		kvlog(KVLOG_ERROR, "row_unreadable", "key=%s", row->key);
-		return;
-	}
-	part = slash != NULL ? (uint32_t)strtoul(slash + 1, NULL, 10) : 0;
-	str_copy(id, name,
-	    slash != NULL && (size_t)(slash - name) < sizeof(id)
-		? (size_t)(slash - name) + 1
-		: sizeof(id));
-	HASH_FIND_STR(c->loading, id, j);
-	if (j == NULL && p->state >= JOB_COMPLETED)
-		j = ended_job(c, id, p);
-	if (j == NULL) {
-		kvlog(KVLOG_ERROR, "row_without_job", "key=%s", row->key);
-	} else {
-		job_load_progress(j, p, part);
-		if (job_ended(j))
-			j->ended_ms = c->ports.now();
-	}
-	job_progress_free(p);
+	else
+		cc__guard_row__free_unpacked(g, NULL);
+	return newer;
 }
 
-/* A run that a closed runner may hold keeps its task from a new start. */
 static void
-bind_ref(struct cell *c, struct runner *r, const Cc__RunRef *ref)
-{
-	struct task_ref name;
-	struct job *j = NULL;
-	struct task *t = NULL;
-	struct run *run;
-
-	if (task_ref_parse(&name, ref->task))
-		HASH_FIND_STR(c->loading, name.id, j);
-	if (j != NULL && !job_ended(j))
-		t = job_task(j, &name);
-	if (t == NULL || t->done || t->run != NULL)
-		return;
-	run = run_new(r, t, ref->task, ref->run);
-	run->state = RUN_RUNNING;
-	run->ordered_ms = run->confirmed_ms = c->ports.now();
-	t->run = run;
-	t->step->nheld++;
-	if (ref->run > t->last_run)
-		t->last_run = ref->run;
-	j->started |= ref->begun;
-}
+read_again(struct part_load *p)
+{
+	struct cell *c = p->load->cell;
+	int i;
 
-static void
-load_runner(struct cell *c, const Cc__RunnerRow *row)
-{
-	struct runner_info info = {.remaining_ms = -1};
-	struct runner *r;
-	size_t i;
-
-	str_copy(info.id, row->id, sizeof(info.id));
-	str_copy(info.addr, row->addr, sizeof(info.addr));
-	info.port = (uint16_t)row->port;
-	r = runner_new(&info);
-	r->closed = r->known = row->closed;
-	r->recorded = !row->closed;
-	r->fence = c->fence;
-	r->missing_ms = r->order_sent_ms = c->ports.now();
-	HASH_ADD_STR(c->runners, info.id, r);
-	c->runners_version++;
-	cell_attend(c, r);
-	for (i = 0; i < row->n_runs; i++)
-		bind_ref(c, r, row->runs[i]);
+	load_forget(p);
+	for (i = 0; i < PART_CHAINS; i++)
+		c->chains[part_chain(p->part, i)].version = 0;
+	str_copy(p->from, "", sizeof(p->from));
+	p->guard = 0;
+	read_page(p);
 }
 
 static void
-load_runners(struct cell *c, const struct row *row)
+on_taken(const struct store_result *r, void *arg)
 {
-	Cc__RunnersRow *list =
-	    cc__runners_row__unpack(NULL, row->len, row->value);
-	size_t i;
+	struct part_load *p = arg;
+	struct cell *c = p->load->cell;
 
-	if (list == NULL) {
-		kvlog(KVLOG_ERROR, "row_unreadable", "key=%s", row->key);
+	if (!call_over(p->load))
 		return;
+	if (r->err == CC_OK) {
+		c->parts[p->part].guard = r->version;
+		part_done(p);
+	} else if (r->err == CC_ECONFLICT) {
+		read_again(p);
+	} else {
+		part_stalled(p, "take", r->err);
 	}
-	for (i = 0; i < list->n_runners; i++)
-		load_runner(c, list->runners[i]);
-	cc__runners_row__free_unpacked(list, NULL);
 }
 
 static void
-load_row(struct cell *c, const struct row *row)
+take(struct part_load *p)
 {
-	if (strncmp(row->key, JOB_PREFIX, strlen(JOB_PREFIX)) == 0)
-		load_job(c, row->key + strlen(JOB_PREFIX), row);
-	else if (strncmp(row->key, PROGRESS_PREFIX, strlen(PROGRESS_PREFIX)) ==
-	    0)
-		load_progress(c, row->key + strlen(PROGRESS_PREFIX), row);
-	else if (strncmp(row->key, RUNNERS_PREFIX, strlen(RUNNERS_PREFIX)) == 0)
-		load_runners(c, row);
-	else if (strncmp(row->key, COMMIT_KEY, strlen(COMMIT_KEY)) == 0)
-		cell_chain_row(c, row);
+	struct cell *c = p->load->cell;
+	Cc__GuardRow g = CC__GUARD_ROW__INIT;
+	uint8_t buf[128];
+	char keys[PART_CHAINS][CHAIN_KEY_LEN];
+	struct row conds[PART_CHAINS + 1];
+	struct row row = {.table = CELL_TABLE, .key = GUARD_KEY, .value = buf};
+	struct store_txn t = {.part = part_name(p->part),
+	    .conditions = conds,
+	    .nconditions = PART_CHAINS + 1,
+	    .writes = &row,
+	    .nwrites = 1};
+	int i, chain;
+
+	for (i = 0; i < PART_CHAINS; i++) {
+		chain = part_chain(p->part, i);
+		conds[i] = (struct row){.table = CELL_TABLE,
+		    .key = chain_key(chain, keys[i]),
+		    .version = c->chains[chain].version};
+	}
+	conds[i] = (struct row){
+	    .table = CELL_TABLE, .key = GUARD_KEY, .version = p->guard};
+	g.incarnation = c->incarnation;
+	g.fence = c->fence;
+	row.len = cc__guard_row__pack(&g, buf);
+	p->load->ncalls++;
+	c->ports.store->ops->txn(
+	    c->ports.store, &t, TAKE_TIMEOUT_MS, on_taken, p);
 }
 
 static void
-loaded(struct cell *c)
+part_read(struct part_load *p)
+{
+	if (p->part == PART_FIRST)
+		part_done(p);
+	else
+		take(p);
+}
+
+/* @return false when a leader with a newer claim has the part. */
+static bool
+take_row(struct part_load *p, const struct row *row)
 {
-	struct job *j, *tmp;
+	struct cell *c = p->load->cell;
+	int chain = chain_of_key(p->part, row->key);
 
-	HASH_ITER(hh, c->loading, j, tmp)
-	{
-		HASH_DEL(c->loading, j);
-		cell_add_job(c, j);
+	if (strcmp(row->key, GUARD_KEY) == 0) {
+		p->guard = row->version;
+		return !guarded_by_newer(c, row);
 	}
-	c->phase = CELL_SERVING;
-	c->committed_ms = c->ports.now();
-	kvlog(KVLOG_INFO, "leading",
-	    "fence=%llu generation=%u jobs=%u runners=%u load_ms=%lld",
-	    (unsigned long long)c->fence, c->generation, HASH_COUNT(c->jobs),
-	    HASH_COUNT(c->runners), (long long)(c->ports.now() - c->led_ms));
-	cell_check_blind(c);
-	c->ports.wake(c->ports.arg);
+	if (chain < 0)
+		load_row(p, row);
+	else if (chain != part_chain(PART_FIRST, 0)) /* that is the claim's */
+		c->chains[chain].version = row->version;
+	return true;
+}
+
+/* @return false when the lead was lost. */
+static bool
+take_rows(struct part_load *p, const struct store_result *r)
+{
+	struct cell *c = p->load->cell;
+	int i;
+
+	for (i = 0; i < r->nrows; i++) {
+		if (take_row(p, &r->rows[i]))
+			continue;
+		kvlog(KVLOG_WARN, "deposed", "fence=%llu why=guard part=%s",
+		    (unsigned long long)c->fence, part_name(p->part));
+		c->ports.deposed(c->ports.arg);
+		return false;
+	}
+	return true;
 }
 
 static void
 on_page(const struct store_result *r, void *arg)
 {
-	struct load *l = arg;
-	struct cell *c = l->cell;
-	int i;
+	struct part_load *p = arg;
 
-	if (c->phase != CELL_LOADING || c->fence != l->fence) {
-		free(l);
+	if (!call_over(p->load))
 		return;
-	}
 	if (r->err != CC_OK) {
-		kvlog(KVLOG_WARN, "load_retry", "why=%s", cc_strerror(r->err));
-		c->load_stalled = l;
+		part_stalled(p, "read", r->err);
 		return;
 	}
-	for (i = 0; i < r->nrows; i++)
-		load_row(c, &r->rows[i]);
-	if (r->has_more && r->nrows > 0) {
-		snprintf(
-		    l->from, sizeof(l->from), "%s!", r->rows[r->nrows - 1].key);
-		load_page(l);
+	if (!take_rows(p, r))
+		return;
+	if (!r->has_more || r->nrows == 0) {
+		part_read(p);
 		return;
 	}
-	free(l);
-	loaded(c);
+	snprintf(p->from, sizeof(p->from), "%s!", r->rows[r->nrows - 1].key);
+	read_page(p);
 }
 
 static void
-load_page(struct load *l)
+read_page(struct part_load *p)
 {
-	struct store *s = l->cell->ports.store;
+	struct store *s = p->load->cell->ports.store;
 
-	s->ops->list(s, CELL_TABLE, CELL_PART, l->from, PAGE_ROWS, on_page, l);
+	p->load->ncalls++;
+	s->ops->list(
+	    s, CELL_TABLE, part_name(p->part), p->from, PAGE_ROWS, on_page, p);
 }
 
 void
 cell_load(struct cell *c)
 {
 	struct load *l = xcalloc(1, sizeof(*l));
+	int i;
 
 	l->cell = c;
-	l->fence = c->fence;
-	load_page(l);
+	c->load = l;
+	for (i = 0; i < CELL_PARTS; i++) {
+		l->parts[i].load = l;
+		l->parts[i].part = i;
+		read_page(&l->parts[i]);
+	}
 }
 
 void
 cell_load_retry(struct cell *c)
 {
-	struct load *l = c->load_stalled;
+	struct part_load *p;
+	int i;
+
+	for (i = 0; i < CELL_PARTS && c->load != NULL; i++) {
+		p = &c->load->parts[i];
+		if (!p->stalled)
+			continue;
+		p->stalled = false;
+		/* A write without an answer may have been done. */
+		if (p->part == PART_FIRST)
+			read_page(p);
+		else
+			read_again(p);
+	}
+}
 
-	c->load_stalled = NULL;
+void
+cell_load_drop(struct cell *c)
+{
+	struct load *l = c->load;
+
+	c->load = NULL;
 	if (l == NULL)
 		return;
-	if (c->phase == CELL_LOADING && c->fence == l->fence)
-		load_page(l);
-	else
-		free(l);
+	l->cell = NULL;
+	if (l->ncalls == 0)
+		load_free(l);
 }
--- /dev/null
+++ b/src/cell/load_rows.c
@@ -0,0 +1,218 @@
+/* What the rows of the store say of jobs, their progress and the runners. */
+#include <stdlib.h>
+#include <string.h>
+
+#include "../base/err.h"
+#include "../base/kvlog.h"
+#include "../base/xalloc.h"
+#include "load.h"
+
+static struct job *
+add_stored(struct part_load *p, const char *id, Cc__JobRow *jr)
+{
+	struct job *j = job_new(id, jr);
+
+	j->stored = true;
+	j->inherited = true;
+	j->part = p->part;
+	HASH_ADD_STR(p->load->cell->loading, id, j);
+	return j;
+}
+
+static bool
+is_loading(const struct cell *c, const char *id)
+{
+	const struct job *j;
+
+	HASH_FIND_STR(c->loading, id, j);
+	return j != NULL;
+}
+
+static void
+load_job(struct part_load *p, const char *id, const struct row *row)
+{
+	Cc__JobRow *jr = cc__job_row__unpack(NULL, row->len, row->value);
+	struct cell *c = p->load->cell;
+	struct job *j;
+	const char *why;
+
+	if (jr == NULL || job_check(jr, &why) != CC_OK) {
+		kvlog(KVLOG_ERROR, "row_unreadable", "key=%s", row->key);
+		if (jr != NULL)
+			cc__job_row__free_unpacked(jr, NULL);
+		return;
+	}
+	if (is_loading(c, id)) {
+		kvlog(KVLOG_ERROR, "job_in_two_parts", "id=%s part=%s", id,
+		    part_name(p->part));
+		cc__job_row__free_unpacked(jr, NULL);
+		return;
+	}
+	j = add_stored(p, id, jr);
+	j->accepted_ms =
+	    c->ports.now() - (c->ports.wall_now() - jr->accepted_wall_ms);
+	if (j->accepted_ms > c->ports.now())
+		j->accepted_ms = c->ports.now();
+}
+
+/* Of a job that has ended only its outcome is kept. */
+static struct job *
+ended_job(struct part_load *p, const char *id, const Cc__JobProgress *progress)
+{
+	Cc__JobRow *jr = xcalloc(1, sizeof(*jr));
+
+	cc__job_row__init(jr);
+	jr->queue = xstrdup(progress->queue);
+	jr->spec = xstrdup("");
+	return add_stored(p, id, jr);
+}
+
+static void
+load_progress(struct part_load *p, const char *name, const struct row *row)
+{
+	Cc__JobProgress *progress =
+	    cc__job_progress__unpack(NULL, row->len, row->value);
+	const char *slash = strchr(name, '/');
+	struct cell *c = p->load->cell;
+	char id[JOB_ID_LEN];
+	uint32_t number;
+	struct job *j;
+
+	if (progress == NULL) {
+		kvlog(KVLOG_ERROR, "row_unreadable", "key=%s", row->key);
+		return;
+	}
+	number = slash != NULL ? (uint32_t)strtoul(slash + 1, NULL, 10) : 0;
+	str_copy(id, name,
+	    slash != NULL && (size_t)(slash - name) < sizeof(id)
+		? (size_t)(slash - name) + 1
+		: sizeof(id));
+	HASH_FIND_STR(c->loading, id, j);
+	if (j == NULL && progress->state >= JOB_COMPLETED)
+		j = ended_job(p, id, progress);
+	if (j == NULL || j->part != p->part) {
+		kvlog(KVLOG_ERROR, "row_without_job", "part=%s key=%s",
+		    part_name(p->part), row->key);
+	} else {
+		job_load_progress(j, progress, number);
+		if (job_ended(j))
+			j->ended_ms = c->ports.now();
+	}
+	job_progress_free(progress);
+}
+
+/* A run that a closed runner may hold keeps its task from a new start. */
+static void
+bind_ref(struct cell *c, struct runner *r, const Cc__RunRef *ref)
+{
+	struct task_ref name;
+	struct job *j = NULL;
+	struct task *t = NULL;
+	struct run *run;
+
+	if (task_ref_parse(&name, ref->task))
+		HASH_FIND_STR(c->loading, name.id, j);
+	if (j != NULL && !job_ended(j))
+		t = job_task(j, &name);
+	if (t == NULL || t->done || t->run != NULL)
+		return;
+	run = run_new(r, t, ref->task, ref->run);
+	run->state = RUN_RUNNING;
+	run->ordered_ms = run->confirmed_ms = c->ports.now();
+	t->run = run;
+	t->step->nheld++;
+	if (ref->run > t->last_run)
+		t->last_run = ref->run;
+	j->started |= ref->begun;
+}
+
+static void
+load_runner(struct cell *c, const Cc__RunnerRow *row)
+{
+	struct runner_info info = {.remaining_ms = -1};
+	struct runner *r;
+	size_t i;
+
+	str_copy(info.id, row->id, sizeof(info.id));
+	str_copy(info.addr, row->addr, sizeof(info.addr));
+	info.port = (uint16_t)row->port;
+	r = runner_new(&info);
+	r->closed = r->known = row->closed;
+	r->recorded = !row->closed;
+	r->fence = c->fence;
+	r->missing_ms = r->order_sent_ms = c->ports.now();
+	HASH_ADD_STR(c->runners, info.id, r);
+	c->runners_version++;
+	cell_attend(c, r);
+	for (i = 0; i < row->n_runs; i++)
+		bind_ref(c, r, row->runs[i]);
+}
+
+static void
+keep_runners(struct load *l, const struct row *row)
+{
+	Cc__RunnersRow *list =
+	    cc__runners_row__unpack(NULL, row->len, row->value);
+
+	if (list == NULL) {
+		kvlog(KVLOG_ERROR, "row_unreadable", "key=%s", row->key);
+		return;
+	}
+	l->runners = xrealloc(
+	    l->runners, (size_t)(l->nrunners + 1) * sizeof(*l->runners));
+	l->runners[l->nrunners++] = list;
+}
+
+void
+load_row(struct part_load *p, const struct row *row)
+{
+	if (strncmp(row->key, JOB_PREFIX, strlen(JOB_PREFIX)) == 0)
+		load_job(p, row->key + strlen(JOB_PREFIX), row);
+	else if (strncmp(row->key, PROGRESS_PREFIX, strlen(PROGRESS_PREFIX)) ==
+	    0)
+		load_progress(p, row->key + strlen(PROGRESS_PREFIX), row);
+	else if (strncmp(row->key, RUNNERS_PREFIX, strlen(RUNNERS_PREFIX)) == 0)
+		keep_runners(p->load, row);
+}
+
+void
+load_forget(struct part_load *p)
+{
+	struct cell *c = p->load->cell;
+	struct job *j, *tmp;
+
+	HASH_ITER(hh, c->loading, j, tmp)
+	{
+		if (j->part != p->part)
+			continue;
+		HASH_DEL(c->loading, j);
+		job_delete(j);
+	}
+}
+
+void
+load_apply(struct load *l)
+{
+	struct cell *c = l->cell;
+	struct job *j, *tmp;
+	size_t k;
+	int i;
+
+	for (i = 0; i < l->nrunners; i++)
+		for (k = 0; k < l->runners[i]->n_runners; k++)
+			load_runner(c, l->runners[i]->runners[k]);
+	HASH_ITER(hh, c->loading, j, tmp)
+	{
+		HASH_DEL(c->loading, j);
+		cell_add_job(c, j);
+	}
+}
+
+void
+load_free(struct load *l)
+{
+	while (l->nrunners > 0)
+		cc__runners_row__free_unpacked(l->runners[--l->nrunners], NULL);
+	free(l->runners);
+	free(l);
+}
--- a/src/cell/parts.h
+++ b/src/cell/parts.h
@@ -11,8 +11,6 @@
 /** Sends the next commit when one is due and none is under way. */
 void cell_commit(struct cell *c);
 void cell_commit_drop(struct cell *c);
-/** A chain's row, as a leader before left it. */
-void cell_chain_row(struct cell *c, const struct row *row);
 /** Whether the store has failed for long enough to refuse new work. */
 bool cell_store_down(const struct cell *c);
 /** Answers and frees every waiter of a job. */
@@ -25,6 +23,8 @@
 void cell_load(struct cell *c);
 /** Repeats a read that failed. */
 void cell_load_retry(struct cell *c);
+/** The lead is over; a read under way ends without effect. */
+void cell_load_drop(struct cell *c);
 
 /* jobs.c */
 struct job *cell_job(struct cell *c, const char *id);
--- a/src/cell/runners.c
+++ b/src/cell/runners.c
@@ -63,8 +63,8 @@
 runner_gone(const struct cell *c, const struct runner *r, int64_t now)
 {
 	return !r->listed && r->nruns == 0 && !r->holding &&
-	    r->missing_ms != 0 && now - r->missing_ms > FORGET_MS &&
-	    (!c->blind || r->adopted) &&
+	    r->taken <= r->acked && r->missing_ms != 0 &&
+	    now - r->missing_ms > FORGET_MS && (!c->blind || r->adopted) &&
 	    (r->adopted || !r->recorded || now - c->led_ms > FORGET_MS);
 }
 
--- a/src/protocol/peer.pb-c.c
+++ b/src/protocol/peer.pb-c.c
@@ -2032,6 +2032,51 @@
   assert(message->base.descriptor == &cc__commit_row__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   cc__guard_row__init
+                     (Cc__GuardRow         *message)
+{
+  static const Cc__GuardRow init_value = CC__GUARD_ROW__INIT;
+  *message = init_value;
+}
+size_t cc__guard_row__get_packed_size
+                     (const Cc__GuardRow *message)
+{
+  assert(message->base.descriptor == &cc__guard_row__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t cc__guard_row__pack
+                     (const Cc__GuardRow *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &cc__guard_row__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t cc__guard_row__pack_to_buffer
+                     (const Cc__GuardRow *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &cc__guard_row__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Cc__GuardRow *
+       cc__guard_row__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Cc__GuardRow *)
+     protobuf_c_message_unpack (&cc__guard_row__descriptor,
+                                allocator, len, data);
+}
+void   cc__guard_row__free_unpacked
+                     (Cc__GuardRow *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &cc__guard_row__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   cc__member_row__init
                      (Cc__MemberRow         *message)
 {
@@ -6550,6 +6595,57 @@
   (ProtobufCMessageInit) cc__commit_row__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor cc__guard_row__field_descriptors[2] =
+{
+  {
+    "fence",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Cc__GuardRow, fence),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "incarnation",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Cc__GuardRow, incarnation),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned cc__guard_row__field_indices_by_name[] = {
+  0,   /* field[0] = fence */
+  1,   /* field[1] = incarnation */
+};
+static const ProtobufCIntRange cc__guard_row__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor cc__guard_row__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "cc.GuardRow",
+  "GuardRow",
+  "Cc__GuardRow",
+  "cc",
+  sizeof(Cc__GuardRow),
+  2,
+  cc__guard_row__field_descriptors,
+  cc__guard_row__field_indices_by_name,
+  1,  cc__guard_row__number_ranges,
+  (ProtobufCMessageInit) cc__guard_row__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor cc__member_row__field_descriptors[7] =
 {
   {
--- a/src/protocol/peer.pb-c.h
+++ b/src/protocol/peer.pb-c.h
@@ -60,6 +60,7 @@
 typedef struct Cc__RunnersRow Cc__RunnersRow;
 typedef struct Cc__LeaderRow Cc__LeaderRow;
 typedef struct Cc__CommitRow Cc__CommitRow;
+typedef struct Cc__GuardRow Cc__GuardRow;
 typedef struct Cc__MemberRow Cc__MemberRow;
 typedef struct Cc__CellCall Cc__CellCall;
 typedef struct Cc__CellReply Cc__CellReply;
@@ -839,6 +840,23 @@
     , 0, (char *)protobuf_c_empty_string }
 
 
+/*
+ * Who writes to a part of the store, other than the first.
+ */
+struct  Cc__GuardRow
+{
+  ProtobufCMessage base;
+  /*
+   * of the leader
+   */
+  uint64_t fence;
+  char *incarnation;
+};
+#define CC__GUARD_ROW__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&cc__guard_row__descriptor) \
+    , 0, (char *)protobuf_c_empty_string }
+
+
 struct  Cc__MemberRow
 {
   ProtobufCMessage base;
@@ -1965,6 +1983,25 @@
 void   cc__commit_row__free_unpacked
                      (Cc__CommitRow *message,
                       ProtobufCAllocator *allocator);
+/* Cc__GuardRow methods */
+void   cc__guard_row__init
+                     (Cc__GuardRow         *message);
+size_t cc__guard_row__get_packed_size
+                     (const Cc__GuardRow   *message);
+size_t cc__guard_row__pack
+                     (const Cc__GuardRow   *message,
+                      uint8_t             *out);
+size_t cc__guard_row__pack_to_buffer
+                     (const Cc__GuardRow   *message,
+                      ProtobufCBuffer     *buffer);
+Cc__GuardRow *
+       cc__guard_row__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   cc__guard_row__free_unpacked
+                     (Cc__GuardRow *message,
+                      ProtobufCAllocator *allocator);
 /* Cc__MemberRow methods */
 void   cc__member_row__init
                      (Cc__MemberRow         *message);
@@ -2349,6 +2386,9 @@
 typedef void (*Cc__CommitRow_Closure)
                  (const Cc__CommitRow *message,
                   void *closure_data);
+typedef void (*Cc__GuardRow_Closure)
+                 (const Cc__GuardRow *message,
+                  void *closure_data);
 typedef void (*Cc__MemberRow_Closure)
                  (const Cc__MemberRow *message,
                   void *closure_data);
@@ -2439,6 +2479,7 @@
 extern const ProtobufCMessageDescriptor cc__runners_row__descriptor;
 extern const ProtobufCMessageDescriptor cc__leader_row__descriptor;
 extern const ProtobufCMessageDescriptor cc__commit_row__descriptor;
+extern const ProtobufCMessageDescriptor cc__guard_row__descriptor;
 extern const ProtobufCMessageDescriptor cc__member_row__descriptor;
 extern const ProtobufCMessageDescriptor cc__cell_call__descriptor;
 extern const ProtobufCMessageDescriptor cc__cell_reply__descriptor;
--- a/src/state/job.c
+++ b/src/state/job.c
@@ -47,6 +47,7 @@
 
 	str_copy(j->id, id, sizeof(j->id));
 	j->row = row;
+	j->part = PART_NONE;
 	j->chain_ms = job_chain_ms(row);
 	TAILQ_INIT(&j->waiters);
 	return j;
--- a/src/state/job.h
+++ b/src/state/job.h
@@ -18,6 +18,7 @@
 #define JOB_STEPS_MAX 64
 #define JOB_TASKS_MAX 20000
 #define JOB_OCCURRENCES_MAX 1000
+#define PART_NONE (-1)
 
 struct run;
 struct queue;
@@ -83,8 +84,10 @@
 	bool started;		     /**< a task has begun, now or earlier */
 	bool inherited;		     /**< accepted under an earlier leader */
 	bool dirty;		     /**< its progress is to be written */
-	uint32_t stored_parts;	     /**< rows of progress in the store */
-	bool in_commit;		     /**< a commit under way carries it */
+	uint64_t change;      /**< number of the change that made it dirty */
+	uint32_t stored_rows; /**< rows of progress in the store */
+	bool in_commit;	      /**< a commit under way carries it */
+	int part; /**< of the store, with its rows; PART_NONE: it has none */
 	int64_t accepted_ms;
 	int64_t ended_ms;
 	int64_t due_ms;	  /**< latency objective, absolute */
@@ -150,12 +153,13 @@
 struct task *job_task(struct job *j, const struct task_ref *ref);
 
 /** Rows that the progress takes; a row of the store is limited. */
-uint32_t job_progress_parts(const struct job *j);
-/** One part of the progress as a row; free with job_progress_free. */
-Cc__JobProgress *job_progress(const struct job *j, uint32_t part);
+uint32_t job_progress_rows(const struct job *j);
+/** One row of the progress; free with job_progress_free. */
+Cc__JobProgress *job_progress(const struct job *j, uint32_t number);
 void job_progress_free(Cc__JobProgress *p);
 /** Sets a fresh job to a stored progress. */
-void job_load_progress(struct job *j, const Cc__JobProgress *p, uint32_t part);
+void job_load_progress(
+    struct job *j, const Cc__JobProgress *p, uint32_t number);
 
 const char *job_state_name(enum job_state s);
 
--- a/src/state/job_progress.c
+++ b/src/state/job_progress.c
@@ -79,7 +79,7 @@
 }
 
 static uint32_t
-tasks_a_part(const struct job *j)
+tasks_a_row(const struct job *j)
 {
 	uint32_t n = (count_tasks(j) + PARTS_MAX - 1) / PARTS_MAX;
 
@@ -87,9 +87,9 @@
 }
 
 uint32_t
-job_progress_parts(const struct job *j)
+job_progress_rows(const struct job *j)
 {
-	uint32_t n, tasks = tasks_a_part(j);
+	uint32_t n, tasks = tasks_a_row(j);
 
 	if (job_ended(j))
 		return 1;
@@ -104,13 +104,13 @@
 }
 
 /* Packs the tasks of the step, the first of which has number @p first in the
- * job, as far as they are in the part. */
+ * job, as far as they are in the row. */
 static void
 add_step(
-    Cc__JobProgress *p, const struct step *s, uint32_t first, uint32_t part)
+    Cc__JobProgress *p, const struct step *s, uint32_t first, uint32_t number)
 {
-	uint32_t tasks = tasks_a_part(s->occurrence->job);
-	uint32_t begin = part * tasks, end = begin + tasks;
+	uint32_t tasks = tasks_a_row(s->occurrence->job);
+	uint32_t begin = number * tasks, end = begin + tasks;
 	uint32_t from = begin > first ? begin - first : 0;
 	uint32_t to;
 
@@ -122,7 +122,7 @@
 }
 
 Cc__JobProgress *
-job_progress(const struct job *j, uint32_t part)
+job_progress(const struct job *j, uint32_t number)
 {
 	Cc__JobProgress *p = xcalloc(1, sizeof(*p));
 	uint32_t i, first = 0;
@@ -139,7 +139,8 @@
 	    (size_t)j->noccurrences * j->row->n_steps, sizeof(*p->steps));
 	for (i = 0; i < j->noccurrences; i++)
 		for (k = 0; k < j->row->n_steps; k++) {
-			add_step(p, &j->occurrences[i]->steps[k], first, part);
+			add_step(
+			    p, &j->occurrences[i]->steps[k], first, number);
 			first += j->row->steps[k]->count;
 		}
 	return p;
@@ -187,13 +188,13 @@
 }
 
 void
-job_load_progress(struct job *j, const Cc__JobProgress *p, uint32_t part)
+job_load_progress(struct job *j, const Cc__JobProgress *p, uint32_t number)
 {
 	size_t i;
 
-	if (part >= j->stored_parts)
-		j->stored_parts = part + 1;
-	if (part == 0) {
+	if (number >= j->stored_rows)
+		j->stored_rows = number + 1;
+	if (number == 0) {
 		j->state = p->state <= JOB_CANCELED ? (enum job_state)p->state
 						    : JOB_QUEUED;
 		j->stored_state = j->state;
--- a/tests/prop/cells.cc
+++ b/tests/prop/cells.cc
@@ -13,6 +13,7 @@
 
 const int RUNNERS = 6;
 const int CELLS = 2;
+const int STORE_MS = 4;
 
 // One thing that happens, and the time that passes after it.
 struct happening {
@@ -25,7 +26,7 @@
 happening
 gen_happening()
 {
-	return {*in_range(0, 14), *in_range<uint32_t>(0, 1000),
+	return {*in_range(0, 16), *in_range<uint32_t>(0, 1000),
 	    *in_range<uint32_t>(0, 1000), *in_range<int64_t>(1, 900)};
 }
 
@@ -99,6 +100,12 @@
 		    *jobs > 0 ? (int)(h.a % (uint32_t)*jobs) + 1 : 1);
 		world_cancel(w, id);
 		break;
+	case 7:
+		world_store_ms(w, STORE_MS + (int)(h.b / 2));
+		break;
+	case 8:
+		world_store_ms(w, STORE_MS);
+		break;
 	default:
 		submit(w, h, (*jobs)++);
 	}
@@ -110,6 +117,7 @@
 {
 	struct world_faults none = {};
 	world_set_faults(w, &none);
+	world_store_ms(w, STORE_MS);
 	for (int i = 0; i < CELLS; i++)
 		world_cut_store(w, i, false);
 	for (int i = 0; i < RUNNERS; i++)
@@ -158,7 +166,7 @@
 }
 
 // Links that fill and empty, answers and orders that overtake each other,
-// leaders whose processor is slow, and the lead that moves.
+// leaders whose processor is slow, a store that is, and the lead that moves.
 void
 slow_down(struct world *w, const happening &h, int *jobs)
 {
@@ -180,6 +188,9 @@
 	case 5:
 		world_slow_cell(w, c, (int)(h.b / 2));
 		break;
+	case 6:
+		world_store_ms(w, STORE_MS + (int)(h.b / 2));
+		break;
 	default:
 		submit(w, h, (*jobs)++);
 	}
@@ -201,6 +212,7 @@
 		world_runner_link(w, i, 0);
 	for (int i = 0; i < CELLS; i++)
 		world_slow_cell(w, i, 0);
+	world_store_ms(w, STORE_MS);
 	world_run(w, 60000);
 	bool kept = world_broken(w) == 0 && world_all_ended(w);
 	world_delete(w);
--- a/tests/unit/cell_test.c
+++ b/tests/unit/cell_test.c
@@ -19,9 +19,9 @@
     .count = 8, .cpu = 2700, .ms = 5000, .after = -1, .saves = true};
 
 static struct world *
-start(int runners)
+start_seeded(uint32_t seed, int runners)
 {
-	struct world *w = world_new(1, runners);
+	struct world *w = world_new(seed, runners);
 
 	world_loud(w, getenv("LOUD") != NULL);
 	world_claim(w, 0);
@@ -29,6 +29,12 @@
 	return w;
 }
 
+static struct world *
+start(int runners)
+{
+	return start_seeded(1, runners);
+}
+
 static void
 finish(struct world *w)
 {
@@ -507,36 +513,49 @@
 	finish(w);
 }
 
-/*
- * Runners leave 6% of all orders unanswered and carry some of them out seconds
- * later: nine of ten urgent jobs are still in time.
- */
-void
-test_cell_orders_unanswered(void)
+#define UNANSWERED_JOBS 60
+#define UNANSWERED_SEEDS 8
+
+/* Urgent jobs that are late where runners leave 6% of all orders unanswered and
+ * carry some of them out seconds later. */
+static int
+late_unanswered(uint32_t seed)
 {
 	const struct world_step steps[3] = {
 	    {.count = 13, .cpu = 1300, .ms = URGENT_WORK_MS / 3, .after = -1},
 	    {.count = 13, .cpu = 1300, .ms = URGENT_WORK_MS / 3, .after = 0},
 	    {.count = 13, .cpu = 1300, .ms = URGENT_WORK_MS / 3, .after = 1}};
-	struct world *w = start(16);
+	struct world *w = start_seeded(seed, 16);
 	struct world_faults f = {.order_dropped = 30, .order_late = 30};
 	char id[17];
 	int i, late = 0;
 
 	world_set_faults(w, &f);
-	for (i = 0; i < 60; i++) {
+	for (i = 0; i < UNANSWERED_JOBS; i++) {
 		job_id(id, i + 1);
 		world_submit(w, id, "urgent", steps, 3);
 		world_run(w, 150);
 	}
 	world_set_faults(w, &(struct world_faults){0});
 	world_run(w, 15000);
-	for (i = 0; i < 60; i++) {
+	for (i = 0; i < UNANSWERED_JOBS; i++) {
 		job_id(id, i + 1);
 		late += !took_within(w, id, URGENT_OBJECTIVE_MS);
 	}
-	CU_ASSERT(late <= 6);
 	finish(w);
+	return late;
+}
+
+/* Nine of ten are still in time. */
+void
+test_cell_orders_unanswered(void)
+{
+	int late = 0;
+	uint32_t seed;
+
+	for (seed = 1; seed <= UNANSWERED_SEEDS; seed++)
+		late += late_unanswered(seed);
+	CU_ASSERT(late * 10 <= UNANSWERED_JOBS * UNANSWERED_SEEDS);
 }
 
 /* An idle cell looks at no runner. */
--- a/tests/world/world.c
+++ b/tests/world/world.c
@@ -16,6 +16,8 @@
 #define RUNNER_CPU 16000
 #define RUNNER_MEM 65536
 #define ROWS_MAX 4096
+#define PARTS_MAX 16
+#define CONDITIONS_MAX 16
 #define JOBS_MAX 512
 #define REGISTRY_MS 500
 #define QUICK_CALL_MS 25.0
@@ -36,6 +38,7 @@
 
 struct stored {
 	char table[32];
+	char part[16];
 	char key[64];
 	uint8_t *value;
 	size_t len;
@@ -108,6 +111,7 @@
 	bool canceled;
 	bool lasting;
 	int64_t since_ms;
+	int64_t accepted_ms;
 	int64_t completed_ms;
 	struct task_seen *tasks; /**< of all steps, each of the same width */
 	uint32_t width;
@@ -154,6 +158,10 @@
 	int holds;
 	size_t row_bytes;
 	int store_ms;
+	struct part_queue {
+		char part[16];
+		int64_t free_at; /**< its transactions are done by then */
+	} parts[PARTS_MAX];
 	bool fixed_timeouts;
 	struct start_count {
 		char task[TASK_NAME_LEN];
@@ -1101,11 +1109,12 @@
 	struct world_cell *cell;
 	int incarnation;
 	struct store_txn txn;
-	struct row conds[4];
-	char cond_keys[4][64];
+	struct row conds[CONDITIONS_MAX];
+	char cond_keys[CONDITIONS_MAX][64];
 	struct stored writes[100];
 	struct stored removes[100];
 	char table[32];
+	char part[16];
 	char from[64];
 	store_fn fn;
 	void *arg;
@@ -1114,12 +1123,14 @@
 };
 
 static struct stored *
-find_stored(struct world *w, const char *table, const char *key)
+find_stored(
+    struct world *w, const char *table, const char *part, const char *key)
 {
 	int i;
 
 	for (i = 0; i < w->nrows; i++)
 		if (strcmp(w->rows[i].key, key) == 0 &&
+		    strcmp(w->rows[i].part, part) == 0 &&
 		    strcmp(w->rows[i].table, table) == 0)
 			return &w->rows[i];
 	return NULL;
@@ -1128,7 +1139,7 @@
 static void
 put_stored(struct world *w, const struct stored *s)
 {
-	struct stored *r = find_stored(w, s->table, s->key);
+	struct stored *r = find_stored(w, s->table, s->part, s->key);
 
 	if (r == NULL) {
 		if (w->nrows == ROWS_MAX)
@@ -1161,7 +1172,7 @@
 
 	for (i = 0; i < e->txn.nconditions; i++) {
 		const struct stored *s =
-		    find_stored(w, e->conds[i].table, e->cond_keys[i]);
+		    find_stored(w, e->conds[i].table, e->part, e->cond_keys[i]);
 
 		rows[i] = e->conds[i];
 		rows[i].key = e->cond_keys[i];
@@ -1208,7 +1219,7 @@
 do_txn(struct world *w, void *arg)
 {
 	struct store_event *e = arg;
-	struct row rows[4];
+	struct row rows[CONDITIONS_MAX];
 	struct store_result r = {.rows = rows, .nrows = e->txn.nconditions};
 	struct stored *s;
 	int i;
@@ -1225,7 +1236,7 @@
 			put_stored(w, &e->writes[i]);
 		for (i = 0; i < e->txn.nremoves; i++) {
 			s = find_stored(
-			    w, e->removes[i].table, e->removes[i].key);
+			    w, e->removes[i].table, e->part, e->removes[i].key);
 			if (s == NULL)
 				continue;
 			free(s->value);
@@ -1251,12 +1262,14 @@
 	int i;
 
 	e->txn = *t;
+	str_copy(e->part, t->part, sizeof(e->part));
 	for (i = 0; i < t->nconditions; i++) {
 		e->conds[i] = t->conditions[i];
 		str_copy(e->cond_keys[i], t->conditions[i].key, 64);
 	}
 	for (i = 0; i < t->nwrites; i++) {
 		str_copy(e->writes[i].table, t->writes[i].table, 32);
+		str_copy(e->writes[i].part, t->part, 16);
 		str_copy(e->writes[i].key, t->writes[i].key, 64);
 		e->writes[i].value =
 		    xmemdup(t->writes[i].value, t->writes[i].len);
@@ -1292,6 +1305,22 @@
 	at(w, delay, do_txn, copy);
 }
 
+/* A part does one transaction after another. @return ms until this is done. */
+static int64_t
+queue_txn(struct world *w, const char *part)
+{
+	struct part_queue *q = w->parts;
+
+	while (q->part[0] != '\0' && strcmp(q->part, part) != 0)
+		if (++q == w->parts + PARTS_MAX)
+			abort();
+	str_copy(q->part, part, sizeof(q->part));
+	if (q->free_at < w->now)
+		q->free_at = w->now;
+	q->free_at += w->store_ms / 2;
+	return q->free_at - w->now + w->store_ms - w->store_ms / 2;
+}
+
 static void
 port_txn(struct store *s, const struct store_txn *t, int64_t timeout_ms,
     store_fn fn, void *arg)
@@ -1313,7 +1342,7 @@
 		silent_copy(w, e, t, 1000 + rnd(w, 5000));
 		at(w, timeout_ms, store_error, e);
 	} else {
-		at(w, w->store_ms, do_txn, e);
+		at(w, queue_txn(w, t->part), do_txn, e);
 	}
 }
 
@@ -1334,6 +1363,7 @@
 
 	for (i = 0; i < w->nrows; i++)
 		if (strcmp(w->rows[i].table, e->table) == 0 &&
+		    strcmp(w->rows[i].part, e->part) == 0 &&
 		    strcmp(w->rows[i].key, e->from) >= 0)
 			rows[r.nrows++] = (struct row){.table = e->table,
 			    .key = w->rows[i].key,
@@ -1354,8 +1384,8 @@
 {
 	struct store_event *e = store_event(s, fn, arg);
 
-	(void)part;
 	(void)limit;
+	str_copy(e->part, part, sizeof(e->part));
 	str_copy(e->table, table, sizeof(e->table));
 	str_copy(e->from, from, sizeof(e->from));
 	e->err = CC_EUNAVAIL;
@@ -1731,8 +1761,8 @@
 world_claim(struct world *w, int i)
 {
 	struct stored rows[2] = {
-	    {.table = MEMBER_TABLE, .key = LEADER_KEY},
-	    {.table = CELL_TABLE, .key = COMMIT_KEY},
+	    {.table = MEMBER_TABLE, .part = CELL_PART, .key = LEADER_KEY},
+	    {.table = CELL_TABLE, .part = CELL_PART, .key = COMMIT_KEY},
 	};
 	Cc__LeaderRow lr = CC__LEADER_ROW__INIT;
 	Cc__CommitRow cr = CC__COMMIT_ROW__INIT;
@@ -1787,8 +1817,10 @@
 	struct submit_arg *s = arg;
 	struct world_job *j = find_job(s->world, s->id);
 
-	if (!s->cancels && a->error == CC_OK)
+	if (!s->cancels && a->error == CC_OK && !j->accepted) {
 		j->accepted = true;
+		j->accepted_ms = s->world->now;
+	}
 	if (!s->cancels && a->error == CC_EBUSY)
 		j->refused = true;
 	if (s->cancels && a->error == CC_OK)
@@ -1907,6 +1939,14 @@
 	return j != NULL && j->refused;
 }
 
+int64_t
+world_accept_ms(const struct world *w, const char *id)
+{
+	const struct world_job *j = find_job(w, id);
+
+	return j != NULL && j->accepted ? j->accepted_ms - j->since_ms : -1;
+}
+
 int64_t
 world_took_ms(const struct world *w, const char *id)
 {
--- a/tests/world/world.h
+++ b/tests/world/world.h
@@ -32,7 +32,8 @@
 int64_t world_now(const struct world *w);
 /** Longest value that a row of the store takes. */
 void world_row_bytes(struct world *w, size_t most);
-/** Each transaction of the store takes so long. */
+/** Each transaction of the store takes so long; for half of it the others of
+ * its part wait. */
 void world_store_ms(struct world *w, int ms);
 /** Time-outs of calls to runners that don't follow the answers. */
 void world_fixed_timeouts(struct world *w);
@@ -77,6 +78,9 @@
 int world_state(struct world *w, const char *id);
 bool world_accepted(const struct world *w, const char *id);
 bool world_refused(const struct world *w, const char *id);
+/** Virtual ms from submission until the caller was told of its acceptance; -1:
+ * it wasn't yet. */
+int64_t world_accept_ms(const struct world *w, const char *id);
 /** Virtual ms from submission until it was shown as completed; -1: not yet. */
 int64_t world_took_ms(const struct world *w, const char *id);
 
