Open calls of peers have a table of their own

Ruled out: keeping the walk and forbidding owners to call.

Change: call_table; calls that end together are off the table before the first owner hears of it.

--- a/src/transport/peer_net.c
+++ b/src/transport/peer_net.c
@@ -60,16 +60,6 @@
 	int64_t redial_ms;
 };
 
-struct call {
-	UT_hash_handle hh;
-	uint64_t id;
-	uint64_t link;
-	int64_t deadline_ms;
-	peer_reply_fn fn;
-	void *arg;
-	int err; /**< of a call that failed before it was sent */
-};
-
 struct peer_net {
 	struct event_base *base;
 	const struct settings *settings;
@@ -80,8 +70,7 @@
 	TAILQ_HEAD(peer_list, peer) peers;
 	struct link *by_serial;
 	struct peer *by_host;
-	struct call *calls;
-	uint64_t next_id;
+	struct call_table calls;
 	uint64_t next_serial;
 	int nlinks;
 	peer_request_fn fn;
@@ -162,21 +151,6 @@
 	send_frame(l, &f);
 }
 
-static void
-fail_calls(struct peer_net *n, uint64_t serial)
-{
-	struct call *c, *tmp;
-
-	HASH_ITER(hh, n->calls, c, tmp)
-	{
-		if (c->link != serial)
-			continue;
-		HASH_DEL(n->calls, c);
-		c->fn(CC_ECONN, NULL, c->arg);
-		free(c);
-	}
-}
-
 static void
 link_delete(struct link *l, const char *why)
 {
@@ -196,7 +170,7 @@
 	n->nlinks--;
 	bufferevent_free(l->bev);
 	free(l);
-	fail_calls(n, serial);
+	call_table_fail(&n->calls, serial);
 }
 
 static bool
@@ -243,19 +217,6 @@
 	return true;
 }
 
-static void
-take_reply(struct peer_net *n, const Cc__Frame *f)
-{
-	struct call *c;
-
-	HASH_FIND(hh, n->calls, &f->reply_to, sizeof(f->reply_to), c);
-	if (c == NULL)
-		return;
-	HASH_DEL(n->calls, c);
-	c->fn(CC_OK, f, c->arg);
-	free(c);
-}
-
 static bool
 take_frame(struct link *l, const Cc__Frame *f)
 {
@@ -267,7 +228,7 @@
 	if (l->state == LINK_AUTH)
 		return take_auth(l, f);
 	if (f->reply_to != 0) {
-		take_reply(l->net, f);
+		call_table_reply(&l->net->calls, f);
 		return true;
 	}
 	rq.link = l->serial;
@@ -424,21 +385,6 @@
 	link_new(n, fd, NULL);
 }
 
-static void
-expire_calls(struct peer_net *n, int64_t now)
-{
-	struct call *c, *tmp;
-
-	HASH_ITER(hh, n->calls, c, tmp)
-	{
-		if (c->err == CC_OK && now < c->deadline_ms)
-			continue;
-		HASH_DEL(n->calls, c);
-		c->fn(c->err != CC_OK ? c->err : CC_ETIMEOUT, NULL, c->arg);
-		free(c);
-	}
-}
-
 static bool
 link_stale(const struct link *l, int64_t now)
 {
@@ -465,7 +411,7 @@
 	TAILQ_FOREACH (p, &n->peers, link)
 		if (p->out == NULL && now >= p->redial_ms)
 			dial(n, p);
-	expire_calls(n, now);
+	call_table_expire(&n->calls, now);
 }
 
 struct peer_net *
@@ -510,7 +456,7 @@
 			HASH_DEL(n->by_host, p);
 		free(p);
 	}
-	expire_calls(n, INT64_MAX);
+	call_table_expire(&n->calls, INT64_MAX);
 	evconnlistener_free(n->listener);
 	event_free(n->tick);
 	free(n);
@@ -583,19 +529,12 @@
     int64_t timeout_ms, peer_reply_fn fn, void *arg)
 {
 	struct peer *p = find_peer(n, host);
-	struct call *c = xcalloc(1, sizeof(*c));
-
-	c->id = f->id = ++n->next_id;
-	c->deadline_ms = clock_boot_ms() + timeout_ms;
-	c->fn = fn;
-	c->arg = arg;
-	HASH_ADD(hh, n->calls, id, sizeof(c->id), c);
-	if (p == NULL || p->out == NULL || p->out->state != LINK_UP) {
-		c->err = CC_ENOTSENT;
-		return;
-	}
-	c->link = p->out->serial;
-	send_frame(p->out, f);
+	bool up = p != NULL && p->out != NULL && p->out->state == LINK_UP;
+
+	f->id = call_table_add(&n->calls, up ? p->out->serial : 0,
+	    clock_boot_ms() + timeout_ms, fn, arg);
+	if (up)
+		send_frame(p->out, f);
 }
 
 int
--- a/src/transport/peer_net.h
+++ b/src/transport/peer_net.h
@@ -15,6 +15,7 @@
 
 #include "../protocol/peer.pb-c.h"
 #include "../state/settings.h"
+#include "call_table.h"
 
 struct peer_net;
 
@@ -27,12 +28,6 @@
 
 typedef void (*peer_request_fn)(
     const struct peer_request *rq, const Cc__Frame *f, void *arg);
-/**
- * @p err is CC_OK with a frame, CC_ENOTSENT when nothing was sent, or
- * CC_ETIMEOUT or CC_ECONN when the call may have taken effect.
- */
-typedef void (*peer_reply_fn)(int err, const Cc__Frame *f, void *arg);
-
 /** NULL when the port cannot be bound. */
 struct peer_net *peer_net_new(struct event_base *base, const struct settings *s,
     const char *incarnation, peer_request_fn fn, void *arg);
--- a/tests/unit/main.c
+++ b/tests/unit/main.c
@@ -65,6 +65,8 @@
     {"commit", "commit old claim takes nothing",
 	test_commit_old_claim_takes_nothing},
     {"commit", "commit forgets in parts", test_commit_forgets_in_parts},
+    {"calls", "calls end once", test_calls_end_once},
+    {"calls", "calls ended by owners", test_calls_ended_by_owners},
     {"parts", "submission whole", test_submission_whole},
     {"parts", "submission bad", test_submission_bad},
     {"parts", "job check", test_job_check},
--- a/tests/unit/unit.h
+++ b/tests/unit/unit.h
@@ -58,6 +58,8 @@
 void test_commit_takeover_of_parts(void);
 void test_commit_old_claim_takes_nothing(void);
 void test_commit_forgets_in_parts(void);
+void test_calls_end_once(void);
+void test_calls_ended_by_owners(void);
 void test_submission_whole(void);
 void test_submission_bad(void);
 void test_job_check(void);
