Runners that fail often rank lower, most of all for a last attempt

Such runners have done runs in between, so they weren't avoided; they are free again first, so they drew work; and a last attempt was placed like a first.

Ruled out: two failures of one job counted as two (a job at fault would close runners); a longer pause after a failure (the next place is as bad).

Change: a runner's share of failed ends (a moving mean) counts in its score, by 0.5 for any task and by 4 for one whose job fails with it.

--- a/src/cell/ends.c
+++ b/src/cell/ends.c
@@ -6,6 +6,8 @@
 #include "../base/xalloc.h"
 #include "parts.h"
 
+/** Weight of the newest end in a runner's share of failures. */
+#define FAIL_WEIGHT 0.2
 /** A task that failed is not started again before this. */
 #define FAILED_PAUSE_MS 50
 
@@ -121,6 +123,12 @@
 		t->step->nheld--;
 }
 
+static void
+note_outcome(struct runner *r, bool failed)
+{
+	r->fail_share += ((failed ? 1.0 : 0.0) - r->fail_share) * FAIL_WEIGHT;
+}
+
 /* Runners that fail the tasks of several jobs in a row get no more work. */
 static void
 judge_runner(struct cell *c, struct run *run, enum run_end how)
@@ -128,6 +136,8 @@
 	struct runner *r = run->runner;
 	const char *id;
 
+	if (how == END_DONE || how == END_FAILED)
+		note_outcome(r, how == END_FAILED);
 	if (how == END_DONE) {
 		r->failures = 0;
 		r->avoid_ms = 0;
--- a/src/cell/place.c
+++ b/src/cell/place.c
@@ -138,6 +138,16 @@
 	return best;
 }
 
+/* Whether the job fails when the task fails once more. */
+static bool
+on_last_attempt(const struct task *t)
+{
+	const struct job *j = t->step->occurrence->job;
+
+	return t->failures > 0 && t->failures + 1 >= j->max_attempts &&
+	    j->max_attempts > 0;
+}
+
 static void
 place_tasks(struct pick *p)
 {
@@ -151,6 +161,7 @@
 		if (t->done || t->run != NULL || t->retry_ms > p->want.now_ms)
 			continue;
 		p->want.avoid = t->avoid;
+		p->want.last_attempt = on_last_attempt(t);
 		best = best_candidate(p);
 		if (best == NULL)
 			return;
--- a/src/coordination/placing.c
+++ b/src/coordination/placing.c
@@ -7,6 +7,10 @@
 #define PACK_WEIGHT 0.3
 /** Weight of the runner on which the task failed last. */
 #define AVOID_WEIGHT 4.0
+/** Weight of a runner's share of failures, ... */
+#define FAIL_WEIGHT 0.5
+/** ... and for a task that may fail no more. */
+#define LAST_FAIL_WEIGHT 4.0
 /** Weight of a best-effort run beside a latency-sensitive one. */
 #define DISTURB_WEIGHT 1.0
 
@@ -112,7 +116,8 @@
 {
 	const Cc__StepSpec *s = w->step->spec;
 	double slow = 1.0 / r->speed, used = share_used(r);
-	double score = disturbances(r, w->step) * DISTURB_WEIGHT;
+	double score = disturbances(r, w->step) * DISTURB_WEIGHT +
+	    r->fail_share * (w->last_attempt ? LAST_FAIL_WEIGHT : FAIL_WEIGHT);
 
 	if (s->preferred_rack[0] != '\0' &&
 	    strcmp(s->preferred_rack, r->info.rack) != 0)
--- a/src/coordination/placing.h
+++ b/src/coordination/placing.h
@@ -14,6 +14,7 @@
 	double remote_factor; /**< a run away from its data takes this long */
 	const char *rack;     /**< NULL: any */
 	const char *avoid;    /**< only if no other; "" for none */
+	bool last_attempt;    /**< its job fails with it */
 	int64_t now_ms;
 };
 
--- a/src/state/runner.h
+++ b/src/state/runner.h
@@ -93,7 +93,8 @@
 	int64_t paced_ms; /**< last changed; 0: at full pace */
 	double speed;	  /**< of its run times to the usual; 1 is usual */
 	int samples;
-	int failures; /**< in a row, of distinct jobs */
+	int failures;	   /**< in a row, of distinct jobs */
+	double fail_share; /**< of its last ends; 0: none failed */
 	char failed_job[JOB_ID_LEN];
 	int64_t avoid_until_ms;
 	int64_t avoid_ms; /**< length of the next avoidance */
--- a/tests/unit/cell_test.c
+++ b/tests/unit/cell_test.c
@@ -220,7 +220,7 @@
 	char id[17];
 	int i;
 
-	world_runner_fails_all(w, 0, true);
+	world_runner_fails(w, 0, 1000);
 	for (i = 0; i < 20; i++) {
 		job_id(id, i + 1);
 		world_submit(w, id, "urgent", &urgent_step, 1);
@@ -234,6 +234,30 @@
 	finish(w);
 }
 
+/* A quarter of the runners fail half of what they start, and are free again
+ * first: no job fails for them. */
+void
+test_cell_grey_runners(void)
+{
+	struct world *w = start(16);
+	char id[17];
+	int i;
+
+	for (i = 0; i < 4; i++)
+		world_runner_fails(w, i, 500);
+	for (i = 0; i < 100; i++) {
+		job_id(id, i + 1);
+		world_submit(w, id, "urgent", &urgent_step, 1);
+		world_run(w, 80);
+	}
+	world_run(w, 6000);
+	for (i = 0; i < 100; i++) {
+		job_id(id, i + 1);
+		CU_ASSERT_EQUAL(world_state(w, id), JOB_COMPLETED);
+	}
+	finish(w);
+}
+
 /* While the store is away, new work is refused at once, and truly. */
 void
 test_cell_store_away(void)
--- a/tests/world/world.c
+++ b/tests/world/world.c
@@ -88,7 +88,7 @@
 	int64_t up_at; /**< it is down before this time */
 	bool cut;
 	int link_ms;
-	bool fails_all;
+	int fails; /**< share of its runs, in thousandths */
 	double slow;
 	int64_t drain_until;	     /**< 0: it doesn't drain */
 	struct order_event *waiting; /**< a hold that waits for an end */
@@ -593,11 +593,11 @@
 	str_copy(l->task, o->task, sizeof(l->task));
 	l->number = o->run;
 	l->cpu = j->steps[ref.step].cpu;
-	l->fails = r->fails_all || chance(w, w->faults.run_fails);
+	l->fails = chance(w, r->fails) || chance(w, w->faults.run_fails);
 	l->ends_at = j->steps[ref.step].lasting
 	    ? INT64_MAX
 	    : w->now + (int64_t)(j->steps[ref.step].ms * r->slow);
-	if (r->fails_all)
+	if (l->fails && r->fails > 0)
 		l->ends_at = w->now + 20;
 	l->next = r->runs;
 	r->runs = l;
@@ -698,9 +698,9 @@
 }
 
 void
-world_runner_fails_all(struct world *w, int r, bool on)
+world_runner_fails(struct world *w, int r, int thousandths)
 {
-	w->runners[r].fails_all = on;
+	w->runners[r].fails = thousandths;
 }
 
 /* Calls to runners */
--- a/tests/world/world.h
+++ b/tests/world/world.h
@@ -98,6 +98,7 @@
 int world_holds(const struct world *w);
 /** Sets a task's runs on a runner to this many times their length. */
 void world_runner_slow(struct world *w, int r, double factor);
-void world_runner_fails_all(struct world *w, int r, bool on);
+/** The runner fails this share of its runs, soon after their start. */
+void world_runner_fails(struct world *w, int r, int thousandths);
 
 #endif
