Jobs of other parts are forgotten before the first part's next commit

Cause (read, not seen): rows are removed only while no commit is under way. For a job in a part other than the first the first part's commit was sent before it in the same pass, so under steady load an empty commit to the other part could go out in vain, again and again, and what stands behind that job on the list waited.

Change: such a removal goes before the first part's commit.

Test: commit forgets in parts has a stream of calm jobs beside it, and counts the commits. It passes on the code before as well; the pattern was not brought about.

--- a/src/cell/commit.c
+++ b/src/cell/commit.c
@@ -303,6 +303,10 @@
 	wanted = commit_wanted(c);
 	if (wanted == 0 && commit_oldest(c) == NULL && has_unacked(c))
 		ack_plain_ends(c);
+	/* The first part has commits enough to forget jobs with. */
+	part = commit_forget_part(c);
+	if (part > PART_FIRST)
+		commit_part(c, part, now);
 	if ((wanted & 1u << PART_FIRST) != 0 || renewal_due(c, now))
 		commit_part(c, PART_FIRST, now);
 	for (part = PART_FIRST + 1; part < CELL_PARTS; part++)
--- a/src/cell/commit.h
+++ b/src/cell/commit.h
@@ -44,6 +44,8 @@
 /** Parts for which something waits that no commit under way touches, a bit
  * each. */
 unsigned commit_wanted(const struct cell *c);
+/** The part with rows that are to be removed now; PART_NONE: there is none. */
+int commit_forget_part(const struct cell *c);
 /** Whether new jobs go to any part that is free. */
 bool commit_spreads(const struct cell *c);
 /** Takes all that is to be written to the chain's part, up to what a
--- a/src/cell/commit_build.c
+++ b/src/cell/commit_build.c
@@ -234,6 +234,15 @@
 	    now - j->ended_ms > c->terms.status_ms;
 }
 
+int
+commit_forget_part(const struct cell *c)
+{
+	const struct job *j = TAILQ_FIRST(&c->ended);
+
+	return j != NULL && may_forget(c, j, c->ports.now()) ? j->part
+							     : PART_NONE;
+}
+
 static void
 add_removes(struct cell *c, struct commit *k, int64_t now)
 {
@@ -279,15 +288,11 @@
 unsigned
 commit_wanted(const struct cell *c)
 {
-	const struct job *j = TAILQ_FIRST(&c->ended);
 	unsigned for_new = parts_for_new(c), parts = 0;
+	const struct job *j;
 
 	if (rows_ready(c) != 0)
 		parts |= 1u << PART_FIRST;
-	/* The first part has commits enough to forget jobs with. */
-	if (j != NULL && j->part > PART_FIRST &&
-	    may_forget(c, j, c->ports.now()))
-		parts |= 1u << j->part;
 	TAILQ_FOREACH (j, &c->dirty, dirty_link) {
 		if (parts == ALL_PARTS)
 			break;
--- a/tests/unit/commit_test.c
+++ b/tests/unit/commit_test.c
@@ -12,6 +12,8 @@
 #define SLOW_MS 240
 #define SUBMIT_EVERY_MS 40
 #define SUBMITS 75
+/** Accept, end, and what goes between. */
+#define CALM_COMMITS 3
 #define BURST 480
 #define BURST_AT_ONCE 10
 #define BURST_STORE_MS 500
@@ -187,12 +189,13 @@
 	finish(w);
 }
 
-/* Jobs of every part are forgotten in time, and may be handed in anew. */
+/* Jobs of every part are forgotten in time, also while others are written. */
 void
 test_commit_forgets_in_parts(void)
 {
 	struct world *w = start();
 	struct cell *c = world_cell(w, 0);
+	uint64_t commits;
 
 	world_store_ms(w, SLOW_MS);
 	world_run(w, 2000);
@@ -200,6 +203,11 @@
 	world_store_ms(w, 4);
 	world_run(w, 3000);
 	CU_ASSERT(parts_used(c) > 1);
+	world_run(w, c->terms.status_ms - 3000);
+	commits = c->counters.commits;
+	submit_stream(w, 41, 300);
+	CU_ASSERT_EQUAL(count_state(w, 1, 40, -1), 40);
+	CU_ASSERT(c->counters.commits - commits < 300 * CALM_COMMITS);
 	world_run(w, c->terms.status_ms + 3000);
 	CU_ASSERT_EQUAL(HASH_COUNT(c->jobs), 0);
 	world_claim(w, 1);
