--- /dev/null
+++ b/review/standin/runner.h
@@ -0,0 +1,26 @@
+/**
+ * @file Runners of the review's stand-in: they follow PROTOCOL.md ("Running
+ * tasks", "Service discovery") and write every event to the record.
+ */
+#ifndef REVIEW_RUNNER_H
+#define REVIEW_RUNNER_H
+
+#include "../../tests/cellstandin/standin.h"
+
+/** Writes a line to the record, with the boot clock in ms before it. */
+void record_line(const char *format, ...)
+    __attribute__((format(printf, 1, 2)));
+
+struct runner;
+
+/** @param cpu capacity in thousandths of a core */
+struct runner *runner_start(struct event_base *base, struct store_sim *store,
+    const char *id, int index, uint16_t port, int cpu);
+/** The process dies: its runs are gone and connections are refused. */
+void runner_kill(struct runner *r);
+/** Boots again at the same address; @p id names the new life. */
+void runner_boot(struct runner *r, const char *id);
+/** A runner that is cut off answers nothing and reaches no store. */
+void runner_cut(struct runner *r, bool cut);
+
+#endif
