--- a/review/standin/runner.c
+++ b/review/standin/runner.c
@@ -1,6 +1,8 @@
 /*
  * Simulated runners. A job's spec text gives the duration of its tasks in ms, a
- * number for each step, separated by commas; 0 is a task that lasts.
+ * number for each step, separated by commas; 0 is a task that lasts. After "/"
+ * follows the number of members of a gang, which works from the moment when all
+ * are present.
  */
 #include "runner.h"
 
@@ -18,14 +20,21 @@
 #define TICK_MS 5
 #define HEARTBEAT_MS 1500
 #define EXPIRY_MS 4500
+#define RACK_RUNNERS 8
+#define GANG_TIMEOUT_MS 3000
 /** PROTOCOL.md: unacknowledged ends are returned 500 at a time. */
 #define ENDS_PER_ANSWER 500
 
 struct sim_run {
 	TAILQ_ENTRY(sim_run) link;
+	TAILQ_ENTRY(sim_run) all_link;
+	struct runner *runner;
 	char task[80];
 	int run;
-	int64_t ends_at; /**< boot clock, ms; 0: it lasts */
+	int64_t began_ms; /**< boot clock */
+	int64_t ms;	  /**< duration; 0: it lasts */
+	int members;	  /**< of its gang; 0: no gang */
+	bool waits;	  /**< for the other members of its gang */
 };
 
 struct sim_end {
@@ -52,6 +61,9 @@
 	uint64_t seen;
 };
 
+/* The runs of all runners. */
+static TAILQ_HEAD(, sim_run) all = TAILQ_HEAD_INITIALIZER(all);
+
 struct runner {
 	struct event_base *base;
 	struct store_sim *store;
@@ -216,6 +228,7 @@
 	record_line("end %s %s %d %s %llu", r->id, n->task, n->run, how,
 	    (unsigned long long)e->number);
 	TAILQ_REMOVE(&r->runs, n, link);
+	TAILQ_REMOVE(&all, n, all_link);
 	free(n);
 }
 
@@ -269,20 +282,47 @@
 		r->lease_until = until;
 }
 
-/* Duration of the task's step in the spec, ms; 0: it lasts. */
-static int64_t
-duration_of(const char *task, const char *spec)
+/* The part of the spec for the task's step; NULL when there is none. */
+static const char *
+step_spec(const char *task, const char *spec)
 {
 	const char *dot = strchr(task, '.');
 	int k, step = 0;
 
 	if (dot == NULL || sscanf(dot, ".%d.%d", &k, &step) != 2)
-		return 0;
+		return NULL;
 	for (; step > 0 && spec != NULL; step--) {
 		spec = strchr(spec, ',');
 		spec = spec != NULL ? spec + 1 : NULL;
 	}
-	return spec != NULL ? atoll(spec) : 0;
+	return spec;
+}
+
+/* Whether two tasks are of one step. */
+static bool
+same_step(const char *a, const char *b)
+{
+	size_t n = (size_t)(strrchr(a, '.') - a);
+
+	return strncmp(a, b, n + 1) == 0;
+}
+
+/* Lets a gang work once all members of its run are present. */
+static void
+start_gang(const struct sim_run *last)
+{
+	struct sim_run *n;
+	int present = 0;
+
+	TAILQ_FOREACH (n, &all, all_link)
+		present += n->run == last->run && same_step(n->task, last->task);
+	if (present < last->members)
+		return;
+	TAILQ_FOREACH (n, &all, all_link)
+		if (n->run == last->run && same_step(n->task, last->task)) {
+			n->waits = false;
+			n->began_ms = now_ms();
+		}
 }
 
 /* @return the reason of a refusal; NULL when the run is there. */
@@ -293,7 +333,7 @@
 	int run = (int)number_of(b, "run");
 	const struct floor *f = find_floor(r, task);
 	struct sim_run *n;
-	int64_t ms;
+	const char *spec;
 
 	if (find_run(r, task, run) != NULL)
 		return NULL;
@@ -304,12 +344,19 @@
 	if (number_of(b, "until_ms") <= clock_of(r))
 		return "late";
 	extend_lease(r, number_of(b, "until_ms"));
-	ms = duration_of(task, text_of(b, "spec"));
+	spec = step_spec(task, text_of(b, "spec"));
 	n = xcalloc(1, sizeof(*n));
+	n->runner = r;
 	n->run = run;
-	n->ends_at = ms > 0 ? now_ms() + ms : 0;
+	n->began_ms = now_ms();
+	if (spec != NULL)
+		sscanf(spec, "%lld/%d", (long long *)&n->ms, &n->members);
+	n->waits = n->members > 0;
 	str_copy(n->task, task, sizeof(n->task));
 	TAILQ_INSERT_TAIL(&r->runs, n, link);
+	TAILQ_INSERT_TAIL(&all, n, all_link);
+	if (n->waits)
+		start_gang(n);
 	record_line("start %s %s %d fence=%lld", r->id, task, run,
 	    (long long)r->fence);
 	return NULL;
@@ -399,7 +446,7 @@
 	r->heartbeat_ms = now_ms();
 	r->listed = true;
 	snprintf(address, sizeof(address), "127.0.0.1:%u", r->port);
-	snprintf(rack, sizeof(rack), "r1-%d", r->index / 4);
+	snprintf(rack, sizeof(rack), "r1-%d", r->index / RACK_RUNNERS);
 	store_sim_put(r->store, "servers", r->id,
 	    json_pack("{s:s,s:s,s:s,s:s,s:s,s:i,s:{s:i,s:i,s:i},s:[s,s],s:i,"
 		      "s:I,s:i}",
@@ -427,7 +474,10 @@
 
 	for (n = TAILQ_FIRST(&r->runs); n != NULL; n = next) {
 		next = TAILQ_NEXT(n, link);
-		if (n->ends_at != 0 && now_ms() >= n->ends_at)
+		if (n->waits && now_ms() - n->began_ms >= GANG_TIMEOUT_MS)
+			end_run(r, n, "alone");
+		else if (!n->waits && n->ms != 0 &&
+		    now_ms() - n->began_ms >= n->ms)
 			end_run(r, n, "done");
 		else if (clock_of(r) >= r->lease_until)
 			end_run(r, n, "lapsed");
@@ -469,6 +519,7 @@
 	while ((n = TAILQ_FIRST(&r->runs)) != NULL) {
 		record_line("gone %s %s %d", r->id, n->task, n->run);
 		TAILQ_REMOVE(&r->runs, n, link);
+		TAILQ_REMOVE(&all, n, all_link);
 		free(n);
 	}
 	while ((e = TAILQ_FIRST(&r->ends)) != NULL) {
