--- a/review/standin/runner.c
+++ b/review/standin/runner.c
@@ -1,8 +1,6 @@
 /*
  * Simulated runners. A job's spec text gives the duration of its tasks in ms, a
- * number for each step, separated by commas; 0 is a task that lasts. After "/"
- * follows the number of members of a gang, which works from the moment when all
- * are present.
+ * number for each step, separated by commas; 0 is a task that lasts.
  */
 #include "runner.h"
 
@@ -22,20 +20,14 @@
 #define EXPIRY_MS 4500
 #define RACK_RUNNERS 8
 #define KIND_B_EVERY 16
-#define GANG_TIMEOUT_MS 3000
 /** PROTOCOL.md: unacknowledged ends are returned 500 at a time. */
 #define ENDS_PER_ANSWER 500
 
 struct sim_run {
 	TAILQ_ENTRY(sim_run) link;
-	TAILQ_ENTRY(sim_run) all_link;
-	struct runner *runner;
 	char task[80];
 	int run;
-	int64_t began_ms; /**< boot clock */
-	int64_t ms;	  /**< duration; 0: it lasts */
-	int members;	  /**< of its gang; 0: no gang */
-	bool waits;	  /**< for the other members of its gang */
+	int64_t ends_at; /**< boot clock, ms; 0: it lasts */
 };
 
 struct sim_end {
@@ -62,9 +54,6 @@
 	uint64_t seen;
 };
 
-/* The runs of all runners. */
-static TAILQ_HEAD(, sim_run) all = TAILQ_HEAD_INITIALIZER(all);
-
 struct runner {
 	struct event_base *base;
 	struct store_sim *store;
@@ -230,7 +219,6 @@
 	record_line("end %s %s %d %s %llu", r->id, n->task, n->run, how,
 	    (unsigned long long)e->number);
 	TAILQ_REMOVE(&r->runs, n, link);
-	TAILQ_REMOVE(&all, n, all_link);
 	free(n);
 }
 
@@ -252,9 +240,9 @@
 static json_t *
 take_order(struct runner *r, struct evhttp_request *req)
 {
-	const char *want = evhttp_find_header(
-	    evhttp_request_get_input_headers(req),
-	    "X-Celerycart-Target-Instance");
+	const char *want =
+	    evhttp_find_header(evhttp_request_get_input_headers(req),
+		"X-Celerycart-Target-Instance");
 	json_t *b;
 
 	if (r->cut)
@@ -300,33 +288,6 @@
 	return spec;
 }
 
-/* Whether two tasks are of one step. */
-static bool
-same_step(const char *a, const char *b)
-{
-	size_t n = (size_t)(strrchr(a, '.') - a);
-
-	return strncmp(a, b, n + 1) == 0;
-}
-
-/* Lets a gang work once all members of its run are present. */
-static void
-start_gang(const struct sim_run *last)
-{
-	struct sim_run *n;
-	int present = 0;
-
-	TAILQ_FOREACH (n, &all, all_link)
-		present += n->run == last->run && same_step(n->task, last->task);
-	if (present < last->members)
-		return;
-	TAILQ_FOREACH (n, &all, all_link)
-		if (n->run == last->run && same_step(n->task, last->task)) {
-			n->waits = false;
-			n->began_ms = now_ms();
-		}
-}
-
 /* @return the reason of a refusal; NULL when the run is there. */
 static const char *
 start_run(struct runner *r, const json_t *b)
@@ -336,6 +297,7 @@
 	const struct floor *f = find_floor(r, task);
 	struct sim_run *n;
 	const char *spec;
+	int64_t ms;
 
 	if (find_run(r, task, run) != NULL)
 		return NULL;
@@ -347,20 +309,14 @@
 		return "late";
 	extend_lease(r, number_of(b, "until_ms"));
 	spec = step_spec(task, text_of(b, "spec"));
+	ms = spec != NULL ? atoll(spec) : 0;
 	n = xcalloc(1, sizeof(*n));
-	n->runner = r;
 	n->run = run;
-	n->began_ms = now_ms();
-	if (spec != NULL)
-		sscanf(spec, "%lld/%d", (long long *)&n->ms, &n->members);
-	n->waits = n->members > 0;
+	n->ends_at = ms > 0 ? now_ms() + ms : 0;
 	str_copy(n->task, task, sizeof(n->task));
 	TAILQ_INSERT_TAIL(&r->runs, n, link);
-	TAILQ_INSERT_TAIL(&all, n, all_link);
-	if (n->waits)
-		start_gang(n);
-	record_line("start %s %s %d fence=%lld", r->id, task, run,
-	    (long long)r->fence);
+	record_line(
+	    "start %s %s %d fence=%lld", r->id, task, run, (long long)r->fence);
 	return NULL;
 }
 
@@ -453,8 +409,8 @@
 	    json_pack("{s:s,s:s,s:s,s:s,s:s,s:i,s:{s:i,s:i,s:i},s:[s,s],s:i,"
 		      "s:I,s:i}",
 		"service", "work", "address", address, "zone", "z", "version",
-		"v1", "state", r->draining ? "draining" : "ready", "slots", 8, "capacity", "cpu", r->cpu,
-		"mem_mb", MEM_MB, "gpu", 0, "labels",
+		"v1", "state", r->draining ? "draining" : "ready", "slots", 8,
+		"capacity", "cpu", r->cpu, "mem_mb", MEM_MB, "gpu", 0, "labels",
 		r->index % KIND_B_EVERY == 0 ? "b" : "a", rack, "cold_left_ms",
 		0, "born", (json_int_t)r->born_wall_ms, "sequence",
 		r->sequence++));
@@ -477,10 +433,7 @@
 
 	for (n = TAILQ_FIRST(&r->runs); n != NULL; n = next) {
 		next = TAILQ_NEXT(n, link);
-		if (n->waits && now_ms() - n->began_ms >= GANG_TIMEOUT_MS)
-			end_run(r, n, "alone");
-		else if (!n->waits && n->ms != 0 &&
-		    now_ms() - n->began_ms >= n->ms)
+		if (n->ends_at != 0 && now_ms() >= n->ends_at)
 			end_run(r, n, "done");
 		else if (clock_of(r) >= r->lease_until)
 			end_run(r, n, "lapsed");
@@ -522,7 +475,6 @@
 	while ((n = TAILQ_FIRST(&r->runs)) != NULL) {
 		record_line("gone %s %s %d", r->id, n->task, n->run);
 		TAILQ_REMOVE(&r->runs, n, link);
-		TAILQ_REMOVE(&all, n, all_link);
 		free(n);
 	}
 	while ((e = TAILQ_FIRST(&r->ends)) != NULL) {
--- a/review/standin/runner.h
+++ b/review/standin/runner.h
@@ -8,8 +8,7 @@
 #include "../../tests/cellstandin/standin.h"
 
 /** Writes a line to the record, with the boot clock in ms before it. */
-void record_line(const char *format, ...)
-    __attribute__((format(printf, 1, 2)));
+void record_line(const char *format, ...) __attribute__((format(printf, 1, 2)));
 
 struct runner;
 
