--- a/review/lib.sh
+++ b/review/lib.sh
@@ -87,6 +87,13 @@
 	note "daemon edge-$1 starts"
 }
 
+# kill_daemon I: SIGKILL, as when the process crashes.
+kill_daemon() {
+	note "kill edge-$1"
+	kill -KILL "${DAEMON[$1]}"
+	wait "${DAEMON[$1]}" 2>/dev/null
+}
+
 # http METHOD ADDR PORT PATH [BODY]: prints the status, then the body.
 http() {
 	local body=${5:-}
@@ -143,27 +150,20 @@
 # state HOST ROUTE ID: prints the answer on one line.
 state() { http GET "$(addr "$1")" $((PORT + 100)) "/$2/$3" | tr '\n' ' '; }
 
-# start_all RUNNERS CPU: starts the stand-in and the daemons, with a new record.
+# start_all RUNNERS CPU [HALF]...: starts the stand-in and the daemons, with a new record.
 start_all() {
 	: > "$RECORD"
 	[ -x "$ROOT/target/celerycartd" ] || give_up "target/celerycartd isn't built"
 	[ -x "$REVIEW/bin/standin" ] || give_up "review/build.sh wasn't run"
 	RUN=$(mktemp -d)
 	trap cleanup EXIT
-	start_processes "$1" "$2"
-}
-
-# Ends all processes and starts anew, with the same record.
-start_again() {
-	end_processes
-	rm -f "$RUN"/*.log
-	start_processes "$1" "$2"
+	start_processes "$@"
 }
 
 start_processes() {
 	local i
 	pick_port
-	"$REVIEW/bin/standin" "$PORT" "$1" "$2" >> "$RECORD" 2> "$RUN/standin.log" &
+	"$REVIEW/bin/standin" "$PORT" "$@" >> "$RECORD" 2> "$RUN/standin.log" &
 	PIDS+=($!)
 	until_true 5 control / || give_up "the stand-in doesn't answer"
 	for i in $(seq "$HOSTS"); do daemon "$i"; done
--- a/review/standin/main.c
+++ b/review/standin/main.c
@@ -1,11 +1,11 @@
 /*
- * Usage: standin PORT RUNNERS CPU
- * Serves the store on PORT, control on PORT+2 and the runners from PORT+10 on.
+ * Usage: standin PORT RUNNERS CPU [HALF]...
+ * HALF is the number of a runner of half the size. Serves the store on PORT, control on PORT+2 and the runners from PORT+10 on.
  * Writes the record to standard output.
  *
  * Control: /store?mode=ok|busy|silent|reset|slow
  *          /config?drop=ROUTE    the next manifest, without that route
- *          /kill?runner=N        /boot?runner=N
+ *          /kill?runner=N        /boot?runner=N[&id=other][&size=half]
  *          /drain?runner=N       /leave?runner=N
  *          /cut?runner=N         /heal?runner=N
  */
@@ -21,6 +21,7 @@
 #include "runner.h"
 
 #define RUNNERS_MAX 64
+#define MEM_MB 65536
 
 static const struct {
 	const char *name;
@@ -40,6 +41,14 @@
 	int version;
 };
 
+static bool store_down;
+
+bool
+store_is_down(void)
+{
+	return store_down;
+}
+
 int64_t
 now_ms(void)
 {
@@ -134,6 +143,8 @@
 	for (i = 0; i < sizeof(modes) / sizeof(modes[0]); i++)
 		if (mode != NULL && strcmp(modes[i].name, mode) == 0) {
 			record_line("store %s", mode);
+			store_down = modes[i].mode != FAULT_NONE &&
+			    modes[i].mode != FAULT_SLOW;
 			store_sim_fault(s->store, modes[i].mode);
 		}
 }
@@ -156,7 +167,8 @@
 	else if (strcmp(path, "/kill") == 0 && r != NULL)
 		runner_kill(r);
 	else if (strcmp(path, "/boot") == 0 && r != NULL)
-		runner_boot(r);
+		runner_boot(r, query_get(&q, "id") != NULL,
+		    query_get(&q, "size") != NULL);
 	else if (strcmp(path, "/drain") == 0 && r != NULL)
 		runner_drain(r);
 	else if (strcmp(path, "/leave") == 0 && r != NULL)
@@ -176,10 +188,10 @@
 	struct standin s = {.version = 3};
 	struct evhttp *http;
 	char id[16];
-	int port, i;
+	int port, i, k, div;
 
-	if (argc != 4) {
-		fprintf(stderr, "usage: standin PORT RUNNERS CPU\n");
+	if (argc < 4) {
+		fprintf(stderr, "usage: standin PORT RUNNERS CPU [HALF]...\n");
 		return 1;
 	}
 	setvbuf(stdout, NULL, _IOLBF, 0);
@@ -191,8 +203,11 @@
 		return 1;
 	for (i = 0; i < s.nrunners; i++) {
 		snprintf(id, sizeof(id), "i-%04d", i);
+		for (k = 4, div = 1; k < argc; k++)
+			div = atoi(argv[k]) == i ? 2 : div;
 		s.runners[i] = runner_start(base, s.store, id, i,
-		    (uint16_t)(port + 10 + i), atoi(argv[3]));
+		    (uint16_t)(port + 10 + i), atoi(argv[3]) / div,
+		    MEM_MB / div);
 	}
 	http = evhttp_new(base);
 	evhttp_set_gencb(http, on_control, &s);
--- a/review/standin/runner.c
+++ b/review/standin/runner.c
@@ -13,7 +13,6 @@
 
 #include "../../src/base/xalloc.h"
 
-#define MEM_MB 65536
 #define MAX_HOLD_MS 10000
 #define TICK_MS 5
 #define HEARTBEAT_MS 1500
@@ -61,6 +60,8 @@
 	char id[40];
 	int index;
 	int cpu;
+	int mem_mb;
+	int nboots; /**< boots under another id so far */
 	uint16_t port;
 	TAILQ_HEAD(, sim_run) runs;
 	TAILQ_HEAD(, sim_end) ends;
@@ -414,6 +415,8 @@
 	char address[64], rack[32];
 
 	r->heartbeat_ms = now_ms();
+	if (store_is_down())
+		return;
 	r->listed = true;
 	snprintf(address, sizeof(address), "127.0.0.1:%u", r->port);
 	snprintf(rack, sizeof(rack), "r1-%d", r->index / RACK_RUNNERS);
@@ -422,7 +425,7 @@
 		      "s:I,s:i}",
 		"service", "work", "address", address, "zone", "z", "version",
 		"v1", "state", r->draining ? "draining" : "ready", "slots", 8,
-		"capacity", "cpu", r->cpu, "mem_mb", MEM_MB, "gpu", 0, "labels",
+		"capacity", "cpu", r->cpu, "mem_mb", r->mem_mb, "gpu", 0, "labels",
 		r->index % KIND_B_EVERY == 0 ? "b" : "a", rack, "cold_left_ms",
 		0, "born", (json_int_t)r->born_wall_ms, "sequence",
 		r->sequence++));
@@ -431,7 +434,7 @@
 static void
 expire_entry(struct runner *r)
 {
-	if (!r->listed)
+	if (!r->listed || store_is_down())
 		return;
 	r->listed = false;
 	store_sim_remove(r->store, "servers", r->id);
@@ -519,13 +522,14 @@
 	r->born_wall_ms = (int64_t)tv.tv_sec * 1000 + tv.tv_usec / 1000;
 	r->died_ms = 0;
 	r->draining = false;
-	record_line("boot %s port=%u", r->id, r->port);
+	record_line("boot %s port=%u cpu=%d mem_mb=%d", r->id, r->port, r->cpu,
+	    r->mem_mb);
 	write_heartbeat(r);
 }
 
 struct runner *
 runner_start(struct event_base *base, struct store_sim *store, const char *id,
-    int index, uint16_t port, int cpu)
+    int index, uint16_t port, int cpu, int mem_mb)
 {
 	struct runner *r = xcalloc(1, sizeof(*r));
 	struct timeval tv = {0, TICK_MS * 1000};
@@ -535,6 +539,7 @@
 	r->index = index;
 	r->port = port;
 	r->cpu = cpu;
+	r->mem_mb = mem_mb;
 	str_copy(r->id, id, sizeof(r->id));
 	TAILQ_INIT(&r->runs);
 	TAILQ_INIT(&r->ends);
@@ -582,10 +587,20 @@
 }
 
 void
-runner_boot(struct runner *r)
+runner_boot(struct runner *r, bool other_id, bool half)
 {
-	if (r->http == NULL)
-		serve(r);
+	if (r->http != NULL)
+		return;
+	if (other_id) {
+		expire_entry(r);
+		snprintf(r->id, sizeof(r->id), "i-%04d-%d", r->index,
+		    ++r->nboots);
+	}
+	if (half) {
+		r->cpu /= 2;
+		r->mem_mb /= 2;
+	}
+	serve(r);
 }
 
 void
