--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -33,5 +33,9 @@
 	echo "held: the job is completed" | tee -a "$RECORD"
 	exit 0
 fi
+if ! idle $ID; then
+	echo "held: the job is at work" | tee -a "$RECORD"
+	exit 0
+fi
 echo "broken LOST: $(grep -c " start .* $ID\." "$RECORD") starts in $((FINISH_S + 3)) s; i-0000 is ready and empty, with room for 16 tasks" | tee -a "$RECORD"
 exit 1
--- a/review/lib.sh
+++ b/review/lib.sh
@@ -150,6 +150,15 @@
 # state HOST ROUTE ID: prints the answer on one line.
 state() { http GET "$(addr "$1")" $((PORT + 100)) "/$2/$3" | tr '\n' ' '; }
 
+# idle ID: whether nothing of the submission has run for the last 3 s.
+idle() {
+	awk -v id="$1." -v now="$(now)" '
+	index($4, id) != 1 { next }
+	$2 == "start" { n++; last = $1 }
+	$2 == "end" || $2 == "gone" { n--; last = $1 }
+	END { exit !(n == 0 && now - last >= 3000) }' "$RECORD"
+}
+
 # start_all RUNNERS CPU [HALF]...: starts the stand-in and the daemons, with a new record.
 start_all() {
 	: > "$RECORD"
