A leader logs that it isn't renewed, and which runners it never heard

The first hypothesis on tasks run twice (two leaders at once) couldn't be told from the others: nothing shows that a leader works on without the store, nor which runners inherited work doesn't wait for. lead_unrenewed, once a second, says how old the last renewal is and which runners still answer; runner_unheard names those that didn't answer the new leader; runner_lapsed says when the runner was heard. No decision changes.

--- a/src/cell/cell.c
+++ b/src/cell/cell.c
@@ -9,6 +9,7 @@
 #include "../base/kvlog.h"
 #include "../base/xalloc.h"
 #include "commit.h"
+#include "lead_lease.h"
 
 /** Time on top of a lease in which a runner unknown to this leader may still
  * hold inherited work. */
@@ -168,6 +169,7 @@
 	if (c->phase != CELL_SERVING)
 		return;
 	cell_commit(c);
+	lead_lease_log(c);
 	cell_create_occurrences(c);
 	cell_check_adopted(c);
 	cell_drain(c);
--- a/src/cell/cell.h
+++ b/src/cell/cell.h
@@ -183,7 +183,8 @@
 				 * done */
 	int64_t renewed_ms;	/**< send time of the newest finished commit to
 				 * the first part: the leadership's renewal */
-	double commit_latency_ms;	/**< average answer time of commits */
+	int64_t unrenewed_log_ms; /**< last line on a renewal that is due */
+	double commit_latency_ms; /**< average answer time of commits */
 	int64_t store_failing_since_ms; /**< commits have failed since then; 0:
 					 * they don't fail */
 	uint64_t stale_rows; /**< rows of runners to write, as a bit mask */
--- a/src/cell/holds.c
+++ b/src/cell/holds.c
@@ -39,6 +39,9 @@
 /** Longest time from sending an order to its arrival at the runner. */
 #define ORDER_DELIVERY_MAX_MS 600
 
+/** Most runners that are logged when inherited work is free without them. */
+#define UNHEARD_LINES_MAX 20
+
 /** A hold under way. */
 struct hold {
 	struct cell *cell;
@@ -328,8 +331,14 @@
 		return;
 	if (!leases_lapsed(c, r, now))
 		return;
-	kvlog(KVLOG_WARN, "runner_lapsed", "runner=%s runs=%d silent_ms=%lld",
-	    r->info.id, r->nruns, (long long)(now - r->silent_since_ms));
+	kvlog(KVLOG_WARN, "runner_lapsed",
+	    "runner=%s runs=%d silent_ms=%lld heard_ms_ago=%lld "
+	    "renewed_ms_ago=%lld",
+	    r->info.id, r->nruns, (long long)(now - r->silent_since_ms),
+	    r->last_hold_answer_ms != 0
+		? (long long)(now - r->last_hold_answer_ms)
+		: -1LL,
+	    (long long)(now - c->renewed_ms));
 	raise_fence(c, r);
 	end_all_runs(c, r, END_LAPSED);
 }
@@ -367,6 +376,24 @@
 	runner_rows_check(c);
 }
 
+/* Logs the runners that inherited work doesn't wait for any more. */
+static void
+log_unheard(const struct cell *c)
+{
+	const struct runner *r;
+	int n = 0;
+
+	for (r = c->runners; r != NULL && n < UNHEARD_LINES_MAX;
+	     r = r->hh.next) {
+		if (r->adopted || r->stored_closed)
+			continue;
+		n++;
+		kvlog(KVLOG_WARN, "runner_unheard",
+		    "runner=%s listed=%d open=%d holds_failed=%d", r->info.id,
+		    r->listed, r->stored_open, r->hold_errors);
+	}
+}
+
 /* Inherited work may start once the registry was read and the runs of every
  * runner are known: from its lists, or from the store if that records it as
  * closed. At the latest it may when all leases granted under earlier leaders
@@ -392,5 +419,6 @@
 	kvlog(KVLOG_INFO, "inherited_work_free",
 	    "after_ms=%lld unheard_runners=%d",
 	    (long long)(c->ports.now() - c->lead_since_ms), unknown);
+	log_unheard(c);
 	c->ports.wake(c->ports.arg);
 }
