--- /dev/null
+++ b/tests/unit/cell_leases_test.c
@@ -0,0 +1,90 @@
+/**
+ * @file Leases of runs across a change of the leader, in the simulated
+ * environment: the leader before is alive and cut off from the store, or a
+ * runner can't be reached by the next leader.
+ */
+#include <CUnit/CUnit.h>
+#include <stdio.h>
+
+#include "unit.h"
+#include "unit_world.h"
+
+#define RUNNERS 4
+#define JOB "00000000000000a1"
+
+static const struct world_step long_step = {
+    .count = 8, .cpu = 2000, .ms = 9000, .after = -1};
+
+/* Only the first cell reaches the first runners, only the second the others. */
+static void
+cut_between(struct world *w, int nfirst, bool cut)
+{
+	int i;
+
+	for (i = 0; i < RUNNERS; i++)
+		world_path_cut(w, i < nfirst ? 1 : 0, i, cut);
+}
+
+/*
+ * The leader is cut off from the store and, with some of the runners, from all
+ * others. The next one claims, and after a while the cut ends.
+ */
+static void
+split_cell(int nfirst, int64_t cut_ms)
+{
+	struct world *w = start_world(RUNNERS);
+
+	world_submit(w, JOB, "batch", &long_step, 1);
+	world_run(w, 400);
+	world_cut_store(w, 0, true);
+	cut_between(w, nfirst, true);
+	world_run(w, 500);
+	world_claim(w, 1);
+	world_run(w, cut_ms);
+	world_cut_store(w, 0, false);
+	cut_between(w, nfirst, false);
+	world_run(w, 30000);
+	CU_ASSERT(world_all_jobs_ended(w));
+	finish_world(w);
+}
+
+/*
+ * Guards against TWICE: a leader that the store doesn't serve went on renewing
+ * leases at runners that the next leader couldn't reach, which took them for
+ * over and started the tasks again.
+ */
+void
+test_cell_two_leaders_one_run(void)
+{
+	int64_t cut_ms;
+	int nfirst;
+
+	for (nfirst = 1; nfirst < RUNNERS; nfirst++)
+		for (cut_ms = 2000; cut_ms <= 24000; cut_ms += 2000)
+			split_cell(nfirst, cut_ms);
+}
+
+/*
+ * Guards against TWICE: a runner that answers a new leader once and then goes
+ * silent still has leases that the leader before granted.
+ */
+void
+test_cell_inherited_lease_counts(void)
+{
+	int answer_ms;
+
+	for (answer_ms = 5; answer_ms <= 60; answer_ms += 5) {
+		struct world *w = start_world(RUNNERS);
+
+		world_submit(w, JOB, "batch", &long_step, 1);
+		world_run(w, 400);
+		world_claim(w, 1);
+		world_run(w, answer_ms);
+		world_runner_cut(w, 0, true);
+		world_run(w, 6000);
+		world_runner_cut(w, 0, false);
+		world_run(w, 30000);
+		CU_ASSERT(world_all_jobs_ended(w));
+		finish_world(w);
+	}
+}
--- a/tests/world/world.c
+++ b/tests/world/world.c
@@ -71,8 +71,12 @@
 	char task[TASK_NAME_LEN];
 	uint32_t run;
 	enum run_end how;
+	int64_t ended_ms;
 	bool acknowledged;
 	bool reported; /**< an answer to a hold has carried it */
+	/** The runner's lease was over between the end and its
+	 * acknowledgement: the end doesn't count as known to a cell. */
+	bool lapsed;
 };
 
 /** Highest run of a task that was stopped or has ended at the runner, which
@@ -96,6 +100,7 @@
 	int64_t born_ms;
 	int64_t up_at; /**< the runner is down until then */
 	bool cut;
+	bool cut_from[WORLD_CELLS_MAX]; /**< cells that can't reach it */
 	int answer_delay_ms;
 	int fail_share;	   /**< runs that fail, in thousandths */
 	double slowdown;   /**< factor on the run time of its runs */
@@ -111,6 +116,7 @@
 	bool done_seen;		/**< a run ended done, acknowledged or not */
 	int failures;
 	int64_t reported_ms; /**< an answer reported a done end; 0: none did */
+	int64_t started_ms;  /**< last start; 0: none */
 };
 
 struct world_job {
@@ -274,6 +280,12 @@
 	return r->world->now >= r->up_at;
 }
 
+static bool
+reaches(const struct world_cell *c, const struct world_runner *r)
+{
+	return runner_up(r) && !r->cut && !r->cut_from[c - r->world->cells];
+}
+
 static int64_t
 runner_clock_now(const struct world_runner *r)
 {
@@ -348,6 +360,7 @@
 		p = &(*p)->next;
 	*p = l->next;
 	e->number = ++r->end_count;
+	e->ended_ms = r->world->now;
 	str_copy(e->task, l->task, sizeof(e->task));
 	e->run = l->number;
 	e->how = how;
@@ -459,6 +472,9 @@
 		task_record_of(j, ref.step, ref.index)->failures++;
 	if (e->how != END_DONE)
 		return;
+	if (!e->lapsed && !j->steps[ref.step].speculative &&
+	    task_record_of(j, ref.step, ref.index)->started_ms > e->ended_ms)
+		report_violation(w, "started-after-done", e->task);
 	task_record_of(j, ref.step, ref.index)->done_acknowledged = true;
 	if (j->steps[ref.step].gang)
 		for (i = 0; i < j->steps[ref.step].count; i++)
@@ -608,6 +624,7 @@
 	}
 	trace(w, "start", o->task, o->run, r, o->fence);
 	check_start(w, r, j, &ref, o);
+	task_record_of(j, ref.step, ref.index)->started_ms = w->now;
 	count_start(w, o, r->index, late);
 	l = xcalloc(1, sizeof(*l));
 	str_copy(l->task, o->task, sizeof(l->task));
@@ -665,6 +682,17 @@
 		r->leaves_at = 0;
 }
 
+static void
+note_lapse(struct world_runner *r)
+{
+	struct ended_run *e;
+
+	if (runner_clock_now(r) < r->lease_until_ms)
+		return;
+	for (e = r->ends; e != NULL; e = e->next)
+		e->lapsed = true;
+}
+
 static void
 runner_tick(struct world *w, struct world_runner *r)
 {
@@ -676,6 +704,7 @@
 		leave(w, r);
 		return;
 	}
+	note_lapse(r);
 	for (l = r->runs; l != NULL; l = next) {
 		next = l->next;
 		if (l->stops_at != 0 && w->now >= l->stops_at)
@@ -711,6 +740,12 @@
 	w->runners[i].cut = cut;
 }
 
+void
+world_path_cut(struct world *w, int cell, int runner, bool cut)
+{
+	w->runners[runner].cut_from[cell] = cut;
+}
+
 void
 world_cell_set_interval(struct world *w, int i, int interval_ms)
 {
@@ -825,7 +860,7 @@
 		free(o);
 		return;
 	}
-	if (!runner_up(r) || r->cut) {
+	if (!reaches(o->cell, r)) {
 		o->answer.result = ORDER_UNKNOWN;
 		if (o->answer_lost)
 			free(o);
@@ -1044,7 +1079,7 @@
 	int names = 0;
 
 	/* The runner's connections end with its process. */
-	if (!runner_up(r) || r->cut || o->born_ms != r->born_ms) {
+	if (!reaches(o->cell, r) || o->born_ms != r->born_ms) {
 		add_event(w, ORDER_TIMEOUT_MIN_MS, hold_error, o);
 		return;
 	}
@@ -1115,7 +1150,7 @@
 	struct world_runner *r = o->runner;
 	struct hold_timer *t;
 
-	if (!runner_up(r) || r->cut) {
+	if (!reaches(o->cell, r)) {
 		add_event(
 		    w, o->hold.wait_ms + ORDER_TIMEOUT_MIN_MS, hold_error, o);
 		return;
@@ -1759,8 +1794,8 @@
 
 	return c->cell.phase == CELL_SERVING && !c->cut_store &&
 	    c->interval_ms == 0 && w->store_latency_ms <= STORE_LATENCY_MS &&
-	    memcmp(&w->faults, &none, sizeof(none)) == 0 && runner_up(r) &&
-	    !r->cut && r->leaves_at == 0 && r->answer_delay_ms == 0;
+	    memcmp(&w->faults, &none, sizeof(none)) == 0 && reaches(c, r) &&
+	    r->leaves_at == 0 && r->answer_delay_ms == 0;
 }
 
 /* An entry that a test itself gave the cell may say that the runner drains. */
--- a/tests/world/world.h
+++ b/tests/world/world.h
@@ -59,6 +59,8 @@
 void world_runner_crash(struct world *w, int r, int64_t down_ms);
 /** No cell can reach the runner while @p cut is set; the runner works on. */
 void world_runner_cut(struct world *w, int r, bool cut);
+/** This cell can't reach the runner while @p cut is set; others can. */
+void world_path_cut(struct world *w, int cell, int runner, bool cut);
 /** Delays each answer of the runner by @p ms, and each order to it by a random
  * time below @p ms. */
 void world_runner_set_delay(struct world *w, int r, int ms);
