Leases end within a bound after the leader's last renewal

Callers saw tasks run twice (TWICE): two runs of a task at once, or a start after an end as done, in pairs of runs that two hosts had ordered.

Cause: a leader that the store doesn't serve isn't told of the next claim, and went on without a limit in time: it renewed leases, started tasks and took silent runners for lapsed. The next leader let inherited work start one lease after its claim, though the one before still renewed leases at runners that only that one reached. And the one before took the leases of runners that it didn't reach for over, though the next one renewed them.

Now a leader grants no lease that ends later than lead_lease_ms (6 s) after the sending of its last finished renewal, starts nothing with less than 1 s of that left, and judges that leases are over as of that renewal, not as of now: until then no other leader can have renewed them. The next leader waits for that bound, on the slowest clock that a runner may have, and 1 s more, unless it hears all runners, which refuse the one before from then on. Renewals count from the sending of the attempt that was answered (it was the last attempt), and a claim from its sending (it was the answer).

--- a/src/cell/cell.c
+++ b/src/cell/cell.c
@@ -11,10 +11,6 @@
 #include "commit.h"
 #include "lead_lease.h"
 
-/** Time on top of a lease in which a runner unknown to this leader may still
- * hold inherited work. */
-#define ADOPT_MARGIN_MS 1000
-
 void
 cell_init(struct cell *c, const struct cell_terms *t,
     const struct cell_ports *p, const char *incarnation)
@@ -98,27 +94,24 @@
 }
 
 void
-cell_lead(struct cell *c, uint64_t fence, uint32_t generation,
-    uint64_t commit_version)
+cell_lead(struct cell *c, const struct cell_claim *claim)
 {
 	int64_t now = c->ports.now();
 
 	c->phase = CELL_LOADING;
-	c->fence = fence;
-	c->generation = generation;
+	c->fence = claim->fence;
+	c->generation = claim->generation;
 	memset(c->chains, 0, sizeof(c->chains));
 	memset(c->parts, 0, sizeof(c->parts));
-	c->chains[0].version = c->store_version = commit_version;
+	c->chains[0].version = c->store_version = claim->commit_version;
 	c->changes = 1;
 	c->ack_change = 0;
 	c->stale_rows = c->unreadable_rows = 0;
-	c->lead_since_ms = c->committed_ms = c->commit_ms = c->renewed_ms = now;
+	c->lead_since_ms = c->committed_ms = c->commit_ms = now;
 	c->store_failing_since_ms = c->registry_synced_ms =
 	    c->last_unanswered_ms = 0;
 	c->registry_gap_ms = 0;
-	c->adopting = true;
-	c->adopt_until_ms =
-	    now + c->terms.lease_ms * 100 / 98 + ADOPT_MARGIN_MS;
+	lead_lease_begin(c, claim);
 	cell_load(c);
 }
 
--- a/src/cell/cell.h
+++ b/src/cell/cell.h
@@ -41,6 +41,10 @@
 struct cell_terms {
 	int64_t max_hold_ms; /**< longest lease that a runner grants */
 	int64_t lease_ms;    /**< lease of a run, renewed by holds */
+	/** Longest time after a renewal of its leadership for which a leader
+	 * grants leases. The next leader waits for it where it can't reach a
+	 * runner. */
+	int64_t lead_lease_ms;
 	int64_t start_ms; /**< validity of a start order; the runner refuses one
 			   * that arrives later */
 	int64_t hold_wait_ms;  /**< longest wait of a hold (a long poll) at the
@@ -163,12 +167,13 @@
 	struct expired_credit
 	    expired_credit; /**< credit to start expired steps */
 	struct retry_after
-	    retry_after;	/**< Retry-After delays of refused callers */
-	int64_t lead_since_ms;	/**< start of this leadership */
-	int64_t adopt_until_ms; /**< inherited work may start from then on,
-				 * whether or not all runners are adopted */
-	bool adopting;		/**< inherited work must not start: it may run
-				 * on a runner that isn't adopted yet */
+	    retry_after;       /**< Retry-After delays of refused callers */
+	int64_t lead_since_ms; /**< start of this leadership */
+	/** All leases that leaders before granted are over by then, so that
+	 * inherited work may start whether or not all runners are adopted. */
+	int64_t adopt_until_ms;
+	bool adopting; /**< inherited work must not start: it may run
+			* on a runner that isn't adopted yet */
 	struct commit_chain chains[COMMIT_CHAINS];
 	struct part parts[CELL_PARTS];
 	uint64_t store_version; /**< version of the newest finished commit */
@@ -208,13 +213,16 @@
 void cell_init(struct cell *c, const struct cell_terms *t,
     const struct cell_ports *p, const char *incarnation);
 void cell_done(struct cell *c);
-/**
- * Begins to lead: reads jobs and runners from the store, then serves.
- * @param fence version of the leader's row.
- * @param commit_version version of the row of the first part's first chain.
- */
-void cell_lead(struct cell *c, uint64_t fence, uint32_t generation,
-    uint64_t commit_version);
+/** A claim of leadership that the store has accepted. */
+struct cell_claim {
+	uint64_t fence; /**< version of the leader's row */
+	uint32_t generation;
+	/** Version of the row of the first part's first chain. */
+	uint64_t commit_version;
+	int64_t sent_ms; /**< when it, or a read that shows it, was sent */
+};
+/** Begins to lead: reads jobs and runners from the store, then serves. */
+void cell_lead(struct cell *c, const struct cell_claim *claim);
 /** Ends the leadership; waiting callers get an answer. */
 void cell_resign(struct cell *c);
 /** Puts a configuration in force; the cell takes ownership of it. */
--- a/src/cell/commit_send.c
+++ b/src/cell/commit_send.c
@@ -96,7 +96,7 @@
 }
 
 static void
-commit_done(struct cell *c, struct commit *k, uint64_t version)
+commit_done(struct cell *c, struct commit *k, uint64_t version, int64_t sent_ms)
 {
 	int i;
 
@@ -106,8 +106,8 @@
 		c->store_version = version;
 	c->committed_ms = c->ports.now();
 	/* Only commits to the first part depend on the leader's row. */
-	if (chain_part(k->chain) == PART_FIRST && k->sent_ms > c->renewed_ms)
-		c->renewed_ms = k->sent_ms;
+	if (chain_part(k->chain) == PART_FIRST && sent_ms > c->renewed_ms)
+		c->renewed_ms = sent_ms;
 	if (c->store_failing_since_ms != 0)
 		kvlog(KVLOG_INFO, "store_back", "down_ms=%lld",
 		    (long long)(c->committed_ms - c->store_failing_since_ms));
@@ -156,7 +156,8 @@
 /* Handles a failed condition. The commit was done if an earlier attempt wrote
  * the chain's row; else another leader has claimed the part. */
 static void
-commit_conflict(struct cell *c, struct commit *k, const struct store_result *r)
+commit_conflict(struct cell *c, struct commit *k, const struct store_result *r,
+    int64_t sent_ms)
 {
 	char key[CHAIN_KEY_LEN];
 	const struct row *commit = find_row(r, chain_key(k->chain, key));
@@ -165,7 +166,7 @@
 	uint64_t version = guard != NULL ? guard->version : 0;
 
 	if (shows_commit(k, commit)) {
-		commit_done(c, k, commit->version);
+		commit_done(c, k, commit->version, sent_ms);
 		if (guard != NULL && version != wanted.version)
 			c->ports.deposed(c->ports.arg);
 		return;
@@ -350,9 +351,9 @@
 		p->answered_sent_ms = a.sent_ms;
 	if (r->err == CC_OK) {
 		update_latency(c, (double)(c->ports.now() - a.sent_ms));
-		commit_done(c, k, r->version);
+		commit_done(c, k, r->version, a.sent_ms);
 	} else if (r->err == CC_ECONFLICT) {
-		commit_conflict(c, k, r);
+		commit_conflict(c, k, r, a.sent_ms);
 	} else if (r->err == CC_EINVAL && k->open_attempts == 0) {
 		commit_invalid(c, k);
 	} else {
--- a/src/cell/holds.c
+++ b/src/cell/holds.c
@@ -13,6 +13,7 @@
 #include "../base/err.h"
 #include "../base/kvlog.h"
 #include "../base/xalloc.h"
+#include "lead_lease.h"
 #include "runner_rows.h"
 
 /** Wait of a hold where best-effort work may raise tail latencies, so that
@@ -264,7 +265,7 @@
 	/* An unanswered hold may still extend the leases at the runner, so its
 	 * repetitions don't. */
 	if (r->clock_at_ms != 0 && r->adopted && r->hold_errors == 0) {
-		o.until_ms = runner_clock(r, now) + c->terms.lease_ms;
+		o.until_ms = lead_lease_end(c, r, c->terms.lease_ms);
 		if (o.until_ms > r->lease_ms)
 			r->lease_ms = o.until_ms;
 		r->order_sent_ms = now;
@@ -307,17 +308,22 @@
 	send_hold(c, r, &o, true);
 }
 
-/* Whether all leases at the runner have certainly expired: by its clock where
- * that is known. Else by the longest lease after the last order, or, when the
- * runner never answered this leader, by adopt_until_ms. */
+/*
+ * Whether all leases at the runner had certainly expired when this leadership
+ * was last renewed: by the runner's clock where that is known. Else by the
+ * longest lease after the last order, or, when the runner never answered this
+ * leader, by adopt_until_ms. Since that renewal another leader may have claimed
+ * and renewed leases at a runner that this one doesn't reach.
+ */
 static bool
-leases_lapsed(const struct cell *c, const struct runner *r, int64_t now)
+leases_lapsed(const struct cell *c, const struct runner *r)
 {
 	if (r->clock_at_ms != 0)
-		return runner_lapsed(r, now);
+		return c->renewed_ms >= r->clock_at_ms &&
+		    runner_lapsed(r, c->renewed_ms);
 	if (r->last_hold_answer_ms == 0)
-		return now > c->adopt_until_ms;
-	return now - r->order_sent_ms >
+		return lead_lease_inherited_over(c);
+	return c->renewed_ms - r->order_sent_ms >
 	    c->terms.max_hold_ms * 100 / CLOCK_RATE_MIN_PCT +
 	    ORDER_DELIVERY_MAX_MS;
 }
@@ -329,7 +335,7 @@
 {
 	if (r->silent_since_ms == 0 || r->nruns == 0)
 		return;
-	if (!leases_lapsed(c, r, now))
+	if (!leases_lapsed(c, r))
 		return;
 	kvlog(KVLOG_WARN, "runner_lapsed",
 	    "runner=%s runs=%d silent_ms=%lld heard_ms_ago=%lld "
@@ -411,7 +417,7 @@
 	if (c->registry_synced_ms == 0)
 		unknown++;
 	unknown += c->unreadable_rows != 0;
-	if (unknown > 0 && c->ports.now() < c->adopt_until_ms)
+	if (unknown > 0 && !lead_lease_inherited_over(c))
 		return;
 	c->adopting = false;
 	c->stale_rows |= c->unreadable_rows;
--- a/src/cell/lead_lease.c
+++ b/src/cell/lead_lease.c
@@ -2,10 +2,46 @@
 
 #include "../base/kvlog.h"
 
+/** Shortest lease that a start may give. */
+#define START_LEASE_MIN_MS 1000
+/** Time on top of a lease for orders under way and for the clocks of hosts. */
+#define LEASE_MARGIN_MS 1000
+
 /** Time without a renewal after which it is logged, and the interval of the
  * next lines. */
 #define LOG_MS 1000
 
+void
+lead_lease_begin(struct cell *c, const struct cell_claim *claim)
+{
+	c->renewed_ms = claim->sent_ms;
+	c->adopting = true;
+	c->adopt_until_ms = c->ports.now() +
+	    c->terms.lead_lease_ms * 100 / CLOCK_RATE_MIN_PCT + LEASE_MARGIN_MS;
+}
+
+bool
+lead_lease_allows_start(const struct cell *c)
+{
+	return c->ports.now() + START_LEASE_MIN_MS <=
+	    c->renewed_ms + c->terms.lead_lease_ms;
+}
+
+int64_t
+lead_lease_end(const struct cell *c, const struct runner *r, int64_t ms)
+{
+	int64_t end = runner_clock(r, c->ports.now()) + ms;
+	int64_t limit = runner_clock(r, c->renewed_ms) + c->terms.lead_lease_ms;
+
+	return end < limit ? end : limit;
+}
+
+bool
+lead_lease_inherited_over(const struct cell *c)
+{
+	return c->renewed_ms >= c->adopt_until_ms;
+}
+
 void
 lead_lease_log(struct cell *c)
 {
--- a/src/cell/orders.c
+++ b/src/cell/orders.c
@@ -6,6 +6,7 @@
 #include "../base/kvlog.h"
 #include "../base/xalloc.h"
 #include "cell_internal.h"
+#include "lead_lease.h"
 
 /** Attempts of a start that certainly had no effect. */
 #define START_ATTEMPTS_MAX 3
@@ -126,7 +127,7 @@
 	    .task = run->name,
 	    .run = run->number,
 	    .spec = s->occurrence->job->row->spec,
-	    .until_ms = runner_clock(r, now) + c->terms.start_ms,
+	    .until_ms = lead_lease_end(c, r, c->terms.start_ms),
 	    .fence = r->fence,
 	    .saved =
 		checkpoint_task->saved != NULL ? checkpoint_task->saved : "",
--- a/src/cell/place.c
+++ b/src/cell/place.c
@@ -6,6 +6,7 @@
 #include "../base/xalloc.h"
 
 #include "cell_internal.h"
+#include "lead_lease.h"
 
 /** A leader's run numbers of a task start at its generation times this, so that
  * it doesn't reuse a number of an earlier leader. */
@@ -389,7 +390,8 @@
 	struct ranked *ranked;
 	size_t i, n;
 
-	if (TAILQ_EMPTY(&c->steps) || c->config == NULL)
+	if (TAILQ_EMPTY(&c->steps) || c->config == NULL ||
+	    !lead_lease_allows_start(c))
 		return;
 	ranked = rank_steps(c, now, &n);
 	for (i = 0; i < n && c->ports.now() - now < PASS_MS; i++)
--- a/src/member/election.c
+++ b/src/member/election.c
@@ -127,8 +127,13 @@
 }
 
 static void
-start_leading(struct member *m, uint64_t fence, uint64_t commit_version)
+start_leading(struct member *m, uint64_t fence, int64_t sent_ms)
 {
+	struct cell_claim claim = {.fence = fence,
+	    .generation = m->claim.generation,
+	    .commit_version = fence,
+	    .sent_ms = sent_ms};
+
 	forget_former_beat(m);
 	m->state = MEMBER_LEADING;
 	m->leader.known = true;
@@ -146,7 +151,7 @@
 	m->registry_read_ms = 0;
 	member_dial(m);
 	member_calls_leader_changed(m);
-	cell_lead(&m->cell, fence, m->leader.generation, commit_version);
+	cell_lead(&m->cell, &claim);
 	/* This host began to shut down while the claim was in flight. */
 	if (m->leaving)
 		member_release(m);
@@ -181,8 +186,7 @@
 		if (strcmp(r->rows[i].key, LEADER_KEY) != 0)
 			continue;
 		if (row_is_mine(m, &r->rows[i]))
-			start_leading(
-			    m, r->rows[i].version, r->rows[i].version);
+			start_leading(m, r->rows[i].version, m->claim.read_ms);
 		else
 			member_leader_row(m, &r->rows[i]);
 	}
@@ -191,6 +195,7 @@
 static void
 resolve_claim(struct member *m)
 {
+	m->claim.read_ms = clock_boot_ms();
 	m->ports.store->ops->list(m->ports.store, MEMBER_TABLE, CELL_PART,
 	    LEADER_KEY, 1, on_claim_resolved, m);
 }
@@ -207,7 +212,7 @@
 		/* First estimate: commits won't be answered sooner. */
 		m->cell.commit_latency_ms =
 		    (double)(clock_boot_ms() - m->claim.sent_ms);
-		start_leading(m, r->version, r->version);
+		start_leading(m, r->version, m->claim.sent_ms);
 		return;
 	}
 	kvlog(KVLOG_INFO, "claim_failed", "why=%s", cc_strerror(r->err));
--- a/src/member/member.c
+++ b/src/member/member.c
@@ -22,6 +22,8 @@
 #define FOLLOW_WAIT_MS 3000
 /** Lease of a run at its runner, renewed by each hold. */
 #define LEASE_MS 4000
+/** Longest time without the store for which the leader keeps work running. */
+#define LEAD_LEASE_MS 6000
 /** Lease that a start gives until the first hold; the runner refuses a start
  * that arrives after it. */
 #define START_DEADLINE_MS 2500
@@ -93,6 +95,7 @@
 	struct cell_terms terms = {
 	    .max_hold_ms = s->max_hold_ms,
 	    .lease_ms = min_of(LEASE_MS, s->max_hold_ms),
+	    .lead_lease_ms = LEAD_LEASE_MS,
 	    .start_ms = min_of(START_DEADLINE_MS, s->max_hold_ms),
 	    .hold_wait_ms = HOLD_WAIT_MS,
 	    .stop_grace_ms = s->stop_grace_ms,
--- a/src/member/member_internal.h
+++ b/src/member/member_internal.h
@@ -52,6 +52,7 @@
 	char former[64]; /**< host that led when the claim was sent */
 	uint32_t generation;
 	int64_t sent_ms;
+	int64_t read_ms; /**< when the read of its outcome was sent */
 };
 
 enum member_state {
--- a/tests/prop/cells.cc
+++ b/tests/prop/cells.cc
@@ -32,8 +32,9 @@
 	    *in_range<uint32_t>(0, 1000), *in_range<int64_t>(1, 900)};
 }
 
+// Submits job n, whose tasks take up to 1600 ms times the factor.
 void
-submit(struct world *w, const schedule_step &s, int n)
+submit(struct world *w, const schedule_step &s, int n, uint32_t factor = 1)
 {
 	struct world_step steps[3];
 	const char *queues[] = {"urgent", "batch", "advised"};
@@ -43,7 +44,7 @@
 		steps[i] = {};
 		steps[i].count = 1 + (s.a / 3 + (uint32_t)i) % 6;
 		steps[i].cpu = 1000 + s.b % 5000;
-		steps[i].ms = 100 + (s.a * 7 + s.b) % 1500;
+		steps[i].ms = factor * (100 + (s.a * 7 + s.b) % 1500);
 		steps[i].after = i - 1;
 		steps[i].gang = s.b % 7 == 0 && i == 0;
 	}
@@ -225,6 +226,85 @@
 	return kept;
 }
 
+// Cuts each runner off from some of the cells, and some cells from the store.
+void
+split(struct world *w, uint32_t cells, uint32_t runners)
+{
+	for (int c = 0; c < CELLS; c++) {
+		world_cut_store(w, c, (cells >> c & 1) != 0);
+		for (int r = 0; r < RUNNERS; r++)
+			world_path_cut(
+			    w, c, r, (runners >> (c * RUNNERS + r) & 1) != 0);
+	}
+}
+
+// Applies a step of a history in which the network splits: two cells may lead
+// at the same time, each on the runners that it reaches.
+void
+apply_split_step(
+    struct world *w, const schedule_step &s, int *jobs, bool crashes)
+{
+	int r = (int)(s.a % RUNNERS), c = (int)(s.a % CELLS);
+	print_step(w, "split kind", s);
+	switch (s.kind) {
+	case 0:
+	case 1:
+		world_claim(w, c);
+		break;
+	case 2:
+	case 3:
+		split(w, s.a % 4, (s.b << 5) ^ (s.a * 37));
+		break;
+	case 4:
+	case 5: {
+		// One cell has the store, the other leads some runners on.
+		uint32_t side = s.b % (1 << RUNNERS), all = (1 << RUNNERS) - 1;
+		split(w, c == 0 ? 2 : 1,
+		    side << (c * RUNNERS) |
+			(all & ~side) << ((1 - c) * RUNNERS));
+		world_run(w, s.ms);
+		world_claim(w, c);
+		world_run(w, s.a * 20);
+		break;
+	}
+	case 6:
+		split(w, 0, 0);
+		break;
+	case 7:
+		world_run(w, s.b * 8);
+		break;
+	case 8:
+		world_cell_restart(w, c);
+		break;
+	case 9:
+		if (crashes)
+			world_runner_crash(w, r, 100 + s.b * 4);
+		break;
+	default:
+		submit(w, s, (*jobs)++, 10);
+	}
+	world_run(w, s.ms);
+}
+
+bool
+holds_when_split(bool crashes)
+{
+	struct world *w = world_new(*in_range<uint32_t>(1, 1000000), RUNNERS);
+	auto n = *in_range(5, 40);
+	int jobs = 0;
+	set_output(w);
+	world_claim(w, 0);
+	world_run(w, 1500);
+	for (int i = 0; i < n; i++)
+		apply_split_step(w, gen_step(), &jobs, crashes);
+	split(w, 0, 0);
+	world_claim(w, 0);
+	world_run(w, 60000);
+	bool kept = world_violations(w) == 0 && world_all_jobs_ended(w);
+	world_delete(w);
+	return kept;
+}
+
 } // namespace
 
 bool
@@ -234,5 +314,13 @@
 	    rc::check("faults", [] { RC_ASSERT(holds_under_faults()); }));
 	bool slow = property("a cell keeps its guarantees when parts are slow",
 	    rc::check("slow", [] { RC_ASSERT(holds_when_slow()); }));
-	return faults && slow;
+	// Guards against TWICE: the leader before, cut off from the store,
+	// renews leases that the next leader takes for over.
+	bool parted =
+	    property("a cell keeps its guarantees when the network splits",
+		rc::check("split", [] { RC_ASSERT(holds_when_split(false)); }));
+	bool crashes = property(
+	    "a cell keeps its guarantees when it splits and runners crash",
+	    rc::check("split", [] { RC_ASSERT(holds_when_split(true)); }));
+	return faults && slow && parted && crashes;
 }
--- a/tests/unit/cell_leases_test.c
+++ b/tests/unit/cell_leases_test.c
@@ -13,7 +13,7 @@
 #define JOB "00000000000000a1"
 
 static const struct world_step long_step = {
-    .count = 8, .cpu = 2000, .ms = 9000, .after = -1};
+    .count = 8, .cpu = 2000, .ms = 25000, .after = -1};
 
 /* Only the first cell reaches the first runners, only the second the others. */
 static void
@@ -43,7 +43,7 @@
 	world_run(w, cut_ms);
 	world_cut_store(w, 0, false);
 	cut_between(w, nfirst, false);
-	world_run(w, 30000);
+	world_run(w, 90000);
 	CU_ASSERT(world_all_jobs_ended(w));
 	finish_world(w);
 }
@@ -83,7 +83,7 @@
 		world_runner_cut(w, 0, true);
 		world_run(w, 6000);
 		world_runner_cut(w, 0, false);
-		world_run(w, 30000);
+		world_run(w, 60000);
 		CU_ASSERT(world_all_jobs_ended(w));
 		finish_world(w);
 	}
--- a/tests/unit/commit_test.c
+++ b/tests/unit/commit_test.c
@@ -171,15 +171,16 @@
 {
 	struct world *w = start_world(RUNNERS);
 	struct cell *old = world_cell(w, 1);
-	uint64_t fence;
+	struct cell_claim claim = {.generation = 1};
 
 	world_claim(w, 1);
-	fence = old->fence;
+	claim.fence = claim.commit_version = old->fence;
+	claim.sent_ms = world_now(w);
 	world_run(w, 2000);
 	world_claim(w, 0);
 	world_run(w, 2000);
 	CU_ASSERT_EQUAL(old->phase, CELL_IDLE);
-	cell_lead(old, fence, 1, fence);
+	cell_lead(old, &claim);
 	world_run(w, 2000);
 	CU_ASSERT_EQUAL(old->phase, CELL_IDLE);
 	CU_ASSERT_EQUAL(world_cell(w, 0)->phase, CELL_SERVING);
--- a/tests/world/world.c
+++ b/tests/world/world.c
@@ -14,6 +14,7 @@
 #define STORE_LATENCY_MS 4
 #define ORDER_LATENCY_MS 3
 #define STOP_GRACE_MS 400
+#define MAX_HOLD_MS 10000
 #define RUNNER_CPU 16000 /* thousandths of a core */
 #define RUNNER_MEM_MB 65536
 #define ROWS_MAX 4096
@@ -598,6 +599,18 @@
 	w->starts[i].runner = runner;
 }
 
+/* A longer lease than the longest is shortened to it. */
+static void
+extend_lease(struct world_runner *r, int64_t until_ms)
+{
+	int64_t most = runner_clock_now(r) + MAX_HOLD_MS;
+
+	if (until_ms > most)
+		until_ms = most;
+	if (until_ms > r->lease_until_ms)
+		r->lease_until_ms = until_ms;
+}
+
 static enum order_result
 do_start(struct world *w, struct world_runner *r, const struct start_order *o,
     bool late)
@@ -612,8 +625,7 @@
 	for (l = r->runs; l != NULL; l = l->next)
 		if (strcmp(l->task, o->task) == 0 && l->number == o->run)
 			return ORDER_OK;
-	if (o->until_ms > r->lease_until_ms)
-		r->lease_until_ms = o->until_ms;
+	extend_lease(r, o->until_ms);
 	if (o->run <= tombstone_run(r, o->task))
 		return ORDER_OLD;
 	if (o->until_ms <= runner_clock_now(r))
@@ -1161,8 +1173,7 @@
 		o->answer.result = ORDER_FENCED;
 	} else {
 		r->fence = o->hold.fence;
-		if (o->hold.until_ms > r->lease_until_ms)
-			r->lease_until_ms = o->hold.until_ms;
+		extend_lease(r, o->hold.until_ms);
 		/* On a new connection the ends are not acknowledged: they may
 		 * be those of an earlier incarnation. */
 		if (o->cell->connected_born_ms[r->index] == r->born_ms)
@@ -1630,8 +1641,9 @@
 init_cell(struct world *w, int i)
 {
 	struct world_cell *c = &w->cells[i];
-	struct cell_terms terms = {.max_hold_ms = 10000,
+	struct cell_terms terms = {.max_hold_ms = MAX_HOLD_MS,
 	    .lease_ms = 4500,
+	    .lead_lease_ms = 6000,
 	    .start_ms = 2500,
 	    .hold_wait_ms = 1200,
 	    .stop_grace_ms = STOP_GRACE_MS,
@@ -1947,6 +1959,7 @@
 void
 world_claim(struct world *w, int i)
 {
+	struct cell_claim claim = {.sent_ms = w->now};
 	struct stored_row rows[2] = {
 	    {.table = MEMBER_TABLE, .part = CELL_PART, .key = LEADER_KEY},
 	    {.table = CELL_TABLE, .part = CELL_PART, .key = COMMIT_KEY},
@@ -1971,7 +1984,9 @@
 		w->runners[k].calm_since_ms = w->now;
 	if (w->cells[i].cell.phase != CELL_IDLE)
 		cell_resign(&w->cells[i].cell);
-	cell_lead(&w->cells[i].cell, w->version, w->generation++, w->version);
+	claim.fence = claim.commit_version = w->version;
+	claim.generation = w->generation++;
+	cell_lead(&w->cells[i].cell, &claim);
 }
 
 void
