tests: two leaders as processes; postmortem of tasks run twice

The stand-in shows store and runners at an address a zone, so that single paths can be cut, and counts a start between a done end and its acknowledgement.

--- a/tests/cellstandin/main.c
+++ b/tests/cellstandin/main.c
@@ -47,6 +47,15 @@
 	return (int64_t)ts.tv_sec * 1000 + ts.tv_nsec / 1000000;
 }
 
+const char *
+view_addr(int view)
+{
+	static const char *const addrs[VIEWS] = {
+	    "127.0.0.1", "127.0.0.201", "127.0.0.202", "127.0.0.203"};
+
+	return addrs[view];
+}
+
 enum fault_mode
 fault_mode_of(const char *name)
 {
@@ -135,6 +144,7 @@
 	const char *which = query_get(q, "runner");
 	const char *mode = query_get(q, "mode");
 	const char *down = query_get(q, "down");
+	const char *view = query_get(q, "view");
 	int i = which != NULL ? atoi(which) : -1;
 
 	if (i < 0 || i >= s->nrunners || mode == NULL)
@@ -144,6 +154,9 @@
 		    s->runners[i], down != NULL ? atoi(down) : 1000);
 	else if (strcmp(mode, "drain") == 0)
 		runner_sim_drain(s->runners[i]);
+	else if (view != NULL)
+		runner_sim_view_fault(
+		    s->runners[i], atoi(view) % VIEWS, fault_mode_of(mode));
 	else
 		runner_sim_fault(s->runners[i], fault_mode_of(mode));
 }
@@ -153,12 +166,16 @@
 {
 	struct standin *s = arg;
 	struct evkeyvalq q;
-	const char *v;
+	const char *v, *view;
 
 	evhttp_parse_query_str(
 	    evhttp_uri_get_query(evhttp_request_get_evhttp_uri(req)), &q);
+	view = query_get(&q, "view");
 	if ((v = query_get(&q, "store")) != NULL) {
-		if (strcmp(v, "compact") == 0)
+		if (view != NULL)
+			store_sim_view_fault(
+			    s->store, atoi(view) % VIEWS, fault_mode_of(v));
+		else if (strcmp(v, "compact") == 0)
 			store_sim_compact(s->store);
 		else
 			store_sim_fault(s->store, fault_mode_of(v));
--- a/tests/cellstandin/runner_sim.c
+++ b/tests/cellstandin/runner_sim.c
@@ -35,6 +35,7 @@
 	int nsteps;
 	bool ended[STEPS_MAX][TASKS_MAX]; /**< some run ended as done */
 	bool acked[STEPS_MAX][TASKS_MAX]; /**< that end was acknowledged */
+	int64_t started_ms[STEPS_MAX][TASKS_MAX]; /**< last start, boot clock */
 };
 
 struct sim_run {
@@ -54,6 +55,9 @@
 	char task[64];
 	int run;
 	const char *how;
+	int64_t ended_ms; /**< boot clock */
+	bool lapsed;	  /**< the runner's lease was over before it was
+			     acknowledged */
 };
 
 /** Highest run of a task that ended or was stopped; none up to it may start. */
@@ -65,17 +69,24 @@
 
 /** A hold request that waits for an end (long poll). */
 struct sim_hold {
+	struct runner_view *view;
 	struct evhttp_request *req;
 	int64_t until; /**< deadline of the wait, boot clock, ms */
 	uint64_t seen; /**< number of the last end that the caller has */
 };
 
+/** The runner as the callers of one zone see it. */
+struct runner_view {
+	struct runner_sim *runner;
+	struct evhttp *http;
+	enum fault_mode mode;
+};
+
 struct runner_sim {
 	struct event_base *base;
 	struct store_sim *store;
 	struct record *record;
-	struct evhttp *http;
-	struct evhttp_bound_socket *socket;
+	struct runner_view views[VIEWS];
 	char id[32];
 	int index;
 	uint16_t port;
@@ -260,6 +271,7 @@
 	e->number = ++r->nends;
 	e->run = n->run;
 	e->how = how;
+	e->ended_ms = now_ms();
 	str_copy(e->task, n->task, sizeof(e->task));
 	TAILQ_INSERT_TAIL(&r->ends, e, link);
 	add_tombstone(r, n->task, n->run);
@@ -283,7 +295,8 @@
 	r->hold = NULL;
 	evhttp_connection_set_closecb(
 	    evhttp_request_get_connection(h->req), NULL, NULL);
-	answer_hold(r, h);
+	if (h->view->mode != FAULT_SILENT)
+		answer_hold(r, h);
 	free(h);
 }
 
@@ -296,8 +309,12 @@
 
 	while ((e = TAILQ_FIRST(&r->ends)) != NULL && e->number <= seen) {
 		if (strcmp(e->how, "done") == 0 &&
-		    parse_task_name(e->task, "", &j, &step, &index))
+		    parse_task_name(e->task, "", &j, &step, &index)) {
 			j->acked[step][index] = true;
+			if (!e->lapsed &&
+			    j->started_ms[step][index] > e->ended_ms)
+				record_broken(r->record, "after-done", e->task);
+		}
 		TAILQ_REMOVE(&r->ends, e, link);
 		free(e);
 	}
@@ -305,17 +322,20 @@
 
 /* Applies the active fault; @return whether the call must not be served. */
 static bool
-apply_fault(struct runner_sim *r, struct evhttp_request *req)
+apply_fault(const struct runner_view *v, struct evhttp_request *req)
 {
-	if (r->mode == FAULT_BUSY) {
+	enum fault_mode mode =
+	    v->mode != FAULT_NONE ? v->mode : v->runner->mode;
+
+	if (mode == FAULT_BUSY) {
 		reply_json(req, 503, json_object());
 		return true;
 	}
-	if (r->mode == FAULT_RESET) {
+	if (mode == FAULT_RESET) {
 		reply_reset(req);
 		return true;
 	}
-	return r->mode == FAULT_SILENT;
+	return mode == FAULT_SILENT;
 }
 
 static const char *
@@ -369,6 +389,7 @@
 		return "old";
 	}
 	check_start(r, j, step, index, task);
+	j->started_ms[step][index] = now_ms();
 	n = xcalloc(1, sizeof(*n));
 	n->runner = r;
 	n->run = run;
@@ -384,11 +405,12 @@
 static void
 on_start(struct evhttp_request *req, void *arg)
 {
-	struct runner_sim *r = arg;
+	struct runner_view *v = arg;
+	struct runner_sim *r = v->runner;
 	const char *why;
 	json_t *b;
 
-	if (apply_fault(r, req))
+	if (apply_fault(v, req))
 		return;
 	b = request_json(req);
 	why = start_run(r, b);
@@ -406,11 +428,12 @@
  * order was refused or a fault applies.
  */
 static json_t *
-take_order(struct runner_sim *r, struct evhttp_request *req)
+take_order(const struct runner_view *v, struct evhttp_request *req)
 {
+	struct runner_sim *r = v->runner;
 	json_t *b;
 
-	if (apply_fault(r, req))
+	if (apply_fault(v, req))
 		return NULL;
 	b = request_json(req);
 	if (number_of(b, "fencing_token") < r->fence) {
@@ -425,11 +448,12 @@
 static void
 on_stop(struct evhttp_request *req, void *arg)
 {
-	struct runner_sim *r = arg;
+	struct runner_view *v = arg;
+	struct runner_sim *r = v->runner;
 	struct sim_run *n;
 	json_t *b;
 
-	b = take_order(r, req);
+	b = take_order(v, req);
 	if (b == NULL)
 		return;
 	add_tombstone(r, text_of(b, "task"), (int)number_of(b, "run"));
@@ -457,16 +481,18 @@
 static void
 on_hold(struct evhttp_request *req, void *arg)
 {
-	struct runner_sim *r = arg;
+	struct runner_view *v = arg;
+	struct runner_sim *r = v->runner;
 	struct sim_hold *h;
 	json_t *b;
 
-	b = take_order(r, req);
+	b = take_order(v, req);
 	if (b == NULL)
 		return;
 	extend_lease(r, number_of(b, "until_ms"));
 	acknowledge(r, (uint64_t)number_of(b, "last_seen"));
 	h = xcalloc(1, sizeof(*h));
+	h->view = v;
 	h->req = req;
 	h->seen = (uint64_t)number_of(b, "last_seen");
 	h->until = now_ms() + number_of(b, "wait_ms");
@@ -524,14 +550,26 @@
 }
 
 static void
-serve(struct runner_sim *r)
+serve_view(struct runner_sim *r, int index)
 {
-	r->http = evhttp_new(r->base);
-	evhttp_set_cb(r->http, "/v1/run-start", on_start, r);
-	evhttp_set_cb(r->http, "/v1/run-stop", on_stop, r);
-	evhttp_set_cb(r->http, "/v1/hold", on_hold, r);
-	if (evhttp_bind_socket(r->http, "127.0.0.1", r->port) != 0)
+	struct runner_view *v = &r->views[index];
+
+	v->runner = r;
+	v->http = evhttp_new(r->base);
+	evhttp_set_cb(v->http, "/v1/run-start", on_start, v);
+	evhttp_set_cb(v->http, "/v1/run-stop", on_stop, v);
+	evhttp_set_cb(v->http, "/v1/hold", on_hold, v);
+	if (evhttp_bind_socket(v->http, view_addr(index), r->port) != 0)
 		fprintf(stderr, "cellstandin: port %u is taken\n", r->port);
+}
+
+static void
+serve(struct runner_sim *r)
+{
+	int i;
+
+	for (i = 0; i < VIEWS; i++)
+		serve_view(r, i);
 	r->born_ms = now_ms();
 	r->restart_ms = 0;
 	write_heartbeat(r);
@@ -540,11 +578,15 @@
 static void
 stop_serving(struct runner_sim *r)
 {
-	struct evhttp *http = r->http;
+	struct evhttp *http;
+	int i;
 
-	r->http = NULL;
-	if (http != NULL)
-		evhttp_free(http);
+	for (i = 0; i < VIEWS; i++) {
+		http = r->views[i].http;
+		r->views[i].http = NULL;
+		if (http != NULL)
+			evhttp_free(http);
+	}
 	free(r->hold);
 	r->hold = NULL;
 }
@@ -553,8 +595,13 @@
 end_runs(struct runner_sim *r)
 {
 	struct sim_run *n, *next;
+	struct sim_end *e;
 	bool ended = false;
 
+	if (clock_of(r) >= r->lease_until)
+		TAILQ_FOREACH (e, &r->ends, link)
+			e->lapsed = true;
+
 	for (n = TAILQ_FIRST(&r->runs); n != NULL; n = next) {
 		next = TAILQ_NEXT(n, link);
 		if (now_ms() >= n->ends_at)
@@ -619,6 +666,12 @@
 	r->mode = mode;
 }
 
+void
+runner_sim_view_fault(struct runner_sim *r, int view, enum fault_mode mode)
+{
+	r->views[view].mode = mode;
+}
+
 void
 runner_sim_crash(struct runner_sim *r, int64_t down_ms)
 {
--- a/tests/cellstandin/standin.h
+++ b/tests/cellstandin/standin.h
@@ -24,6 +24,13 @@
 	FAULT_LATE,   /**< watches show a write before it is answered */
 };
 
+/** Callers of a zone reach store and runners at the zone's own address, so that
+ * paths can be cut between one zone and one runner. The first address is for
+ * callers of any zone. */
+#define VIEWS 4
+/** Address of the view: 127.0.0.1, 127.0.0.201 and so on. */
+const char *view_addr(int view);
+
 struct store_sim;
 struct runner_sim;
 
@@ -49,6 +56,8 @@
 
 struct store_sim *store_sim_new(struct event_base *base, uint16_t port);
 void store_sim_fault(struct store_sim *s, enum fault_mode mode);
+/** As store_sim_fault, for the callers of one view. */
+void store_sim_view_fault(struct store_sim *s, int view, enum fault_mode mode);
 /** Drops the history of changes, so that watchers must read all rows again. */
 void store_sim_compact(struct store_sim *s);
 /** Writes a row without conditions, as the operator or a runner does. */
@@ -59,6 +68,9 @@
 struct runner_sim *runner_sim_new(struct event_base *base,
     struct store_sim *store, struct record *rec, int index, uint16_t port);
 void runner_sim_fault(struct runner_sim *r, enum fault_mode mode);
+/** As runner_sim_fault, for the callers of one view. */
+void runner_sim_view_fault(
+    struct runner_sim *r, int view, enum fault_mode mode);
 /** Ends the runner's process; after @p down_ms a new incarnation starts. */
 void runner_sim_crash(struct runner_sim *r, int64_t down_ms);
 /** Reports the runner as draining and removes its row after a grace period. */
--- a/tests/cellstandin/store_sim.c
+++ b/tests/cellstandin/store_sim.c
@@ -26,16 +26,24 @@
 
 struct watcher {
 	TAILQ_ENTRY(watcher) link;
-	struct store_sim *sim;
+	struct store_view *view;
 	struct evhttp_request *req;
 	char table[64];
 	uint64_t after; /**< only later versions are reported */
 	struct event *timer;
 };
 
+/** The store as the callers of one zone see it. */
+struct store_view {
+	struct store_sim *sim;
+	int index;
+	struct evhttp *http;
+	enum fault_mode mode;
+};
+
 struct store_sim {
 	struct event_base *base;
-	struct evhttp *http;
+	struct store_view views[VIEWS];
 	TAILQ_HEAD(row_list, cell_row) rows;
 	TAILQ_HEAD(watcher_list, watcher) watchers;
 	uint64_t version;
@@ -104,9 +112,9 @@
 
 /* Applies the active fault; @return whether the call must not be served. */
 static bool
-apply_fault(struct store_sim *s, struct evhttp_request *req)
+apply_fault(const struct store_view *v, struct evhttp_request *req)
 {
-	switch (s->mode) {
+	switch (v->mode != FAULT_NONE ? v->mode : v->sim->mode) {
 	case FAULT_BUSY:
 		reply_json(req, 503, json_object());
 		return true;
@@ -133,14 +141,76 @@
 	return NULL;
 }
 
+/* Replaces the addresses of other views in a row, which have the same length.
+ */
+static void
+replace_views(const struct store_view *v, char *plain, size_t len)
+{
+	const char *own = view_addr(v->index);
+	char *at;
+	int i;
+
+	for (i = 1; i < VIEWS; i++)
+		while (i != v->index &&
+		    (at = memmem(plain, len, view_addr(i), strlen(own))) !=
+			NULL)
+			memcpy(at, own, strlen(own));
+}
+
+/* The entry of a runner names the address of the first view. */
+static size_t
+replace_first(const struct store_view *v, char *plain, size_t len)
+{
+	const char *first = view_addr(0), *own = view_addr(v->index);
+	char *at = memmem(plain, len, first, strlen(first));
+	size_t rest;
+
+	if (at == NULL)
+		return len;
+	rest = len - (size_t)(at - plain) - strlen(first);
+	memmove(at + strlen(own), at + strlen(first), rest);
+	memcpy(at, own, strlen(own));
+	return len + strlen(own) - strlen(first);
+}
+
+/* The row's value, with the address at which the view's callers reach runners.
+ */
+static json_t *
+value_json(const struct store_view *v, const struct cell_row *r)
+{
+	size_t len = strlen(r->value), pad;
+	char *plain, *coded;
+	json_t *j;
+
+	if (v->index == 0)
+		return json_string(r->value);
+	pad = len > 0
+	    ? (size_t)(r->value[len - 1] == '=') + (r->value[len - 2] == '=')
+	    : 0;
+	plain = xcalloc(1, len + 64);
+	len = (size_t)EVP_DecodeBlock((unsigned char *)plain,
+		  (const unsigned char *)r->value, (int)len) -
+	    pad;
+	replace_views(v, plain, len);
+	if (strcmp(r->table, "servers") == 0)
+		len = replace_first(v, plain, len);
+	coded = xmalloc(4 * ((len + 2) / 3) + 1);
+	EVP_EncodeBlock(
+	    (unsigned char *)coded, (unsigned char *)plain, (int)len);
+	j = json_string(coded);
+	free(coded);
+	free(plain);
+	return j;
+}
+
 static json_t *
-row_json(const struct cell_row *r)
+row_json(const struct store_view *v, const struct cell_row *r)
 {
 	json_t *j = json_pack("{s:s,s:s,s:s,s:I}", "table", r->table, "part",
 	    r->part, "key", r->key, "row_version", (json_int_t)r->version);
 
 	if (r->value != NULL)
-		json_object_set_new(j, "value", json_string(r->value));
+		json_object_set_new(j, "value", value_json(v, r));
 	else
 		json_object_set_new(j, "deleted", json_true());
 	return j;
@@ -168,21 +238,21 @@
 }
 
 static json_t *
-changes(struct store_sim *s, const char *table, uint64_t after)
+changes(const struct store_view *v, const char *table, uint64_t after)
 {
 	json_t *list = json_array();
 	const struct cell_row *r;
 
-	TAILQ_FOREACH (r, &s->rows, link)
+	TAILQ_FOREACH (r, &v->sim->rows, link)
 		if (r->version > after && strcmp(r->table, table) == 0)
-			json_array_append_new(list, row_json(r));
+			json_array_append_new(list, row_json(v, r));
 	return list;
 }
 
 static void
 watcher_free(struct watcher *w)
 {
-	TAILQ_REMOVE(&w->sim->watchers, w, link);
+	TAILQ_REMOVE(&w->view->sim->watchers, w, link);
 	evhttp_connection_set_closecb(
 	    evhttp_request_get_connection(w->req), NULL, NULL);
 	event_free(w->timer);
@@ -192,11 +262,16 @@
 static void
 answer_watcher(struct watcher *w)
 {
-	struct store_sim *s = w->sim;
+	struct store_sim *s = w->view->sim;
 	struct evhttp_request *req = w->req;
-	json_t *rows = changes(s, w->table, w->after);
+	bool silent = w->view->mode == FAULT_SILENT;
+	json_t *rows = changes(w->view, w->table, w->after);
 
 	watcher_free(w);
+	if (silent) {
+		json_decref(rows);
+		return;
+	}
 	reply(s, req, 200, json_pack("{s:o}", "rows", rows));
 }
 
@@ -206,7 +281,7 @@
 	struct watcher *w, *next;
 
 	for (w = TAILQ_FIRST(&s->watchers); w != NULL; w = next) {
-		json_t *rows = changes(s, w->table, w->after);
+		json_t *rows = changes(w->view, w->table, w->after);
 
 		next = TAILQ_NEXT(w, link);
 		if (json_array_size(rows) > 0)
@@ -229,7 +304,7 @@
 	struct watcher *w = arg;
 
 	(void)c;
-	TAILQ_REMOVE(&w->sim->watchers, w, link);
+	TAILQ_REMOVE(&w->view->sim->watchers, w, link);
 	event_free(w->timer);
 	free(w);
 }
@@ -243,7 +318,7 @@
 }
 
 static bool
-conditions_hold(struct store_sim *s, const json_t *list, json_t *rows)
+conditions_hold(const struct store_view *v, const json_t *list, json_t *rows)
 {
 	bool hold = true;
 	size_t i;
@@ -251,7 +326,7 @@
 
 	json_array_foreach(list, i, c)
 	{
-		struct cell_row *r = find_row(s, text_of(c, "table"),
+		struct cell_row *r = find_row(v->sim, text_of(c, "table"),
 		    text_of(c, "part"), text_of(c, "key"));
 		uint64_t version =
 		    r != NULL && r->value != NULL ? r->version : 0;
@@ -261,7 +336,7 @@
 			json_object_get(c, "row_version")))
 			hold = false;
 		if (r != NULL && r->value != NULL)
-			json_array_append_new(rows, row_json(r));
+			json_array_append_new(rows, row_json(v, r));
 	}
 	return hold;
 }
@@ -284,14 +359,15 @@
 static void
 on_txn(struct evhttp_request *req, void *arg)
 {
-	struct store_sim *s = arg;
+	struct store_view *v = arg;
+	struct store_sim *s = v->sim;
 	json_t *body, *rows;
 
-	if (apply_fault(s, req))
+	if (apply_fault(v, req))
 		return;
 	body = request_json(req);
 	rows = json_array();
-	if (conditions_hold(s, json_object_get(body, "expected_rev"), rows)) {
+	if (conditions_hold(v, json_object_get(body, "expected_rev"), rows)) {
 		json_decref(rows);
 		apply(s, body);
 		if (s->mode == FAULT_LOST && s->writes++ % LOST_EVERY == 0)
@@ -314,24 +390,24 @@
 }
 
 static json_t *
-read_page(struct store_sim *s, const char *table, const char *part,
+read_page(const struct store_view *v, const char *table, const char *part,
     const char *from, size_t limit, bool *more)
 {
 	struct cell_row *r, **list;
 	json_t *out = json_array();
 	size_t n = 0, i;
 
-	TAILQ_FOREACH (r, &s->rows, link)
+	TAILQ_FOREACH (r, &v->sim->rows, link)
 		n++;
 	list = xcalloc(n + 1, sizeof(*list));
 	n = 0;
-	TAILQ_FOREACH (r, &s->rows, link)
+	TAILQ_FOREACH (r, &v->sim->rows, link)
 		if (r->value != NULL && strcmp(r->table, table) == 0 &&
 		    strcmp(r->part, part) == 0 && strcmp(r->key, from) >= 0)
 			list[n++] = r;
 	qsort(list, n, sizeof(*list), by_key);
 	for (i = 0; i < n && i < limit; i++)
-		json_array_append_new(out, row_json(list[i]));
+		json_array_append_new(out, row_json(v, list[i]));
 	*more = n > limit;
 	free(list);
 	return out;
@@ -340,20 +416,21 @@
 static void
 on_get(struct evhttp_request *req, void *arg)
 {
-	struct store_sim *s = arg;
+	struct store_view *v = arg;
+	struct store_sim *s = v->sim;
 	struct evkeyvalq q;
 	const char *part, *from, *limit;
 	json_t *rows;
 	bool more;
 
-	if (apply_fault(s, req))
+	if (apply_fault(v, req))
 		return;
 	evhttp_parse_query_str(
 	    evhttp_uri_get_query(evhttp_request_get_evhttp_uri(req)), &q);
 	part = query_get(&q, "part");
 	from = query_get(&q, "from");
 	limit = query_get(&q, "limit");
-	rows = read_page(s, query_get(&q, "table"), part != NULL ? part : "",
+	rows = read_page(v, query_get(&q, "table"), part != NULL ? part : "",
 	    from != NULL ? from : "", limit != NULL ? (size_t)atoi(limit) : 500,
 	    &more);
 	evhttp_clear_headers(&q);
@@ -364,18 +441,19 @@
 static void
 on_feed(struct evhttp_request *req, void *arg)
 {
-	struct store_sim *s = arg;
+	struct store_view *v = arg;
+	struct store_sim *s = v->sim;
 	struct evkeyvalq q;
 	struct watcher *w;
 	struct timeval tv;
 	int wait;
 
-	if (apply_fault(s, req))
+	if (apply_fault(v, req))
 		return;
 	evhttp_parse_query_str(
 	    evhttp_uri_get_query(evhttp_request_get_evhttp_uri(req)), &q);
 	w = xcalloc(1, sizeof(*w));
-	w->sim = s;
+	w->view = v;
 	w->req = req;
 	w->after = strtoull(query_get(&q, "after"), NULL, 10);
 	str_copy(w->table, query_get(&q, "table"), sizeof(w->table));
@@ -395,23 +473,34 @@
 	notify_watchers(s);
 }
 
+static bool
+serve_view(struct store_sim *s, int index, uint16_t port)
+{
+	struct store_view *v = &s->views[index];
+
+	v->sim = s;
+	v->index = index;
+	v->http = evhttp_new(s->base);
+	evhttp_set_cb(v->http, "/v1/rows-tx", on_txn, v);
+	evhttp_set_cb(v->http, "/v1/rows-get", on_get, v);
+	evhttp_set_cb(v->http, "/v1/rows-feed", on_feed, v);
+	return evhttp_bind_socket(v->http, view_addr(index), port) == 0;
+}
+
 struct store_sim *
 store_sim_new(struct event_base *base, uint16_t port)
 {
 	struct store_sim *s = xcalloc(1, sizeof(*s));
+	int i;
 
 	s->base = base;
 	s->version = 1;
 	TAILQ_INIT(&s->rows);
 	TAILQ_INIT(&s->watchers);
-	s->http = evhttp_new(base);
-	evhttp_set_cb(s->http, "/v1/rows-tx", on_txn, s);
-	evhttp_set_cb(s->http, "/v1/rows-get", on_get, s);
-	evhttp_set_cb(s->http, "/v1/rows-feed", on_feed, s);
-	if (evhttp_bind_socket(s->http, "127.0.0.1", port) == 0)
-		return s;
-	free(s);
-	return NULL;
+	for (i = 0; i < VIEWS; i++)
+		if (!serve_view(s, i, port))
+			return NULL;
+	return s;
 }
 
 void
@@ -420,6 +509,12 @@
 	s->mode = mode;
 }
 
+void
+store_sim_view_fault(struct store_sim *s, int view, enum fault_mode mode)
+{
+	s->views[view].mode = mode;
+}
+
 void
 store_sim_compact(struct store_sim *s)
 {
