An answer of another incarnation ends the runs of the former one at once

Callers saw LOST: work that was at fault for nothing waited 10.8 s after its runner had crashed and was back under another id, which three seconds of an outage took.

Cause: 421, the answer of another incarnation at the address, was taken for a restart under the same id. The runs were left to the lists of that id, which never come, and runner_restarted was logged five times a second until the longest lease was over.

An address belongs to one incarnation at a time, so 421 proves that the former one has ended, with its runs and with orders under way on its connections: its runs end as lost at once, it takes no work and no holds (runner_gone), and a new leader doesn't wait for it. An entry with another address, or a later start of the same id, takes it back.

The test 'tasks of a runner back under another id start elsewhere at once' fails on the code before. Ruled out: the world's runners and orders as cause (the same 421 in the log).

--- a/src/cell/cell_internal.h
+++ b/src/cell/cell_internal.h
@@ -135,6 +135,8 @@
 void cell_abort_start(struct cell *c, struct run *run);
 /** Gives the runner no new work for a time that doubles with each call. */
 void cell_avoid_runner(struct cell *c, struct runner *r);
+/** Ends the runs of a runner at whose address another incarnation answers. */
+void cell_runner_gone(struct cell *c, struct runner *r);
 /** Resets what is known of a runner that was restarted. */
 void cell_runner_reset(struct cell *c, struct runner *r);
 /** Lets inherited work start once no unadopted runner can hold it. */
--- a/src/cell/holds.c
+++ b/src/cell/holds.c
@@ -92,7 +92,7 @@
 	raise_fence(c, r);
 	r->last_end = r->last_end_in_commit = r->last_end_stored = 0;
 	r->clock_ms = r->clock_at_ms = r->lease_ms = r->lists_clock_ms = 0;
-	r->adopted = false;
+	r->adopted = r->gone = false;
 	r->speed = 1.0;
 	r->samples = r->failures = 0;
 	r->avoid_until_ms = r->avoid_ms = 0;
@@ -107,6 +107,22 @@
 	}
 }
 
+/*
+ * An address belongs to one incarnation at a time, so the runner's process has
+ * ended; orders under way to it ended with its connections.
+ */
+void
+cell_runner_gone(struct cell *c, struct runner *r)
+{
+	if (r->gone)
+		return;
+	kvlog(KVLOG_INFO, "runner_gone", "runner=%s runs=%d draining=%d",
+	    r->info.id, r->nruns, r->info.draining);
+	r->gone = r->known = true;
+	end_all_runs(c, r, END_LOST);
+	cell_check_adopted(c);
+}
+
 static void
 mark_silent(struct cell *c, struct runner *r, enum order_result why)
 {
@@ -145,8 +161,9 @@
 	if (r->hold_errors >= SILENT_ERRORS && r->silent_since_ms == 0)
 		mark_silent(c, r, why);
 	if (why == ORDER_OTHER_INCARNATION)
-		cell_runner_reset(c, r);
-	abort_unanswered_starts(c, r);
+		cell_runner_gone(c, r);
+	else
+		abort_unanswered_starts(c, r);
 }
 
 static void
@@ -221,7 +238,7 @@
 {
 	int64_t since = now - r->hold_sent_ms;
 
-	if (r->hold_pending)
+	if (r->hold_pending || r->gone)
 		return false;
 	if (r->hold_errors > 1)
 		return since >= HOLD_RETRY_MS;
@@ -391,7 +408,7 @@
 
 	for (r = c->runners; r != NULL && n < UNHEARD_LINES_MAX;
 	     r = r->hh.next) {
-		if (r->adopted || r->stored_closed)
+		if (r->adopted || r->stored_closed || r->gone)
 			continue;
 		n++;
 		kvlog(KVLOG_WARN, "runner_unheard",
@@ -413,7 +430,7 @@
 	if (!c->adopting || c->phase != CELL_SERVING)
 		return;
 	for (r = c->runners; r != NULL; r = r->hh.next)
-		unknown += !r->adopted && !r->stored_closed;
+		unknown += !r->adopted && !r->stored_closed && !r->gone;
 	if (c->registry_synced_ms == 0)
 		unknown++;
 	unknown += c->unreadable_rows != 0;
--- a/src/cell/orders.c
+++ b/src/cell/orders.c
@@ -203,7 +203,7 @@
 {
 	if (why == ORDER_NO_TICKET)
 		step_ticket_refused(run->task->step, run->runner);
-	else if (why != ORDER_OTHER_INCARNATION)
+	else
 		avoid_runner(c, run->runner);
 	cell_run_ended(c, run, END_LOST, "");
 }
@@ -235,6 +235,9 @@
 	case ORDER_FENCED:
 		run->state = RUN_UNSURE;
 		return;
+	case ORDER_OTHER_INCARNATION:
+		cell_runner_gone(c, run->runner);
+		return;
 	default:
 		start_refused(c, run, result);
 	}
@@ -324,6 +327,8 @@
 			cell_poll_runner(c, run->runner);
 		else if (a->result == ORDER_UNKNOWN)
 			stop_unanswered(c, run);
+		else if (a->result == ORDER_OTHER_INCARNATION)
+			cell_runner_gone(c, run->runner);
 	}
 	free(o);
 }
--- a/src/cell/runners.c
+++ b/src/cell/runners.c
@@ -49,8 +49,8 @@
 	return !r->listed && r->nruns == 0 && !r->hold_pending &&
 	    r->last_end <= r->last_end_stored && r->unlisted_since_ms != 0 &&
 	    now - r->unlisted_since_ms > FORGET_MS &&
-	    (!c->adopting || r->adopted) &&
-	    (r->adopted || !r->stored_open ||
+	    (!c->adopting || r->adopted || r->gone) &&
+	    (r->adopted || r->gone || !r->stored_open ||
 		now - c->lead_since_ms > FORGET_MS);
 }
 
@@ -77,6 +77,8 @@
 		    "runner=%s runs=%d remaining_ms=%lld", in->id, r->nruns,
 		    (long long)in->remaining_ms);
 	}
+	if (strcmp(r->info.addr, in->addr) != 0 || r->info.port != in->port)
+		r->gone = false;
 	r->info = *in;
 	r->listed_born_ms = in->born_ms;
 	if (!other_incarnation && born > in->born_ms)
--- a/src/state/runner.c
+++ b/src/state/runner.c
@@ -124,7 +124,8 @@
 bool
 runner_takes_work(const struct runner *r)
 {
-	return r->listed && !r->info.draining && r->silent_since_ms == 0;
+	return r->listed && !r->gone && !r->info.draining &&
+	    r->silent_since_ms == 0;
 }
 
 int64_t
--- a/src/state/runner.h
+++ b/src/state/runner.h
@@ -87,6 +87,9 @@
 	/** The runner's row says closed as this leader read it, and the runner
 	 * has not answered a hold since: it has at most the runs of the row. */
 	bool stored_closed;
+	/** Another incarnation answers at its address: it has ended, and all
+	 * its runs with it. */
+	bool gone;
 	bool known;	     /**< this leader knows all runs that it may have */
 	bool adopted;	     /**< this leader has read the lists of the present
 			      * incarnation */
@@ -152,7 +155,8 @@
 /** Number of runs of this step on the runner. */
 uint32_t runner_count_runs(const struct runner *r, const struct step *s);
 
-/** Whether the runner takes work: listed, not draining and not silent. */
+/** Whether the runner takes work: listed, neither gone nor draining, and not
+ * silent. */
 bool runner_takes_work(const struct runner *r);
 /** Lower bound of the runner's clock at @p now; it may run 2% slow. */
 int64_t runner_clock_min(const struct runner *r, int64_t now);
--- a/tests/unit/cell_runners_test.c
+++ b/tests/unit/cell_runners_test.c
@@ -185,3 +185,22 @@
 	CU_ASSERT(refused > 0);
 	finish_world(w);
 }
+
+/* Guards against LOST: the tasks of a runner that crashed and was back under
+ * another id waited until its leases had lapsed, though another incarnation
+ * answered at its address. */
+void
+test_cell_runner_replaced(void)
+{
+	struct world *w = start_task_on(0);
+	int64_t end;
+
+	world_runner_replace(w, 0, 300);
+	end = world_now(w) + 300 + 1000;
+	while (world_start_count(w, TASK) < 2 && world_now(w) < end)
+		world_run(w, STEP_MS);
+	CU_ASSERT_EQUAL(world_start_count(w, TASK), 2);
+	world_run(w, 40000);
+	CU_ASSERT(world_all_jobs_ended(w));
+	finish_world(w);
+}
--- a/tests/world/world.c
+++ b/tests/world/world.c
@@ -15,6 +15,8 @@
 #define ORDER_LATENCY_MS 3
 #define STOP_GRACE_MS 400
 #define MAX_HOLD_MS 10000
+/** Characters of an id that a runner keeps when it is back under another. */
+#define ID_PREFIX_LEN 2
 #define RUNNER_CPU 16000 /* thousandths of a core */
 #define RUNNER_MEM_MB 65536
 #define ROWS_MAX 4096
@@ -100,6 +102,7 @@
 	int64_t lease_until_ms;
 	int64_t born_ms;
 	int64_t up_at; /**< the runner is down until then */
+	int replaced;  /**< times that it came back under another id */
 	bool cut;
 	bool cut_from[WORLD_CELLS_MAX]; /**< cells that can't reach it */
 	int answer_delay_ms;
@@ -746,6 +749,16 @@
 	r->leaves_at = 0;
 }
 
+void
+world_runner_replace(struct world *w, int i, int64_t down_ms)
+{
+	struct world_runner *r = &w->runners[i];
+
+	world_runner_crash(w, i, down_ms);
+	snprintf(r->id + ID_PREFIX_LEN, sizeof(r->id) - ID_PREFIX_LEN, "%d",
+	    ++r->replaced);
+}
+
 void
 world_runner_cut(struct world *w, int i, bool cut)
 {
@@ -808,6 +821,7 @@
 	struct world_cell *cell;
 	int incarnation;
 	struct world_runner *runner;
+	char id[RUNNER_ID_LEN]; /**< of the incarnation that it is for */
 	enum order_kind kind;
 	char task[TASK_NAME_LEN];
 	char spec[64];
@@ -881,9 +895,13 @@
 			    w, ORDER_TIMEOUT_MIN_MS, deliver_order_answer, o);
 		return;
 	}
-	o->answer.result = o->kind == KIND_START
-	    ? do_start(w, r, &o->start, o->answer_lost)
-	    : do_stop(r, o->task, o->start.run, o->start.fence);
+	if (strcmp(o->id, r->id) != 0)
+		o->answer.result = ORDER_OTHER_INCARNATION;
+	else if (o->kind == KIND_START)
+		o->answer.result = do_start(w, r, &o->start, o->answer_lost);
+	else
+		o->answer.result =
+		    do_stop(r, o->task, o->start.run, o->start.fence);
 	o->answer.clock_ms = runner_clock_now(r);
 	o->answered_by = r->born_ms;
 	if (o->answer_lost) {
@@ -956,7 +974,7 @@
 	int i;
 
 	for (i = 0; i < w->nrunners; i++)
-		if (strcmp(w->runners[i].id, id) == 0)
+		if (strncmp(w->runners[i].id, id, ID_PREFIX_LEN) == 0)
 			return &w->runners[i];
 	abort();
 }
@@ -970,6 +988,7 @@
 	o->cell = c;
 	o->incarnation = c->incarnation;
 	o->runner = find_runner(c->world, t->id);
+	str_copy(o->id, t->id, sizeof(o->id));
 	o->sent_ms = c->world->now;
 	o->serial = ++c->world->serial;
 	return o;
@@ -1155,6 +1174,18 @@
 	free(t);
 }
 
+static void
+hold_misdirected(struct world *w, void *arg)
+{
+	struct order_event *o = arg;
+	struct hold_result r = {.result = o->answer.result};
+
+	(void)w;
+	if (o->cell->alive && o->cell->incarnation == o->incarnation)
+		o->hold_fn(&r, o->arg);
+	free(o);
+}
+
 static void
 do_hold(struct world *w, void *arg)
 {
@@ -1169,6 +1200,11 @@
 	}
 	o->answer.result = ORDER_OK;
 	o->born_ms = r->born_ms;
+	if (strcmp(o->id, r->id) != 0) {
+		o->answer.result = ORDER_OTHER_INCARNATION;
+		add_event(w, ORDER_LATENCY_MS, hold_misdirected, o);
+		return;
+	}
 	if (o->hold.fence < r->fence) {
 		o->answer.result = ORDER_FENCED;
 	} else {
