A start that certainly wasn't sent doesn't hold its task

Cause: after its last attempt a start was always settled by a stop, which the dead runner never confirms, also where no attempt can have had an effect. And three tries without a pause at a host that refuses connections are one.

Now the run is over at once when no attempt may yet take effect, the runner gets no new work for a while, and a start that wasn't sent is repeated once, on a new connection. Starts with an attempt without an answer are settled by a stop as before.

The test "a task whose start wasn't sent starts elsewhere at once" fails on the code before.

--- a/src/cell/orders.c
+++ b/src/cell/orders.c
@@ -8,8 +8,10 @@
 #include "cell_internal.h"
 #include "lead_lease.h"
 
-/** Attempts of a start that certainly had no effect. */
+/** Attempts of a start that arrived too late. */
 #define START_ATTEMPTS_MAX 3
+/** Attempts of a start that wasn't sent; the second is on a new connection. */
+#define START_CONNECTS_MAX 2
 /** Pause before a stop is repeated to a runner that doesn't answer. */
 #define STOP_RETRY_MS 400
 /** Time without new work for a runner that left an order unanswered. */
@@ -208,6 +210,21 @@
 	cell_run_ended(c, run, END_LOST, "");
 }
 
+/* Repeats a start that had no effect. After the last attempt the run is over,
+ * unless an earlier attempt may yet take effect. */
+static void
+start_again(struct cell *c, struct run *run, int attempts)
+{
+	if (run->orders < attempts) {
+		send_start(c, run);
+	} else if (run->open_orders > 0) {
+		cell_abort_start(c, run);
+	} else {
+		avoid_runner(c, run->runner);
+		cell_run_ended(c, run, END_LOST, "");
+	}
+}
+
 static void
 start_answered(struct cell *c, struct run *run, enum order_result result)
 {
@@ -226,11 +243,10 @@
 		start_unanswered(c, run);
 		return;
 	case ORDER_LATE:
+		start_again(c, run, START_ATTEMPTS_MAX);
+		return;
 	case ORDER_NOT_SENT:
-		if (run->orders < START_ATTEMPTS_MAX)
-			send_start(c, run);
-		else
-			cell_abort_start(c, run);
+		start_again(c, run, START_CONNECTS_MAX);
 		return;
 	case ORDER_FENCED:
 		run->state = RUN_UNSURE;
--- a/tests/unit/cell_runners_test.c
+++ b/tests/unit/cell_runners_test.c
@@ -204,3 +204,21 @@
 	CU_ASSERT(world_all_jobs_ended(w));
 	finish_world(w);
 }
+
+/* Guards against LOST: a task whose start certainly wasn't sent was held by a
+ * stop that the runner never got. */
+void
+test_cell_start_not_sent(void)
+{
+	const struct world_step wide = {
+	    .count = 12, .cpu = 1000, .ms = 300, .after = -1};
+	struct world *w = start_world(RUNNERS);
+
+	world_submit(w, JOB, "urgent", &wide, 1);
+	world_runner_refuse(w, 0, true);
+	world_run(w, 2000);
+	CU_ASSERT_EQUAL(world_state(w, JOB), JOB_COMPLETED);
+	world_runner_refuse(w, 0, false);
+	world_run(w, 2000);
+	finish_world(w);
+}
--- a/tests/unit/main.c
+++ b/tests/unit/main.c
@@ -57,6 +57,8 @@
 	test_cell_crashed_runners_replaced},
     {"cell", "tasks of a runner back under another id start elsewhere at once",
 	test_cell_runner_replaced},
+    {"cell", "a task whose start wasn't sent starts elsewhere at once",
+	test_cell_start_not_sent},
     {"cell", "two leaders at once run no task twice",
 	test_cell_two_leaders_one_run},
     {"cell", "leases granted by the leader before count after a takeover",
--- a/tests/unit/unit.h
+++ b/tests/unit/unit.h
@@ -58,6 +58,7 @@
 void test_cell_copy_of_slow_run(void);
 void test_cell_takeover_task_moved(void);
 void test_cell_runner_replaced(void);
+void test_cell_start_not_sent(void);
 void test_cell_two_leaders_one_run(void);
 void test_cell_inherited_lease_counts(void);
 void test_cell_runner_back_after_drain(void);
--- a/tests/world/world.c
+++ b/tests/world/world.c
@@ -102,6 +102,7 @@
 	int64_t lease_until_ms;
 	int64_t born_ms;
 	int64_t up_at; /**< the runner is down until then */
+	bool refuses;  /**< connections to it are refused */
 	int replaced;  /**< times that it came back under another id */
 	bool cut;
 	bool cut_from[WORLD_CELLS_MAX]; /**< cells that can't reach it */
@@ -759,6 +760,12 @@
 	    ++r->replaced);
 }
 
+void
+world_runner_refuse(struct world *w, int i, bool refuses)
+{
+	w->runners[i].refuses = refuses;
+}
+
 void
 world_runner_cut(struct world *w, int i, bool cut)
 {
@@ -932,6 +939,11 @@
 {
 	struct order_event *copy;
 
+	if (o->runner->refuses) {
+		o->answer.result = ORDER_NOT_SENT;
+		add_event(w, 1, deliver_order_answer, o);
+		return;
+	}
 	if (chance(w, w->faults.order_refused)) {
 		o->answer.result = ORDER_UNHEALTHY;
 		add_event(w, ORDER_LATENCY_MS, deliver_order_answer, o);
@@ -1175,7 +1187,7 @@
 }
 
 static void
-hold_misdirected(struct world *w, void *arg)
+hold_unserved(struct world *w, void *arg)
 {
 	struct order_event *o = arg;
 	struct hold_result r = {.result = o->answer.result};
@@ -1202,7 +1214,7 @@
 	o->born_ms = r->born_ms;
 	if (strcmp(o->id, r->id) != 0) {
 		o->answer.result = ORDER_OTHER_INCARNATION;
-		add_event(w, ORDER_LATENCY_MS, hold_misdirected, o);
+		add_event(w, ORDER_LATENCY_MS, hold_unserved, o);
 		return;
 	}
 	if (o->hold.fence < r->fence) {
@@ -1240,7 +1252,10 @@
 	o->hold = *h;
 	o->hold_fn = fn;
 	o->arg = arg;
-	if (chance(w, w->faults.order_dropped))
+	o->answer.result = ORDER_NOT_SENT;
+	if (o->runner->refuses)
+		add_event(w, 1, hold_unserved, o);
+	else if (chance(w, w->faults.order_dropped))
 		add_event(
 		    w, o->hold.wait_ms + ORDER_TIMEOUT_MIN_MS, hold_error, o);
 	else
