A task that crashes the runners that start it runs apart and is given up

Cause: a run that ended with its runner's crash counted for nothing; only ends as failed did. So nothing bounded its starts, and a copy beside the silent run made the second victim 40 ms after the first.

Now a crash counts for each task that ran there (src/state/task_crashes.c), once for each run, stored with the job's progress, so that the next leader keeps it. After two, a task runs apart: on a runner without other work, or after 1.5 s on the one with the least, and nothing is started beside it. After two crashes of runners that it had to itself, or four in all, its job fails (task_given_up). A run that outlives the age of the last crash twice over and 2 s more, or 5 s, clears the task, so that tasks that last don't collect the crashes of years. Drains, and lapses of runners that the registry still lists, don't count. Suspected tasks get no copies.

Tried and left: giving up at three crashes if the last was alone, with the greatest age of a crash and no bound on it: failed lasting tasks on runners that crash for another cause, in the test of that.

--- a/src/cell/holds.c
+++ b/src/cell/holds.c
@@ -13,6 +13,7 @@
 #include "../base/err.h"
 #include "../base/kvlog.h"
 #include "../base/xalloc.h"
+#include "crashes.h"
 #include "lead_lease.h"
 #include "runner_rows.h"
 
@@ -90,6 +91,7 @@
 	kvlog(KVLOG_INFO, "runner_restarted", "runner=%s runs=%d", r->info.id,
 	    r->nruns);
 	raise_fence(c, r);
+	crashes_note(c, r);
 	r->last_end = r->last_end_in_commit = r->last_end_stored = 0;
 	r->clock_ms = r->clock_at_ms = r->lease_ms = r->lists_clock_ms = 0;
 	r->adopted = r->gone = false;
@@ -119,6 +121,7 @@
 	kvlog(KVLOG_INFO, "runner_gone", "runner=%s runs=%d draining=%d",
 	    r->info.id, r->nruns, r->info.draining);
 	r->gone = r->known = true;
+	crashes_note(c, r);
 	end_all_runs(c, r, END_LOST);
 	cell_check_adopted(c);
 }
@@ -363,6 +366,9 @@
 		: -1LL,
 	    (long long)(now - c->renewed_ms));
 	raise_fence(c, r);
+	/* A runner that the registry lists may only be cut off from here. */
+	if (r->unlisted_since_ms != 0)
+		crashes_note(c, r);
 	end_all_runs(c, r, END_LAPSED);
 }
 
--- a/src/cell/place.c
+++ b/src/cell/place.c
@@ -12,6 +12,9 @@
  * it doesn't reuse a number of an earlier leader. */
 #define RUNS_PER_GENERATION 1024
 
+/** Longest wait of a suspected task for a runner without other work. */
+#define APART_WAIT_MS 1500
+
 /** Placement of one step. */
 struct pick {
 	struct cell *cell;
@@ -167,7 +170,11 @@
 			continue;
 		p->want.avoid = t->avoid;
 		p->want.last_attempt = on_last_attempt(t);
+		p->want.apart = task_crashes_suspected(&t->crashes);
+		p->want.shares = p->want.now_ms - t->retry_ms > APART_WAIT_MS;
 		best = best_candidate(p);
+		if (best == NULL && p->want.apart)
+			continue;
 		if (best == NULL)
 			return;
 		cell_start(p->cell, best->runner, t, cell_next_run(p->cell, t),
--- a/src/cell/reconcile.c
+++ b/src/cell/reconcile.c
@@ -7,6 +7,7 @@
 
 #include "../base/kvlog.h"
 #include "cell_internal.h"
+#include "crashes.h"
 
 /* Adds a run that the runner lists and this leader doesn't know: binds it to
  * its task, or stops it when the task doesn't need it. */
@@ -75,6 +76,7 @@
 		run->confirmed_ms = now;
 	if (run->task != NULL)
 		task_set_saved(run->task, seen->saved);
+	crashes_note_alive(c, run);
 }
 
 static bool
--- a/src/cell/speculative.c
+++ b/src/cell/speculative.c
@@ -24,7 +24,8 @@
 	int64_t late_after =
 	    (int64_t)t->step->spec->estimate_ms * LATE_FACTOR + LATE_MIN_MS;
 
-	if (run == NULL || t->done || t->copy != NULL || t->wants_copy)
+	if (run == NULL || t->done || t->copy != NULL || t->wants_copy ||
+	    t->crashes.n > 0)
 		return false;
 	return run->runner->silent_since_ms != 0 ||
 	    now - run->ordered_ms > late_after;
--- a/src/coordination/runner_placement.c
+++ b/src/coordination/runner_placement.c
@@ -14,6 +14,8 @@
 #define LAST_FAIL_WEIGHT 4.0
 /** Penalty of each best-effort run beside a latency-sensitive one. */
 #define INTERFERENCE_WEIGHT 1.0
+/** Penalty of each run beside a task that should run apart. */
+#define SHARED_WEIGHT 10.0
 
 /* The registry may still list the capacity of an earlier incarnation. */
 static bool
@@ -31,7 +33,7 @@
 	if (!runner_takes_work(r) || !r->adopted || !r->stored_open ||
 	    !capacity_is_current(r))
 		return false;
-	if (w->now_ms < r->avoid_until_ms)
+	if (w->now_ms < r->avoid_until_ms || r->napart > 0)
 		return false;
 	if (strcmp(r->info.service, w->service) != 0)
 		return false;
@@ -50,6 +52,8 @@
 
 	if (!placing_allowed(r, w) || !runner_fits(r, s))
 		return false;
+	if (w->apart && r->nruns > 0 && !w->shares)
+		return false;
 	return s->max_per_runner == 0 ||
 	    runner_count_runs(r, w->step) < s->max_per_runner;
 }
@@ -129,6 +133,8 @@
 		slow *= w->remote_factor;
 	if (w->avoid != NULL && strcmp(w->avoid, r->info.id) == 0)
 		score += AVOID_WEIGHT;
+	if (w->apart)
+		score += r->nruns * SHARED_WEIGHT;
 	if (s->long_running)
 		return score - slow * 0.5 - used * PACK_WEIGHT;
 	if (w->urgent)
--- a/src/coordination/runner_placement.h
+++ b/src/coordination/runner_placement.h
@@ -14,6 +14,8 @@
 	const char *rack;     /**< NULL: any */
 	const char *avoid;    /**< a runner to avoid if another is feasible;
 				 NULL or "" for none */
+	bool apart;	      /**< on a runner without other work */
+	bool shares; /**< with apart: on a runner with other work if need be */
 	bool last_attempt; /**< a further failure of the task fails its job */
 	int64_t now_ms;
 };
--- a/src/member/metrics.c
+++ b/src/member/metrics.c
@@ -80,6 +80,8 @@
 	    {"ends_stopped_total", k->ends[END_STOPPED]},
 	    {"ends_lapsed_total", k->ends[END_LAPSED]},
 	    {"ends_lost_total", k->ends[END_LOST]},
+	    {"runner_crashes_total", k->runner_crashes},
+	    {"tasks_given_up_total", k->given_up},
 	    {"commits_total", k->commits},
 	    {"commit_errors_total", k->commit_errors},
 	    {"holds_total", k->holds},
--- a/src/protocol/peer.pb-c.c
+++ b/src/protocol/peer.pb-c.c
@@ -6018,7 +6018,7 @@
   (ProtobufCMessageInit) cc__job_row__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cc__task_progress__field_descriptors[5] =
+static const ProtobufCFieldDescriptor cc__task_progress__field_descriptors[8] =
 {
   {
     "index",
@@ -6080,8 +6080,47 @@
     0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "crashed_runs",
+    6,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Cc__TaskProgress, n_crashed_runs),
+    offsetof(Cc__TaskProgress, crashed_runs),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "crashed_alone",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cc__TaskProgress, crashed_alone),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "crash_age_ms",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cc__TaskProgress, crash_age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cc__task_progress__field_indices_by_name[] = {
+  7,   /* field[7] = crash_age_ms */
+  6,   /* field[6] = crashed_alone */
+  5,   /* field[5] = crashed_runs */
   4,   /* field[4] = failed_runs */
   2,   /* field[2] = failures */
   0,   /* field[0] = index */
@@ -6091,7 +6130,7 @@
 static const ProtobufCIntRange cc__task_progress__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor cc__task_progress__descriptor =
 {
@@ -6101,7 +6140,7 @@
   "Cc__TaskProgress",
   "cc",
   sizeof(Cc__TaskProgress),
-  5,
+  8,
   cc__task_progress__field_descriptors,
   cc__task_progress__field_indices_by_name,
   1,  cc__task_progress__number_ranges,
--- a/src/protocol/peer.pb-c.h
+++ b/src/protocol/peer.pb-c.h
@@ -735,10 +735,23 @@
    */
   size_t n_failed_runs;
   uint32_t *failed_runs;
+  /*
+   * runs that ended with a crash of the runner
+   */
+  size_t n_crashed_runs;
+  uint32_t *crashed_runs;
+  /*
+   * of these, how many had their runner to themselves
+   */
+  uint32_t crashed_alone;
+  /*
+   * age of the last of these runs at its end
+   */
+  uint32_t crash_age_ms;
 };
 #define CC__TASK_PROGRESS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cc__task_progress__descriptor) \
-    , 0, 0, 0, (char *)protobuf_c_empty_string, 0,NULL }
+    , 0, 0, 0, (char *)protobuf_c_empty_string, 0,NULL, 0,NULL, 0, 0 }
 
 
 struct  Cc__StepProgress
--- a/src/state/job.c
+++ b/src/state/job.c
@@ -60,6 +60,7 @@
 
 	for (i = 0; i < s->spec->count; i++) {
 		free(s->tasks[i].saved);
+		task_crashes_done(&s->tasks[i].crashes);
 		free(s->tasks[i].failed_runs);
 	}
 	free(s->tasks);
--- a/src/state/job.h
+++ b/src/state/job.h
@@ -14,6 +14,7 @@
 #include <uthash.h>
 
 #include "../protocol/peer.pb-c.h"
+#include "task_crashes.h"
 
 #define JOB_ID_LEN 32
 #define JOB_STEPS_MAX 64
@@ -41,11 +42,12 @@
 	bool done;
 	uint32_t last_run; /**< highest run number used; 0: never started */
 	uint32_t failures;
-	uint32_t *failed_runs; /**< run numbers of the failures */
-	char avoid[64];	       /**< runner on which it failed last */
-	char *saved;	       /**< last checkpoint; NULL for none */
-	struct run *run;       /**< a run that is or may be active, or NULL */
-	struct run *copy;      /**< second run of a speculative task, or NULL */
+	uint32_t *failed_runs;	     /**< run numbers of the failures */
+	struct task_crashes crashes; /**< of runners under the task */
+	char avoid[64];		     /**< runner on which it failed last */
+	char *saved;		     /**< last checkpoint; NULL for none */
+	struct run *run;  /**< a run that is or may be active, or NULL */
+	struct run *copy; /**< second run of a speculative task, or NULL */
 	bool wants_copy;  /**< a second run is requested, as its run is late or
 			     the runner is silent */
 	int64_t retry_ms; /**< no start before this time */
--- a/src/state/job_progress.c
+++ b/src/state/job_progress.c
@@ -14,7 +14,8 @@
 static bool
 task_is_untouched(const struct task *t)
 {
-	return t->last_run == 0 && t->failures == 0 && t->saved == NULL;
+	return t->last_run == 0 && t->failures == 0 && t->saved == NULL &&
+	    t->crashes.n == 0;
 }
 
 static Cc__TaskProgress *
@@ -29,6 +30,11 @@
 	p->n_failed_runs = t->failures;
 	p->failed_runs =
 	    xmemdup(t->failed_runs, t->failures * sizeof(*t->failed_runs));
+	p->n_crashed_runs = t->crashes.n;
+	p->crashed_runs =
+	    xmemdup(t->crashes.runs, t->crashes.n * sizeof(*t->crashes.runs));
+	p->crashed_alone = t->crashes.alone;
+	p->crash_age_ms = (uint32_t)t->crashes.age_ms;
 	p->saved = xstrdup(t->saved != NULL ? t->saved : "");
 	return p;
 }
@@ -169,6 +175,9 @@
 	t->last_run = tp->last_run;
 	for (i = 0; i < tp->n_failed_runs; i++)
 		task_add_failure(t, tp->failed_runs[i]);
+	for (i = 0; i < tp->n_crashed_runs; i++)
+		task_crashes_add(&t->crashes, tp->crashed_runs[i],
+		    i < tp->crashed_alone, tp->crash_age_ms);
 	if (tp->saved[0] != '\0')
 		t->saved = xstrdup(tp->saved);
 }
--- a/src/state/runner.c
+++ b/src/state/runner.c
@@ -39,7 +39,9 @@
 		run->cpu = s->best_effort ? 0 : s->cpu;
 		run->mem_mb = s->mem_mb;
 		run->gpu = s->gpu;
+		run->apart = task_crashes_suspected(&t->crashes);
 	}
+	r->napart += run->apart;
 	run->unsized = t == NULL;
 	r->nunsized += run->unsized;
 	r->used_cpu += run->cpu;
@@ -60,6 +62,7 @@
 	r->used_gpu -= run->gpu;
 	r->nruns--;
 	r->nunsized -= run->unsized;
+	r->napart -= run->apart;
 	TAILQ_REMOVE(&r->runs, run, link);
 	free(run);
 }
--- a/src/state/runner.h
+++ b/src/state/runner.h
@@ -37,6 +37,7 @@
 	int64_t cpu; /**< capacity that it holds, in thousandths of a core */
 	int64_t mem_mb;
 	int64_t gpu;
+	bool apart;	      /**< no other work is started beside it */
 	bool unsized;	      /**< the capacity that it holds isn't known */
 	int64_t ordered_ms;   /**< first start order sent, or run adopted */
 	int64_t confirmed_ms; /**< when it was first known to run; 0: not yet */
@@ -65,6 +66,7 @@
 	struct runner_info info;
 	TAILQ_HEAD(run_list, run) runs;
 	int nruns;
+	int napart; /**< runs beside which no other work is started */
 	/** Runs of unknown size; no task fits while there are any. */
 	int nunsized;
 	int64_t used_cpu; /**< thousandths of a core */
--- /dev/null
+++ b/src/state/task_crashes.c
@@ -0,0 +1,74 @@
+#include "task_crashes.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "../base/xalloc.h"
+
+/** Crashes from which on a task runs apart. */
+#define SUSPECTED_MIN 2
+/** Crashes of runners that the task had to itself after which it is given up.
+ */
+#define DEADLY_ALONE_MIN 2
+/** Crashes after which it is given up in any case. */
+#define DEADLY_MIN 4
+/** A run clears the task at this multiple of the age of the last run that ended
+ * in a crash, and this much more. */
+#define CLEAR_FACTOR 2
+#define CLEAR_MS 2000
+/** At this age a run clears its task in any case. */
+#define CLEAR_MAX_MS 5000
+
+void
+task_crashes_done(struct task_crashes *k)
+{
+	free(k->runs);
+	k->runs = NULL;
+}
+
+bool
+task_crashes_add(
+    struct task_crashes *k, uint32_t run, bool alone, int64_t age_ms)
+{
+	uint32_t i;
+
+	for (i = 0; i < k->n; i++)
+		if (k->runs[i] == run)
+			return false;
+	if (task_crashes_cleared_by(k, age_ms))
+		task_crashes_clear(k);
+	if (age_ms > CLEAR_MAX_MS)
+		return false;
+	k->runs = xrealloc(k->runs, (k->n + 1) * sizeof(*k->runs));
+	k->runs[k->n++] = run;
+	k->alone += alone;
+	k->age_ms = age_ms;
+	return true;
+}
+
+void
+task_crashes_clear(struct task_crashes *k)
+{
+	task_crashes_done(k);
+	memset(k, 0, sizeof(*k));
+}
+
+bool
+task_crashes_suspected(const struct task_crashes *k)
+{
+	return k->n >= SUSPECTED_MIN;
+}
+
+bool
+task_crashes_deadly(const struct task_crashes *k)
+{
+	return k->n >= DEADLY_MIN || k->alone >= DEADLY_ALONE_MIN;
+}
+
+bool
+task_crashes_cleared_by(const struct task_crashes *k, int64_t age_ms)
+{
+	return k->n > 0 &&
+	    (age_ms > CLEAR_MAX_MS ||
+		age_ms > k->age_ms * CLEAR_FACTOR + CLEAR_MS);
+}
--- /dev/null
+++ b/src/state/task_crashes.h
@@ -0,0 +1,35 @@
+/**
+ * @file Crashes of runners under a task: whether it is suspected of causing
+ * them, and when it is given up.
+ */
+#ifndef TASK_CRASHES_H
+#define TASK_CRASHES_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+struct task_crashes {
+	uint32_t *runs; /**< numbers of the runs that ended so */
+	uint32_t n;
+	uint32_t
+	    alone; /**< of these, how many had their runner to themselves */
+	int64_t age_ms; /**< age of the last of them at its end */
+};
+
+void task_crashes_done(struct task_crashes *k);
+/**
+ * Counts a crash.
+ * @return false when that run was counted before or is too old to be at fault.
+ */
+bool task_crashes_add(
+    struct task_crashes *k, uint32_t run, bool alone, int64_t age_ms);
+/** Clears the suspicion. */
+void task_crashes_clear(struct task_crashes *k);
+/** Whether the task must run apart, so that the next crash has one cause. */
+bool task_crashes_suspected(const struct task_crashes *k);
+/** Whether the task is to be given up. */
+bool task_crashes_deadly(const struct task_crashes *k);
+/** Whether a run of this age clears the task: its earlier ones ended sooner. */
+bool task_crashes_cleared_by(const struct task_crashes *k, int64_t age_ms);
+
+#endif
--- /dev/null
+++ b/tests/unit/cell_crashes_test.c
@@ -0,0 +1,121 @@
+/**
+ * @file Tasks that crash the runners that start them, beside others that do
+ * not, in the simulated environment.
+ */
+#include <CUnit/CUnit.h>
+#include <stdio.h>
+
+#include "../../src/cell/cell_internal.h"
+#include "unit.h"
+#include "unit_world.h"
+
+#define RUNNERS 12
+#define DEADLY 6
+#define INNOCENT 30
+/** Longest time in which deadly tasks are given up. */
+#define GIVEN_UP_MS 40000
+#define LASTING "00000000000000ff"
+
+static const struct world_step deadly_step = {
+    .count = 3, .cpu = 1000, .ms = 600, .after = -1, .deadly = true};
+static const struct world_step innocent_step = {
+    .count = 4, .cpu = 1500, .ms = 900, .after = -1};
+static const struct world_step lasting_step = {
+    .count = 4, .cpu = 500, .after = -1, .long_running = true};
+
+static void
+submit_some(struct world *w, const struct world_step *s, int first, int n)
+{
+	char id[JOB_ID_DIGITS + 1];
+	int i;
+
+	for (i = first; i < first + n; i++) {
+		format_job_id(id, i);
+		world_submit(w, id, "urgent", s, 1);
+		world_run(w, 60);
+	}
+}
+
+static int
+count_state(struct world *w, int first, int n, enum job_state state)
+{
+	char id[JOB_ID_DIGITS + 1];
+	int i, count = 0;
+
+	for (i = first; i < first + n; i++) {
+		format_job_id(id, i);
+		count += world_state(w, id) == (int)state;
+	}
+	return count;
+}
+
+/* Deadly jobs beside others; the lead is taken over @p takeover_ms after the
+ * first job, unless that is 0. */
+static void
+run_deadly(uint32_t seed, int64_t takeover_ms)
+{
+	struct world *w = start_seeded_world(seed, RUNNERS);
+
+	world_submit(w, LASTING, "batch", &lasting_step, 1);
+	submit_some(w, &innocent_step, 100, INNOCENT / 2);
+	submit_some(w, &deadly_step, 1, DEADLY);
+	if (takeover_ms > 0) {
+		world_run(w, takeover_ms);
+		world_cell_restart(w, 0);
+		world_claim(w, 1);
+		world_run(w, LEADER_READY_MS);
+	}
+	submit_some(w, &innocent_step, 100 + INNOCENT / 2, INNOCENT / 2);
+	world_run(w, GIVEN_UP_MS);
+	CU_ASSERT_EQUAL(count_state(w, 1, DEADLY, JOB_FAILED), DEADLY);
+	CU_ASSERT_EQUAL(count_state(w, 100, INNOCENT, JOB_COMPLETED), INNOCENT);
+	CU_ASSERT_EQUAL(world_live_runs(w, LASTING), 4);
+	finish_world(w);
+}
+
+/* Guards against BUDGET: a task that crashes each runner was started for ever,
+ * as a run that ends with its runner counted for nothing. */
+void
+test_crashes_deadly_given_up(void)
+{
+	uint32_t seed;
+
+	for (seed = 1; seed <= 8; seed++)
+		run_deadly(seed, 0);
+}
+
+/* Guards against BUDGET: the next leader must know the crashes counted before.
+ */
+void
+test_crashes_survive_takeover(void)
+{
+	int64_t ms;
+
+	for (ms = 100; ms <= 12000; ms += 700)
+		run_deadly(3, ms);
+}
+
+/* Tasks whose runners crash for another cause are never given up. */
+void
+test_crashes_innocent_kept(void)
+{
+	const struct world_step longer = {
+	    .count = 6, .cpu = 1000, .ms = 4000, .after = -1};
+	struct world *w = start_world(RUNNERS);
+	char id[JOB_ID_DIGITS + 1];
+	int i;
+
+	world_submit(w, LASTING, "batch", &lasting_step, 1);
+	submit_some(w, &longer, 100, 4);
+	for (i = 0; i < 40; i++) {
+		world_runner_replace(w, i * 7 % RUNNERS, 1500);
+		world_run(w, 4000);
+	}
+	world_run(w, 30000);
+	for (i = 100; i < 104; i++) {
+		format_job_id(id, i);
+		CU_ASSERT(world_complete_ms(w, id) >= 0);
+	}
+	CU_ASSERT_EQUAL(world_live_runs(w, LASTING), 4);
+	finish_world(w);
+}
--- a/tests/world/world.c
+++ b/tests/world/world.c
@@ -15,6 +15,10 @@
 #define ORDER_LATENCY_MS 3
 #define STOP_GRACE_MS 400
 #define MAX_HOLD_MS 10000
+/** A task that has crashed this many runners may be started twice more. */
+#define CRASHES_MAX 3
+#define DEADLY_MS 10	    /* from the start to the crash */
+#define DEADLY_DOWN_MS 2500 /* until the runner is back */
 /** Characters of an id that a runner keeps when it is back under another. */
 #define ID_PREFIX_LEN 2
 #define RUNNER_CPU 16000 /* thousandths of a core */
@@ -62,6 +66,7 @@
 	uint32_t cpu;
 	int64_t ends_at; /**< INT64_MAX: runs until it is stopped */
 	bool fails;
+	bool deadly; /**< the runner crashes at the end */
 	bool gang;
 	int64_t
 	    gang_timeout_at; /**< an incomplete gang times out then; else 0 */
@@ -122,6 +127,8 @@
 	int failures;
 	int64_t reported_ms; /**< an answer reported a done end; 0: none did */
 	int64_t started_ms;  /**< last start; 0: none */
+	int crashes;	     /**< of runners under the task */
+	int late_starts;     /**< after CRASHES_MAX crashes */
 };
 
 struct world_job {
@@ -574,6 +581,9 @@
 		report_violation(w, "started-after-done-reported", o->task);
 	if (task_record_of(j, ref->step, ref->index)->failures >= 3)
 		report_violation(w, "attempts-exceeded", o->task);
+	if (task_record_of(j, ref->step, ref->index)->crashes >= CRASHES_MAX &&
+	    ++task_record_of(j, ref->step, ref->index)->late_starts > 2)
+		report_violation(w, "crashes-exceeded", o->task);
 	if (j->refused && !j->accepted)
 		report_violation(w, "refused-job-started", o->task);
 	if (s->after >= 0 && !step_is_done(j, s->after))
@@ -652,6 +662,9 @@
 	    : w->now + (int64_t)(j->steps[ref.step].ms * r->slowdown);
 	if (l->fails && r->fail_share > 0)
 		l->ends_at = w->now + 20;
+	l->deadly = j->steps[ref.step].deadly && ref.index == 0;
+	if (l->deadly)
+		l->ends_at = w->now + DEADLY_MS;
 	l->next = r->runs;
 	r->runs = l;
 	if (j->steps[ref.step].gang)
@@ -709,6 +722,17 @@
 		e->lapsed = true;
 }
 
+static void
+crash_under(struct world *w, struct world_runner *r, const struct live_run *l)
+{
+	struct task_ref ref;
+	struct world_job *j = job_of(w, l->task, &ref);
+
+	task_record_of(j, ref.step, ref.index)->crashes++;
+	trace(w, "crashes", l->task, l->number, r, 0);
+	world_runner_replace(w, r->index, DEADLY_DOWN_MS);
+}
+
 static void
 runner_tick(struct world *w, struct world_runner *r)
 {
@@ -723,6 +747,10 @@
 	note_lapse(r);
 	for (l = r->runs; l != NULL; l = next) {
 		next = l->next;
+		if (l->deadly && w->now >= l->ends_at) {
+			crash_under(w, r, l);
+			return;
+		}
 		if (l->stops_at != 0 && w->now >= l->stops_at)
 			end_live_run(r, l, END_STOPPED);
 		else if (w->now >= l->ends_at)
--- a/tests/world/world.h
+++ b/tests/world/world.h
@@ -88,6 +88,7 @@
 	bool long_running; /**< its tasks run until they are stopped */
 	bool checkpoints;
 	bool speculative;
+	bool deadly; /**< each runner that starts its first task crashes */
 };
 
 /** Submits the job to the leading cell, if there is one, and records the
