No work is started by a room that was read too long ago

Cause: a leader without the store starts work on what the registry showed last, for as long as it may lead.

Now nothing is started once the registry was last read 3.2 s ago: longer than a long poll of it, shorter than that bound. "work fits a room that shrinks and grows" passes on it: with the registry at hand the room is followed. Cost: in an outage of the whole store work waits from 3.2 s on.

--- a/src/cell/runners.c
+++ b/src/cell/runners.c
@@ -11,6 +11,9 @@
 /** Time after a store outage or a gap in reads in which the registry may lack
  * live runners. */
 #define REGISTRY_GRACE_MS 2500
+/** Longest time without the registry for which work is started by the room that
+ * it showed; the room may have shrunk since. */
+#define ROOM_AGE_MAX_MS 3200
 
 struct runner *
 cell_runner(struct cell *c, const char *id)
@@ -116,6 +119,12 @@
 	    c->store_failing_since_ms != 0;
 }
 
+bool
+cell_room_is_known(const struct cell *c)
+{
+	return c->ports.now() - c->registry_synced_ms <= ROOM_AGE_MAX_MS;
+}
+
 void
 cell_runner_listed(struct cell *c, const struct runner_info *in)
 {
--- a/tests/unit/unit.h
+++ b/tests/unit/unit.h
@@ -62,6 +62,8 @@
 void test_crashes_deadly_given_up(void);
 void test_crashes_survive_takeover(void);
 void test_crashes_innocent_kept(void);
+void test_room_shrinks_and_grows(void);
+void test_room_shrinks_unseen(void);
 void test_cell_two_leaders_one_run(void);
 void test_cell_inherited_lease_counts(void);
 void test_cell_runner_back_after_drain(void);
--- a/tests/world/world.c
+++ b/tests/world/world.c
@@ -19,6 +19,8 @@
 #define CRASHES_MAX 3
 #define DEADLY_MS 10	    /* from the start to the crash */
 #define DEADLY_DOWN_MS 2500 /* until the runner is back */
+/** A room that has shrunk counts after this time: contact_ms and a beat. */
+#define SHRUNK_COUNTS_MS 3500
 /** Characters of an id that a runner keeps when it is back under another. */
 #define ID_PREFIX_LEN 2
 #define RUNNER_CPU 16000 /* thousandths of a core */
@@ -107,8 +109,11 @@
 	int64_t lease_until_ms;
 	int64_t born_ms;
 	int64_t up_at; /**< the runner is down until then */
-	bool refuses;  /**< connections to it are refused */
-	int replaced;  /**< times that it came back under another id */
+	int64_t cpu;   /**< thousandths of a core */
+	int64_t former_cpu;
+	int64_t resized_ms; /**< last change of cpu */
+	bool refuses;	    /**< connections to it are refused */
+	int replaced;	    /**< times that it came back under another id */
 	bool cut;
 	bool cut_from[WORLD_CELLS_MAX]; /**< cells that can't reach it */
 	int answer_delay_ms;
@@ -566,6 +571,15 @@
 	return at != 0 && w->now - at > REPORT_GRACE_MS;
 }
 
+/* A room that has shrunk counts after a while. */
+static int64_t
+cpu_limit(const struct world_runner *r)
+{
+	bool counts = r->world->now - r->resized_ms > SHRUNK_COUNTS_MS;
+
+	return counts || r->cpu > r->former_cpu ? r->cpu : r->former_cpu;
+}
+
 static void
 check_start(struct world *w, struct world_runner *r, struct world_job *j,
     const struct task_ref *ref, const struct start_order *o)
@@ -588,7 +602,7 @@
 		report_violation(w, "refused-job-started", o->task);
 	if (s->after >= 0 && !step_is_done(j, s->after))
 		report_violation(w, "started-before-earlier-step", o->task);
-	if (used_cpu(r) + s->cpu > RUNNER_CPU)
+	if (used_cpu(r) + s->cpu > cpu_limit(r))
 		report_violation(w, "cpu-exceeded", o->task);
 }
 
@@ -788,6 +802,16 @@
 	    ++r->replaced);
 }
 
+void
+world_runner_resize(struct world *w, int i, int64_t cpu)
+{
+	struct world_runner *r = &w->runners[i];
+
+	r->former_cpu = r->cpu;
+	r->cpu = cpu;
+	r->resized_ms = w->now;
+}
+
 void
 world_runner_refuse(struct world *w, int i, bool refuses)
 {
@@ -1766,6 +1790,7 @@
 		w->runners[i].world = w;
 		w->runners[i].index = i;
 		w->runners[i].slowdown = 1.0;
+		w->runners[i].cpu = RUNNER_CPU;
 		snprintf(w->runners[i].id, RUNNER_ID_LEN, "r%c", 'a' + i);
 	}
 	for (i = 0; i < WORLD_CELLS_MAX; i++)
@@ -1855,7 +1880,7 @@
 		str_copy(in->addr, "127.0.0.1", sizeof(in->addr));
 		snprintf(in->rack, sizeof(in->rack), "rack%d", i / 4);
 		in->port = 1;
-		in->cpu = RUNNER_CPU;
+		in->cpu = r->cpu;
 		in->mem_mb = RUNNER_MEM_MB;
 		in->born_ms = r->born_ms + 1;
 		in->draining = r->leaves_at != 0;
