tests: processes with tasks that crash runners and rooms that change

The stand-in's runners crash under tasks whose spec says so and come back under another id, answer 421 to calls for another incarnation, and shrink and grow; it counts starts after three crashes (budget) and beyond a changed room (limit).

--- a/tests/cellstandin/main.c
+++ b/tests/cellstandin/main.c
@@ -145,8 +145,11 @@
 	const char *mode = query_get(q, "mode");
 	const char *down = query_get(q, "down");
 	const char *view = query_get(q, "view");
+	const char *cpu = query_get(q, "cpu");
 	int i = which != NULL ? atoi(which) : -1;
 
+	if (i >= 0 && i < s->nrunners && cpu != NULL)
+		runner_sim_resize(s->runners[i], atoi(cpu));
 	if (i < 0 || i >= s->nrunners || mode == NULL)
 		return;
 	if (strcmp(mode, "crash") == 0)
@@ -193,9 +196,9 @@
 	struct standin *s = arg;
 
 	reply_json(req, 200,
-	    json_pack("{s:i,s:i,s:i,s:O}", "broken", s->record.broken, "starts",
-		s->record.starts, "done", s->record.done, "texts",
-		s->record.texts));
+	    json_pack("{s:i,s:i,s:i,s:i,s:O}", "broken", s->record.broken,
+		"starts", s->record.starts, "done", s->record.done, "crashes",
+		s->record.crashes, "texts", s->record.texts));
 }
 
 /* Answers 200 when the job is known to job_sim_known, else 404. */
--- a/tests/cellstandin/runner_sim.c
+++ b/tests/cellstandin/runner_sim.c
@@ -19,13 +19,22 @@
 #define DRAIN_MS 3000
 #define STEPS_MAX 8
 #define TASKS_MAX 64
+/** Until a runner that a task crashed is back, under another id. */
+#define DEADLY_DOWN_MS 2500
+/** From the start of such a task to the crash. */
+#define DEADLY_MS 10
+/** Crashes under a task after which it may be started twice more. */
+#define CRASHES_MAX 3
+/** A room that has shrunk counts after this time. */
+#define SHRUNK_COUNTS_MS 3500
 #define LOST_EVERY 8 /* with FAULT_LOST, one in this many starts */
 
 struct job_step {
 	int count;
 	int cpu;
 	int ms;
-	int after; /**< step that must end first; -1: none */
+	int after;   /**< step that must end first; -1: none */
+	bool deadly; /**< its first task crashes each runner */
 };
 
 struct job_sim {
@@ -36,6 +45,8 @@
 	bool ended[STEPS_MAX][TASKS_MAX]; /**< some run ended as done */
 	bool acked[STEPS_MAX][TASKS_MAX]; /**< that end was acknowledged */
 	int64_t started_ms[STEPS_MAX][TASKS_MAX]; /**< last start, boot clock */
+	int crashes[STEPS_MAX];	    /**< under the step's first task */
+	int late_starts[STEPS_MAX]; /**< after CRASHES_MAX of them */
 };
 
 struct sim_run {
@@ -45,6 +56,7 @@
 	char task[64];
 	int run;
 	int cpu;
+	bool deadly;
 	int64_t ends_at; /**< boot clock, ms */
 };
 
@@ -102,6 +114,10 @@
 	int64_t heartbeat_ms; /**< last heartbeat */
 	int sequence;
 	int orders;
+	int replaced; /**< times that it came back under another id */
+	int cpu;      /**< its room, thousandths of a core */
+	int former_cpu;
+	int64_t resized_ms; /**< last change of its room */
 	enum fault_mode mode;
 	struct sim_hold *hold;
 	struct event *tick;
@@ -123,6 +139,8 @@
 			&n) != 3)
 			return;
 		spec += n;
+		s->deadly = *spec == '!';
+		spec += s->deadly;
 		if (sscanf(spec, ">%d%n", &s->after, &n) == 1)
 			spec += n;
 		if (*spec == ',')
@@ -201,6 +219,14 @@
 	return sum;
 }
 
+static int
+cpu_limit(const struct runner_sim *r)
+{
+	bool counts = now_ms() - r->resized_ms > SHRUNK_COUNTS_MS;
+
+	return counts || r->cpu > r->former_cpu ? r->cpu : r->former_cpu;
+}
+
 /*
  * Records the guarantees that a start violates: the task runs already
  * ("twice"), its end was acknowledged ("after-done"), the step before it has
@@ -222,8 +248,11 @@
 	for (i = 0; s->after >= 0 && i < j->steps[s->after].count; i++)
 		if (!j->ended[s->after][i])
 			record_broken(r->record, "order", task);
-	if (used_cpu(r) + s->cpu > RUNNER_CPU)
+	if (used_cpu(r) + s->cpu > cpu_limit(r))
 		record_broken(r->record, "limit", task);
+	if (index == 0 && j->crashes[step] >= CRASHES_MAX &&
+	    ++j->late_starts[step] > 2)
+		record_broken(r->record, "budget", task);
 }
 
 static void
@@ -338,6 +367,20 @@
 	return mode == FAULT_SILENT;
 }
 
+/* Refuses a call that is meant for another incarnation. */
+static bool
+is_for_other(const struct runner_sim *r, struct evhttp_request *req)
+{
+	const char *id =
+	    evhttp_find_header(evhttp_request_get_input_headers(req),
+		"X-Celerycart-Target-Instance");
+
+	if (id == NULL || strcmp(id, r->id) == 0)
+		return false;
+	reply_json(req, 421, with_clock(r, json_object()));
+	return true;
+}
+
 static const char *
 text_of(const json_t *j, const char *name)
 {
@@ -395,6 +438,9 @@
 	n->run = run;
 	n->cpu = j->steps[step].cpu;
 	n->ends_at = now_ms() + j->steps[step].ms;
+	n->deadly = j->steps[step].deadly && index == 0;
+	if (n->deadly)
+		n->ends_at = now_ms() + DEADLY_MS;
 	str_copy(n->task, task, sizeof(n->task));
 	TAILQ_INSERT_TAIL(&r->runs, n, link);
 	TAILQ_INSERT_TAIL(&all, n, all_link);
@@ -410,7 +456,7 @@
 	const char *why;
 	json_t *b;
 
-	if (apply_fault(v, req))
+	if (apply_fault(v, req) || is_for_other(r, req))
 		return;
 	b = request_json(req);
 	why = start_run(r, b);
@@ -433,7 +479,7 @@
 	struct runner_sim *r = v->runner;
 	json_t *b;
 
-	if (apply_fault(v, req))
+	if (apply_fault(v, req) || is_for_other(r, req))
 		return NULL;
 	b = request_json(req);
 	if (number_of(b, "fencing_token") < r->fence) {
@@ -519,7 +565,7 @@
 	    json_pack("{s:s,s:s,s:s,s:s,s:{s:i,s:i,s:i},s:[s,s],s:I,s:I,s:i}",
 		"service", "work", "address", address, "zone", "z", "state",
 		r->drain_end_ms != 0 ? "draining" : "ready", "capacity", "cpu",
-		RUNNER_CPU, "mem_mb", RUNNER_MEM, "gpu", 0, "labels", "a", rack,
+		r->cpu, "mem_mb", RUNNER_MEM, "gpu", 0, "labels", "a", rack,
 		"clock_ms", (json_int_t)clock_of(r), "born",
 		(json_int_t)r->born_ms, "sequence", r->sequence++));
 }
@@ -591,6 +637,21 @@
 	r->hold = NULL;
 }
 
+/* The runner crashes under the task and is back under another id. */
+static void
+crash_under(struct runner_sim *r, const struct sim_run *n)
+{
+	struct job_sim *j;
+	int step, index;
+
+	if (parse_task_name(n->task, "", &j, &step, &index))
+		j->crashes[step]++;
+	r->record->crashes++;
+	store_sim_remove(r->store, "servers", r->id);
+	runner_sim_crash(r, DEADLY_DOWN_MS);
+	snprintf(r->id, sizeof(r->id), "i-%04d-%d", r->index, ++r->replaced);
+}
+
 static void
 end_runs(struct runner_sim *r)
 {
@@ -604,6 +665,10 @@
 
 	for (n = TAILQ_FIRST(&r->runs); n != NULL; n = next) {
 		next = TAILQ_NEXT(n, link);
+		if (n->deadly && now_ms() >= n->ends_at) {
+			crash_under(r, n);
+			return;
+		}
 		if (now_ms() >= n->ends_at)
 			end_run(r, n, "done");
 		else if (clock_of(r) >= r->lease_until)
@@ -651,6 +716,7 @@
 	r->record = rec;
 	r->index = index;
 	r->port = port;
+	r->cpu = r->former_cpu = RUNNER_CPU;
 	snprintf(r->id, sizeof(r->id), "i-%04d", index);
 	TAILQ_INIT(&r->runs);
 	TAILQ_INIT(&r->ends);
@@ -672,6 +738,15 @@
 	r->views[view].mode = mode;
 }
 
+void
+runner_sim_resize(struct runner_sim *r, int cpu)
+{
+	r->former_cpu = r->cpu;
+	r->cpu = cpu;
+	r->resized_ms = now_ms();
+	write_heartbeat(r);
+}
+
 void
 runner_sim_crash(struct runner_sim *r, int64_t down_ms)
 {
--- a/tests/cellstandin/standin.h
+++ b/tests/cellstandin/standin.h
@@ -40,6 +40,7 @@
 	json_t *texts; /**< the first violations, as text */
 	int starts;    /**< runs started */
 	int done;      /**< runs ended as done */
+	int crashes;   /**< of runners under a task */
 };
 
 /** Counts and prints a violation @p what, seen at the task @p name. */
@@ -71,6 +72,8 @@
 /** As runner_sim_fault, for the callers of one view. */
 void runner_sim_view_fault(
     struct runner_sim *r, int view, enum fault_mode mode);
+/** Changes the runner's room to @p cpu thousandths of a core. */
+void runner_sim_resize(struct runner_sim *r, int cpu);
 /** Ends the runner's process; after @p down_ms a new incarnation starts. */
 void runner_sim_crash(struct runner_sim *r, int64_t down_ms);
 /** Reports the runner as draining and removes its row after a grace period. */
@@ -79,8 +82,9 @@
 void advice_sim_new(struct event_base *base, uint16_t port);
 
 /**
- * A job as its spec text describes it: one COUNTxCPUxMS[>AFTER] for each step,
- * separated by commas. AFTER is the index of the step that must end first.
+ * A job as its spec text describes it: one COUNTxCPUxMS[!][>AFTER] for each
+ * step, separated by commas. AFTER is the index of the step that must end
+ * first. With "!" the step's first task crashes each runner that starts it.
  */
 struct job_sim;
 /** The job of this id; created from @p spec when it is not known yet. */
