tests: the review's stand-in links again

review/build.sh links tests/cellstandin/store_sim.c without the stand-in's main, where view_addr stood since; it stands in store_sim.c now. review/ is as it was.

--- a/tests/cellstandin/main.c
+++ b/tests/cellstandin/main.c
@@ -47,15 +47,6 @@
 	return (int64_t)ts.tv_sec * 1000 + ts.tv_nsec / 1000000;
 }
 
-const char *
-view_addr(int view)
-{
-	static const char *const addrs[VIEWS] = {
-	    "127.0.0.1", "127.0.0.201", "127.0.0.202", "127.0.0.203"};
-
-	return addrs[view];
-}
-
 enum fault_mode
 fault_mode_of(const char *name)
 {
--- a/tests/cellstandin/store_sim.c
+++ b/tests/cellstandin/store_sim.c
@@ -59,6 +59,15 @@
 	json_t *body;
 };
 
+const char *
+view_addr(int view)
+{
+	static const char *const addrs[VIEWS] = {
+	    "127.0.0.1", "127.0.0.201", "127.0.0.202", "127.0.0.203"};
+
+	return addrs[view];
+}
+
 static void
 send_delayed(evutil_socket_t fd, short what, void *arg)
 {
