--- a/src/cell/crashes.c
+++ b/src/cell/crashes.c
@@ -35,7 +35,7 @@
 	    run->name, run->number, run->runner->info.id, t->crashes.n, alone,
 	    (long long)(seen_ms - run->ordered_ms));
 	cell_mark_dirty(c, j);
-	if (task_crashes_deadly(&t->crashes))
+	if (task_crashes_exceeded(&t->crashes))
 		give_up(c, t, run->name);
 }
 
--- a/src/state/task_crashes.c
+++ b/src/state/task_crashes.c
@@ -9,9 +9,9 @@
 #define SUSPECTED_MIN 2
 /** Crashes of runners that the task had to itself after which it is given up.
  */
-#define DEADLY_ALONE_MIN 2
+#define GIVE_UP_ALONE_MIN 2
 /** Crashes after which it is given up in any case. */
-#define DEADLY_MIN 4
+#define GIVE_UP_MIN 4
 /** A run clears the task at this multiple of the age of the last run that ended
  * in a crash, and this much more. */
 #define CLEAR_FACTOR 2
@@ -60,9 +60,9 @@
 }
 
 bool
-task_crashes_deadly(const struct task_crashes *k)
+task_crashes_exceeded(const struct task_crashes *k)
 {
-	return k->n >= DEADLY_MIN || k->alone >= DEADLY_ALONE_MIN;
+	return k->n >= GIVE_UP_MIN || k->alone >= GIVE_UP_ALONE_MIN;
 }
 
 bool
--- a/src/state/task_crashes.h
+++ b/src/state/task_crashes.h
@@ -28,7 +28,7 @@
 /** Whether the task must run apart, so that the next crash has one cause. */
 bool task_crashes_suspected(const struct task_crashes *k);
 /** Whether the task is to be given up. */
-bool task_crashes_deadly(const struct task_crashes *k);
+bool task_crashes_exceeded(const struct task_crashes *k);
 /** Whether a run of this age clears the task: its earlier ones ended sooner. */
 bool task_crashes_cleared_by(const struct task_crashes *k, int64_t age_ms);
 
--- a/tests/cellstandin/runner_sim.c
+++ b/tests/cellstandin/runner_sim.c
@@ -20,9 +20,9 @@
 #define STEPS_MAX 8
 #define TASKS_MAX 64
 /** Until a runner that a task crashed is back, under another id. */
-#define DEADLY_DOWN_MS 2500
+#define CRASH_DOWN_MS 2500
 /** From the start of such a task to the crash. */
-#define DEADLY_MS 10
+#define CRASH_AFTER_MS 10
 /** Crashes under a task after which it may be started twice more. */
 #define CRASHES_MAX 3
 /** A room that has shrunk counts after this time. */
@@ -33,8 +33,8 @@
 	int count;
 	int cpu;
 	int ms;
-	int after;   /**< step that must end first; -1: none */
-	bool deadly; /**< its first task crashes each runner */
+	int after;	     /**< step that must end first; -1: none */
+	bool crashes_runner; /**< its first task crashes each runner */
 };
 
 struct job_sim {
@@ -56,7 +56,7 @@
 	char task[64];
 	int run;
 	int cpu;
-	bool deadly;
+	bool crashes_runner;
 	int64_t ends_at; /**< boot clock, ms */
 };
 
@@ -139,8 +139,8 @@
 			&n) != 3)
 			return;
 		spec += n;
-		s->deadly = *spec == '!';
-		spec += s->deadly;
+		s->crashes_runner = *spec == '!';
+		spec += s->crashes_runner;
 		if (sscanf(spec, ">%d%n", &s->after, &n) == 1)
 			spec += n;
 		if (*spec == ',')
@@ -438,9 +438,9 @@
 	n->run = run;
 	n->cpu = j->steps[step].cpu;
 	n->ends_at = now_ms() + j->steps[step].ms;
-	n->deadly = j->steps[step].deadly && index == 0;
-	if (n->deadly)
-		n->ends_at = now_ms() + DEADLY_MS;
+	n->crashes_runner = j->steps[step].crashes_runner && index == 0;
+	if (n->crashes_runner)
+		n->ends_at = now_ms() + CRASH_AFTER_MS;
 	str_copy(n->task, task, sizeof(n->task));
 	TAILQ_INSERT_TAIL(&r->runs, n, link);
 	TAILQ_INSERT_TAIL(&all, n, all_link);
@@ -648,7 +648,7 @@
 		j->crashes[step]++;
 	r->record->crashes++;
 	store_sim_remove(r->store, "servers", r->id);
-	runner_sim_crash(r, DEADLY_DOWN_MS);
+	runner_sim_crash(r, CRASH_DOWN_MS);
 	snprintf(r->id, sizeof(r->id), "i-%04d-%d", r->index, ++r->replaced);
 }
 
@@ -665,7 +665,7 @@
 
 	for (n = TAILQ_FIRST(&r->runs); n != NULL; n = next) {
 		next = TAILQ_NEXT(n, link);
-		if (n->deadly && now_ms() >= n->ends_at) {
+		if (n->crashes_runner && now_ms() >= n->ends_at) {
 			crash_under(r, n);
 			return;
 		}
--- a/tests/scripts/fail-deadly.sh
+++ b/tests/scripts/fail-crashing-task.sh
@@ -5,8 +5,8 @@
 . "$(dirname "$0")/lib.sh"
 . "$(dirname "$0")/cell.sh"
 PORT=${PORT:-19200}
-DEADLY=5
-INNOCENT=24
+CRASHING=5
+OTHERS=24
 setup
 
 "$BIN/cellstandin" "$PORT" 12 2> "$RUN/cellstandin.log" &
@@ -15,14 +15,14 @@
 for i in 1 2 3; do cell_daemon $i; done
 check "all hosts are ready" until_true 10 all_ready
 
-DEADLY_BODY='{"spec":"3x1000x300!,2x1000x200>0","steps":[{"count":3,"cpu":1000,"mem_mb":10,"estimate_ms":300},{"count":2,"cpu":1000,"mem_mb":10,"estimate_ms":200,"after":[0]}]}'
+CRASHING_BODY='{"spec":"3x1000x300!,2x1000x200>0","steps":[{"count":3,"cpu":1000,"mem_mb":10,"estimate_ms":300},{"count":2,"cpu":1000,"mem_mb":10,"estimate_ms":200,"after":[0]}]}'
 send() { [ "$(submit "$(((RANDOM % 3) + 1))" "$1" "$2")" = 200 ]; }
 state() { ask "$(url "$(other)" "$1")" | jq -r .state; }
 has_state() { [ "$(state "$1")" = "$2" ]; }
-for i in $(seq $INNOCENT); do
+for i in $(seq $OTHERS); do
 	check "job $i is accepted" until_true 10 send "000000000000a0$(printf %02d "$i")" "$BODY"
-	[ "$i" -le $DEADLY ] &&
-	    check "deadly job $i is accepted" until_true 10 send "000000000000d0$(printf %02d "$i")" "$DEADLY_BODY"
+	[ "$i" -le $CRASHING ] &&
+	    check "crashing job $i is accepted" until_true 10 send "000000000000d0$(printf %02d "$i")" "$CRASHING_BODY"
 	cell_fault "runner=$((i % 12))&cpu=$((i % 2 ? 4000 : 16000))"
 	if [ "$i" -eq 12 ]; then
 		L=$(leader)
@@ -32,11 +32,11 @@
 	fi
 	sleep 0.15
 done
-for i in $(seq $INNOCENT); do
+for i in $(seq $OTHERS); do
 	check "job $i is completed" until_true 40 has_state "000000000000a0$(printf %02d "$i")" completed
 done
-for i in $(seq $DEADLY); do
-	check "deadly job $i is given up" until_true 40 has_state "000000000000d0$(printf %02d "$i")" failed
+for i in $(seq $CRASHING); do
+	check "crashing job $i is given up" until_true 40 has_state "000000000000d0$(printf %02d "$i")" failed
 done
 check "no guarantee was broken" unbroken
 curl -s -m 2 "http://127.0.0.1:$((PORT + 2))/report" | jq -c '{starts, done, crashes}' | tr -d '{}"' | tr ':,' '= '
--- a/tests/unit/cell_crashes_test.c
+++ b/tests/unit/cell_crashes_test.c
@@ -10,15 +10,15 @@
 #include "unit_world.h"
 
 #define RUNNERS 12
-#define DEADLY 6
-#define INNOCENT 30
-/** Longest time in which deadly tasks are given up. */
+#define CRASHING 6
+#define OTHERS 30
+/** Longest time in which these tasks are given up. */
 #define GIVEN_UP_MS 40000
 #define LASTING "00000000000000ff"
 
-static const struct world_step deadly_step = {
-    .count = 3, .cpu = 1000, .ms = 600, .after = -1, .deadly = true};
-static const struct world_step innocent_step = {
+static const struct world_step crashing_step = {
+    .count = 3, .cpu = 1000, .ms = 600, .after = -1, .crashes_runner = true};
+static const struct world_step other_step = {
     .count = 4, .cpu = 1500, .ms = 900, .after = -1};
 static const struct world_step lasting_step = {
     .count = 4, .cpu = 500, .after = -1, .long_running = true};
@@ -49,26 +49,26 @@
 	return count;
 }
 
-/* Deadly jobs beside others; the lead is taken over @p takeover_ms after the
- * first job, unless that is 0. */
+/* Jobs with such a task beside others; the lead is taken over @p takeover_ms
+ * after the first job, unless that is 0. */
 static void
-run_deadly(uint32_t seed, int64_t takeover_ms)
+run_crashing(uint32_t seed, int64_t takeover_ms)
 {
 	struct world *w = start_seeded_world(seed, RUNNERS);
 
 	world_submit(w, LASTING, "batch", &lasting_step, 1);
-	submit_some(w, &innocent_step, 100, INNOCENT / 2);
-	submit_some(w, &deadly_step, 1, DEADLY);
+	submit_some(w, &other_step, 100, OTHERS / 2);
+	submit_some(w, &crashing_step, 1, CRASHING);
 	if (takeover_ms > 0) {
 		world_run(w, takeover_ms);
 		world_cell_restart(w, 0);
 		world_claim(w, 1);
 		world_run(w, LEADER_READY_MS);
 	}
-	submit_some(w, &innocent_step, 100 + INNOCENT / 2, INNOCENT / 2);
+	submit_some(w, &other_step, 100 + OTHERS / 2, OTHERS / 2);
 	world_run(w, GIVEN_UP_MS);
-	CU_ASSERT_EQUAL(count_state(w, 1, DEADLY, JOB_FAILED), DEADLY);
-	CU_ASSERT_EQUAL(count_state(w, 100, INNOCENT, JOB_COMPLETED), INNOCENT);
+	CU_ASSERT_EQUAL(count_state(w, 1, CRASHING, JOB_FAILED), CRASHING);
+	CU_ASSERT_EQUAL(count_state(w, 100, OTHERS, JOB_COMPLETED), OTHERS);
 	CU_ASSERT_EQUAL(world_live_runs(w, LASTING), 4);
 	finish_world(w);
 }
@@ -76,12 +76,12 @@
 /* Guards against BUDGET: a task that crashes each runner was started for ever,
  * as a run that ends with its runner counted for nothing. */
 void
-test_crashes_deadly_given_up(void)
+test_crashes_task_given_up(void)
 {
 	uint32_t seed;
 
 	for (seed = 1; seed <= 8; seed++)
-		run_deadly(seed, 0);
+		run_crashing(seed, 0);
 }
 
 /* Guards against BUDGET: the next leader must know the crashes counted before.
@@ -92,12 +92,13 @@
 	int64_t ms;
 
 	for (ms = 100; ms <= 12000; ms += 700)
-		run_deadly(3, ms);
+		run_crashing(3, ms);
 }
 
-/* Tasks whose runners crash for another cause are never given up. */
-void
-test_crashes_innocent_kept(void)
+/* One runner after the other crashes, each @p step places on, @p gap_ms apart.
+ */
+static void
+crash_runners(int step, int64_t gap_ms)
 {
 	const struct world_step longer = {
 	    .count = 6, .cpu = 1000, .ms = 4000, .after = -1};
@@ -108,8 +109,8 @@
 	world_submit(w, LASTING, "batch", &lasting_step, 1);
 	submit_some(w, &longer, 100, 4);
 	for (i = 0; i < 40; i++) {
-		world_runner_replace(w, i * 7 % RUNNERS, 1500);
-		world_run(w, 4000);
+		world_runner_replace(w, i * step % RUNNERS, 1500);
+		world_run(w, gap_ms);
 	}
 	world_run(w, 30000);
 	for (i = 100; i < 104; i++) {
@@ -119,3 +120,11 @@
 	CU_ASSERT_EQUAL(world_live_runs(w, LASTING), 4);
 	finish_world(w);
 }
+
+/* Tasks whose runners crash for another cause are never given up. */
+void
+test_crashes_others_kept(void)
+{
+	crash_runners(5, 2500);
+	crash_runners(7, 4000);
+}
--- a/tests/world/world.c
+++ b/tests/world/world.c
@@ -17,8 +17,8 @@
 #define MAX_HOLD_MS 10000
 /** A task that has crashed this many runners may be started twice more. */
 #define CRASHES_MAX 3
-#define DEADLY_MS 10	    /* from the start to the crash */
-#define DEADLY_DOWN_MS 2500 /* until the runner is back */
+#define CRASH_AFTER_MS 10  /* from the start to the crash */
+#define CRASH_DOWN_MS 2500 /* until the runner is back */
 /** A room that has shrunk counts after this time: contact_ms and a beat. */
 #define SHRUNK_COUNTS_MS 3500
 /** Characters of an id that a runner keeps when it is back under another. */
@@ -68,7 +68,7 @@
 	uint32_t cpu;
 	int64_t ends_at; /**< INT64_MAX: runs until it is stopped */
 	bool fails;
-	bool deadly; /**< the runner crashes at the end */
+	bool crashes_runner; /**< the runner crashes at the end */
 	bool gang;
 	int64_t
 	    gang_timeout_at; /**< an incomplete gang times out then; else 0 */
@@ -676,9 +676,9 @@
 	    : w->now + (int64_t)(j->steps[ref.step].ms * r->slowdown);
 	if (l->fails && r->fail_share > 0)
 		l->ends_at = w->now + 20;
-	l->deadly = j->steps[ref.step].deadly && ref.index == 0;
-	if (l->deadly)
-		l->ends_at = w->now + DEADLY_MS;
+	l->crashes_runner = j->steps[ref.step].crashes_runner && ref.index == 0;
+	if (l->crashes_runner)
+		l->ends_at = w->now + CRASH_AFTER_MS;
 	l->next = r->runs;
 	r->runs = l;
 	if (j->steps[ref.step].gang)
@@ -744,7 +744,7 @@
 
 	task_record_of(j, ref.step, ref.index)->crashes++;
 	trace(w, "crashes", l->task, l->number, r, 0);
-	world_runner_replace(w, r->index, DEADLY_DOWN_MS);
+	world_runner_replace(w, r->index, CRASH_DOWN_MS);
 }
 
 static void
@@ -761,7 +761,7 @@
 	note_lapse(r);
 	for (l = r->runs; l != NULL; l = next) {
 		next = l->next;
-		if (l->deadly && w->now >= l->ends_at) {
+		if (l->crashes_runner && w->now >= l->ends_at) {
 			crash_under(w, r, l);
 			return;
 		}
--- a/tests/world/world.h
+++ b/tests/world/world.h
@@ -90,7 +90,8 @@
 	bool long_running; /**< its tasks run until they are stopped */
 	bool checkpoints;
 	bool speculative;
-	bool deadly; /**< each runner that starts its first task crashes */
+	bool crashes_runner; /**< each runner that starts its first task crashes
+			      */
 };
 
 /** Submits the job to the leading cell, if there is one, and records the
