--- a/src/cell/runner_rows.c
+++ b/src/cell/runner_rows.c
@@ -165,8 +165,6 @@
 	return false;
 }
 
-/* A later leader assumes that a closed runner has no runs beyond those in its
- * row, so the runner's processed ends must be stored before the row. */
 /* The first rows of the mask, up to the limit of a commit. */
 static uint64_t
 limit_rows(const struct cell *c, uint64_t rows)
@@ -181,6 +179,8 @@
 	return limited;
 }
 
+/* A later leader assumes that a closed runner has no runs beyond those in its
+ * row, so the runner's processed ends must be stored before the row. */
 uint64_t
 runner_rows_writable(const struct cell *c)
 {
