--- a/Makefile
+++ b/Makefile
@@ -107,7 +107,7 @@
 	-fno-sanitize-recover=undefined -fno-omit-frame-pointer
 
 check: deps
-	@$(MAKE) -s all $(B)/unit $(B)/prop
+	@$(MAKE) -s all $(B)/unit $(B)/prop $(B)/bench-place
 	@$(MAKE) -s B=$(B)/san SAN="$(SANITIZERS)" $(B)/san/celerycartd \
 	    $(B)/san/unit $(B)/san/fuzz
 	@tests/scripts/run-all.sh
--- a/bench/cell_bench.c
+++ b/bench/cell_bench.c
@@ -398,10 +398,12 @@
 		*jobs_due += JOBS_PER_RUNNER_S * n * CLOCK_STEP_MS / 1000.0;
 		for (; *jobs_due >= 1; *jobs_due -= 1)
 			submit(++*serial);
-		if (sim.now % TICK_MS == 0)
+		if (sim.now % TICK_MS == 0) {
+			cell_registry_synced(&sim.cell, 0);
 			cell_tick(&sim.cell);
-		else
+		} else {
 			cell_pass(&sim.cell);
+		}
 	}
 }
 
@@ -410,6 +412,7 @@
 {
 	struct cell_terms terms = {.max_hold_ms = 10000,
 	    .lease_ms = 4000,
+	    .lead_lease_ms = 6000,
 	    .start_ms = 2500,
 	    .hold_wait_ms = 1000,
 	    .stop_grace_ms = 400,
@@ -422,6 +425,7 @@
 	    .wall_now = sim_now,
 	    .wake = ignore_notice,
 	    .deposed = ignore_notice};
+	struct cell_claim claim;
 	int i;
 
 	memset(&sim, 0, sizeof(sim));
@@ -434,7 +438,10 @@
 	cell_set_config(&sim.cell, make_config());
 	set_hosts(n / RUNNERS_PER_HOST + 1);
 	sim.version = 1;
-	cell_lead(&sim.cell, sim.version, 0, sim.version);
+	claim = (struct cell_claim){.fence = sim.version,
+	    .commit_version = sim.version,
+	    .sent_ms = sim.now};
+	cell_lead(&sim.cell, &claim);
 }
 
 void
