--- a/src/cell/cell_internal.h
+++ b/src/cell/cell_internal.h
@@ -99,8 +99,9 @@
 void cell_mark_row_stale(struct cell *c, const struct runner *r);
 /** Index of the store row that holds this runner, below RUNNERS_ROWS. */
 int runner_row(const struct runner *r);
-/** Whether the registry was read lately enough to start work by it. */
-bool cell_room_is_known(const struct cell *c);
+/** Whether the registry was read lately enough to start work by the capacities
+ * that it showed. */
+bool cell_capacities_current(const struct cell *c);
 /** Takes the runner off all lists and frees it. */
 void cell_drop_runner(struct cell *c, struct runner *r);
 /** Marks a runner as unlisted once the registry has lacked it for the grace
--- a/src/cell/place.c
+++ b/src/cell/place.c
@@ -398,7 +398,7 @@
 	size_t i, n;
 
 	if (TAILQ_EMPTY(&c->steps) || c->config == NULL ||
-	    !lead_lease_allows_start(c) || !cell_room_is_known(c))
+	    !lead_lease_allows_start(c) || !cell_capacities_current(c))
 		return;
 	ranked = rank_steps(c, now, &n);
 	for (i = 0; i < n && c->ports.now() - now < PASS_MS; i++)
--- a/src/cell/runners.c
+++ b/src/cell/runners.c
@@ -11,9 +11,9 @@
 /** Time after a store outage or a gap in reads in which the registry may lack
  * live runners. */
 #define REGISTRY_GRACE_MS 2500
-/** Longest time without the registry for which work is started by the room that
- * it showed; the room may have shrunk since. */
-#define ROOM_AGE_MAX_MS 3200
+/** Longest time without the registry for which work is started by the
+ * capacities that it showed; a runner's may be smaller by now. */
+#define CAPACITY_AGE_MAX_MS 3200
 
 struct runner *
 cell_runner(struct cell *c, const char *id)
@@ -120,9 +120,9 @@
 }
 
 bool
-cell_room_is_known(const struct cell *c)
+cell_capacities_current(const struct cell *c)
 {
-	return c->ports.now() - c->registry_synced_ms <= ROOM_AGE_MAX_MS;
+	return c->ports.now() - c->registry_synced_ms <= CAPACITY_AGE_MAX_MS;
 }
 
 void
--- a/tests/cellstandin/runner_sim.c
+++ b/tests/cellstandin/runner_sim.c
@@ -25,8 +25,8 @@
 #define CRASH_AFTER_MS 10
 /** Crashes under a task after which it may be started twice more. */
 #define CRASHES_MAX 3
-/** A room that has shrunk counts after this time. */
-#define SHRUNK_COUNTS_MS 3500
+/** A start beyond a reduced capacity is a violation after this time. */
+#define REDUCED_AFTER_MS 3500
 #define LOST_EVERY 8 /* with FAULT_LOST, one in this many starts */
 
 struct job_step {
@@ -115,9 +115,9 @@
 	int sequence;
 	int orders;
 	int replaced; /**< times that it came back under another id */
-	int cpu;      /**< its room, thousandths of a core */
+	int cpu;      /**< its capacity, thousandths of a core */
 	int former_cpu;
-	int64_t resized_ms; /**< last change of its room */
+	int64_t resized_ms; /**< last change of its capacity */
 	enum fault_mode mode;
 	struct sim_hold *hold;
 	struct event *tick;
@@ -222,7 +222,7 @@
 static int
 cpu_limit(const struct runner_sim *r)
 {
-	bool counts = now_ms() - r->resized_ms > SHRUNK_COUNTS_MS;
+	bool counts = now_ms() - r->resized_ms > REDUCED_AFTER_MS;
 
 	return counts || r->cpu > r->former_cpu ? r->cpu : r->former_cpu;
 }
--- a/tests/cellstandin/standin.h
+++ b/tests/cellstandin/standin.h
@@ -72,7 +72,7 @@
 /** As runner_sim_fault, for the callers of one view. */
 void runner_sim_view_fault(
     struct runner_sim *r, int view, enum fault_mode mode);
-/** Changes the runner's room to @p cpu thousandths of a core. */
+/** Sets the runner's capacity, thousandths of a core. */
 void runner_sim_resize(struct runner_sim *r, int cpu);
 /** Ends the runner's process; after @p down_ms a new incarnation starts. */
 void runner_sim_crash(struct runner_sim *r, int64_t down_ms);
--- a/tests/scripts/fail-crashing-task.sh
+++ b/tests/scripts/fail-crashing-task.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
 # A cell of three daemons and 12 runners. Some jobs have a task that crashes each
-# runner that starts it; rooms shrink and grow, and the leader is killed. Guards
+# runner that starts it; capacities shrink and grow, and the leader is killed. Guards
 # against BUDGET, against LIMIT and against work that fails with such a job.
 . "$(dirname "$0")/lib.sh"
 . "$(dirname "$0")/cell.sh"
--- a/tests/unit/cell_room_test.c
+++ b/tests/unit/cell_capacity_test.c
@@ -1,6 +1,6 @@
 /**
- * @file Runners whose room shrinks and grows while they run, in the simulated
- * environment.
+ * @file Runners whose capacity shrinks and grows while they run, in the
+ * simulated environment.
  */
 #include <CUnit/CUnit.h>
 #include <stdio.h>
@@ -10,7 +10,7 @@
 
 #define RUNNERS 4
 #define JOBS 150 /* more work than the runners do in 10 s */
-#define ROOM 16000
+#define CAPACITY 16000
 
 static const struct world_step step = {
     .count = 4, .cpu = 2000, .ms = 900, .after = -1};
@@ -32,10 +32,10 @@
 	}
 }
 
-/* Guards against LIMIT: starts beyond a room that has shrunk; and against room
- * that has grown again and stays unused. */
+/* Guards against LIMIT: starts beyond a reduced capacity; and against
+ * capacity that is back and stays unused. */
 void
-test_room_shrinks_and_grows(void)
+test_capacity_shrinks_and_grows(void)
 {
 	struct world *w = start_world(RUNNERS);
 	int i;
@@ -44,7 +44,7 @@
 		world_runner_resize(w, i % RUNNERS, i % 3 ? 6000 : 3000);
 		submit_jobs(w, 1 + i * 5, 5, 150);
 		world_run(w, 4000);
-		world_runner_resize(w, i % RUNNERS, ROOM);
+		world_runner_resize(w, i % RUNNERS, CAPACITY);
 	}
 	world_run(w, 20000);
 	CU_ASSERT(world_all_jobs_ended(w));
@@ -52,9 +52,9 @@
 }
 
 /* Guards against LIMIT: a leader that can't read the registry starts work for
- * the room that a runner had before. */
+ * the capacity that a runner had before. */
 void
-test_room_shrinks_unseen(void)
+test_capacity_shrinks_unseen(void)
 {
 	struct world *w;
 	int64_t ms;
--- a/tests/world/world.c
+++ b/tests/world/world.c
@@ -19,8 +19,9 @@
 #define CRASHES_MAX 3
 #define CRASH_AFTER_MS 10  /* from the start to the crash */
 #define CRASH_DOWN_MS 2500 /* until the runner is back */
-/** A room that has shrunk counts after this time: contact_ms and a beat. */
-#define SHRUNK_COUNTS_MS 3500
+/** A start beyond a capacity that was reduced is a violation after this time.
+ */
+#define REDUCED_AFTER_MS 3500
 /** Characters of an id that a runner keeps when it is back under another. */
 #define ID_PREFIX_LEN 2
 #define RUNNER_CPU 16000 /* thousandths of a core */
@@ -571,11 +572,11 @@
 	return at != 0 && w->now - at > REPORT_GRACE_MS;
 }
 
-/* A room that has shrunk counts after a while. */
+/* The capacity that starts are judged by; a reduction counts after a while. */
 static int64_t
 cpu_limit(const struct world_runner *r)
 {
-	bool counts = r->world->now - r->resized_ms > SHRUNK_COUNTS_MS;
+	bool counts = r->world->now - r->resized_ms > REDUCED_AFTER_MS;
 
 	return counts || r->cpu > r->former_cpu ? r->cpu : r->former_cpu;
 }
--- a/tests/world/world.h
+++ b/tests/world/world.h
@@ -59,7 +59,7 @@
 void world_runner_crash(struct world *w, int r, int64_t down_ms);
 /** As world_runner_crash, but it comes back under another id. */
 void world_runner_replace(struct world *w, int r, int64_t down_ms);
-/** The runner has room for @p cpu thousandths of a core from now on. */
+/** Sets the runner's capacity, thousandths of a core. */
 void world_runner_resize(struct world *w, int r, int64_t cpu);
 /** Connections to the runner are refused while @p refuses is set. */
 void world_runner_refuse(struct world *w, int r, bool refuses);
