A raised fencing token is below that of the next claim

Callers could see tasks run twice (TWICE).

Cause: a leader raises its fencing token for a runner that restarts or whose lease lapses to the version of its newest finished commit, of whatever part. Only commits to the first part depend on the leader's row. The other parts take the former leader's commits until the next leader has claimed each, so while the store is slow the token may be above the next leader's: the runner then takes the former leader's orders after it was adopted by the next one, and refuses the next one.

--- a/tests/unit/cell_leases_test.c
+++ b/tests/unit/cell_leases_test.c
@@ -12,6 +12,9 @@
 #define RUNNERS 4
 #define JOB "00000000000000a1"
 
+/** Latency of a store that is slow enough for commits to go to all parts. */
+#define SLOW_STORE_MS 120
+
 static const struct world_step long_step = {
     .count = 8, .cpu = 2000, .ms = 25000, .after = -1};
 
@@ -88,3 +91,48 @@
 		finish_world(w);
 	}
 }
+
+/* Submits jobs for @p ms and checks that the former leader, which is still in
+ * charge of some parts, holds no fencing token of the next leader's time. */
+static void
+check_fences(struct world *w, int64_t ms)
+{
+	int64_t end = world_now(w) + ms;
+
+	while (world_now(w) < end) {
+		CU_ASSERT(world_cell(w, 0)->phase == CELL_IDLE ||
+		    world_cell(w, 0)->renewed_version < world_cell(w, 1)->fence);
+		world_run(w, 1);
+	}
+}
+
+/*
+ * Guards against TWICE: the former leader raised its fencing token for a runner
+ * to the version of a commit that a part took after the next claim, and the
+ * runner then refused the next leader.
+ */
+void
+test_cell_raised_fence_below_next_claim(void)
+{
+	const struct world_step short_step = {
+	    .count = 4, .cpu = 500, .ms = 300, .after = -1};
+	char id[JOB_ID_DIGITS + 1];
+	int i, claim;
+
+	for (claim = 10; claim < 40; claim++) {
+		struct world *w = start_world(RUNNERS);
+
+		world_set_store_latency(w, SLOW_STORE_MS);
+		for (i = 0; i < claim; i++) {
+			format_job_id(id, i + 1);
+			world_submit(w, id, "batch", &short_step, 1);
+			world_run(w, 37);
+		}
+		world_claim(w, 1);
+		check_fences(w, 1000);
+		world_set_store_latency(w, 4);
+		world_run(w, 30000);
+		CU_ASSERT(world_all_jobs_ended(w));
+		finish_world(w);
+	}
+}
