A runner that was forgotten and is back takes orders

Callers would see a needless change of leader: all work waits until the next one has read the store and heard the runners.

Cause: a leader raises its fencing token for a runner whose lease lapsed, and the runner sees the raised token when it is back. If the registry then lacks the runner until it is forgotten, the leader finds it anew with its first token, below the one that the runner has seen: the runner refuses, and the leader takes that for another leader.

Now the token is raised when a runner is found.

Evidence: 'a runner that was forgotten and is back takes orders' fails on the code before (the leader has resigned) and passes now; all other unit tests pass.

--- a/src/cell/cell_internal.h
+++ b/src/cell/cell_internal.h
@@ -127,6 +127,9 @@
  * runners whose leases have expired, and applies the registry's grace periods.
  */
 void cell_check_all_runners(struct cell *c);
+/** Raises the fencing token for this runner, so that it refuses orders sent
+ * before, however late, once it has seen the next hold. */
+void cell_raise_fence(struct cell *c, struct runner *r);
 /** Sends a hold if one is due. */
 void cell_hold(struct cell *c, struct runner *r);
 /**
--- a/src/cell/holds.c
+++ b/src/cell/holds.c
@@ -54,14 +54,10 @@
 	char runner[RUNNER_ID_LEN];
 };
 
-/*
- * Raises the fencing token for this runner, so that it refuses orders sent
- * before, however late, once it has seen the next hold. The version of the
- * last renewal serves as token: no other leader uses it, and it is lower than
- * the version of every later claim.
- */
-static void
-raise_fence(struct cell *c, struct runner *r)
+/* The version of the last renewal serves as token: no other leader uses it, and
+ * it is lower than the version of every later claim. */
+void
+cell_raise_fence(struct cell *c, struct runner *r)
 {
 	if (c->renewed_version > r->fence)
 		r->fence = c->renewed_version;
@@ -90,7 +86,7 @@
 
 	kvlog(KVLOG_INFO, "runner_restarted", "runner=%s runs=%d", r->info.id,
 	    r->nruns);
-	raise_fence(c, r);
+	cell_raise_fence(c, r);
 	crashes_note(c, r);
 	r->last_end = r->last_end_in_commit = r->last_end_stored = 0;
 	r->clock_ms = r->clock_at_ms = r->lease_ms = r->lists_clock_ms = 0;
@@ -365,7 +361,7 @@
 		? (long long)(now - r->last_hold_answer_ms)
 		: -1LL,
 	    (long long)(now - c->renewed_ms));
-	raise_fence(c, r);
+	cell_raise_fence(c, r);
 	/* A runner that the registry lists may only be cut off from here. */
 	if (r->unlisted_since_ms != 0)
 		crashes_note(c, r);
--- a/src/cell/runners.c
+++ b/src/cell/runners.c
@@ -100,6 +100,8 @@
 	r->listed = true;
 	r->listed_born_ms = in->born_ms;
 	r->fence = c->fence;
+	/* It may have seen a raised token and been forgotten since. */
+	cell_raise_fence(c, r);
 	HASH_ADD_STR(c->runners, info.id, r);
 	c->runners_version++;
 	cell_mark_runner_due(c, r);
--- a/tests/unit/cell_leases_test.c
+++ b/tests/unit/cell_leases_test.c
@@ -101,7 +101,8 @@
 
 	while (world_now(w) < end) {
 		CU_ASSERT(world_cell(w, 0)->phase == CELL_IDLE ||
-		    world_cell(w, 0)->renewed_version < world_cell(w, 1)->fence);
+		    world_cell(w, 0)->renewed_version <
+			world_cell(w, 1)->fence);
 		world_run(w, 1);
 	}
 }
--- a/tests/unit/cell_runners_test.c
+++ b/tests/unit/cell_runners_test.c
@@ -222,3 +222,27 @@
 	world_run(w, 2000);
 	finish_world(w);
 }
+
+/* Guards against a needless change of leader: a runner that the leader had
+ * forgotten while it was alive refused that leader's orders, by the raised
+ * fencing token that it had seen before. */
+void
+test_cell_forgotten_runner_back(void)
+{
+	struct world *w = start_task_on(0);
+	const char *id = world_runner_of(w, TASK);
+
+	world_runner_cut(w, 0, true);
+	run_until_starts(w, 2);
+	world_runner_cut(w, 0, false);
+	world_run(w, 1000);
+	world_runner_unlist(w, 0, true);
+	while (cell_runner(world_cell(w, 0), id) != NULL)
+		world_run(w, STEP_MS);
+	world_runner_unlist(w, 0, false);
+	world_run(w, 2000);
+	CU_ASSERT_EQUAL(world_cell(w, 0)->phase, CELL_SERVING);
+	world_run(w, 40000);
+	CU_ASSERT(world_all_jobs_ended(w));
+	finish_world(w);
+}
--- a/tests/unit/main.c
+++ b/tests/unit/main.c
@@ -57,6 +57,8 @@
 	test_cell_crashed_runners_replaced},
     {"cell", "tasks of a runner back under another id start elsewhere at once",
 	test_cell_runner_replaced},
+    {"cell", "a runner that was forgotten and is back takes orders",
+	test_cell_forgotten_runner_back},
     {"cell", "a task whose start wasn't sent starts elsewhere at once",
 	test_cell_start_not_sent},
     {"crashes", "a task that crashes its runners is given up, and no other",
--- a/tests/unit/unit.h
+++ b/tests/unit/unit.h
@@ -58,6 +58,7 @@
 void test_cell_copy_of_slow_run(void);
 void test_cell_takeover_task_moved(void);
 void test_cell_runner_replaced(void);
+void test_cell_forgotten_runner_back(void);
 void test_cell_start_not_sent(void);
 void test_crashes_task_given_up(void);
 void test_crashes_survive_takeover(void);
--- a/tests/world/world.h
+++ b/tests/world/world.h
@@ -65,6 +65,8 @@
 void world_runner_refuse(struct world *w, int r, bool refuses);
 /** No cell can reach the runner while @p cut is set; the runner works on. */
 void world_runner_cut(struct world *w, int r, bool cut);
+/** The registry lacks the runner while @p unlisted is set. */
+void world_runner_unlist(struct world *w, int r, bool unlisted);
 /** This cell can't reach the runner while @p cut is set; others can. */
 void world_path_cut(struct world *w, int cell, int runner, bool cut);
 /** Delays each answer of the runner by @p ms, and each order to it by a random
