Log lines name what tells tasks that ran twice apart

A caller whose task ran twice has two run numbers, and the hosts' logs didn't say why the second run was ordered: a start named neither its fence nor how the run before had ended, an end as lost or lapsed not by what, an adopted run not the one that the leader had started elsewhere, a claim not what made it due, and a leader whose commit was done under another's guard was deposed without a line.

- placed: fence, generation, the token sent to the runner, the age of the renewal, the run before, how, by what and when it ended.
- run_ended: by what, with the ages of the runner's last answer, of the lease and of the renewal. runner_lapsed: the runner's clock and the lease's end.
- run_adopted, run_ended_before: the run that the leader has of the task.
- runner_adopted, runner_restarted, runner_gone, runner_found, runner_forgotten, runner_opened, runner_closed: incarnation, fence, version, age of the leadership.
- new: fence_raised, hold_fenced, runner_unawaited (inherited work didn't wait for it), start_without_run (an answer to a start whose run or leadership is over).
- claiming: the reason, and by what and when this host was deposed; deposed: the age of the renewal and, from the leader's row, the next leader.

A start has one line, as before; the others are for a runner or an event. No decision changes.

--- a/src/cell/cell.c
+++ b/src/cell/cell.c
@@ -111,6 +111,7 @@
 	c->store_failing_since_ms = c->registry_synced_ms =
 	    c->last_unanswered_ms = 0;
 	c->registry_gap_ms = 0;
+	c->unheard_runners = 0;
 	lead_lease_begin(c, claim);
 	cell_load(c);
 }
--- a/src/cell/cell.h
+++ b/src/cell/cell.h
@@ -74,6 +74,17 @@
 	CELL_SERVING,
 };
 
+/** What showed a leader that another host has claimed. */
+enum deposed_by {
+	DEPOSED_BY_HOLD,   /**< a runner refused a hold */
+	DEPOSED_BY_RUNNER, /**< a runner refused a start or stop */
+	DEPOSED_BY_COMMIT, /**< a commit's condition failed */
+	DEPOSED_BY_GUARD,  /**< a guard row, read while it loaded */
+	DEPOSED_BY_ROW,	   /**< the leader's row */
+	DEPOSED_BY_BEAT,   /**< a heartbeat */
+	DEPOSED_BY_COUNT
+};
+
 struct cell_counters {
 	uint64_t accepted;
 	uint64_t refused;
@@ -81,7 +92,13 @@
 	uint64_t failed;
 	uint64_t canceled;
 	uint64_t starts;
+	uint64_t starts_after_lapse; /**< of tasks whose last run lapsed */
+	uint64_t starts_unheard;     /**< of inherited work that was freed
+				      * without all runners */
 	uint64_t ends[END_LOST + 1];
+	uint64_t lost[CAUSE_COUNT]; /**< of ends[END_LOST] */
+	uint64_t fences_raised;
+	uint64_t deposed[DEPOSED_BY_COUNT];
 	uint64_t commits;
 	uint64_t commit_errors;
 	uint64_t holds;
@@ -174,8 +191,11 @@
 	/** All leases that leaders before granted are over by then, so that
 	 * inherited work may start whether or not all runners are adopted. */
 	int64_t adopt_until_ms;
-	bool adopting; /**< inherited work must not start: it may run
-			* on a runner that isn't adopted yet */
+	bool adopting;	     /**< inherited work must not start: it may run
+			      * on a runner that isn't adopted yet */
+	int unheard_runners; /**< that weren't heard when it was freed */
+	enum deposed_by deposed_by; /**< why the last leadership ended, if it
+				     * was deposed */
 	struct commit_chain chains[COMMIT_CHAINS];
 	struct part parts[CELL_PARTS];
 	uint64_t store_version; /**< version of the newest finished commit */
--- a/src/cell/cell_internal.h
+++ b/src/cell/cell_internal.h
@@ -71,8 +71,11 @@
 /** Applies the end or loss of a run to its task, and deletes the run. */
 void cell_run_ended(
     struct cell *c, struct run *run, enum run_end how, const char *saved);
+/** Applies the loss of a run. */
+void cell_run_lost(struct cell *c, struct run *run, enum end_cause cause);
 /** Applies an end that a runner lists for a run unknown to this leader. */
-void cell_unknown_run_ended(struct cell *c, const struct end_seen *e);
+void cell_unknown_run_ended(
+    struct cell *c, const struct runner *r, const struct end_seen *e);
 /** Keeps the newest checkpoint of a task, for a gang at its first task. */
 void task_set_saved(struct task *t, const char *saved);
 
--- a/src/cell/commit_send.c
+++ b/src/cell/commit_send.c
@@ -7,6 +7,7 @@
 #include "../base/err.h"
 #include "../base/kvlog.h"
 #include "../base/xalloc.h"
+#include "deposed.h"
 #include "runner_rows.h"
 
 #define COMMIT_TIMEOUT_MS 1000
@@ -116,7 +117,7 @@
 	for (i = 0; i < k->njobs; i++)
 		job_committed(c, k->jobs[i], k->states[i]);
 	if (k->runner_rows != 0)
-		runner_rows_committed(c);
+		runner_rows_committed(c, version);
 	c->jobs_per_commit = min(c->jobs_per_commit * 2, COMMIT_JOBS_MAX);
 	c->rows_per_commit = min(c->rows_per_commit * 2, RUNNERS_ROWS);
 	acks_committed(c);
@@ -153,6 +154,30 @@
 	return same;
 }
 
+/* Host that the leader's row names; "" when the row can't be read. */
+static void
+leader_of_row(const struct row *row, char *host, size_t len)
+{
+	Cc__LeaderRow *lr = cc__leader_row__unpack(NULL, row->len, row->value);
+
+	str_copy(host, lr != NULL ? lr->host : "", len);
+	if (lr != NULL)
+		cc__leader_row__free_unpacked(lr, NULL);
+}
+
+static void
+commit_deposed(struct cell *c, const struct commit *k, const struct row *guard)
+{
+	int part = chain_part(k->chain);
+	char host[64] = "";
+
+	if (guard != NULL && part == PART_FIRST)
+		leader_of_row(guard, host, sizeof(host));
+	cell_deposed(c, DEPOSED_BY_COMMIT, "part=%s guard=%llu seen=%llu by=%s",
+	    part_name(part), (unsigned long long)part_guard(c, part).version,
+	    (unsigned long long)(guard != NULL ? guard->version : 0), host);
+}
+
 /* Handles a failed condition. The commit was done if an earlier attempt wrote
  * the chain's row; else another leader has claimed the part. */
 static void
@@ -168,14 +193,10 @@
 	if (shows_commit(k, commit)) {
 		commit_done(c, k, commit->version, sent_ms);
 		if (guard != NULL && version != wanted.version)
-			c->ports.deposed(c->ports.arg);
+			commit_deposed(c, k, guard);
 		return;
 	}
-	kvlog(KVLOG_WARN, "deposed",
-	    "fence=%llu part=%s guard=%llu seen=%llu why=commit",
-	    (unsigned long long)c->fence, part_name(chain_part(k->chain)),
-	    (unsigned long long)wanted.version, (unsigned long long)version);
-	c->ports.deposed(c->ports.arg);
+	commit_deposed(c, k, guard);
 }
 
 /* Refuses a new job that certainly isn't stored, and removes it. */
--- a/src/cell/holds.c
+++ b/src/cell/holds.c
@@ -14,6 +14,7 @@
 #include "../base/kvlog.h"
 #include "../base/xalloc.h"
 #include "crashes.h"
+#include "deposed.h"
 #include "lead_lease.h"
 #include "runner_rows.h"
 
@@ -41,7 +42,8 @@
 /** Longest time from sending an order to its arrival at the runner. */
 #define ORDER_DELIVERY_MAX_MS 600
 
-/** Most runners that are logged when inherited work is free without them. */
+/** Most runners that are logged when inherited work is free without them; as
+ * many again that weren't waited for. */
 #define UNHEARD_LINES_MAX 20
 
 /** A hold under way. */
@@ -61,19 +63,28 @@
  * the version of every later claim.
  */
 static void
-raise_fence(struct cell *c, struct runner *r)
+raise_fence(struct cell *c, struct runner *r, const char *why)
 {
-	if (c->store_version > r->fence)
-		r->fence = c->store_version;
+	if (c->store_version <= r->fence)
+		return;
+	kvlog(KVLOG_INFO, "fence_raised",
+	    "runner=%s why=%s from=%llu to=%llu fence=%llu renewed_ms_ago=%lld",
+	    r->info.id, why, (unsigned long long)r->fence,
+	    (unsigned long long)c->store_version, (unsigned long long)c->fence,
+	    (long long)(c->ports.now() - c->renewed_ms));
+	c->counters.fences_raised++;
+	r->fence = c->store_version;
 }
 
 static void
-end_all_runs(struct cell *c, struct runner *r, enum run_end how)
+end_all_runs(
+    struct cell *c, struct runner *r, enum run_end how, enum end_cause cause)
 {
 	struct run *run, *next;
 
 	for (run = TAILQ_FIRST(&r->runs); run != NULL; run = next) {
 		next = TAILQ_NEXT(run, link);
+		run->cause = cause;
 		cell_run_ended(c, run, how, "");
 	}
 }
@@ -88,9 +99,15 @@
 {
 	struct run *run;
 
-	kvlog(KVLOG_INFO, "runner_restarted", "runner=%s runs=%d", r->info.id,
-	    r->nruns);
-	raise_fence(c, r);
+	kvlog(KVLOG_INFO, "runner_restarted",
+	    "runner=%s runs=%d born_ms=%lld clock_ms=%lld heard_ms_ago=%lld "
+	    "order_ms_ago=%lld lease_left_ms=%lld fence=%llu",
+	    r->info.id, r->nruns, (long long)r->info.born_ms,
+	    (long long)r->clock_ms, runner_heard_ms_ago(r, c->ports.now()),
+	    (long long)(c->ports.now() - r->order_sent_ms),
+	    runner_lease_left_ms(r, c->ports.now()),
+	    (unsigned long long)c->fence);
+	raise_fence(c, r, "restarted");
 	crashes_note(c, r);
 	r->last_end = r->last_end_in_commit = r->last_end_stored = 0;
 	r->clock_ms = r->clock_at_ms = r->lease_ms = r->lists_clock_ms = 0;
@@ -100,6 +117,7 @@
 	r->avoid_until_ms = r->avoid_ms = 0;
 	TAILQ_FOREACH (run, &r->runs, link) {
 		run->missed_lists = LIST_MISSES_MAX - 1;
+		run->restarted = true;
 		run->stop_accepted_ms = 0;
 		if (run->open_orders == 0)
 			continue;
@@ -118,11 +136,15 @@
 {
 	if (r->gone)
 		return;
-	kvlog(KVLOG_INFO, "runner_gone", "runner=%s runs=%d draining=%d",
-	    r->info.id, r->nruns, r->info.draining);
+	kvlog(KVLOG_INFO, "runner_gone",
+	    "runner=%s runs=%d draining=%d born_ms=%lld heard_ms_ago=%lld "
+	    "adopted=%d fence=%llu",
+	    r->info.id, r->nruns, r->info.draining, (long long)r->info.born_ms,
+	    runner_heard_ms_ago(r, c->ports.now()), r->adopted,
+	    (unsigned long long)c->fence);
 	r->gone = r->known = true;
 	crashes_note(c, r);
-	end_all_runs(c, r, END_LOST);
+	end_all_runs(c, r, END_LOST, CAUSE_OTHER_INCARNATION);
 	cell_check_adopted(c);
 }
 
@@ -133,11 +155,10 @@
 
 	r->silent_since_ms = now;
 	kvlog(KVLOG_WARN, "runner_silent",
-	    "runner=%s result=%d heard_ms_ago=%lld runs=%d", r->info.id, why,
-	    r->last_hold_answer_ms != 0
-		? (long long)(now - r->last_hold_answer_ms)
-		: -1LL,
-	    r->nruns);
+	    "runner=%s result=%d heard_ms_ago=%lld runs=%d fence=%llu "
+	    "order_fence=%llu",
+	    r->info.id, why, runner_heard_ms_ago(r, now), r->nruns,
+	    (unsigned long long)c->fence, (unsigned long long)r->fence);
 }
 
 /* Settles unanswered starts by a stop, since no list of the runner will show
@@ -186,11 +207,17 @@
 	else
 		r->hold_pending = false;
 	if (h->result == ORDER_FENCED && o.order_fence >= r->fence) {
-		kvlog(KVLOG_WARN, "deposed", "fence=%llu why=hold runner=%s",
-		    (unsigned long long)c->fence, r->info.id);
-		c->ports.deposed(c->ports.arg);
+		cell_deposed(c, DEPOSED_BY_HOLD, "runner=%s order_fence=%llu",
+		    r->info.id, (unsigned long long)o.order_fence);
 		return;
 	}
+	if (h->result == ORDER_FENCED)
+		kvlog(KVLOG_INFO, "hold_fenced",
+		    "runner=%s order_fence=%llu raised_to=%llu "
+		    "sent_ms_ago=%lld",
+		    r->info.id, (unsigned long long)o.order_fence,
+		    (unsigned long long)r->fence,
+		    (long long)(c->ports.now() - o.sent_ms));
 	if (h->result == ORDER_OK)
 		cell_apply_lists(c, r, h, o.sent_ms);
 	else
@@ -348,6 +375,32 @@
 	    ORDER_DELIVERY_MAX_MS;
 }
 
+/* By what leases_lapsed() tells it. */
+static enum end_cause
+lapse_cause(const struct runner *r)
+{
+	if (r->clock_at_ms != 0)
+		return CAUSE_LEASE_CLOCK;
+	return r->last_hold_answer_ms == 0 ? CAUSE_INHERITED_OVER
+					   : CAUSE_LONGEST_LEASE;
+}
+
+static void
+log_lapse(const struct cell *c, const struct runner *r, int64_t now)
+{
+	kvlog(KVLOG_WARN, "runner_lapsed",
+	    "runner=%s runs=%d by=%s silent_ms=%lld heard_ms_ago=%lld "
+	    "renewed_ms_ago=%lld clock_ms=%lld lease_ms=%lld order_ms_ago=%lld "
+	    "born_ms=%lld fence=%llu order_fence=%llu",
+	    r->info.id, r->nruns, end_cause_name(lapse_cause(r)),
+	    (long long)(now - r->silent_since_ms), runner_heard_ms_ago(r, now),
+	    (long long)(now - c->renewed_ms),
+	    r->clock_at_ms != 0 ? (long long)runner_clock(r, now) : 0LL,
+	    (long long)r->lease_ms, (long long)(now - r->order_sent_ms),
+	    (long long)r->info.born_ms, (unsigned long long)c->fence,
+	    (unsigned long long)r->fence);
+}
+
 /* Ends the runs of a silent runner once its leases have expired, so that their
  * tasks can start elsewhere. */
 static void
@@ -357,19 +410,12 @@
 		return;
 	if (!leases_lapsed(c, r))
 		return;
-	kvlog(KVLOG_WARN, "runner_lapsed",
-	    "runner=%s runs=%d silent_ms=%lld heard_ms_ago=%lld "
-	    "renewed_ms_ago=%lld",
-	    r->info.id, r->nruns, (long long)(now - r->silent_since_ms),
-	    r->last_hold_answer_ms != 0
-		? (long long)(now - r->last_hold_answer_ms)
-		: -1LL,
-	    (long long)(now - c->renewed_ms));
-	raise_fence(c, r);
+	log_lapse(c, r, now);
+	raise_fence(c, r, "lapsed");
 	/* A runner that the registry lists may only be cut off from here. */
 	if (r->unlisted_since_ms != 0)
 		crashes_note(c, r);
-	end_all_runs(c, r, END_LAPSED);
+	end_all_runs(c, r, END_LAPSED, lapse_cause(r));
 }
 
 void
@@ -423,6 +469,26 @@
 	}
 }
 
+/* Logs the runners that inherited work didn't wait for. @return their number.
+ */
+static int
+log_unawaited(const struct cell *c)
+{
+	const struct runner *r;
+	int n = 0;
+
+	for (r = c->runners; r != NULL; r = r->hh.next) {
+		if (r->adopted || !(r->stored_closed || r->gone))
+			continue;
+		if (n++ < UNHEARD_LINES_MAX)
+			kvlog(KVLOG_INFO, "runner_unawaited",
+			    "runner=%s closed=%d gone=%d runs=%d listed=%d",
+			    r->info.id, r->stored_closed, r->gone, r->nruns,
+			    r->listed);
+	}
+	return n;
+}
+
 /* Inherited work may start once the registry was read and the runs of every
  * runner are known: from its lists, or from the store if that records it as
  * closed. At the latest it may when all leases granted under earlier leaders
@@ -431,7 +497,7 @@
 cell_check_adopted(struct cell *c)
 {
 	const struct runner *r;
-	int unknown = 0;
+	int unknown = 0, unawaited;
 
 	if (!c->adopting || c->phase != CELL_SERVING)
 		return;
@@ -445,9 +511,14 @@
 	c->adopting = false;
 	c->stale_rows |= c->unreadable_rows;
 	c->unreadable_rows = 0;
-	kvlog(KVLOG_INFO, "inherited_work_free",
-	    "after_ms=%lld unheard_runners=%d",
-	    (long long)(c->ports.now() - c->lead_since_ms), unknown);
+	c->unheard_runners = unknown;
 	log_unheard(c);
+	unawaited = log_unawaited(c);
+	kvlog(KVLOG_INFO, "inherited_work_free",
+	    "after_ms=%lld unheard_runners=%d unawaited_runners=%d runners=%u "
+	    "renewed_ms_ago=%lld fence=%llu generation=%u",
+	    (long long)(c->ports.now() - c->lead_since_ms), unknown, unawaited,
+	    HASH_COUNT(c->runners), (long long)(c->ports.now() - c->renewed_ms),
+	    (unsigned long long)c->fence, c->generation);
 	c->ports.wake(c->ports.arg);
 }
--- a/src/cell/lead_lease.c
+++ b/src/cell/lead_lease.c
@@ -59,8 +59,9 @@
 		runs += r->nruns;
 	}
 	kvlog(KVLOG_WARN, "lead_unrenewed",
-	    "fence=%llu renewed_ms_ago=%lld heard_runners=%d runs=%d "
-	    "starts=%llu",
-	    (unsigned long long)c->fence, (long long)age, heard, runs,
-	    (unsigned long long)c->counters.starts);
+	    "fence=%llu generation=%u renewed_ms_ago=%lld heard_runners=%d "
+	    "runs=%d starts=%llu may_start=%d",
+	    (unsigned long long)c->fence, c->generation, (long long)age, heard,
+	    runs, (unsigned long long)c->counters.starts,
+	    lead_lease_allows_start(c));
 }
--- a/src/cell/load.c
+++ b/src/cell/load.c
@@ -17,6 +17,7 @@
 #include "../base/err.h"
 #include "../base/kvlog.h"
 #include "../base/xalloc.h"
+#include "deposed.h"
 
 #define PAGE_ROWS 500
 /** Timeout of the first write of a guard row, on top of GUARD_TIMEOUT_FACTOR
@@ -39,6 +40,18 @@
 	return true;
 }
 
+/* Runners whose row says closed. */
+static int
+count_closed(const struct cell *c)
+{
+	const struct runner *r;
+	int n = 0;
+
+	for (r = c->runners; r != NULL; r = r->hh.next)
+		n += r->stored_closed;
+	return n;
+}
+
 static void
 part_done(struct part_load *p)
 {
@@ -54,9 +67,10 @@
 	c->phase = CELL_SERVING;
 	c->committed_ms = c->ports.now();
 	kvlog(KVLOG_INFO, "leading",
-	    "fence=%llu generation=%u jobs=%u runners=%u load_ms=%lld",
+	    "fence=%llu generation=%u jobs=%u runners=%u closed=%d "
+	    "load_ms=%lld",
 	    (unsigned long long)c->fence, c->generation, HASH_COUNT(c->jobs),
-	    HASH_COUNT(c->runners),
+	    HASH_COUNT(c->runners), count_closed(c),
 	    (long long)(c->ports.now() - c->lead_since_ms));
 	cell_check_adopted(c);
 	c->ports.wake(c->ports.arg);
@@ -211,9 +225,8 @@
 	for (i = 0; i < r->nrows; i++) {
 		if (handle_row(p, &r->rows[i]))
 			continue;
-		kvlog(KVLOG_WARN, "deposed", "fence=%llu why=guard part=%s",
-		    (unsigned long long)c->fence, part_name(p->part));
-		c->ports.deposed(c->ports.arg);
+		cell_deposed(c, DEPOSED_BY_GUARD, "part=%s guard=%llu",
+		    part_name(p->part), (unsigned long long)p->guard);
 		return false;
 	}
 	return true;
--- a/src/cell/orders.c
+++ b/src/cell/orders.c
@@ -6,7 +6,9 @@
 #include "../base/kvlog.h"
 #include "../base/xalloc.h"
 #include "cell_internal.h"
+#include "deposed.h"
 #include "lead_lease.h"
+#include "start_log.h"
 
 /** Attempts of a start that arrived too late. */
 #define START_ATTEMPTS_MAX 3
@@ -87,11 +89,11 @@
 }
 
 static void
-report_deposed(struct cell *c, const char *runner)
+report_deposed(const struct order *o)
 {
-	kvlog(KVLOG_WARN, "deposed", "fence=%llu why=runner runner=%s",
-	    (unsigned long long)c->fence, runner);
-	c->ports.deposed(c->ports.arg);
+	cell_deposed(o->cell, DEPOSED_BY_RUNNER,
+	    "runner=%s task=%s run=%u order_fence=%llu", o->runner, o->task,
+	    o->number, (unsigned long long)o->order_fence);
 }
 
 /* Sends the runner no new work for a while after an unanswered order. */
@@ -207,13 +209,13 @@
 		step_ticket_refused(run->task->step, run->runner);
 	else
 		avoid_runner(c, run->runner);
-	cell_run_ended(c, run, END_LOST, "");
+	cell_run_lost(c, run, CAUSE_REFUSED);
 }
 
 /* Repeats a start that had no effect. After the last attempt the run is over,
  * unless an earlier attempt may yet take effect. */
 static void
-start_again(struct cell *c, struct run *run, int attempts)
+start_again(struct cell *c, struct run *run, int attempts, enum end_cause cause)
 {
 	if (run->orders < attempts) {
 		send_start(c, run);
@@ -221,7 +223,7 @@
 		cell_abort_start(c, run);
 	} else {
 		avoid_runner(c, run->runner);
-		cell_run_ended(c, run, END_LOST, "");
+		cell_run_lost(c, run, cause);
 	}
 }
 
@@ -229,9 +231,12 @@
 start_answered(struct cell *c, struct run *run, enum order_result result)
 {
 	kvlog(result == ORDER_OK ? KVLOG_DEBUG : KVLOG_INFO, "start_answered",
-	    "task=%s run=%u runner=%s result=%s tries=%d age_ms=%lld",
+	    "task=%s run=%u runner=%s result=%s tries=%d open=%d age_ms=%lld "
+	    "fence=%llu",
 	    run->name, run->number, run->runner->info.id, result_names[result],
-	    run->orders, (long long)(c->ports.now() - run->ordered_ms));
+	    run->orders, run->open_orders,
+	    (long long)(c->ports.now() - run->ordered_ms),
+	    (unsigned long long)c->fence);
 	switch (result) {
 	case ORDER_OK:
 		started_ok(c, run);
@@ -243,10 +248,10 @@
 		start_unanswered(c, run);
 		return;
 	case ORDER_LATE:
-		start_again(c, run, START_ATTEMPTS_MAX);
+		start_again(c, run, START_ATTEMPTS_MAX, CAUSE_LATE);
 		return;
 	case ORDER_NOT_SENT:
-		start_again(c, run, START_CONNECTS_MAX);
+		start_again(c, run, START_CONNECTS_MAX, CAUSE_NOT_SENT);
 		return;
 	case ORDER_FENCED:
 		run->state = RUN_UNSURE;
@@ -259,6 +264,18 @@
 	}
 }
 
+/* Logs the answer to a start whose run, or leadership, is over. */
+static void
+log_start_without_run(const struct order *o, enum order_result result)
+{
+	kvlog(KVLOG_INFO, "start_without_run",
+	    "task=%s run=%u runner=%s result=%s fence=%llu order_fence=%llu "
+	    "leads=%d",
+	    o->task, o->number, o->runner, result_names[result],
+	    (unsigned long long)o->fence, (unsigned long long)o->order_fence,
+	    o->cell->phase != CELL_IDLE && o->cell->fence == o->fence);
+}
+
 static void
 on_started(const struct order_answer *a, void *arg)
 {
@@ -266,6 +283,8 @@
 	struct cell *c = o->cell;
 	struct run *run = order_run(o);
 
+	if (run == NULL)
+		log_start_without_run(o, a->result);
 	if (run != NULL && run->task != NULL) {
 		if (a->result == ORDER_UNKNOWN)
 			suspect_runner(c, run->runner);
@@ -275,7 +294,7 @@
 		if (run->state == RUN_STARTING)
 			start_answered(c, run, a->result);
 		if (a->result == ORDER_FENCED && is_deposed(o))
-			report_deposed(c, o->runner);
+			report_deposed(o);
 		else
 			c->ports.wake(c->ports.arg);
 	}
@@ -289,12 +308,14 @@
 	char name[TASK_NAME_LEN];
 	struct step *s = t->step;
 	struct run *run;
+	uint32_t last_run;
 
 	task_name(t, name, sizeof(name));
 	run = run_new(r, t, name, number);
 	run->ordered_ms = c->ports.now();
 	run->is_copy = is_copy;
 	str_copy(run->ticket, ticket, sizeof(run->ticket));
+	last_run = t->last_run;
 	t->last_run = number > t->last_run ? number : t->last_run;
 	if (is_copy) {
 		t->copy = run;
@@ -304,15 +325,7 @@
 	}
 	if (s->first_start_ms == 0)
 		s->first_start_ms = run->ordered_ms;
-	c->counters.starts++;
-	c->counters.copies += is_copy;
-	kvlog(KVLOG_INFO, "placed",
-	    "task=%s run=%u runner=%s copy=%d ready_age_ms=%lld due_in_ms=%lld "
-	    "speed=%.2f",
-	    name, number, r->info.id, is_copy,
-	    (long long)(run->ordered_ms - s->ready_ms),
-	    (long long)(s->occurrence->job->due_ms - run->ordered_ms),
-	    r->speed);
+	start_log(c, run, last_run);
 	send_start(c, run);
 }
 
@@ -338,7 +351,7 @@
 		if (a->result == ORDER_OK && run->stop_accepted_ms == 0)
 			run->stop_accepted_ms = c->ports.now();
 		if (a->result == ORDER_FENCED && is_deposed(o))
-			report_deposed(c, o->runner);
+			report_deposed(o);
 		else if (a->result == ORDER_OK)
 			cell_poll_runner(c, run->runner);
 		else if (a->result == ORDER_UNKNOWN)
--- a/src/cell/reconcile.c
+++ b/src/cell/reconcile.c
@@ -9,6 +9,24 @@
 #include "cell_internal.h"
 #include "crashes.h"
 
+/* Logs a run that a runner lists, with the task's run that this leader knew of
+ * until then. */
+static void
+log_adopted_run(const struct cell *c, const struct run *run)
+{
+	const struct task *t = run->task;
+	const struct run *other = t != NULL ? t->run : NULL;
+
+	kvlog(KVLOG_INFO, "run_adopted",
+	    "task=%s run=%u runner=%s known=%d done=%d other_run=%u "
+	    "other_runner=%s adopting=%d led_ms=%lld fence=%llu",
+	    run->name, run->number, run->runner->info.id, t != NULL,
+	    t != NULL && t->done, other != NULL ? other->number : 0,
+	    other != NULL ? other->runner->info.id : "", c->adopting,
+	    (long long)(c->ports.now() - c->lead_since_ms),
+	    (unsigned long long)c->fence);
+}
+
 /* Adds a run that the runner lists and this leader doesn't know: binds it to
  * its task, or stops it when the task doesn't need it. */
 static void
@@ -26,8 +44,7 @@
 	run = run_new(r, t, seen->task, seen->run);
 	run->state = RUN_RUNNING;
 	run->ordered_ms = run->confirmed_ms = c->ports.now();
-	kvlog(KVLOG_INFO, "run_adopted", "task=%s run=%u runner=%s known=%d",
-	    seen->task, seen->run, r->info.id, t != NULL);
+	log_adopted_run(c, run);
 	if (t == NULL) {
 		cell_stop(c, run, "unknown");
 		return;
@@ -38,7 +55,7 @@
 	/* A task's next run is started only once the previous one is over. */
 	if (t->run != NULL && t->run->number < seen->run &&
 	    !t->run->runner->adopted && !t->step->spec->speculative)
-		cell_run_ended(c, t->run, END_LOST, "");
+		cell_run_lost(c, t->run, CAUSE_SUPERSEDED);
 	if (t->run == NULL) {
 		t->run = run;
 		if (!t->done)
@@ -101,12 +118,16 @@
 {
 	if (run->stop_accepted_ms != 0 && run->stop_accepted_ms < sent_ms) {
 		if (run->state == RUN_UNSURE ||
-		    ++run->missed_lists >= LIST_MISSES_MAX)
+		    ++run->missed_lists >= LIST_MISSES_MAX) {
+			run->cause = CAUSE_STOP_ACCEPTED;
 			cell_run_ended(c, run, END_STOPPED, "");
+		}
 	} else if (run->state == RUN_RUNNING && run->confirmed_ms != 0 &&
 	    run->confirmed_ms < sent_ms) {
 		if (++run->missed_lists >= LIST_MISSES_MAX)
-			cell_run_ended(c, run, END_LOST, "");
+			cell_run_lost(c, run,
+			    run->restarted ? CAUSE_RESTARTED
+					   : CAUSE_MISSED_LISTS);
 	} else if (run->start_unanswered_ms != 0 &&
 	    run->start_unanswered_ms <= sent_ms) {
 		cell_abort_start(c, run);
@@ -142,7 +163,7 @@
 		if (run != NULL)
 			cell_run_ended(c, run, e->how, e->saved);
 		else
-			cell_unknown_run_ended(c, e);
+			cell_unknown_run_ended(c, r, e);
 	}
 }
 
@@ -153,8 +174,13 @@
 		return;
 	r->adopted = true;
 	r->known = true;
-	kvlog(KVLOG_INFO, "runner_adopted", "runner=%s runs=%d ends=%llu",
-	    r->info.id, r->nruns, (unsigned long long)r->last_end);
+	kvlog(KVLOG_INFO, "runner_adopted",
+	    "runner=%s runs=%d ends=%llu born_ms=%lld clock_ms=%lld "
+	    "fence=%llu order_fence=%llu led_ms=%lld",
+	    r->info.id, r->nruns, (unsigned long long)r->last_end,
+	    (long long)r->info.born_ms, (long long)r->clock_ms,
+	    (unsigned long long)c->fence, (unsigned long long)r->fence,
+	    (long long)(c->ports.now() - c->lead_since_ms));
 	cell_check_adopted(c);
 }
 
--- a/src/cell/run_ends.c
+++ b/src/cell/run_ends.c
@@ -12,9 +12,6 @@
 /** Pause before a failed task is started again. */
 #define FAILED_PAUSE_MS 50
 
-static const char *const end_names[] = {"done", "failed", "stopped", "lapsed",
-    "peer-ended", "gang-timeout", "lost"};
-
 void
 task_set_saved(struct task *t, const char *saved)
 {
@@ -180,6 +177,41 @@
 	r->speed += (v - r->speed) * (r->samples < 8 ? 0.25 : 0.1);
 }
 
+/* Counts and logs the end, and keeps it for the log of the task's next start.
+ */
+static void
+note_end(struct cell *c, const struct run *run, enum run_end how)
+{
+	const struct runner *r = run->runner;
+	int64_t now = c->ports.now();
+
+	c->counters.ends[how]++;
+	c->counters.lost[run->cause] += how == END_LOST;
+	kvlog(how == END_DONE ? KVLOG_DEBUG : KVLOG_INFO, "run_ended",
+	    "task=%s run=%u how=%s by=%s runner=%s took_ms=%lld "
+	    "heard_ms_ago=%lld silent_ms=%lld lease_left_ms=%lld "
+	    "renewed_ms_ago=%lld fence=%llu",
+	    run->name, run->number, run_end_name(how),
+	    end_cause_name(run->cause), r->info.id,
+	    (long long)(now - run->ordered_ms), runner_heard_ms_ago(r, now),
+	    r->silent_since_ms != 0 ? (long long)(now - r->silent_since_ms)
+				    : 0LL,
+	    runner_lease_left_ms(r, now), (long long)(now - c->renewed_ms),
+	    (unsigned long long)c->fence);
+	if (run->task != NULL)
+		run->task->last_end = (struct task_end){.run = run->number,
+		    .how = how,
+		    .cause = run->cause,
+		    .at_ms = now};
+}
+
+void
+cell_run_lost(struct cell *c, struct run *run, enum end_cause cause)
+{
+	run->cause = cause;
+	cell_run_ended(c, run, END_LOST, "");
+}
+
 void
 cell_run_ended(
     struct cell *c, struct run *run, enum run_end how, const char *saved)
@@ -187,11 +219,7 @@
 	struct task *t = run->task;
 	uint32_t number = run->number;
 
-	c->counters.ends[how]++;
-	kvlog(how == END_DONE ? KVLOG_DEBUG : KVLOG_INFO, "run_ended",
-	    "task=%s run=%u how=%s runner=%s took_ms=%lld", run->name,
-	    run->number, end_names[how], run->runner->info.id,
-	    (long long)(c->ports.now() - run->ordered_ms));
+	note_end(c, run, how);
 	if (t == NULL) {
 		run_delete(run);
 		return;
@@ -210,8 +238,29 @@
 		apply_failed(c, t, number);
 }
 
+static void
+note_unknown_end(const struct cell *c, const struct runner *r, struct task *t,
+    const struct end_seen *e)
+{
+	const struct run *other = t->run;
+
+	kvlog(KVLOG_INFO, "run_ended_before",
+	    "task=%s run=%u how=%s runner=%s end=%llu done=%d other_run=%u "
+	    "other_runner=%s led_ms=%lld fence=%llu",
+	    e->task, e->run, run_end_name(e->how), r->info.id,
+	    (unsigned long long)e->number, t->done,
+	    other != NULL ? other->number : 0,
+	    other != NULL ? other->runner->info.id : "",
+	    (long long)(c->ports.now() - c->lead_since_ms),
+	    (unsigned long long)c->fence);
+	if (e->run >= t->last_end.run)
+		t->last_end = (struct task_end){
+		    .run = e->run, .how = e->how, .at_ms = c->ports.now()};
+}
+
 void
-cell_unknown_run_ended(struct cell *c, const struct end_seen *e)
+cell_unknown_run_ended(
+    struct cell *c, const struct runner *r, const struct end_seen *e)
 {
 	struct task_ref ref;
 	struct job *j;
@@ -222,8 +271,7 @@
 	j = cell_job(c, ref.id);
 	if (j == NULL || (t = job_task(j, &ref)) == NULL)
 		return;
-	kvlog(KVLOG_INFO, "run_ended_before", "task=%s run=%u how=%s", e->task,
-	    e->run, end_names[e->how]);
+	note_unknown_end(c, r, t, e);
 	if (e->run > t->last_run)
 		t->last_run = e->run;
 	j->started = true;
--- a/src/cell/runner_rows.c
+++ b/src/cell/runner_rows.c
@@ -118,7 +118,8 @@
 }
 
 static void
-add_runner(Cc__RunnersRow *list, struct runner *r, bool closed)
+add_runner(
+    const struct cell *c, Cc__RunnersRow *list, struct runner *r, bool closed)
 {
 	list->runners = xrealloc(
 	    list->runners, (list->n_runners + 1) * sizeof(*list->runners));
@@ -129,9 +130,12 @@
 	/* Once this is sent, a later leader may rely on the closed row. */
 	if (closed && r->stored_open)
 		kvlog(KVLOG_INFO, "runner_closed",
-		    "runner=%s runs=%d draining=%d silent=%d listed=%d",
+		    "runner=%s runs=%d draining=%d silent=%d listed=%d gone=%d "
+		    "after_version=%llu fence=%llu",
 		    r->info.id, r->nruns, r->info.draining,
-		    r->silent_since_ms != 0, r->listed);
+		    r->silent_since_ms != 0, r->listed, r->gone,
+		    (unsigned long long)c->store_version,
+		    (unsigned long long)c->fence);
 	if (closed)
 		r->stored_open = false;
 }
@@ -207,7 +211,7 @@
 	for (r = c->runners; r != NULL; r = r->hh.next) {
 		n = runner_row(r);
 		if (rows & 1ULL << n)
-			add_runner(&lists[n], r, should_close(c, r));
+			add_runner(c, &lists[n], r, should_close(c, r));
 	}
 	for (i = 0; i < RUNNERS_ROWS; i++) {
 		if (rows & 1ULL << i)
@@ -223,14 +227,16 @@
 }
 
 void
-runner_rows_committed(struct cell *c)
+runner_rows_committed(struct cell *c, uint64_t version)
 {
 	struct runner *r;
 
 	for (r = c->runners; r != NULL; r = r->hh.next) {
 		if (r->commit_opens && !r->stored_open)
 			kvlog(KVLOG_INFO, "runner_opened",
-			    "runner=%s adopted=%d", r->info.id, r->adopted);
+			    "runner=%s adopted=%d version=%llu fence=%llu",
+			    r->info.id, r->adopted, (unsigned long long)version,
+			    (unsigned long long)c->fence);
 		if (r->commit_opens)
 			r->stored_open = true;
 		r->commit_opens = false;
--- a/src/cell/runner_rows.h
+++ b/src/cell/runner_rows.h
@@ -18,7 +18,7 @@
 /** Adds these rows to the commit; empty rows are removed. */
 void runner_rows_add(struct cell *c, struct commit *k, uint64_t rows);
 /** Applies a commit that wrote rows of runners. */
-void runner_rows_committed(struct cell *c);
+void runner_rows_committed(struct cell *c, uint64_t version);
 /** Marks the rows of a commit that certainly wasn't done. */
 void runner_rows_abandoned(struct cell *c, uint64_t rows);
 /** Notes what the row of a runner said when it was loaded. */
--- a/src/cell/runners.c
+++ b/src/cell/runners.c
@@ -62,7 +62,10 @@
 {
 	if (!may_forget_runner(c, r, now))
 		return;
-	kvlog(KVLOG_INFO, "runner_forgotten", "runner=%s", r->info.id);
+	kvlog(KVLOG_INFO, "runner_forgotten",
+	    "runner=%s adopted=%d open=%d gone=%d led_ms=%lld fence=%llu",
+	    r->info.id, r->adopted, r->stored_open, r->gone,
+	    (long long)(now - c->lead_since_ms), (unsigned long long)c->fence);
 	cell_mark_row_stale(c, r);
 	cell_drop_runner(c, r);
 }
@@ -104,9 +107,11 @@
 	c->runners_version++;
 	cell_mark_runner_due(c, r);
 	kvlog(KVLOG_INFO, "runner_found",
-	    "runner=%s service=%s rack=%s cpu=%lld mem_mb=%lld draining=%d",
+	    "runner=%s service=%s rack=%s cpu=%lld mem_mb=%lld draining=%d "
+	    "born_ms=%lld adopting=%d led_ms=%lld",
 	    in->id, in->service, in->rack, (long long)in->cpu,
-	    (long long)in->mem_mb, in->draining);
+	    (long long)in->mem_mb, in->draining, (long long)in->born_ms,
+	    c->adopting, (long long)(c->ports.now() - c->lead_since_ms));
 }
 
 /* Whether what the registry shows may be out of date: it wasn't read for the
--- a/src/coordination/leader_claim.c
+++ b/src/coordination/leader_claim.c
@@ -32,6 +32,20 @@
 	    f->beat_age_ms > (f->reserve ? BEAT_LATE_RESERVE_MS : BEAT_LATE_MS);
 }
 
+const char *
+claim_reason(const struct claim_facts *f)
+{
+	if (f->no_leader)
+		return "no-leader";
+	if (f->same_host)
+		return "same-host";
+	if (f->restarted)
+		return "restarted";
+	if (f->stalled)
+		return "stalled";
+	return f->linked ? "beat-late" : "unlinked";
+}
+
 bool
 claim_due(const struct claim_facts *f)
 {
--- a/src/coordination/leader_claim.h
+++ b/src/coordination/leader_claim.h
@@ -39,6 +39,8 @@
 
 /** Whether the leader is suspected, so that the commit row must be watched. */
 bool claim_leader_suspected(const struct claim_facts *f);
+/** Why the leader is suspected, for the log: the first reason that holds. */
+const char *claim_reason(const struct claim_facts *f);
 /** Whether to claim the leadership now. */
 bool claim_due(const struct claim_facts *f);
 
--- a/src/member/election.c
+++ b/src/member/election.c
@@ -12,6 +12,7 @@
 #include "../base/err.h"
 #include "../base/kvlog.h"
 #include "../base/xalloc.h"
+#include "../cell/deposed.h"
 #include "../coordination/leader_claim.h"
 #include "../sys/clock.h"
 #include "member_internal.h"
@@ -96,9 +97,8 @@
 	if (!m->leader.released)
 		member_calls_leader_changed(m);
 	if (member_leads(m) && row->version > m->cell.fence) {
-		kvlog(KVLOG_WARN, "deposed", "fence=%llu why=row by=%s",
-		    (unsigned long long)m->cell.fence, m->leader.host);
-		member_deposed(m);
+		cell_deposed(&m->cell, DEPOSED_BY_ROW, "by=%s version=%llu",
+		    m->leader.host, (unsigned long long)row->version);
 	}
 }
 
@@ -215,7 +215,11 @@
 		start_leading(m, r->version, m->claim.sent_ms);
 		return;
 	}
-	kvlog(KVLOG_INFO, "claim_failed", "why=%s", cc_strerror(r->err));
+	kvlog(KVLOG_INFO, "claim_failed",
+	    "why=%s generation=%u leader=%s version=%llu commit_version=%llu",
+	    cc_strerror(r->err), m->claim.generation, m->claim.former,
+	    (unsigned long long)m->leader.version,
+	    (unsigned long long)m->commit_row_version);
 	if (r->err != CC_EUNAVAIL && r->err != CC_ECONFLICT) {
 		resolve_claim(m);
 		return;
@@ -228,8 +232,29 @@
 			member_leader_row(m, &r->rows[i]);
 }
 
+/* Logs a claim with what made it due. */
 static void
-claim(struct member *m)
+log_claim(const struct member *m, const struct claim_facts *f)
+{
+	int64_t now = clock_boot_ms();
+	bool deposed = m->led_last_ms != 0;
+
+	kvlog(KVLOG_INFO, "claiming",
+	    "leader=%s version=%llu commit_version=%llu unchanged_ms=%lld "
+	    "generation=%u why=%s linked=%d beat_ms_ago=%lld read_ms=%lld "
+	    "rank=%d deposed_by=%s deposed_ms_ago=%lld",
+	    m->leader.host, (unsigned long long)m->leader.version,
+	    (unsigned long long)m->commit_row_version,
+	    (long long)(now - m->commit_row_since_ms), m->claim.generation,
+	    claim_reason(f), f->linked,
+	    f->beat_age_ms < now ? (long long)f->beat_age_ms : -1LL,
+	    (long long)m->commit_read_took_ms, f->rank,
+	    deposed ? deposed_by_name(m->cell.deposed_by) : "none",
+	    deposed ? (long long)(now - m->led_last_ms) : -1LL);
+}
+
+static void
+claim(struct member *m, const struct claim_facts *f)
 {
 	struct row conds[2] = {
 	    {.table = MEMBER_TABLE,
@@ -263,11 +288,7 @@
 	writes[1].len = cc__commit_row__pack(&cr, commit);
 	m->state = MEMBER_CLAIMING;
 	m->claim.sent_ms = clock_boot_ms();
-	kvlog(KVLOG_INFO, "claiming",
-	    "leader=%s version=%llu commit_version=%llu unchanged_ms=%lld",
-	    m->leader.host, (unsigned long long)m->leader.version,
-	    (unsigned long long)m->commit_row_version,
-	    (long long)(clock_boot_ms() - m->commit_row_since_ms));
+	log_claim(m, f);
 	m->ports.store->ops->txn(
 	    m->ports.store, &t, CLAIM_TIMEOUT_MS, on_claim, m);
 }
@@ -310,8 +331,9 @@
 	    sizeof(m->leader.incarnation));
 	m->leader.generation = b->generation;
 	reset_commit_row(m);
-	kvlog(KVLOG_INFO, "leader_announced", "leader=%s version=%llu", host,
-	    (unsigned long long)b->fence);
+	kvlog(KVLOG_INFO, "leader_announced",
+	    "leader=%s version=%llu generation=%u", host,
+	    (unsigned long long)b->fence, b->generation);
 	member_dial(m);
 	member_calls_leader_changed(m);
 }
@@ -456,7 +478,7 @@
 	 * claim is due is checked before the next read.
 	 */
 	if (m->commit_row_since_ms != 0 && !m->commit_reading && claim_due(&f))
-		claim(m);
+		claim(m, &f);
 	else
 		read_commit_row(m);
 }
--- a/src/member/members.c
+++ b/src/member/members.c
@@ -7,6 +7,7 @@
 #include "../base/err.h"
 #include "../base/kvlog.h"
 #include "../base/xalloc.h"
+#include "../cell/deposed.h"
 #include "../sys/clock.h"
 #include "member_internal.h"
 
@@ -273,8 +274,11 @@
 
 	member_set_core(m);
 	if (stalled && !m->stall_announced)
-		kvlog(KVLOG_WARN, "stalled", "committed_ms_ago=%lld",
-		    (long long)(now - m->cell.committed_ms));
+		kvlog(KVLOG_WARN, "stalled",
+		    "committed_ms_ago=%lld renewed_ms_ago=%lld fence=%llu",
+		    (long long)(now - m->cell.committed_ms),
+		    (long long)(now - m->cell.renewed_ms),
+		    (unsigned long long)m->cell.fence);
 	m->stall_announced = stalled;
 	m->announce_now = false;
 	fill_beat(m, &b, stalled);
@@ -316,10 +320,8 @@
 	if (b->leads && b->fence > m->leader.version)
 		member_leader_announced(m, host, b);
 	if (b->leads && member_leads(m) && b->fence > m->cell.fence) {
-		kvlog(KVLOG_WARN, "deposed", "fence=%llu why=beat by=%s:%llu",
-		    (unsigned long long)m->cell.fence, host,
-		    (unsigned long long)b->fence);
-		member_deposed(m);
+		cell_deposed(&m->cell, DEPOSED_BY_BEAT, "by=%s version=%llu",
+		    host, (unsigned long long)b->fence);
 	}
 }
 
--- a/src/state/job.h
+++ b/src/state/job.h
@@ -15,6 +15,7 @@
 
 #include "../protocol/peer.pb-c.h"
 #include "task_crashes.h"
+#include "task_end.h"
 
 #define JOB_ID_LEN 32
 #define JOB_STEPS_MAX 64
@@ -44,6 +45,7 @@
 	uint32_t failures;
 	uint32_t *failed_runs;	     /**< run numbers of the failures */
 	struct task_crashes crashes; /**< of runners under the task */
+	struct task_end last_end;    /**< for the log of its next start */
 	char avoid[64];		     /**< runner on which it failed last */
 	char *saved;		     /**< last checkpoint; NULL for none */
 	struct run *run;  /**< a run that is or may be active, or NULL */
--- a/src/state/runner.c
+++ b/src/state/runner.c
@@ -143,6 +143,18 @@
 	return r->clock_ms + (now - r->clock_at_ms);
 }
 
+long long
+runner_heard_ms_ago(const struct runner *r, int64_t now)
+{
+	return r->last_hold_answer_ms != 0 ? now - r->last_hold_answer_ms : -1;
+}
+
+long long
+runner_lease_left_ms(const struct runner *r, int64_t now)
+{
+	return r->clock_at_ms != 0 ? r->lease_ms - runner_clock(r, now) : 0;
+}
+
 bool
 runner_lapsed(const struct runner *r, int64_t now)
 {
--- a/src/state/runner.h
+++ b/src/state/runner.h
@@ -53,7 +53,10 @@
 	int orders;	  /**< start orders sent */
 	int open_orders;  /**< start orders that may yet take effect */
 	int missed_lists; /**< consecutive lists of runs that lack it */
-	int percent;	  /**< pace last ordered, in percent of full pace */
+	/** Its runner was restarted since the order. */
+	bool restarted;
+	enum end_cause cause; /**< by what it ends, set before its end */
+	int percent;	      /**< pace last ordered, in percent of full pace */
 	int load; /**< as last reported: tail latency in ms of a task with such
 		     a target, else processor use */
 	char ticket[TICKET_LEN];
@@ -164,6 +167,11 @@
 int64_t runner_clock_min(const struct runner *r, int64_t now);
 /** Estimate of the runner's clock at @p now. */
 int64_t runner_clock(const struct runner *r, int64_t now);
+/** Time since the runner answered a hold of this leader, ms; -1: never. */
+long long runner_heard_ms_ago(const struct runner *r, int64_t now);
+/** Estimated time until its latest lease ends, ms; 0 when its clock isn't
+ * known. */
+long long runner_lease_left_ms(const struct runner *r, int64_t now);
 /** Whether every lease sent to this incarnation has certainly lapsed. */
 bool runner_lapsed(const struct runner *r, int64_t now);
 
