Metrics: starts after a lapse, lost runs and ended leaderships by cause

An alarm on tasks that may run twice had nothing to count by. New at /metrics: starts_after_lapse_total, starts_inherited_unheard_total (starts of inherited work that was freed without all runners), fences_raised_total, runs_lost_total by cause, deposed_total by what showed the next leader.

--- a/src/member/metrics.c
+++ b/src/member/metrics.c
@@ -3,6 +3,7 @@
 #include <stdlib.h>
 
 #include "../base/xalloc.h"
+#include "../cell/deposed.h"
 #include "../sys/clock.h"
 #include "member_internal.h"
 
@@ -42,6 +43,33 @@
 	return put(buf, at, label, h->total);
 }
 
+/* Puts a counter for each value of a label. */
+static size_t
+put_labelled(char *buf, size_t at, const char *name, const char *label,
+    const char *text, uint64_t value)
+{
+	char full[96];
+
+	snprintf(full, sizeof(full), "%s{%s=\"%s\"}", name, label, text);
+	return put(buf, at, full, value);
+}
+
+/* Runs lost by cause, and ends of this host's leaderships by what showed the
+ * newer leader. */
+static size_t
+put_causes(char *buf, size_t at, const struct cell_counters *k)
+{
+	int i;
+
+	for (i = CAUSE_MISSED_LISTS; i <= CAUSE_SUPERSEDED; i++)
+		at = put_labelled(buf, at, "runs_lost_total", "by",
+		    end_cause_name((enum end_cause)i), k->lost[i]);
+	for (i = 0; i < DEPOSED_BY_COUNT; i++)
+		at = put_labelled(buf, at, "deposed_total", "why",
+		    deposed_by_name((enum deposed_by)i), k->deposed[i]);
+	return at;
+}
+
 static uint64_t
 count_jobs(const struct cell *c)
 {
@@ -74,6 +102,9 @@
 	    {"failed_total", k->failed},
 	    {"canceled_total", k->canceled},
 	    {"starts_total", k->starts},
+	    {"starts_after_lapse_total", k->starts_after_lapse},
+	    {"starts_inherited_unheard_total", k->starts_unheard},
+	    {"fences_raised_total", k->fences_raised},
 	    {"copies_total", k->copies},
 	    {"ends_done_total", k->ends[END_DONE]},
 	    {"ends_failed_total", k->ends[END_FAILED]},
@@ -96,6 +127,7 @@
 
 	for (i = 0; i < sizeof(rows) / sizeof(rows[0]); i++)
 		at = put(buf, at, rows[i].name, rows[i].value);
+	at = put_causes(buf, at, k);
 	at = put_hist(buf, at, "submit_ms", &m->submit_ms);
 	put_hist(buf, at, "get_ms", &m->get_ms);
 	return buf;
--- a/tests/unit/unit.h
+++ b/tests/unit/unit.h
@@ -64,6 +64,8 @@
 void test_crashes_others_kept(void);
 void test_capacity_shrinks_and_grows(void);
 void test_capacity_shrinks_unseen(void);
+void test_log_start_after_lapse(void);
+void test_count_lost_and_deposed(void);
 void test_cell_two_leaders_one_run(void);
 void test_cell_inherited_lease_counts(void);
 void test_cell_runner_back_after_drain(void);
