A deposed leader doesn't claim at once

Two store calls in vain and a line of log that misleads: in the record of the zone cuts the former leader claims 16 and 18 ms after its first read of the commit row, with itself as the leader that it knows, and conflicts.

Cause: a leader that a runner or a commit's conflict deposes doesn't know the next one, and its own row is still the newest that it has seen. It took that for the row of an earlier incarnation of its host, which needs no wait. The claim is conditional on that row, so it can't succeed once another host has claimed.

Now a row is current only if it isn't that of the leadership which the process has lost. A claim of unknown outcome is still followed by the next one at once.

--- a/src/coordination/leader_claim.h
+++ b/src/coordination/leader_claim.h
@@ -25,7 +25,8 @@
 	bool known;	/**< the leader's row was read */
 	bool no_leader; /**< the cell has none, or it released the
 			 * leadership */
-	bool same_host; /**< an earlier incarnation of this host leads */
+	bool same_host; /**< the row names this host, of an earlier
+			 * incarnation or of a claim of unknown outcome */
 	bool restarted; /**< the leader's host runs another incarnation */
 	bool linked;	/**< a connection to the leader is up */
 	bool stalled;	/**< the leader reports that its commits fail */
--- a/src/member/election.c
+++ b/src/member/election.c
@@ -404,8 +404,10 @@
 	if (m->leader.version == 0 && member_power(m) < WEAK_POWER &&
 	    clock_boot_ms() - m->started_ms < WEAK_CLAIM_DELAY_MS)
 		f.known = false;
-	f.same_host =
-	    m->leader.known && strcmp(m->leader.host, m->settings->host) == 0;
+	/* The row of a leadership that this process has lost isn't current. */
+	f.same_host = m->leader.known &&
+	    strcmp(m->leader.host, m->settings->host) == 0 &&
+	    m->leader.version != m->cell.fence;
 	if (h != NULL) {
 		f.linked = member_linked(m, h->host);
 		f.stalled = f.linked && h->leads && h->stalled;
--- a/tests/scripts/fail-two-leaders.sh
+++ b/tests/scripts/fail-two-leaders.sh
@@ -75,5 +75,9 @@
 round 1
 round 2
 check "no guarantee was broken" unbroken
+# No host was restarted, so none may take an earlier incarnation of itself for
+# the leader. Guards against a needless claim by a leader that was just deposed.
+no_own_claim() { ! grep -h 'event=claiming.* why=same-host' "$RUN"/c*.log; }
+check "a deposed leader doesn't claim at once" no_own_claim
 cat "$RUN/cellstandin.log" | sort | uniq -c | head -5
 finish
