tests: a property of cells whose zones are cut off in turn

Tasks ran twice while the zone of the leading host was cut off from the store and the other zones for 10.5 s, each 22 s. No test cut zones off one after the other: the property on splits has two cells, a share of the runners, no orders that arrive after a cut, no pauses, and few tasks.

--- a/tests/prop/cells.cc
+++ b/tests/prop/cells.cc
@@ -322,6 +322,9 @@
 	[] { return holds_when_split(false); }},
     {"crashes", "a cell keeps its guarantees when it splits and runners crash",
 	[] { return holds_when_split(true); }},
+    // Guards against TWICE: the leader's zone is cut off again and again.
+    {"zones", "a cell keeps its guarantees when zones are cut off in turn",
+	zones_hold},
 };
 
 bool
--- a/tests/prop/prop.h
+++ b/tests/prop/prop.h
@@ -30,6 +30,9 @@
 bool prop_ready();
 bool prop_quarantine();
 bool prop_retry();
+/** Plays one history of cuts of zones; @return whether it keeps all
+ * guarantees. */
+bool zones_hold();
 /** @param only key of one of them; NULL: all of them. */
 bool prop_cells(const char *only);
 
--- a/tests/scripts/prop-cells.sh
+++ b/tests/scripts/prop-cells.sh
@@ -5,6 +5,10 @@
 trap 'rm -rf "$OUT"' EXIT
 KEYS="faults slow split crashes"
 for k in $KEYS; do build/prop cells "$k" > "$OUT/$k" 2>&1 & done
+# A history of this one takes ten times as long as those of the others.
+RC_PARAMS=${RC_PARAMS:-seed=20261204 max_success=600} \
+	build/prop cells zones > "$OUT/zones" 2>&1 &
+KEYS="$KEYS zones"
 wait
 for k in $KEYS; do grep -v ' passed, ' "$OUT/$k"; done
 ! grep -q '^not ok' "$OUT"/*
--- a/tests/world/world.c
+++ b/tests/world/world.c
@@ -42,6 +42,8 @@
 #define OPEN_WITHIN_MS 3000
 /** Interval of the comparison of stored rows with the leader's state. */
 #define ROW_CHECK_MS 100
+/** Interval at which an order that a cut holds back tries its path again. */
+#define HELD_RETRY_MS 60
 
 struct order_event;
 
@@ -117,6 +119,8 @@
 	int replaced;	    /**< times that it came back under another id */
 	bool cut;
 	bool cut_from[WORLD_CELLS_MAX]; /**< cells that can't reach it */
+	bool unlisted;			/**< the registry lacks its entry */
+	int clock_pct; /**< rate of its clock, percent of the world's */
 	int answer_delay_ms;
 	int fail_share;	   /**< runs that fail, in thousandths */
 	double slowdown;   /**< factor on the run time of its runs */
@@ -162,6 +166,10 @@
 	struct cell cell;
 	bool alive;
 	bool cut_store;
+	uint32_t cut_parts; /**< bit mask of parts that it can't reach */
+	int64_t paused_until;
+	int64_t pause_next_ms; /**< paused for so long from its next order on;
+				* 0: it isn't */
 	bool wants_pass;
 	int interval_ms;   /**< least time between ticks; 0: no limit */
 	int64_t ticked_ms; /**< last tick */
@@ -200,6 +208,14 @@
 		int64_t free_at; /**< end of its last transaction */
 	} parts[PARTS_MAX];
 	bool fixed_timeouts;
+	bool holds_back;
+	int64_t registry_lag_ms;
+	struct registry_list {
+		struct runner_info infos[WORLD_RUNNERS_MAX];
+		int n;
+		uint64_t version;
+		int64_t read_ms;
+	} registry; /**< what cells get while the registry is behind */
 	struct start_count {
 		char task[TASK_NAME_LEN];
 		int n;
@@ -307,7 +323,7 @@
 static int64_t
 runner_clock_now(const struct world_runner *r)
 {
-	return r->world->now - r->born_ms + 1;
+	return (r->world->now - r->born_ms) * r->clock_pct / 100 + 1;
 }
 
 static int64_t
@@ -869,6 +885,36 @@
 	w->runners[r].fail_share = thousandths;
 }
 
+/* Pauses of cells */
+
+static bool
+cell_paused(const struct world_cell *c)
+{
+	return c->world->now < c->paused_until;
+}
+
+/* Begins a pause that is due. @return ms until the cell's calls leave it. */
+static int64_t
+pause_delay(struct world_cell *c)
+{
+	int64_t now = c->world->now;
+
+	if (c->pause_next_ms > 0)
+		c->paused_until = now + c->pause_next_ms;
+	c->pause_next_ms = 0;
+	return cell_paused(c) ? c->paused_until - now : 0;
+}
+
+/* Puts an event off that a paused cell can't handle. @return whether it did. */
+static bool
+put_off(struct world_cell *c, void (*fn)(struct world *, void *), void *arg)
+{
+	if (!cell_paused(c))
+		return false;
+	add_event(c->world, c->paused_until - c->world->now, fn, arg);
+	return true;
+}
+
 /* Calls to runners */
 
 enum order_kind {
@@ -905,6 +951,10 @@
 {
 	struct order_event *o = arg;
 
+	if (put_off(o->cell, deliver_order_answer, o))
+		return;
+	if (w->holds_back && !reaches(o->cell, o->runner))
+		o->answer = (struct order_answer){.result = ORDER_UNKNOWN};
 	if (o->answer.result == ORDER_UNKNOWN)
 		rtt_timed_out(&o->cell->rtt, o->sent_ms, w->now);
 	if (o->cell->alive && o->cell->incarnation == o->incarnation) {
@@ -935,6 +985,28 @@
 	rtt_sample(&c->rtt, ms);
 }
 
+/* A copy of the order that is carried out and not answered. */
+static struct order_event *
+unanswered_copy(const struct order_event *o)
+{
+	struct order_event *copy = xmemdup(o, sizeof(*o));
+
+	copy->start.task = copy->task;
+	copy->answer_lost = true;
+	copy->born_ms = o->runner->born_ms;
+	return copy;
+}
+
+/* Keeps an order that a cut holds back until its path is there again. */
+static void
+hold_back(struct world *w, const struct order_event *o,
+    void (*fn)(struct world *, void *))
+{
+	if (w->holds_back && runner_up(o->runner))
+		add_event(w, HELD_RETRY_MS + random_below(w, HELD_RETRY_MS), fn,
+		    unanswered_copy(o));
+}
+
 static void
 do_order(struct world *w, void *arg)
 {
@@ -948,6 +1020,7 @@
 	}
 	if (!reaches(o->cell, r)) {
 		o->answer.result = ORDER_UNKNOWN;
+		hold_back(w, o, do_order);
 		if (o->answer_lost)
 			free(o);
 		else
@@ -990,7 +1063,7 @@
 static void
 send_order(struct world *w, struct order_event *o)
 {
-	struct order_event *copy;
+	int64_t delay = pause_delay(o->cell);
 
 	if (o->runner->refuses) {
 		o->answer.result = ORDER_NOT_SENT;
@@ -1011,19 +1084,15 @@
 	    chance(w, w->faults.order_lost)) {
 		bool late = random_below(w, 2) == 0;
 
-		copy = xmemdup(o, sizeof(*o));
-		copy->start.task = copy->task;
-		copy->answer_lost = true;
-		copy->born_ms = o->runner->born_ms;
 		add_event(w,
 		    late ? 2000 + random_below(w, 10000) : ORDER_LATENCY_MS,
-		    do_order, copy);
+		    do_order, unanswered_copy(o));
 		o->answer.result = ORDER_UNKNOWN;
 		add_event(w, ORDER_TIMEOUT_MIN_MS, deliver_order_answer, o);
 		return;
 	}
-	add_event(
-	    w, ORDER_LATENCY_MS + transit_delay(w, o->runner), do_order, o);
+	add_event(w, delay + ORDER_LATENCY_MS + transit_delay(w, o->runner),
+	    do_order, o);
 }
 
 static struct world_cell *
@@ -1112,6 +1181,8 @@
 	struct order_event *o = arg;
 	struct hold_result r = {.result = ORDER_UNKNOWN};
 
+	if (put_off(o->cell, hold_error, o))
+		return;
 	o->cell->unanswered[o->runner->index]++;
 	if (o->hold.wait_ms == 0)
 		rtt_timed_out(&o->cell->rtt, o->sent_ms, w->now);
@@ -1153,6 +1224,8 @@
 	struct order_event *o = k->order;
 
 	(void)w;
+	if (put_off(o->cell, deliver_hold_answer, k))
+		return;
 	o->cell->unanswered[o->runner->index] = 0;
 	if (o->cell->alive && o->cell->incarnation == o->incarnation) {
 		o->cell->connected_born_ms[o->runner->index] = o->born_ms;
@@ -1246,11 +1319,41 @@
 	struct hold_result r = {.result = o->answer.result};
 
 	(void)w;
+	if (put_off(o->cell, hold_unserved, o))
+		return;
 	if (o->cell->alive && o->cell->incarnation == o->incarnation)
 		o->hold_fn(&r, o->arg);
 	free(o);
 }
 
+static void
+apply_hold(struct world_runner *r, struct order_event *o)
+{
+	r->fence = o->hold.fence;
+	extend_lease(r, o->hold.until_ms);
+	/* On a new connection the ends are not acknowledged: they may
+	 * be those of an earlier incarnation. */
+	if (o->cell->connected_born_ms[r->index] == r->born_ms)
+		acknowledge_ends(r, o->hold.seen);
+	else
+		o->hold.seen = 0;
+}
+
+/* A hold that was held back: nobody waits for its answer. */
+static void
+do_late_hold(struct world *w, void *arg)
+{
+	struct order_event *o = arg;
+	struct world_runner *r = o->runner;
+
+	if (o->born_ms == r->born_ms && !reaches(o->cell, r))
+		hold_back(w, o, do_late_hold);
+	else if (o->born_ms == r->born_ms && strcmp(o->id, r->id) == 0 &&
+	    o->hold.fence >= r->fence)
+		apply_hold(r, o);
+	free(o);
+}
+
 static void
 do_hold(struct world *w, void *arg)
 {
@@ -1259,6 +1362,7 @@
 	struct hold_timer *t;
 
 	if (!reaches(o->cell, r)) {
+		hold_back(w, o, do_late_hold);
 		add_event(
 		    w, o->hold.wait_ms + ORDER_TIMEOUT_MIN_MS, hold_error, o);
 		return;
@@ -1273,14 +1377,7 @@
 	if (o->hold.fence < r->fence) {
 		o->answer.result = ORDER_FENCED;
 	} else {
-		r->fence = o->hold.fence;
-		extend_lease(r, o->hold.until_ms);
-		/* On a new connection the ends are not acknowledged: they may
-		 * be those of an earlier incarnation. */
-		if (o->cell->connected_born_ms[r->index] == r->born_ms)
-			acknowledge_ends(r, o->hold.seen);
-		else
-			o->hold.seen = 0;
+		apply_hold(r, o);
 	}
 	if (o->hold.wait_ms > 0 && r->ends == NULL && r->waiting == NULL) {
 		r->waiting = o;
@@ -1299,6 +1396,7 @@
 {
 	struct order_event *o = order_event(p, t);
 	struct world *w = o->cell->world;
+	int64_t delay = pause_delay(o->cell);
 
 	(void)fresh;
 	w->hold_calls++;
@@ -1312,7 +1410,8 @@
 		add_event(
 		    w, o->hold.wait_ms + ORDER_TIMEOUT_MIN_MS, hold_error, o);
 	else
-		add_event(w, ORDER_LATENCY_MS + transit_delay(w, o->runner),
+		add_event(w,
+		    delay + ORDER_LATENCY_MS + transit_delay(w, o->runner),
 		    do_hold, o);
 }
 
@@ -1337,6 +1436,7 @@
 	void *arg;
 	bool answer_lost;
 	int err;
+	uint64_t version; /**< of an answer that was put off */
 };
 
 static struct stored_row *
@@ -1411,9 +1511,11 @@
 store_error(struct world *w, void *arg)
 {
 	struct store_event *e = arg;
-	struct store_result r = {.err = e->err};
+	struct store_result r = {.err = e->err, .version = e->version};
 
 	(void)w;
+	if (put_off(e->cell, store_error, e))
+		return;
 	if (cell_alive(e->cell, e->incarnation))
 		e->fn(&r, e->arg);
 	free_store_event(e);
@@ -1482,6 +1584,12 @@
 		}
 	}
 	r.version = w->version;
+	/* A paused cell gets this answer later, or none that a conflict shows.
+	 */
+	e->version = r.version;
+	e->err = r.err == CC_ECONFLICT ? CC_ETIMEOUT : r.err;
+	if (!e->answer_lost && put_off(e->cell, store_error, e))
+		return;
 	if (!e->answer_lost && cell_alive(e->cell, e->incarnation))
 		e->fn(&r, e->arg);
 	free_store_event(e);
@@ -1561,6 +1669,12 @@
 	    w->store_latency_ms / 2;
 }
 
+static bool
+cut_from_part(const struct world_cell *c, const char *part)
+{
+	return c->cut_store || (c->cut_parts >> (part[1] - '0') & 1) != 0;
+}
+
 static void
 port_txn(struct store *s, const struct store_txn *t, int64_t timeout_ms,
     store_fn fn, void *arg)
@@ -1570,7 +1684,7 @@
 
 	copy_txn(e, t);
 	e->err = CC_ETIMEOUT;
-	if (e->cell->cut_store) {
+	if (cut_from_part(e->cell, t->part)) {
 		add_event(w, timeout_ms, store_error, e);
 	} else if (chance(w, w->faults.store_refused)) {
 		e->err = CC_EUNAVAIL;
@@ -1582,7 +1696,8 @@
 		add_unanswered_txn(w, e, t, 1000 + random_below(w, 5000));
 		add_event(w, timeout_ms, store_error, e);
 	} else {
-		add_event(w, enqueue_txn(w, t->part), do_txn, e);
+		add_event(w, pause_delay(e->cell) + enqueue_txn(w, t->part),
+		    do_txn, e);
 	}
 }
 
@@ -1597,10 +1712,15 @@
 do_list(struct world *w, void *arg)
 {
 	struct store_event *e = arg;
-	struct row *rows = xcalloc((size_t)w->nrows + 1, sizeof(*rows));
-	struct store_result r = {.err = CC_OK, .rows = rows};
+	struct row *rows;
+	struct store_result r = {.err = CC_OK};
 	int i;
 
+	if (put_off(e->cell, do_list, e))
+		return;
+	rows = xcalloc((size_t)w->nrows + 1, sizeof(*rows));
+	r.rows = rows;
+
 	for (i = 0; i < w->nrows; i++)
 		if (strcmp(w->rows[i].table, e->table) == 0 &&
 		    strcmp(w->rows[i].part, e->part) == 0 &&
@@ -1633,7 +1753,7 @@
 	str_copy(e->from, from, sizeof(e->from));
 	e->err = CC_EUNAVAIL;
 	add_event(e->cell->world, STORE_LATENCY_MS,
-	    e->cell->cut_store ? store_error : do_list, e);
+	    cut_from_part(e->cell, part) ? store_error : do_list, e);
 }
 
 static const struct store_ops store_ops = {port_txn, port_list, NULL};
@@ -1791,6 +1911,7 @@
 		w->runners[i].world = w;
 		w->runners[i].index = i;
 		w->runners[i].slowdown = 1.0;
+		w->runners[i].clock_pct = 100;
 		w->runners[i].cpu = RUNNER_CPU;
 		snprintf(w->runners[i].id, RUNNER_ID_LEN, "r%c", 'a' + i);
 	}
@@ -1863,17 +1984,22 @@
 	return &w->cells[i].cell;
 }
 
+/* Reads the registry; while it is behind, what it showed before stays. */
 static void
-feed_registry(struct world *w, struct world_cell *c)
+read_registry(struct world *w)
 {
-	struct runner_info infos[WORLD_RUNNERS_MAX];
+	struct runner_info *infos = w->registry.infos;
 	int i, n = 0;
 
+	if (w->now - w->registry.read_ms < w->registry_lag_ms)
+		return;
+	w->registry.read_ms = w->now;
+
 	for (i = 0; i < w->nrunners; i++) {
 		struct world_runner *r = &w->runners[i];
 		struct runner_info *in = &infos[n];
 
-		if (!runner_up(r))
+		if (!runner_up(r) || r->unlisted)
 			continue;
 		memset(in, 0, sizeof(*in));
 		str_copy(in->id, r->id, sizeof(in->id));
@@ -1888,7 +2014,16 @@
 		in->remaining_ms = in->draining ? r->leaves_at - w->now : -1;
 		n++;
 	}
-	cell_set_runners(&c->cell, infos, n, w->version);
+	w->registry.n = n;
+	w->registry.version = w->version;
+}
+
+static void
+feed_registry(struct world *w, struct world_cell *c)
+{
+	read_registry(w);
+	cell_set_runners(
+	    &c->cell, w->registry.infos, w->registry.n, w->registry.version);
 }
 
 static bool
@@ -1910,7 +2045,9 @@
 	static const struct world_faults none;
 
 	return c->cell.phase == CELL_SERVING && !c->cut_store &&
-	    c->interval_ms == 0 && w->store_latency_ms <= STORE_LATENCY_MS &&
+	    c->cut_parts == 0 && !cell_paused(c) && !r->unlisted &&
+	    w->registry_lag_ms == 0 && c->interval_ms == 0 &&
+	    w->store_latency_ms <= STORE_LATENCY_MS &&
 	    memcmp(&w->faults, &none, sizeof(none)) == 0 && reaches(c, r) &&
 	    r->leaves_at == 0 && r->answer_delay_ms == 0;
 }
@@ -1957,6 +2094,15 @@
 		check_runner_opens(w, c, &w->runners[i]);
 }
 
+static void
+reset_calm(struct world *w)
+{
+	int i;
+
+	for (i = 0; i < w->nrunners; i++)
+		w->runners[i].calm_since_ms = w->now;
+}
+
 static void
 tick_cells(struct world *w)
 {
@@ -1965,7 +2111,9 @@
 	for (i = 0; i < WORLD_CELLS_MAX; i++) {
 		struct world_cell *c = &w->cells[i];
 
-		if (!c->alive)
+		if (w->leader == i && cell_paused(c))
+			reset_calm(w);
+		if (!c->alive || cell_paused(c))
 			continue;
 		if (w->now % REGISTRY_INTERVAL_MS == 0 && !c->cut_store)
 			feed_registry(w, c);
@@ -1984,7 +2132,7 @@
 
 	for (i = 0; i < WORLD_CELLS_MAX; i++) {
 		if (!w->cells[i].alive || !w->cells[i].wants_pass ||
-		    w->cells[i].interval_ms > 0)
+		    cell_paused(&w->cells[i]) || w->cells[i].interval_ms > 0)
 			continue;
 		w->cells[i].wants_pass = false;
 		cell_pass(&w->cells[i].cell);
@@ -2072,7 +2220,6 @@
 	Cc__LeaderRow lr = CC__LEADER_ROW__INIT;
 	Cc__CommitRow cr = CC__COMMIT_ROW__INIT;
 	uint8_t a[128], b[128];
-	int k;
 
 	current = w;
 	lr.incarnation = w->cells[i].cell.incarnation;
@@ -2085,8 +2232,7 @@
 	put_stored(w, &rows[0]);
 	put_stored(w, &rows[1]);
 	w->leader = i;
-	for (k = 0; k < w->nrunners; k++)
-		w->runners[k].calm_since_ms = w->now;
+	reset_calm(w);
 	if (w->cells[i].cell.phase != CELL_IDLE)
 		cell_resign(&w->cells[i].cell);
 	claim.fence = claim.commit_version = w->version;
@@ -2113,6 +2259,48 @@
 	w->cells[i].cut_store = cut;
 }
 
+void
+world_cut_parts(struct world *w, int i, uint32_t parts)
+{
+	w->cells[i].cut_parts = parts;
+}
+
+void
+world_cell_pause(struct world *w, int i, int64_t ms)
+{
+	w->cells[i].pause_next_ms = ms;
+}
+
+void
+world_hold_back(struct world *w)
+{
+	w->holds_back = true;
+}
+
+void
+world_registry_lag(struct world *w, int64_t ms)
+{
+	w->registry_lag_ms = ms;
+}
+
+void
+world_runner_list(struct world *w, int i, bool listed)
+{
+	w->runners[i].unlisted = !listed;
+}
+
+void
+world_runner_set_clock(struct world *w, int i, int pct)
+{
+	w->runners[i].clock_pct = pct;
+}
+
+int
+world_leader(const struct world *w)
+{
+	return w->leader;
+}
+
 /* Callers */
 
 struct submit_arg {
--- a/tests/world/world.h
+++ b/tests/world/world.h
@@ -55,6 +55,18 @@
 void world_cell_restart(struct world *w, int i);
 /** The cell can reach neither store nor registry while @p cut is set. */
 void world_cut_store(struct world *w, int i, bool cut);
+/** The cell can't reach the parts of the store in the bit mask @p parts. */
+void world_cut_parts(struct world *w, int i, uint32_t parts);
+/** Pauses the process of the cell for @p ms when it sends its next order: that
+ * order and all that is meant for the cell wait until then. */
+void world_cell_pause(struct world *w, int i, int64_t ms);
+/** Cells get lists of the registry that are up to @p ms old. */
+void world_registry_lag(struct world *w, int64_t ms);
+/** From now on orders that a cut stops are carried out, unanswered, once their
+ * path is there again: after newer ones. */
+void world_hold_back(struct world *w);
+/** Index of the cell that claimed last; -1: none leads. */
+int world_leader(const struct world *w);
 
 void world_runner_crash(struct world *w, int r, int64_t down_ms);
 /** As world_runner_crash, but it comes back under another id. */
@@ -65,6 +77,10 @@
 void world_runner_refuse(struct world *w, int r, bool refuses);
 /** No cell can reach the runner while @p cut is set; the runner works on. */
 void world_runner_cut(struct world *w, int r, bool cut);
+/** Whether the registry has the runner's entry. */
+void world_runner_list(struct world *w, int r, bool listed);
+/** Sets the rate of the runner's clock, in percent; before the first claim. */
+void world_runner_set_clock(struct world *w, int r, int pct);
 /** This cell can't reach the runner while @p cut is set; others can. */
 void world_path_cut(struct world *w, int cell, int runner, bool cut);
 /** Delays each answer of the runner by @p ms, and each order to it by a random
