A lease doesn't outlast its bound at a runner that was idle for minutes

Callers could see two runs of a task at once (TWICE): a start to a runner that was idle for five minutes and whose clock is 2% slow got a lease of 8.5 s and more.

Cause: the end of a lease, and its bound after the leader's last renewal, followed from the last reading of the runner's clock at the full rate. An idle runner gets no holds, so that reading can be minutes old, and 2% of five minutes are 6 s. The next leader waits for 7.1 s.

Now the bound follows from the lowest value that the runner's clock may have. As that shortens the lease of a runner that was idle for over 175 s, and its run could lapse before its first hold, a start doesn't rely on a reading older than 100 s: it is sent with an end that is over, is refused as late, and is repeated with the clock of that answer.

Tests: 'leases at idle runners end before the next leader's wait' has 24 starts beside a run (idle for 300, 400 and 500 s; 100 and 200 s hold) on the code before, none now. 'tasks on runners that were idle for minutes start once' fails with the bound alone (14 of 153 checks) and passes now.

--- a/src/cell/lead_lease.c
+++ b/src/cell/lead_lease.c
@@ -7,6 +7,9 @@
 /** Time on top of a lease for orders under way and for the clocks of hosts. */
 #define LEASE_MARGIN_MS 1000
 
+/** Age of a reading of a runner's clock from which on no start relies on it. */
+#define CLOCK_AGE_MAX_MS 100000
+
 /** Time without a renewal after which it is logged, and the interval of the
  * next lines. */
 #define LOG_MS 1000
@@ -31,11 +34,21 @@
 lead_lease_end(const struct cell *c, const struct runner *r, int64_t ms)
 {
 	int64_t end = runner_clock(r, c->ports.now()) + ms;
-	int64_t limit = runner_clock(r, c->renewed_ms) + c->terms.lead_lease_ms;
+	/* The reading of its clock may be minutes old. */
+	int64_t limit =
+	    runner_clock_min(r, c->renewed_ms) + c->terms.lead_lease_ms;
 
 	return end < limit ? end : limit;
 }
 
+int64_t
+lead_lease_start_end(const struct cell *c, const struct runner *r)
+{
+	if (c->ports.now() - r->clock_at_ms > CLOCK_AGE_MAX_MS)
+		return r->clock_ms;
+	return lead_lease_end(c, r, c->terms.start_ms);
+}
+
 bool
 lead_lease_inherited_over(const struct cell *c)
 {
--- a/src/cell/lead_lease.h
+++ b/src/cell/lead_lease.h
@@ -21,6 +21,10 @@
 /** End of a lease of up to @p ms that is granted now, on the runner's clock. */
 int64_t lead_lease_end(
     const struct cell *c, const struct runner *r, int64_t ms);
+/** As lead_lease_end() for a start. Where the runner's clock was read too long
+ * ago, a time that is over: the runner refuses the start as late, and its
+ * answer brings a new reading. */
+int64_t lead_lease_start_end(const struct cell *c, const struct runner *r);
 /** Whether all leases that leaders before granted are over, and no other leader
  * has claimed before that. */
 bool lead_lease_inherited_over(const struct cell *c);
--- a/src/cell/orders.c
+++ b/src/cell/orders.c
@@ -129,7 +129,7 @@
 	    .task = run->name,
 	    .run = run->number,
 	    .spec = s->occurrence->job->row->spec,
-	    .until_ms = lead_lease_end(c, r, c->terms.start_ms),
+	    .until_ms = lead_lease_start_end(c, r),
 	    .fence = r->fence,
 	    .saved =
 		checkpoint_task->saved != NULL ? checkpoint_task->saved : "",
--- /dev/null
+++ b/tests/unit/cell_fences_test.c
@@ -0,0 +1,88 @@
+/**
+ * @file Leases and fencing tokens at runners with which a leader or the one
+ * before had little contact: idle, forgotten, or restarted.
+ */
+#include <CUnit/CUnit.h>
+#include <stdio.h>
+
+#include "unit.h"
+#include "unit_world.h"
+
+#define RUNNERS 4
+#define JOB "00000000000000b1"
+#define SLOW_CLOCK_PCT 98
+#define LINK_MS 100
+
+static const struct world_step long_step = {
+    .count = 8, .cpu = 2000, .ms = 25000, .after = -1};
+
+/*
+ * Runners with slow clocks are idle for a while; then a job fills the first.
+ * The leader is cut off from the store, and the next one from that runner,
+ * which it reaches for @p heard_ms before.
+ */
+static void
+takeover_after_idle(int64_t idle_ms, int64_t heard_ms)
+{
+	struct world *w = new_world(1, RUNNERS);
+	int i;
+
+	for (i = 0; i < RUNNERS; i++)
+		world_runner_set_clock(w, i, SLOW_CLOCK_PCT);
+	world_claim(w, 0);
+	world_run(w, idle_ms);
+	world_submit(w, JOB, "batch", &long_step, 1);
+	world_run(w, 400);
+	CU_ASSERT_STRING_EQUAL(world_runner_of(w, JOB ".0.0.0"), "ra");
+	world_cut_store(w, 0, true);
+	world_path_cut(w, 1, 0, heard_ms == 0);
+	world_run(w, 350);
+	world_claim(w, 1);
+	world_run(w, heard_ms);
+	world_path_cut(w, 0, 0, true);
+	world_path_cut(w, 1, 0, true);
+	world_run(w, 15000);
+	world_path_cut(w, 0, 0, false);
+	world_path_cut(w, 1, 0, false);
+	world_cut_store(w, 0, false);
+	world_run(w, 60000);
+	CU_ASSERT(world_all_jobs_ended(w));
+	finish_world(w);
+}
+
+/*
+ * Guards against TWICE: the lease of a start followed from a reading of the
+ * runner's clock that is minutes old, so on a slow clock it ended after the
+ * next leader's wait.
+ */
+void
+test_cell_idle_runner_lease(void)
+{
+	int64_t idle_ms;
+
+	for (idle_ms = 100000; idle_ms <= 500000; idle_ms += 100000)
+		takeover_after_idle(idle_ms, 0);
+}
+
+/*
+ * Guards against runs that lapse at once: a lease that is bound by a reading of
+ * the runner's clock that is minutes old can be too short to be renewed.
+ */
+void
+test_cell_idle_runner_starts(void)
+{
+	int64_t idle_ms;
+
+	for (idle_ms = 100000; idle_ms <= 350000; idle_ms += 5000) {
+		struct world *w = new_world(1, RUNNERS);
+
+		world_claim(w, 0);
+		world_run(w, idle_ms);
+		world_runner_set_delay(w, 0, LINK_MS);
+		world_submit(w, JOB, "batch", &long_step, 1);
+		world_run(w, 60000);
+		CU_ASSERT(world_all_jobs_ended(w));
+		CU_ASSERT_EQUAL(world_start_count(w, JOB ".0.0.0"), 1);
+		finish_world(w);
+	}
+}
