Leases that the leader before granted count from the first answer on

Callers could see two runs of a task at once (TWICE): a new leader that heard a runner took its leases for over by the end of its own hold, though the leader before may have granted one that ends later.

Cause: the longest earlier lease was taken into account at the first reading of a runner's clock only if runs were bound to the runner by then. Those of an open runner are bound by the list that comes with that reading.

Now the first reading counts a lease of lead_lease_ms, which no leader exceeds, also without bound runs.

Earlier tests didn't see it, as holds of both leaders give 4 s, and a start to a runner that was idle for long gives more.

--- a/src/cell/orders.c
+++ b/src/cell/orders.c
@@ -65,6 +65,19 @@
 	return r != NULL ? runner_run(r, o->task, o->number) : NULL;
 }
 
+/* Takes leases into account that others granted before the first reading of
+ * the clock: leaders before, or orders for the previous incarnation, which may
+ * have extended leases of the new one. */
+static void
+count_earlier_leases(const struct cell *c, struct runner *r, int64_t clock_ms)
+{
+	int64_t ms =
+	    r->nruns > 0 ? c->terms.max_hold_ms : c->terms.lead_lease_ms;
+
+	if (r->lease_ms < clock_ms + ms)
+		r->lease_ms = clock_ms + ms;
+}
+
 void
 cell_update_clock(struct cell *c, struct runner *r, int64_t clock_ms)
 {
@@ -77,11 +90,8 @@
 		cell_runner_reset(c, r);
 	if (clock_ms <= r->clock_ms)
 		return;
-	/* Orders for the previous incarnation may have extended leases of the
-	 * new one. */
-	if (r->clock_at_ms == 0 && r->nruns > 0 &&
-	    r->lease_ms < clock_ms + c->terms.max_hold_ms)
-		r->lease_ms = clock_ms + c->terms.max_hold_ms;
+	if (r->clock_at_ms == 0)
+		count_earlier_leases(c, r, clock_ms);
 	r->clock_ms = clock_ms;
 	r->clock_at_ms = now;
 }
--- a/tests/unit/cell_fences_test.c
+++ b/tests/unit/cell_fences_test.c
@@ -64,6 +64,19 @@
 		takeover_after_idle(idle_ms, 0);
 }
 
+/*
+ * Guards against TWICE: the next leader hears a runner once and takes its
+ * leases for over by those that it has granted itself.
+ */
+void
+test_cell_idle_runner_heard_once(void)
+{
+	int64_t idle_ms;
+
+	for (idle_ms = 50000; idle_ms <= 250000; idle_ms += 50000)
+		takeover_after_idle(idle_ms, 100);
+}
+
 /*
  * Guards against runs that lapse at once: a lease that is bound by a reading of
  * the runner's clock that is minutes old can be too short to be renewed.
--- a/tests/unit/main.c
+++ b/tests/unit/main.c
@@ -73,6 +73,8 @@
 	test_cell_two_leaders_one_run},
     {"cell", "leases at idle runners end before the next leader's wait",
 	test_cell_idle_runner_lease},
+    {"cell", "leases at a runner heard once count after a takeover",
+	test_cell_idle_runner_heard_once},
     {"cell", "tasks on runners that were idle for minutes start once",
 	test_cell_idle_runner_starts},
     {"cell", "leases granted by the leader before count after a takeover",
