A leader keeps the fencing tokens that it raised for runners it forgot

A leader resigned though no other had claimed: a runner that the registry lacked for some seconds was forgotten, with the fencing token that the leader had raised after a restart or a lapse. Once it was listed again it got the token of the claim, refused the first hold as fenced, and the leader took that for a newer leader ('deposed why=hold'). A zone that is away from the store for 10 s drops its runners.

Now runners that are found get the highest token of those forgotten. It is below the version of any later claim, as each raised token is.

Test: 'a leader stays when a forgotten runner is found again' fails on the code before and passes now.

--- a/src/cell/cell.c
+++ b/src/cell/cell.c
@@ -99,7 +99,7 @@
 	int64_t now = c->ports.now();
 
 	c->phase = CELL_LOADING;
-	c->fence = claim->fence;
+	c->fence = c->found_fence = claim->fence;
 	c->generation = claim->generation;
 	memset(c->chains, 0, sizeof(c->chains));
 	memset(c->parts, 0, sizeof(c->parts));
--- a/src/cell/cell.h
+++ b/src/cell/cell.h
@@ -144,6 +144,9 @@
 	enum cell_phase phase;
 	uint64_t fence;	     /**< fencing token: version of the leader's row */
 	uint32_t generation; /**< number of the claim; base of run numbers */
+	/** Fencing token for runners that are found: the highest of those
+	 * forgotten. */
+	uint64_t found_fence;
 	char incarnation[32];
 	struct config *config; /**< in force at this host */
 	struct job *jobs;
--- a/src/cell/runners.c
+++ b/src/cell/runners.c
@@ -63,6 +63,8 @@
 	if (!may_forget_runner(c, r, now))
 		return;
 	kvlog(KVLOG_INFO, "runner_forgotten", "runner=%s", r->info.id);
+	if (r->fence > c->found_fence)
+		c->found_fence = r->fence;
 	cell_mark_row_stale(c, r);
 	cell_drop_runner(c, r);
 }
@@ -99,7 +101,7 @@
 
 	r->listed = true;
 	r->listed_born_ms = in->born_ms;
-	r->fence = c->fence;
+	r->fence = c->found_fence;
 	HASH_ADD_STR(c->runners, info.id, r);
 	c->runners_version++;
 	cell_mark_runner_due(c, r);
--- a/tests/unit/cell_fences_test.c
+++ b/tests/unit/cell_fences_test.c
@@ -10,11 +10,14 @@
 
 #define RUNNERS 4
 #define JOB "00000000000000b1"
+#define JOB2 "00000000000000b2"
 #define SLOW_CLOCK_PCT 98
 #define LINK_MS 100
 
 static const struct world_step long_step = {
     .count = 8, .cpu = 2000, .ms = 25000, .after = -1};
+static const struct world_step wide_step = {
+    .count = 24, .cpu = 2000, .ms = 5000, .after = -1};
 
 /*
  * Runners with slow clocks are idle for a while; then a job fills the first.
@@ -99,3 +102,27 @@
 		finish_world(w);
 	}
 }
+
+/*
+ * Guards against a leader that resigns without another: it forgot the fencing
+ * token that it had raised for a runner, which the registry lacked for a while.
+ */
+void
+test_cell_found_again_keeps_leader(void)
+{
+	struct world *w = start_world(RUNNERS);
+
+	world_submit(w, JOB, "batch", &long_step, 1);
+	world_run(w, 1000);
+	world_runner_crash(w, 0, 200);
+	world_run(w, 1000);
+	world_submit(w, JOB2, "batch", &wide_step, 1);
+	world_run(w, 40000);
+	CU_ASSERT(world_all_jobs_ended(w));
+	world_runner_list(w, 0, false);
+	world_run(w, 10000);
+	world_runner_list(w, 0, true);
+	world_run(w, 5000);
+	CU_ASSERT_EQUAL(world_cell(w, 0)->phase, CELL_SERVING);
+	finish_world(w);
+}
--- a/tests/unit/main.c
+++ b/tests/unit/main.c
@@ -77,6 +77,8 @@
 	test_cell_idle_runner_heard_once},
     {"cell", "tasks on runners that were idle for minutes start once",
 	test_cell_idle_runner_starts},
+    {"cell", "a leader stays when a forgotten runner is found again",
+	test_cell_found_again_keeps_leader},
     {"cell", "leases granted by the leader before count after a takeover",
 	test_cell_inherited_lease_counts},
     {"cell", "tasks of unreachable runners restart after their lease lapsed",
