A raised fencing token is below the version of the next claim

A new leader could be refused by runners and resign, while the one before was accepted: a leader that lost the first part of the store went on committing to the others, and raised a runner's token (after a restart) to the version of such a commit, which may be done after the next claim.

Cause: the versions of commits to all parts served as tokens. Only those to the first part depend on the leader's row, so only these are below the version of any later claim, as the comment at raise_fence had it.

--- a/src/cell/cell.c
+++ b/src/cell/cell.c
@@ -103,7 +103,7 @@
 	c->generation = claim->generation;
 	memset(c->chains, 0, sizeof(c->chains));
 	memset(c->parts, 0, sizeof(c->parts));
-	c->chains[0].version = c->store_version = claim->commit_version;
+	c->chains[0].version = c->first_version = claim->commit_version;
 	c->changes = 1;
 	c->ack_change = 0;
 	c->stale_rows = c->unreadable_rows = 0;
--- a/src/cell/cell.h
+++ b/src/cell/cell.h
@@ -181,7 +181,8 @@
 			* on a runner that isn't adopted yet */
 	struct commit_chain chains[COMMIT_CHAINS];
 	struct part parts[CELL_PARTS];
-	uint64_t store_version; /**< version of the newest finished commit */
+	uint64_t first_version; /**< version of the newest finished commit to
+				 * the first part, or of the claim */
 	uint64_t commit_seq;	/**< number of this process's last commit */
 	uint64_t changes;	/**< number of the last change of a job */
 	uint64_t ack_change;	/**< the pending acknowledgement of ends is
--- a/src/cell/holds.c
+++ b/src/cell/holds.c
@@ -57,14 +57,14 @@
 /*
  * Raises the fencing token for this runner, so that it refuses orders sent
  * before, however late, once it has seen the next hold. The version of the
- * last commit serves as token: no other leader uses it, and it is lower than
- * the version of every later claim.
+ * last commit to the first part serves as token: no other leader uses it, and
+ * it is lower than the version of every later claim.
  */
 static void
 raise_fence(struct cell *c, struct runner *r)
 {
-	if (c->store_version > r->fence)
-		r->fence = c->store_version;
+	if (c->first_version > r->fence)
+		r->fence = c->first_version;
 }
 
 static void
--- a/tests/unit/cell_fences_test.c
+++ b/tests/unit/cell_fences_test.c
@@ -11,6 +11,8 @@
 #define RUNNERS 4
 #define JOB "00000000000000b1"
 #define JOB2 "00000000000000b2"
+#define FIRST_PART 1 /* bit masks of parts */
+#define OTHER_PARTS 14
 #define SLOW_CLOCK_PCT 98
 #define LINK_MS 100
 
@@ -126,3 +128,52 @@
 	CU_ASSERT_EQUAL(world_cell(w, 0)->phase, CELL_SERVING);
 	finish_world(w);
 }
+
+/* The leader reaches all parts of the store but the first, the next one only
+ * the first. A runner restarts @p crash_ms after the claim. */
+static void
+takeover_in_parts(int64_t crash_ms)
+{
+	struct world *w = start_world(RUNNERS);
+	char id[JOB_ID_DIGITS + 1];
+	int i;
+
+	world_set_store_latency(w, 100);
+	for (i = 0; i < 40; i++) {
+		format_job_id(id, i + 1);
+		world_submit(w, id, "batch",
+		    &(struct world_step){.count = 4,
+			.cpu = 500,
+			.ms = 500 + 200 * (uint32_t)i,
+			.after = -1},
+		    1);
+		world_run(w, 50);
+	}
+	world_cut_parts(w, 0, FIRST_PART);
+	world_run(w, 350);
+	world_cut_parts(w, 1, OTHER_PARTS);
+	world_claim(w, 1);
+	world_run(w, crash_ms);
+	world_runner_crash(w, 0, 10);
+	world_run(w, 1000 - crash_ms);
+	world_cut_parts(w, 1, 0);
+	world_run(w, 7000);
+	CU_ASSERT_EQUAL(world_cell(w, 1)->phase, CELL_SERVING);
+	world_cut_parts(w, 0, 0);
+	world_run(w, 60000);
+	CU_ASSERT(world_all_jobs_ended(w));
+	finish_world(w);
+}
+
+/*
+ * Guards against two leaders of which the later one is refused: the one before
+ * raised a fencing token by a commit to another part, done after the claim.
+ */
+void
+test_cell_fence_below_next_claim(void)
+{
+	int64_t crash_ms;
+
+	for (crash_ms = 0; crash_ms <= 600; crash_ms += 25)
+		takeover_in_parts(crash_ms);
+}
--- a/tests/unit/main.c
+++ b/tests/unit/main.c
@@ -79,6 +79,8 @@
 	test_cell_idle_runner_starts},
     {"cell", "a leader stays when a forgotten runner is found again",
 	test_cell_found_again_keeps_leader},
+    {"cell", "a leader's fencing tokens are below the next one's",
+	test_cell_fence_below_next_claim},
     {"cell", "leases granted by the leader before count after a takeover",
 	test_cell_inherited_lease_counts},
     {"cell", "tasks of unreachable runners restart after their lease lapsed",
--- a/tests/unit/unit.h
+++ b/tests/unit/unit.h
@@ -69,6 +69,7 @@
 void test_cell_idle_runner_heard_once(void);
 void test_cell_idle_runner_starts(void);
 void test_cell_found_again_keeps_leader(void);
+void test_cell_fence_below_next_claim(void);
 void test_cell_inherited_lease_counts(void);
 void test_cell_runner_back_after_drain(void);
 void test_cell_refused_row_opens_nothing(void);
