--- a/tests/unit/cell_runners_test.c
+++ b/tests/unit/cell_runners_test.c
@@ -236,10 +236,10 @@
 	run_until_starts(w, 2);
 	world_runner_cut(w, 0, false);
 	world_run(w, 1000);
-	world_runner_unlist(w, 0, true);
+	world_runner_list(w, 0, false);
 	while (cell_runner(world_cell(w, 0), id) != NULL)
 		world_run(w, STEP_MS);
-	world_runner_unlist(w, 0, false);
+	world_runner_list(w, 0, true);
 	world_run(w, 2000);
 	CU_ASSERT_EQUAL(world_cell(w, 0)->phase, CELL_SERVING);
 	world_run(w, 40000);
