--- a/tests/world/world.h
+++ b/tests/world/world.h
@@ -65,6 +65,10 @@
 /** From now on orders that a cut stops are carried out, unanswered, once their
  * path is there again: after newer ones. */
 void world_hold_back(struct world *w);
+/** Cuts are near all the time, so an end counts as known when it is
+ * acknowledged, not already 100 ms after a runner has listed it: who got that
+ * list may lead no more. */
+void world_disturb(struct world *w);
 /** Index of the cell that claimed last; -1: none leads. */
 int world_leader(const struct world *w);
 
