tests: a restarted runner takes starts of one leader only

Callers would see TWICE: two runs of a task at once. The next leader has heard an idle runner and takes that for a promise that it refuses the leader before. The runner crashes and is back under its id: its new incarnation has seen no fencing token. The leader before, cut off from the store for less than the 5 s in which it may start, sends no holds to an idle runner, so it doesn't know of the restart, and starts there what the next leader has started elsewhere.

A runner with runs isn't affected, by reading: its holds show the restart, and a leader that can't read the registry places nothing on it, as the capacity that it knows is of another incarnation.

No change of logic here.

--- a/tests/unit/cell_leases_test.c
+++ b/tests/unit/cell_leases_test.c
@@ -137,3 +137,57 @@
 		finish_world(w);
 	}
 }
+
+/* Keeps the leader from starting work for @p ms. */
+static void
+hold_back_starts(struct world *w, int64_t ms)
+{
+	struct runner *r;
+
+	for (r = world_cell(w, 0)->runners; r != NULL; r = r->hh.next)
+		r->avoid_until_ms = world_now(w) + ms;
+}
+
+/*
+ * The leader is cut off from the store and from all runners but the first, on
+ * which nothing runs. The next one hears each runner; then the first one
+ * crashes @p crash_ms after the claim, and the leader before has work to start.
+ */
+static void
+restart_heard_runner(int64_t crash_ms)
+{
+	const struct world_step step = {
+	    .count = 12, .cpu = 2000, .ms = 2500, .after = -1};
+	struct world *w = start_world(RUNNERS);
+
+	hold_back_starts(w, 2900);
+	world_submit(w, JOB, "batch", &step, 1);
+	world_run(w, 400);
+	world_cut_store(w, 0, true);
+	cut_between(w, 1, true);
+	world_path_cut(w, 1, 0, false);
+	world_run(w, 500);
+	world_claim(w, 1);
+	world_run(w, crash_ms);
+	world_runner_crash(w, 0, 200);
+	world_run(w, 8000);
+	world_cut_store(w, 0, false);
+	cut_between(w, 1, false);
+	world_run(w, 60000);
+	CU_ASSERT(world_all_jobs_ended(w));
+	finish_world(w);
+}
+
+/*
+ * Guards against TWICE: a runner that the next leader had heard crashed, and
+ * its new incarnation, which has seen no fencing token, took starts of the
+ * leader before.
+ */
+void
+test_cell_restarted_runner_obeys_one_leader(void)
+{
+	int64_t crash_ms;
+
+	for (crash_ms = 1000; crash_ms <= 2200; crash_ms += 20)
+		restart_heard_runner(crash_ms);
+}
--- a/tests/unit/main.c
+++ b/tests/unit/main.c
@@ -91,6 +91,8 @@
 	test_cell_inherited_lease_counts},
     {"cell", "a raised fencing token is below that of the next claim",
 	test_cell_raised_fence_below_next_claim},
+    {"cell", "a restarted runner takes starts of one leader only",
+	test_cell_restarted_runner_obeys_one_leader},
     {"cell", "tasks of unreachable runners restart after their lease lapsed",
 	test_cell_unreachable_runners_lapse},
     {"cell", "no job fails when one runner fails all its runs",
