tests: ends whose progress the store refuses are not acknowledged

Callers would see TWICE: a start after a done end that was taken note of. A progress row over the store's limit is refused as invalid; the commit is dropped and its rows aren't sent again until they change (commit_drop_invalid), but the ends that led to it count as stored and are acknowledged with the next hold. The next leader doesn't find them in the store and no runner lists them: it starts the done tasks again.

By the code, with rows of 65,536 bytes and 400 tasks a row this needs checkpoints of some 140 bytes a task or more than 32,000 tasks; not tried in that size.

No change of logic here. Holding acknowledgements back alone would let lists of ends grow past the 500 that a hold returns; rows that are packed by bytes would not.

--- a/tests/unit/cell_leases_test.c
+++ b/tests/unit/cell_leases_test.c
@@ -191,3 +191,26 @@
 	for (crash_ms = 1000; crash_ms <= 2200; crash_ms += 20)
 		restart_heard_runner(crash_ms);
 }
+
+/* Most bytes of a row in the next test: less than the progress of its job
+ * needs while tasks run. */
+#define SMALL_ROW_BYTES 600
+
+/*
+ * Guards against TWICE: ends were acknowledged though the store had refused the
+ * progress that they led to, and the next leader started done tasks again.
+ */
+void
+test_cell_refused_progress_not_acknowledged(void)
+{
+	const struct world_step step = {
+	    .count = 300, .cpu = 200, .ms = 1500, .after = -1};
+	struct world *w = start_world(2);
+
+	world_set_max_row_bytes(w, SMALL_ROW_BYTES);
+	world_submit(w, JOB, "batch", &step, 1);
+	world_run(w, 2400);
+	world_claim(w, 1);
+	world_run(w, 20000);
+	finish_world(w);
+}
