tests: nothing starts on a new incarnation before a renewal

Callers would see TWICE: two runs of a task at once. The new incarnation has seen no fencing token as long as the next leader doesn't reach it.

No change of logic here. Proposed: no start on an incarnation that this leader has first heard of after its last renewal was sent. Runners that are found need no such rule: they are opened by a commit that is sent after they were found.

--- a/tests/unit/cell_leases_test.c
+++ b/tests/unit/cell_leases_test.c
@@ -6,6 +6,7 @@
 #include <CUnit/CUnit.h>
 #include <stdio.h>
 
+#include "../../src/cell/cell_internal.h"
 #include "unit.h"
 #include "unit_world.h"
 
@@ -192,6 +193,62 @@
 		restart_heard_runner(crash_ms);
 }
 
+/* Shows the first cell the registry's entry of the runner, as the second one
+ * has read it. */
+static void
+show_entry(struct world *w, const char *id)
+{
+	struct runner_info info = cell_runner(world_cell(w, 1), id)->info;
+
+	info.version++;
+	cell_runner_listed(world_cell(w, 0), &info);
+	cell_registry_synced(world_cell(w, 0), 0);
+}
+
+/* As restart_heard_runner(), but the next leader doesn't reach the new
+ * incarnation, and the leader before learns of it from the registry. */
+static void
+restart_listed_runner(int64_t crash_ms)
+{
+	const struct world_step step = {
+	    .count = 12, .cpu = 2000, .ms = 2500, .after = -1};
+	struct world *w = start_world(RUNNERS);
+
+	hold_back_starts(w, 3400);
+	world_submit(w, JOB, "batch", &step, 1);
+	world_run(w, 400);
+	world_cut_store(w, 0, true);
+	cut_between(w, 1, true);
+	world_path_cut(w, 1, 0, false);
+	world_run(w, 500);
+	world_claim(w, 1);
+	world_run(w, crash_ms);
+	world_runner_crash(w, 0, 100);
+	world_path_cut(w, 1, 0, true);
+	world_run(w, 700);
+	show_entry(w, "ra");
+	world_run(w, 8000);
+	world_cut_store(w, 0, false);
+	cut_between(w, 1, false);
+	world_run(w, 60000);
+	CU_ASSERT(world_all_jobs_ended(w));
+	finish_world(w);
+}
+
+/*
+ * Guards against TWICE: a leader without the store for writes, but with the
+ * registry, started work on a runner's new incarnation, which had not heard the
+ * next leader.
+ */
+void
+test_cell_new_incarnation_needs_renewal(void)
+{
+	int64_t crash_ms;
+
+	for (crash_ms = 200; crash_ms <= 1600; crash_ms += 100)
+		restart_listed_runner(crash_ms);
+}
+
 /* Most bytes of a row in the next test: less than the progress of its job
  * needs while tasks run. */
 #define SMALL_ROW_BYTES 600
--- a/tests/unit/main.c
+++ b/tests/unit/main.c
@@ -93,6 +93,8 @@
 	test_cell_raised_fence_below_next_claim},
     {"cell", "a restarted runner takes starts of one leader only",
 	test_cell_restarted_runner_obeys_one_leader},
+    {"cell", "nothing starts on a new incarnation before a renewal",
+	test_cell_new_incarnation_needs_renewal},
     {"cell", "ends whose progress the store refuses are not acknowledged",
 	test_cell_refused_progress_not_acknowledged},
     {"cell", "tasks of unreachable runners restart after their lease lapsed",
