Nothing starts on a new incarnation of a runner before a renewal

Callers would see TWICE: two runs of a task at once, ordered by two hosts. Found by review, not seen in the record.

Cause: a leader that can't renew may start work for 5 s after its last renewal, and relies on fencing tokens at the runners that the next leader has heard. A runner that crashes and is back under its id has seen none. If the leader learns of the new incarnation, by one read of the registry, it adopts the runner and starts tasks there that the next one has started elsewhere.

Now a runner that was found restarted takes no start before a renewal that was sent after that. Runners that are found new have this already: they are opened by a commit.

--- a/src/cell/advice.c
+++ b/src/cell/advice.c
@@ -124,6 +124,7 @@
 {
 	struct advice *a = step_advice(s);
 	struct placing_want w = {.step = s,
+	    .renewed_ms = c->renewed_ms,
 	    .service = q->service,
 	    .remote_factor = c->terms.remote_factor,
 	    .now_ms = now};
@@ -192,6 +193,7 @@
     struct choice *out)
 {
 	struct placing_want w = {.step = s,
+	    .renewed_ms = c->renewed_ms,
 	    .service = q->service,
 	    .remote_factor = c->terms.remote_factor,
 	    .urgent = q->priority == 0,
--- a/src/cell/grants.c
+++ b/src/cell/grants.c
@@ -135,6 +135,7 @@
     struct cell *c, const struct step *s, struct runner **out, int max)
 {
 	struct placing_want w = {.step = s,
+	    .renewed_ms = c->renewed_ms,
 	    .service = s->occurrence->job->queue->service,
 	    .remote_factor = c->terms.remote_factor,
 	    .now_ms = c->ports.now()};
--- a/src/cell/holds.c
+++ b/src/cell/holds.c
@@ -109,6 +109,7 @@
 	r->last_end = r->last_end_in_commit = r->last_end_stored = 0;
 	r->clock_ms = r->clock_at_ms = r->lease_ms = r->lists_clock_ms = 0;
 	r->adopted = r->gone = false;
+	r->restarted_ms = c->ports.now();
 	r->speed = 1.0;
 	r->samples = r->failures = 0;
 	r->avoid_until_ms = r->avoid_ms = 0;
--- a/src/cell/place.c
+++ b/src/cell/place.c
@@ -116,6 +116,7 @@
 	p->cell = c;
 	p->step = s;
 	p->want = (struct placing_want){.step = s,
+	    .renewed_ms = c->renewed_ms,
 	    .service = q->service,
 	    .remote_factor = c->terms.remote_factor,
 	    .urgent = q->priority == 0,
--- a/src/cell/speculative.c
+++ b/src/cell/speculative.c
@@ -94,6 +94,7 @@
 cell_place_copies(struct cell *c, struct step *s, int64_t now)
 {
 	struct placing_want w = {.step = s,
+	    .renewed_ms = c->renewed_ms,
 	    .service = s->occurrence->job->queue->service,
 	    .remote_factor = c->terms.remote_factor,
 	    .urgent = s->occurrence->job->priority == 0,
--- a/src/coordination/runner_placement.c
+++ b/src/coordination/runner_placement.c
@@ -33,6 +33,10 @@
 	if (!runner_takes_work(r) || !r->adopted || !r->stored_open ||
 	    !capacity_is_current(r))
 		return false;
+	/* A new incarnation has seen no fencing token, and another leader may
+	 * have claimed since the last renewal. */
+	if (r->restarted_ms > w->renewed_ms)
+		return false;
 	if (w->now_ms < r->avoid_until_ms || r->napart > 0)
 		return false;
 	if (strcmp(r->info.service, w->service) != 0)
--- a/src/coordination/runner_placement.h
+++ b/src/coordination/runner_placement.h
@@ -18,6 +18,7 @@
 	bool shares; /**< with apart: on a runner with other work if need be */
 	bool last_attempt; /**< a further failure of the task fails its job */
 	int64_t now_ms;
+	int64_t renewed_ms; /**< last renewal of the leadership */
 };
 
 /** Whether the runner may take tasks of the step, whatever it has free now. */
--- a/src/state/runner.h
+++ b/src/state/runner.h
@@ -95,13 +95,14 @@
 	/** Another incarnation answers at its address: it has ended, and all
 	 * its runs with it. */
 	bool gone;
-	bool known;	     /**< this leader knows all runs that it may have */
-	bool adopted;	     /**< this leader has read the lists of the present
-			      * incarnation */
-	int64_t clock_ms;    /**< newest reading of the runner's clock */
-	int64_t clock_at_ms; /**< local time when it arrived; 0: none did */
-	int64_t lease_ms;    /**< latest possible lease end, on that clock */
-	uint64_t last_end;   /**< number of the last run end processed */
+	bool known;   /**< this leader knows all runs that it may have */
+	bool adopted; /**< this leader has read the lists of the present
+		       * incarnation */
+	int64_t restarted_ms; /**< when it was found restarted; 0: never */
+	int64_t clock_ms;     /**< newest reading of the runner's clock */
+	int64_t clock_at_ms;  /**< local time when it arrived; 0: none did */
+	int64_t lease_ms;     /**< latest possible lease end, on that clock */
+	uint64_t last_end;    /**< number of the last run end processed */
 	uint64_t last_end_in_commit; /**< last end that the commit under way
 					covers */
 	uint64_t last_end_stored;    /**< last end whose effects are stored */
