The row of a former term isn't taken for a new claim

Callers could see TWICE in a rare case; found by review, not seen in the record.

Cause: a claim without an answer counts as done if the leader's row names the process. A process that has led and claims again, after a release or a deposal, finds its former row when the claim was lost. It would lead with the fencing token and generation of its former term: late starts of that term aren't refused, and run numbers repeat, until its first commit fails.

Now the row must be newer than the one on which the claim was conditional.

Evidence: by reading; the decision has a unit test of its own, which the code before doesn't meet (it took each own row). No run of processes shows the case.

--- a/src/coordination/leader_claim.c
+++ b/src/coordination/leader_claim.c
@@ -63,3 +63,9 @@
 		term = RESERVE_WAIT_MS;
 	return f->unchanged_ms >= term + (int64_t)f->rank * RANK_DELAY_MS;
 }
+
+bool
+claim_succeeded(uint64_t before, uint64_t version, bool own)
+{
+	return own && version > before;
+}
--- a/src/coordination/leader_claim.h
+++ b/src/coordination/leader_claim.h
@@ -44,5 +44,12 @@
 const char *claim_reason(const struct claim_facts *f);
 /** Whether to claim the leadership now. */
 bool claim_due(const struct claim_facts *f);
+/**
+ * Whether a claim of unknown outcome succeeded, as the leader's row shows.
+ * @param before version of the row on which the claim was conditional
+ * @param version of the row that was read since
+ * @param own the row names this process, which may have led before
+ */
+bool claim_succeeded(uint64_t before, uint64_t version, bool own);
 
 #endif
--- a/src/member/election.c
+++ b/src/member/election.c
@@ -185,7 +185,8 @@
 	for (i = 0; i < r->nrows; i++) {
 		if (strcmp(r->rows[i].key, LEADER_KEY) != 0)
 			continue;
-		if (row_is_mine(m, &r->rows[i]))
+		if (claim_succeeded(m->claim.before, r->rows[i].version,
+			row_is_mine(m, &r->rows[i])))
 			start_leading(m, r->rows[i].version, m->claim.read_ms);
 		else
 			member_leader_row(m, &r->rows[i]);
@@ -283,6 +284,7 @@
 	lr.generation = m->leader.version == 0 ? 0 : m->leader.generation + 1;
 	m->claim.generation = lr.generation;
 	str_copy(m->claim.former, m->leader.host, sizeof(m->claim.former));
+	m->claim.before = m->leader.version;
 	cr.incarnation = m->incarnation;
 	writes[0].len = cc__leader_row__pack(&lr, leader);
 	writes[1].len = cc__commit_row__pack(&cr, commit);
--- a/src/member/member_internal.h
+++ b/src/member/member_internal.h
@@ -50,6 +50,7 @@
  */
 struct claim_sent {
 	char former[64]; /**< host that led when the claim was sent */
+	uint64_t before; /**< version of the leader's row then */
 	uint32_t generation;
 	int64_t sent_ms;
 	int64_t read_ms; /**< when the read of its outcome was sent */
--- a/tests/unit/decisions_test.c
+++ b/tests/unit/decisions_test.c
@@ -712,3 +712,14 @@
 	CU_ASSERT_EQUAL(retry_after_refused(&t, "b", 1500, 8000), 1000);
 	retry_after_done(&t);
 }
+
+/* Guards against a fencing token that is used twice: a process that had led
+ * took the row of its former term for the success of a claim that was lost. */
+void
+test_claim_not_shown_by_former_row(void)
+{
+	CU_ASSERT(!claim_succeeded(100, 100, true));
+	CU_ASSERT(!claim_succeeded(100, 120, false));
+	CU_ASSERT(claim_succeeded(100, 120, true));
+	CU_ASSERT(claim_succeeded(0, 7, true));
+}
--- a/tests/unit/main.c
+++ b/tests/unit/main.c
@@ -227,6 +227,8 @@
     {"decisions",
 	"a claim is due when the leader's row is unchanged for its term",
 	test_claim_conditions},
+    {"decisions", "the row of a former term shows no new claim",
+	test_claim_not_shown_by_former_row},
     {"decisions", "best-effort work slows before a tail passes its target",
 	test_pacing_follows_tail},
     {"decisions", "a request is routed by host and longest prefix",
--- a/tests/unit/unit.h
+++ b/tests/unit/unit.h
@@ -112,6 +112,7 @@
 void test_claim_reserve_host_waits(void);
 void test_urgency_order(void);
 void test_claim_conditions(void);
+void test_claim_not_shown_by_former_row(void);
 void test_pacing_follows_tail(void);
 void test_config_longest_prefix(void);
 void test_registry_bad_entries(void);
