Orders aren't bound to an incarnation that the runner's lists don't show

Callers would see LOST: a runner whose entry in the registry has "born" and whose lists have none would get no work at all, as its starts are bound to an incarnation that no answer shows.

Now they are bound only when the last lists showed it, and else sent as to a runner without "born".

The test 'a runner whose lists show no start of its incarnation gets work' fails with the change undone.

--- a/src/cell/holds.c
+++ b/src/cell/holds.c
@@ -303,7 +303,7 @@
 	int64_t now = c->ports.now();
 	struct hold_order o = {.fence = r->fence,
 	    .seen = r->last_end_stored,
-	    .born_ms = r->info.born_ms};
+	    .born_ms = runner_bound_born_ms(r)};
 
 	if (!hold_due(c, r, now))
 		return;
@@ -338,7 +338,7 @@
 {
 	struct hold_order o = {.fence = r->fence,
 	    .seen = r->last_end_stored,
-	    .born_ms = r->info.born_ms};
+	    .born_ms = runner_bound_born_ms(r)};
 	int64_t now = c->ports.now();
 
 	if (!r->hold_pending) {
--- a/src/cell/orders.c
+++ b/src/cell/orders.c
@@ -157,7 +157,7 @@
 	    .saved =
 		checkpoint_task->saved != NULL ? checkpoint_task->saved : "",
 	    .ticket = run->ticket,
-	    .born_ms = r->info.born_ms,
+	    .born_ms = runner_bound_born_ms(r),
 	};
 
 	run->until_ms = o.until_ms;
--- a/src/cell/reconcile.c
+++ b/src/cell/reconcile.c
@@ -196,6 +196,7 @@
 		cell_runner_reset(c, r);
 	if (h->born_ms != 0)
 		r->info.born_ms = h->born_ms;
+	r->shows_born = h->born_ms != 0;
 	cell_update_clock(c, r, h->clock_ms);
 	if (r->silent_since_ms != 0)
 		kvlog(KVLOG_INFO, "runner_back", "runner=%s silent_ms=%lld",
--- a/src/state/runner.c
+++ b/src/state/runner.c
@@ -85,6 +85,12 @@
 	    .addr = r->info.addr, .port = r->info.port, .id = r->info.id};
 }
 
+int64_t
+runner_bound_born_ms(const struct runner *r)
+{
+	return r->shows_born ? r->info.born_ms : 0;
+}
+
 bool
 runner_fits(const struct runner *r, const Cc__StepSpec *s)
 {
--- a/src/state/runner.h
+++ b/src/state/runner.h
@@ -95,9 +95,10 @@
 	/** Another incarnation answers at its address: it has ended, and all
 	 * its runs with it. */
 	bool gone;
-	bool known;   /**< this leader knows all runs that it may have */
-	bool adopted; /**< this leader has read the lists of the present
-		       * incarnation */
+	bool known;	 /**< this leader knows all runs that it may have */
+	bool adopted;	 /**< this leader has read the lists of the present
+			  * incarnation */
+	bool shows_born; /**< its lists show its incarnation's start */
 	int64_t restarted_ms; /**< when it was found restarted; 0: never */
 	int64_t clock_ms;     /**< newest reading of the runner's clock */
 	int64_t clock_at_ms;  /**< local time when it arrived; 0: none did */
@@ -153,6 +154,9 @@
 
 /** Address for orders to the runner; valid as long as the runner. */
 struct target runner_target(const struct runner *r);
+/** Start of the incarnation that orders are bound to; 0: the runner's lists
+ * don't show it, so that an answer can't tell whom a connection reaches. */
+int64_t runner_bound_born_ms(const struct runner *r);
 /** Whether a task of the step fits beside the present runs. */
 bool runner_fits(const struct runner *r, const Cc__StepSpec *s);
 /** Whether a task of the step would fit on the empty runner. */
--- a/tests/unit/cell_leases_test.c
+++ b/tests/unit/cell_leases_test.c
@@ -271,3 +271,23 @@
 	world_run(w, 20000);
 	finish_world(w);
 }
+
+/*
+ * Guards against a runner that never gets work: orders to it were bound to the
+ * incarnation of its entry, which no answer shows.
+ */
+void
+test_cell_runner_hides_born(void)
+{
+	struct world *w = new_world(1, RUNNERS);
+	int i;
+
+	for (i = 0; i < RUNNERS; i++)
+		world_runner_hide_born(w, i);
+	world_claim(w, 0);
+	world_run(w, LEADER_READY_MS);
+	world_submit(w, JOB, "batch", &long_step, 1);
+	world_run(w, 30000);
+	CU_ASSERT(world_complete_ms(w, JOB) >= 0);
+	finish_world(w);
+}
--- a/tests/unit/main.c
+++ b/tests/unit/main.c
@@ -97,6 +97,8 @@
 	test_cell_new_incarnation_needs_renewal},
     {"cell", "ends whose progress the store refuses are not acknowledged",
 	test_cell_refused_progress_not_acknowledged},
+    {"cell", "a runner whose lists show no start of its incarnation gets work",
+	test_cell_runner_hides_born},
     {"cell", "tasks of unreachable runners restart after their lease lapsed",
 	test_cell_unreachable_runners_lapse},
     {"cell", "no job fails when one runner fails all its runs",
--- a/tests/unit/unit.h
+++ b/tests/unit/unit.h
@@ -81,6 +81,7 @@
 void test_cell_restarted_runner_obeys_one_leader(void);
 void test_cell_new_incarnation_needs_renewal(void);
 void test_cell_refused_progress_not_acknowledged(void);
+void test_cell_runner_hides_born(void);
 void test_cell_runner_back_after_drain(void);
 void test_cell_refused_row_opens_nothing(void);
 void test_commit_burst_on_slow_store(void);
--- a/tests/world/world.c
+++ b/tests/world/world.c
@@ -115,6 +115,7 @@
 	int64_t cpu;   /**< thousandths of a core */
 	int64_t former_cpu;
 	int64_t resized_ms; /**< last change of cpu */
+	bool hides_born;    /**< its lists don't show born_ms */
 	bool refuses;	    /**< connections to it are refused */
 	int replaced;	    /**< times that it came back under another id */
 	bool cut;
@@ -836,6 +837,12 @@
 	w->runners[i].refuses = refuses;
 }
 
+void
+world_runner_hide_born(struct world *w, int i)
+{
+	w->runners[i].hides_born = true;
+}
+
 void
 world_runner_cut(struct world *w, int i, bool cut)
 {
@@ -1008,11 +1015,12 @@
 		    unanswered_copy(o));
 }
 
-/* Start of the runner's present incarnation, as its lists show it. */
+/* Start of the runner's present incarnation, as its lists show it; 0: they
+ * don't. */
 static int64_t
 shown_born_ms(const struct world_runner *r)
 {
-	return r->born_ms + 1;
+	return r->hides_born ? 0 : r->born_ms + 1;
 }
 
 /* Whether an order bound to the incarnation of that start, or to none, may take
--- a/tests/world/world.h
+++ b/tests/world/world.h
@@ -79,6 +79,9 @@
 void world_runner_resize(struct world *w, int r, int64_t cpu);
 /** Connections to the runner are refused while @p refuses is set. */
 void world_runner_refuse(struct world *w, int r, bool refuses);
+/** The runner's lists don't show the start of its incarnation; its entry in the
+ * registry does. */
+void world_runner_hide_born(struct world *w, int r);
 /** No cell can reach the runner while @p cut is set; the runner works on. */
 void world_runner_cut(struct world *w, int r, bool cut);
 /** Whether the registry has the runner's entry. */
