--- a/tests/unit/relay_test.c
+++ b/tests/unit/relay_test.c
@@ -13,6 +13,7 @@
 /** Number of orders that reached a runner. */
 static int reached;
 static char spec_seen[32];
+static int64_t born_seen;
 
 static void
 fake_start(struct runner_port *p, const struct target *t,
@@ -25,6 +26,7 @@
 	(void)fresh;
 	reached++;
 	str_copy(spec_seen, o->spec, sizeof(spec_seen));
+	born_seen = o->born_ms;
 	fn(&a, arg);
 }
 
@@ -102,8 +104,12 @@
 	CU_ASSERT_PTR_NOT_NULL_FATAL(peers);
 	s = relay_serve_new(base, peers, &runners);
 	o = start_of("00000000000000a1.0.0.0", 1);
+	o.born_ms = 1796477366714;
 	CU_ASSERT(serve(s, &o, (char *)(uintptr_t) "one"));
 	CU_ASSERT_STRING_EQUAL(spec_seen, "one");
+	/* Guards against TWICE: the start must stay bound to its incarnation.
+	 */
+	CU_ASSERT_EQUAL(born_seen, o.born_ms);
 	/* A later start of the same job carries no spec; the relay kept it. */
 	o = start_of("00000000000000a1.0.0.1", 0);
 	CU_ASSERT(serve(s, &o, NULL));
