Progress that the store refuses is stored in smaller rows

Callers would see TWICE: a start after a done end that was taken note of. Found by review, not seen in the record.

Cause: a row of progress over the store's limit is refused, and its commit was dropped: the ends behind it counted as stored and were acknowledged, so the next leader started the done tasks again.

Now half as many tasks of that job go into a row, and the commit is sent again, so the ends are acknowledged once they are stored. Left open: one task alone over the limit, and the largest number of rows of a job.

--- a/src/cell/commit_send.c
+++ b/src/cell/commit_send.c
@@ -306,7 +306,10 @@
 
 	commit_abandon(c, k);
 	c->stale_rows &= ~k->runner_rows;
-	if (j != NULL) {
+	if (j != NULL && j->stored && job_progress_split(j)) {
+		j->in_commit = false;
+		cell_mark_dirty(c, j);
+	} else if (j != NULL) {
 		j->in_commit = false;
 		job_answer(j, &a);
 		if (!j->stored)
--- a/src/state/job.h
+++ b/src/state/job.h
@@ -94,6 +94,7 @@
 	bool dirty;		     /**< its progress must be written */
 	uint64_t change; /**< serial number of the change that made it dirty */
 	uint32_t stored_rows; /**< rows of progress in the store */
+	uint32_t row_tasks;   /**< most tasks in such a row; 0: the default */
 	bool in_commit;	      /**< the commit under way includes it */
 	int part; /**< part of the store that has its rows, or PART_NONE */
 	int64_t accepted_ms;
@@ -167,6 +168,11 @@
 
 /** Number of store rows that the progress takes, as a row has a size limit. */
 uint32_t job_progress_rows(const struct job *j);
+/**
+ * Packs fewer tasks into each row of progress from now on.
+ * @return false when the rows can't be smaller.
+ */
+bool job_progress_split(struct job *j);
 /** Row @p number of the progress; freed with job_progress_free. */
 Cc__JobProgress *job_progress(const struct job *j, uint32_t number);
 void job_progress_free(Cc__JobProgress *p);
--- a/src/state/job_progress.c
+++ b/src/state/job_progress.c
@@ -90,8 +90,20 @@
 {
 	uint32_t n =
 	    (count_tasks(j) + PROGRESS_ROWS_MAX - 1) / PROGRESS_ROWS_MAX;
+	uint32_t most = j->row_tasks != 0 ? j->row_tasks : TASKS_PER_ROW;
 
-	return n > TASKS_PER_ROW ? n : TASKS_PER_ROW;
+	return n > most ? n : most;
+}
+
+bool
+job_progress_split(struct job *j)
+{
+	uint32_t tasks = tasks_per_row(j);
+
+	if (job_ended(j) || tasks == 1)
+		return false;
+	j->row_tasks = tasks / 2;
+	return tasks_per_row(j) < tasks;
 }
 
 uint32_t
