tests: the cell's stand-in cuts zones off and keeps a record of runs

A third argument names a file to which each start, refusal, end, acknowledgement, lapse, renewal after a lapse, crash and birth at a runner is appended, one JSON object a line, with the fence, the view that the order came through and the runner's clock. A fourth argument gives the number of hosts: runner i and host i are then in zone i % 3, and hosts of other zones reach a host through a relay of TCP, at an address that the store puts into the member rows that they read.

One control call cuts a zone off from the store and from the hosts of the others; runners=own also from the others' runners and its own runners from the others' hosts and the store, all from no runner, none from all. Entries of runners that the store doesn't hear are removed after 1.5 s and are back within 1.9 s of the cut's end. What is sent over a cut path is dropped, or served after the cut: with held=1 if the connection is open then, with held=2 orders to runners in any case. clock=PERCENT sets the rate of runners' clocks. In a spec "~" marks a step whose tasks may have copies, which the checks of "twice" and "after-done" leave out.

A list of changes is read from the newest row backwards, as the rows are ordered by version: the store's part of the processor time grew with each row.

--- a/tests/cellstandin/main.c
+++ b/tests/cellstandin/main.c
@@ -1,7 +1,17 @@
 /*
- * Usage: cellstandin PORT RUNNERS
+ * Usage: cellstandin PORT RUNNERS [RECORD [HOSTS]]
  * Serves the store on PORT, advice on PORT+1, control (faults and report) on
- * PORT+2 and the runners from PORT+10 on.
+ * PORT+2 and the runners from PORT+10 on. The events at the runners are
+ * appended to the file RECORD. Between HOSTS hosts of three zones it serves the
+ * paths to their peer port, PORT+102.
+ *
+ * Faults of zones: cut=ZONE cuts a zone off from the store and from the hosts
+ * of other zones; runners=own (default) also from the runners of other zones,
+ * and its runners from other hosts; runners=all from no runner; runners=none
+ * from all. held=1 serves calls after the cut if their connection is open then,
+ * held=2 orders to runners even if it isn't; held=0 (default) drops them.
+ * cut=none ends all cuts. clock=PERCENT sets the clock rate of runner=N, or of
+ * all.
  */
 #include <event2/buffer.h>
 #include <event2/keyvalq_struct.h>
@@ -12,10 +22,13 @@
 #include <time.h>
 
 #include "../../src/base/xalloc.h"
+#include "events.h"
 #include "standin.h"
+#include "zones.h"
 
 #define RUNNERS_MAX 64
-#define TEXTS_MAX 20 /* violations kept as text */
+#define PEER_PORT 102 /* offset of the hosts' peer port */
+#define TEXTS_MAX 20  /* violations kept as text */
 
 static const struct {
 	const char *name;
@@ -28,12 +41,15 @@
     {"lost", FAULT_LOST},
     {"slow", FAULT_SLOW},
     {"late", FAULT_LATE},
+    {"held", FAULT_HELD},
+    {"held-all", FAULT_HELD_ALL},
 };
 
 struct standin {
 	struct store_sim *store;
 	struct runner_sim *runners[RUNNERS_MAX];
 	int nrunners;
+	struct link_sim *links; /**< NULL: hosts reach each other directly */
 	struct record record;
 	int version; /**< next version of the configuration */
 };
@@ -155,6 +171,48 @@
 		runner_sim_fault(s->runners[i], fault_mode_of(mode));
 }
 
+static void
+set_clock_rate(struct standin *s, struct evkeyvalq *q)
+{
+	const char *which = query_get(q, "runner");
+	const char *pct = query_get(q, "clock");
+	int i;
+
+	for (i = 0; pct != NULL && i < s->nrunners; i++)
+		if (which == NULL || atoi(which) == i)
+			runner_sim_clock_rate(s->runners[i], atoi(pct));
+}
+
+static enum zone_reach
+reach_of(const char *name)
+{
+	if (name != NULL && strcmp(name, "all") == 0)
+		return REACH_ALL;
+	if (name != NULL && strcmp(name, "none") == 0)
+		return REACH_NONE;
+	return REACH_OWN;
+}
+
+static void
+set_zone_cut(struct standin *s, struct evkeyvalq *q)
+{
+	static const enum fault_mode held_modes[] = {
+	    FAULT_SILENT, FAULT_HELD, FAULT_HELD_ALL};
+	const char *zone = query_get(q, "cut");
+	const char *held = query_get(q, "held");
+	struct zone_cut cut;
+
+	if (zone == NULL)
+		return;
+	zones_heal(s->store, s->runners, s->nrunners, s->links);
+	if (strcmp(zone, "none") == 0)
+		return;
+	cut.zone = atoi(zone) % ZONES;
+	cut.reach = reach_of(query_get(q, "runners"));
+	cut.mode = held_modes[held != NULL ? atoi(held) % 3 : 0];
+	zones_cut(s->store, s->runners, s->nrunners, s->links, &cut);
+}
+
 static void
 on_fault(struct evhttp_request *req, void *arg)
 {
@@ -177,6 +235,8 @@
 	if (query_get(&q, "config") != NULL)
 		put_config(s);
 	set_runner_fault(s, &q);
+	set_clock_rate(s, &q);
+	set_zone_cut(s, &q);
 	evhttp_clear_headers(&q);
 	reply_json(req, 200, json_object());
 }
@@ -215,17 +275,26 @@
 	struct event_base *base = event_base_new();
 	struct standin s = {.version = 3};
 	struct evhttp *http;
-	int port, i;
+	int port, i, nhosts;
 
-	if (argc != 3) {
-		fprintf(stderr, "usage: cellstandin PORT RUNNERS\n");
+	if (argc < 3 || argc > 5) {
+		fprintf(stderr,
+		    "usage: cellstandin PORT RUNNERS [RECORD [HOSTS]]\n");
+		return 1;
+	}
+	if (argc > 3 && !events_open(argv[3])) {
+		fprintf(stderr, "cellstandin: can't write %s\n", argv[3]);
 		return 1;
 	}
 	signal(SIGPIPE, SIG_IGN);
 	port = atoi(argv[1]);
 	s.nrunners = atoi(argv[2]);
+	nhosts = argc > 4 ? atoi(argv[4]) : 0;
 	s.record.texts = json_array();
-	s.store = store_sim_new(base, (uint16_t)port);
+	s.store = store_sim_new(base, (uint16_t)port, nhosts);
+	if (nhosts > 0)
+		s.links =
+		    link_sim_new(base, nhosts, (uint16_t)(port + PEER_PORT));
 	advice_sim_new(base, (uint16_t)(port + 1));
 	for (i = 0; i < s.nrunners && i < RUNNERS_MAX; i++)
 		s.runners[i] = runner_sim_new(
@@ -234,7 +303,7 @@
 	evhttp_set_cb(http, "/fault", on_fault, &s);
 	evhttp_set_cb(http, "/report", on_report, &s);
 	evhttp_set_cb(http, "/ran", on_ran, &s);
-	if (s.store == NULL ||
+	if (s.store == NULL || (nhosts > 0 && s.links == NULL) ||
 	    evhttp_bind_socket(http, "127.0.0.1", (uint16_t)(port + 2)) != 0) {
 		fprintf(stderr, "cellstandin: port %d is taken\n", port);
 		return 1;
--- a/tests/cellstandin/runner_sim.c
+++ b/tests/cellstandin/runner_sim.c
@@ -9,13 +9,20 @@
 #include <uthash.h>
 
 #include "../../src/base/xalloc.h"
+#include "events.h"
+#include "held.h"
 #include "standin.h"
+#include "zones.h"
 
 #define RUNNER_CPU 16000
 #define RUNNER_MEM 65536
 #define MAX_HOLD_MS 10000
 #define TICK_MS 10
 #define HEARTBEAT_MS 500
+#define SILENT_BEATS 3 /* after which an entry is removed */
+/** Until the last runner's entry is back after a cut from the store. */
+#define RELIST_MS 1900
+#define RELIST_STEP_MS 370
 #define DRAIN_MS 3000
 #define STEPS_MAX 8
 #define TASKS_MAX 64
@@ -35,6 +42,7 @@
 	int ms;
 	int after;	     /**< step that must end first; -1: none */
 	bool crashes_runner; /**< its first task crashes each runner */
+	bool copies;	     /**< its tasks may run twice at a time */
 };
 
 struct job_sim {
@@ -56,6 +64,7 @@
 	char task[64];
 	int run;
 	int cpu;
+	int64_t fence; /**< of the start */
 	bool crashes_runner;
 	int64_t ends_at; /**< boot clock, ms */
 };
@@ -92,6 +101,7 @@
 	struct runner_sim *runner;
 	struct evhttp *http;
 	enum fault_mode mode;
+	struct held_list held;
 };
 
 struct runner_sim {
@@ -108,10 +118,16 @@
 	uint64_t nends;
 	int64_t fence;
 	int64_t lease_until; /**< end of the lease, by clock_of, ms */
+	bool lapsed;	     /**< it had a lease, which is over */
 	int64_t born_ms;     /**< start of this incarnation */
 	int64_t restart_ms;  /**< when a crashed runner restarts; 0: it is up */
-	int64_t drain_end_ms; /**< 0: not draining */
-	int64_t heartbeat_ms; /**< last heartbeat */
+	int64_t drain_end_ms;  /**< 0: not draining */
+	int64_t heartbeat_ms;  /**< last heartbeat */
+	bool store_cut;	       /**< it doesn't reach the store */
+	bool unlisted;	       /**< its entry was removed meanwhile */
+	int clock_pct;	       /**< rate of its clock */
+	int64_t clock_base;    /**< its clock at clock_base_ms */
+	int64_t clock_base_ms; /**< last change of the rate, boot clock */
 	int sequence;
 	int orders;
 	int replaced; /**< times that it came back under another id */
@@ -141,6 +157,8 @@
 		spec += n;
 		s->crashes_runner = *spec == '!';
 		spec += s->crashes_runner;
+		s->copies = *spec == '~';
+		spec += s->copies;
 		if (sscanf(spec, ">%d%n", &s->after, &n) == 1)
 			spec += n;
 		if (*spec == ',')
@@ -191,7 +209,8 @@
 static int64_t
 clock_of(const struct runner_sim *r)
 {
-	return now_ms() - r->born_ms + 1;
+	return r->clock_base +
+	    (now_ms() - r->clock_base_ms) * r->clock_pct / 100;
 }
 
 static json_t *
@@ -202,6 +221,68 @@
 	return body;
 }
 
+/* Where an order comes from. */
+struct order_source {
+	const struct runner_view *view;
+	const char *from; /**< address of the caller */
+};
+
+static json_t *
+event_of(const struct runner_sim *r, const char *event)
+{
+	return json_pack("{s:s,s:s,s:i,s:I,s:I}", "event", event, "runner",
+	    r->id, "zone", zone_of(r->index), "incarnation",
+	    (json_int_t)r->born_ms, "clock", (json_int_t)clock_of(r));
+}
+
+static void
+note(const struct runner_sim *r, const char *event)
+{
+	if (events_on())
+		events_write(event_of(r, event));
+}
+
+static void
+note_task(const struct runner_sim *r, const char *event, const char *task,
+    int run, const char *how)
+{
+	json_t *e;
+
+	if (!events_on())
+		return;
+	e = event_of(r, event);
+	json_object_set_new(e, "task", json_string(task));
+	json_object_set_new(e, "run", json_integer(run));
+	if (how != NULL)
+		json_object_set_new(e, "how", json_string(how));
+	events_write(e);
+}
+
+/* Notes an order; @p why says why it was refused, or is NULL. */
+static void
+note_order(const struct order_source *src, const char *event, const json_t *b,
+    bool copies, const char *why)
+{
+	const struct runner_view *v = src->view;
+	json_t *e;
+
+	if (!events_on())
+		return;
+	e = event_of(v->runner, event);
+	json_object_set(e, "task", json_object_get(b, "task"));
+	json_object_set(e, "run", json_object_get(b, "run"));
+	json_object_set(e, "fence", json_object_get(b, "fencing_token"));
+	if (json_object_get(b, "until_ms") != NULL)
+		json_object_set(e, "until", json_object_get(b, "until_ms"));
+	json_object_set_new(e, "view", json_integer(v - v->runner->views));
+	json_object_set_new(e, "from", json_string(src->from));
+	if (copies)
+		json_object_set_new(e, "copies", json_true());
+	if (why != NULL)
+		json_object_set_new(e, "why", json_string(why));
+	events_write(e);
+}
+
 static void
 refuse(const struct runner_sim *r, struct evhttp_request *req, const char *why)
 {
@@ -241,9 +322,9 @@
 	int i;
 
 	TAILQ_FOREACH (n, &all, all_link)
-		if (strcmp(n->task, task) == 0)
+		if (!s->copies && strcmp(n->task, task) == 0)
 			record_broken(r->record, "twice", task);
-	if (j->acked[step][index])
+	if (!s->copies && j->acked[step][index])
 		record_broken(r->record, "after-done", task);
 	for (i = 0; s->after >= 0 && i < j->steps[s->after].count; i++)
 		if (!j->ended[s->after][i])
@@ -297,6 +378,7 @@
 	struct job_sim *j;
 	int step, index;
 
+	note_task(r, "end", n->task, n->run, how);
 	e->number = ++r->nends;
 	e->run = n->run;
 	e->how = how;
@@ -324,7 +406,8 @@
 	r->hold = NULL;
 	evhttp_connection_set_closecb(
 	    evhttp_request_get_connection(h->req), NULL, NULL);
-	if (h->view->mode != FAULT_SILENT)
+	if (h->view->mode != FAULT_SILENT && h->view->mode != FAULT_HELD &&
+	    h->view->mode != FAULT_HELD_ALL)
 		answer_hold(r, h);
 	free(h);
 }
@@ -337,10 +420,11 @@
 	int step, index;
 
 	while ((e = TAILQ_FIRST(&r->ends)) != NULL && e->number <= seen) {
+		note_task(r, "ack", e->task, e->run, e->how);
 		if (strcmp(e->how, "done") == 0 &&
 		    parse_task_name(e->task, "", &j, &step, &index)) {
 			j->acked[step][index] = true;
-			if (!e->lapsed &&
+			if (!e->lapsed && !j->steps[step].copies &&
 			    j->started_ms[step][index] > e->ended_ms)
 				record_broken(r->record, "after-done", e->task);
 		}
@@ -349,9 +433,11 @@
 	}
 }
 
-/* Applies the active fault; @return whether the call must not be served. */
+/* Applies the active fault; @return whether the call must not be served, or not
+ * now, and then by @p fn or @p late. */
 static bool
-apply_fault(const struct runner_view *v, struct evhttp_request *req)
+apply_fault(struct runner_view *v, struct evhttp_request *req, held_fn fn,
+    held_late_fn late)
 {
 	enum fault_mode mode =
 	    v->mode != FAULT_NONE ? v->mode : v->runner->mode;
@@ -364,6 +450,11 @@
 		reply_reset(req);
 		return true;
 	}
+	if (mode == FAULT_HELD || mode == FAULT_HELD_ALL) {
+		held_add(
+		    &v->held, req, fn, mode == FAULT_HELD_ALL ? late : NULL, v);
+		return true;
+	}
 	return mode == FAULT_SILENT;
 }
 
@@ -401,14 +492,20 @@
 	int64_t most = clock_of(r) + MAX_HOLD_MS;
 
 	until = until > most ? most : until;
-	if (until > r->lease_until)
-		r->lease_until = until;
+	if (until <= r->lease_until)
+		return;
+	r->lease_until = until;
+	if (r->lapsed && until > clock_of(r)) {
+		r->lapsed = false;
+		note(r, "renewed");
+	}
 }
 
 /* @return the reason of a refusal; NULL when the run is running. */
 static const char *
-start_run(struct runner_sim *r, const json_t *b)
+start_run(const struct order_source *src, const json_t *b)
 {
+	struct runner_sim *r = src->view->runner;
 	const char *task = text_of(b, "task");
 	int run = (int)number_of(b, "run"), step, index;
 	struct sim_tombstone *tombstone;
@@ -436,6 +533,7 @@
 	n = xcalloc(1, sizeof(*n));
 	n->runner = r;
 	n->run = run;
+	n->fence = r->fence;
 	n->cpu = j->steps[step].cpu;
 	n->ends_at = now_ms() + j->steps[step].ms;
 	n->crashes_runner = j->steps[step].crashes_runner && index == 0;
@@ -445,21 +543,53 @@
 	TAILQ_INSERT_TAIL(&r->runs, n, link);
 	TAILQ_INSERT_TAIL(&all, n, all_link);
 	r->record->starts++;
+	note_order(src, "start", b, j->steps[step].copies, NULL);
 	return NULL;
 }
 
+static const char *
+start_or_refuse(const struct order_source *src, const json_t *b)
+{
+	const char *why = start_run(src, b);
+
+	if (why != NULL)
+		note_order(src, "refused", b, false, why);
+	return why;
+}
+
+/* Whether the runner is up and this incarnation is meant. */
+static bool
+is_meant(const struct runner_sim *r, const char *target)
+{
+	return r->restart_ms == 0 &&
+	    (*target == '\0' || strcmp(target, r->id) == 0);
+}
+
+static void
+late_start(const json_t *b, const char *target, const char *from, void *arg)
+{
+	struct runner_view *v = arg;
+	struct order_source src = {v, from};
+
+	if (is_meant(v->runner, target))
+		start_or_refuse(&src, b);
+}
+
 static void
 on_start(struct evhttp_request *req, void *arg)
 {
 	struct runner_view *v = arg;
 	struct runner_sim *r = v->runner;
+	char from[ADDR_TEXT_LEN];
+	struct order_source src = {v, from};
 	const char *why;
 	json_t *b;
 
-	if (apply_fault(v, req) || is_for_other(r, req))
+	if (apply_fault(v, req, on_start, late_start) || is_for_other(r, req))
 		return;
 	b = request_json(req);
-	why = start_run(r, b);
+	caller_addr(req, from);
+	why = start_or_refuse(&src, b);
 	json_decref(b);
 	if (r->mode == FAULT_LOST && r->orders++ % LOST_EVERY == 0)
 		reply_reset(req);
@@ -469,39 +599,45 @@
 		reply_json(req, 200, with_clock(r, json_object()));
 }
 
+static bool
+passes_fence(struct runner_sim *r, const json_t *b)
+{
+	if (number_of(b, "fencing_token") < r->fence)
+		return false;
+	r->fence = number_of(b, "fencing_token");
+	return true;
+}
+
 /*
  * Reads an order and checks its fencing token. @return its body; NULL when the
- * order was refused or a fault applies.
+ * order was refused.
  */
 static json_t *
 take_order(const struct runner_view *v, struct evhttp_request *req)
 {
 	struct runner_sim *r = v->runner;
+	char from[ADDR_TEXT_LEN];
+	struct order_source src = {v, from};
 	json_t *b;
 
-	if (apply_fault(v, req) || is_for_other(r, req))
+	if (is_for_other(r, req))
 		return NULL;
 	b = request_json(req);
-	if (number_of(b, "fencing_token") < r->fence) {
+	if (!passes_fence(r, b)) {
+		caller_addr(req, from);
+		note_order(&src, "refused", b, false, "fence");
 		refuse(r, req, "fence");
 		json_decref(b);
 		return NULL;
 	}
-	r->fence = number_of(b, "fencing_token");
 	return b;
 }
 
 static void
-on_stop(struct evhttp_request *req, void *arg)
+stop_run(struct runner_sim *r, const json_t *b)
 {
-	struct runner_view *v = arg;
-	struct runner_sim *r = v->runner;
 	struct sim_run *n;
-	json_t *b;
 
-	b = take_order(v, req);
-	if (b == NULL)
-		return;
 	add_tombstone(r, text_of(b, "task"), (int)number_of(b, "run"));
 	TAILQ_FOREACH (n, &r->runs, link)
 		if (n->run == number_of(b, "run") &&
@@ -509,6 +645,31 @@
 			end_run(r, n, "stopped");
 			break;
 		}
+}
+
+static void
+late_stop(const json_t *b, const char *target, const char *from, void *arg)
+{
+	struct runner_view *v = arg;
+
+	(void)from;
+	if (is_meant(v->runner, target) && passes_fence(v->runner, b))
+		stop_run(v->runner, b);
+}
+
+static void
+on_stop(struct evhttp_request *req, void *arg)
+{
+	struct runner_view *v = arg;
+	struct runner_sim *r = v->runner;
+	json_t *b;
+
+	if (apply_fault(v, req, on_stop, late_stop))
+		return;
+	b = take_order(v, req);
+	if (b == NULL)
+		return;
+	stop_run(r, b);
 	json_decref(b);
 	reply_json(req, 200, with_clock(r, json_object()));
 	finish_hold(r);
@@ -524,6 +685,18 @@
 	r->hold = NULL;
 }
 
+static void
+late_hold(const json_t *b, const char *target, const char *from, void *arg)
+{
+	struct runner_view *v = arg;
+
+	(void)from;
+	if (!is_meant(v->runner, target) || !passes_fence(v->runner, b))
+		return;
+	extend_lease(v->runner, number_of(b, "until_ms"));
+	acknowledge(v->runner, (uint64_t)number_of(b, "last_seen"));
+}
+
 static void
 on_hold(struct evhttp_request *req, void *arg)
 {
@@ -532,6 +705,8 @@
 	struct sim_hold *h;
 	json_t *b;
 
+	if (apply_fault(v, req, on_hold, late_hold))
+		return;
 	b = take_order(v, req);
 	if (b == NULL)
 		return;
@@ -556,20 +731,34 @@
 static void
 write_heartbeat(struct runner_sim *r)
 {
-	char address[64], rack[32];
+	char address[64], rack[32], zone[16];
 
 	r->heartbeat_ms = now_ms();
+	snprintf(zone, sizeof(zone), "z%d", zone_of(r->index));
 	snprintf(address, sizeof(address), "127.0.0.1:%u", r->port);
 	snprintf(rack, sizeof(rack), "r1-%d", r->index / 4);
 	store_sim_put(r->store, "servers", r->id,
 	    json_pack("{s:s,s:s,s:s,s:s,s:{s:i,s:i,s:i},s:[s,s],s:I,s:I,s:i}",
-		"service", "work", "address", address, "zone", "z", "state",
+		"service", "work", "address", address, "zone", zone, "state",
 		r->drain_end_ms != 0 ? "draining" : "ready", "capacity", "cpu",
 		r->cpu, "mem_mb", RUNNER_MEM, "gpu", 0, "labels", "a", rack,
 		"clock_ms", (json_int_t)clock_of(r), "born",
 		(json_int_t)r->born_ms, "sequence", r->sequence++));
 }
 
+/* The store removes the entry of a runner that it doesn't hear. */
+static void
+heartbeat(struct runner_sim *r)
+{
+	if (!r->store_cut)
+		write_heartbeat(r);
+	else if (!r->unlisted &&
+	    now_ms() - r->heartbeat_ms >= SILENT_BEATS * HEARTBEAT_MS) {
+		r->unlisted = true;
+		store_sim_remove(r->store, "servers", r->id);
+	}
+}
+
 static void
 clear_state(struct runner_sim *r)
 {
@@ -593,6 +782,7 @@
 	}
 	r->nends = 0;
 	r->fence = r->lease_until = 0;
+	r->lapsed = false;
 }
 
 static void
@@ -601,6 +791,7 @@
 	struct runner_view *v = &r->views[index];
 
 	v->runner = r;
+	TAILQ_INIT(&v->held);
 	v->http = evhttp_new(r->base);
 	evhttp_set_cb(v->http, "/v1/run-start", on_start, v);
 	evhttp_set_cb(v->http, "/v1/run-stop", on_stop, v);
@@ -616,9 +807,11 @@
 
 	for (i = 0; i < VIEWS; i++)
 		serve_view(r, i);
-	r->born_ms = now_ms();
+	r->born_ms = r->clock_base_ms = now_ms();
+	r->clock_base = 1;
 	r->restart_ms = 0;
-	write_heartbeat(r);
+	note(r, "born");
+	heartbeat(r);
 }
 
 static void
@@ -635,6 +828,8 @@
 	}
 	free(r->hold);
 	r->hold = NULL;
+	for (i = 0; i < VIEWS; i++)
+		held_clear(&r->views[i].held);
 }
 
 /* The runner crashes under the task and is back under another id. */
@@ -659,9 +854,13 @@
 	struct sim_end *e;
 	bool ended = false;
 
-	if (clock_of(r) >= r->lease_until)
+	if (clock_of(r) >= r->lease_until) {
+		if (!r->lapsed && r->lease_until > 0)
+			note(r, "lapse");
+		r->lapsed = r->lease_until > 0;
 		TAILQ_FOREACH (e, &r->ends, link)
 			e->lapsed = true;
+	}
 
 	for (n = TAILQ_FIRST(&r->runs); n != NULL; n = next) {
 		next = TAILQ_NEXT(n, link);
@@ -701,7 +900,7 @@
 	}
 	end_runs(r);
 	if (now_ms() - r->heartbeat_ms >= HEARTBEAT_MS)
-		write_heartbeat(r);
+		heartbeat(r);
 }
 
 struct runner_sim *
@@ -717,6 +916,7 @@
 	r->index = index;
 	r->port = port;
 	r->cpu = r->former_cpu = RUNNER_CPU;
+	r->clock_pct = 100;
 	snprintf(r->id, sizeof(r->id), "i-%04d", index);
 	TAILQ_INIT(&r->runs);
 	TAILQ_INIT(&r->ends);
@@ -736,6 +936,28 @@
 runner_sim_view_fault(struct runner_sim *r, int view, enum fault_mode mode)
 {
 	r->views[view].mode = mode;
+	if (mode == FAULT_NONE)
+		held_serve(&r->views[view].held);
+}
+
+void
+runner_sim_cut_store(struct runner_sim *r, bool cut)
+{
+	/* The entries of several runners come back one after the other. */
+	if (r->store_cut && !cut && r->unlisted)
+		r->heartbeat_ms = now_ms() - HEARTBEAT_MS +
+		    r->index * RELIST_STEP_MS % RELIST_MS;
+	r->store_cut = cut;
+	if (!cut)
+		r->unlisted = false;
+}
+
+void
+runner_sim_clock_rate(struct runner_sim *r, int pct)
+{
+	r->clock_base = clock_of(r);
+	r->clock_base_ms = now_ms();
+	r->clock_pct = pct;
 }
 
 void
@@ -750,6 +972,7 @@
 void
 runner_sim_crash(struct runner_sim *r, int64_t down_ms)
 {
+	note(r, "crash");
 	stop_serving(r);
 	clear_state(r);
 	r->restart_ms = now_ms() + down_ms;
--- a/tests/cellstandin/standin.h
+++ b/tests/cellstandin/standin.h
@@ -22,6 +22,12 @@
 	FAULT_LOST,   /**< some calls are applied but not answered */
 	FAULT_SLOW,   /**< answers are delayed */
 	FAULT_LATE,   /**< watches show a write before it is answered */
+	/** The call is served when the fault ends, if its connection is still
+	 * open then. */
+	FAULT_HELD,
+	/** As FAULT_HELD; orders to runners are carried out then even if their
+	 * connection has closed. */
+	FAULT_HELD_ALL,
 };
 
 /** Callers of a zone reach store and runners at the zone's own address, so that
@@ -55,7 +61,10 @@
 int64_t now_ms(void);
 enum fault_mode fault_mode_of(const char *name);
 
-struct store_sim *store_sim_new(struct event_base *base, uint16_t port);
+/** @param nhosts hosts whose addresses in rows are mapped for other zones
+ * (link_sim_map_row); 0: none */
+struct store_sim *store_sim_new(
+    struct event_base *base, uint16_t port, int nhosts);
 void store_sim_fault(struct store_sim *s, enum fault_mode mode);
 /** As store_sim_fault, for the callers of one view. */
 void store_sim_view_fault(struct store_sim *s, int view, enum fault_mode mode);
@@ -72,6 +81,11 @@
 /** As runner_sim_fault, for the callers of one view. */
 void runner_sim_view_fault(
     struct runner_sim *r, int view, enum fault_mode mode);
+/** Whether the runner is cut off from the store: its entry is removed after
+ * some silent heartbeats, and is back within two seconds after the cut. */
+void runner_sim_cut_store(struct runner_sim *r, bool cut);
+/** Sets the rate of the runner's clock, percent of real time. */
+void runner_sim_clock_rate(struct runner_sim *r, int pct);
 /** Sets the runner's capacity, thousandths of a core. */
 void runner_sim_resize(struct runner_sim *r, int cpu);
 /** Ends the runner's process; after @p down_ms a new incarnation starts. */
@@ -82,9 +96,10 @@
 void advice_sim_new(struct event_base *base, uint16_t port);
 
 /**
- * A job as its spec text describes it: one COUNTxCPUxMS[!][>AFTER] for each
- * step, separated by commas. AFTER is the index of the step that must end
- * first. With "!" the step's first task crashes each runner that starts it.
+ * A job as its spec text describes it: one COUNTxCPUxMS[!][~][>AFTER] for
+ * each step, separated by commas. AFTER is the index of the step that must end
+ * first. With "!" the step's first task crashes each runner that starts it; "~"
+ * marks a step whose tasks may run twice at a time.
  */
 struct job_sim;
 /** The job of this id; created from @p spec when it is not known yet. */
--- a/tests/cellstandin/store_sim.c
+++ b/tests/cellstandin/store_sim.c
@@ -8,7 +8,9 @@
 #include <sys/queue.h>
 
 #include "../../src/base/xalloc.h"
+#include "held.h"
 #include "standin.h"
+#include "zones.h"
 
 #define ANSWER_MS 4
 #define SLOW_MS 250
@@ -39,10 +41,12 @@
 	int index;
 	struct evhttp *http;
 	enum fault_mode mode;
+	struct held_list held;
 };
 
 struct store_sim {
 	struct event_base *base;
+	int nhosts; /**< whose addresses are mapped for other zones */
 	struct store_view views[VIEWS];
 	TAILQ_HEAD(row_list, cell_row) rows;
 	TAILQ_HEAD(watcher_list, watcher) watchers;
@@ -119,9 +123,10 @@
 	    s, req, status, body, s->mode == FAULT_SLOW ? SLOW_MS : ANSWER_MS);
 }
 
-/* Applies the active fault; @return whether the call must not be served. */
+/* Applies the active fault; @return whether the call must not be served, or not
+ * now, and then by @p fn. */
 static bool
-apply_fault(const struct store_view *v, struct evhttp_request *req)
+apply_fault(struct store_view *v, struct evhttp_request *req, held_fn fn)
 {
 	switch (v->mode != FAULT_NONE ? v->mode : v->sim->mode) {
 	case FAULT_BUSY:
@@ -132,6 +137,10 @@
 		return true;
 	case FAULT_SILENT:
 		return true;
+	case FAULT_HELD:
+	case FAULT_HELD_ALL:
+		held_add(&v->held, req, fn, NULL, v);
+		return true;
 	default:
 		return false;
 	}
@@ -201,6 +210,8 @@
 		  (const unsigned char *)r->value, (int)len) -
 	    pad;
 	replace_views(v, plain, len);
+	if (strcmp(r->table, "servers") != 0)
+		link_sim_map_row(v->sim->nhosts, v->index, plain, len);
 	if (strcmp(r->table, "servers") == 0)
 		len = replace_first(v, plain, len);
 	coded = xmalloc(4 * ((len + 2) / 3) + 1);
@@ -250,10 +261,17 @@
 changes(const struct store_view *v, const char *table, uint64_t after)
 {
 	json_t *list = json_array();
-	const struct cell_row *r;
+	const struct cell_row *r, *first = NULL;
 
-	TAILQ_FOREACH (r, &v->sim->rows, link)
-		if (r->version > after && strcmp(r->table, table) == 0)
+	/* The list is ordered by version. */
+	TAILQ_FOREACH_REVERSE(r, &v->sim->rows, row_list, link)
+	{
+		if (r->version <= after)
+			break;
+		first = r;
+	}
+	for (r = first; r != NULL; r = TAILQ_NEXT(r, link))
+		if (strcmp(r->table, table) == 0)
 			json_array_append_new(list, row_json(v, r));
 	return list;
 }
@@ -273,7 +291,8 @@
 {
 	struct store_sim *s = w->view->sim;
 	struct evhttp_request *req = w->req;
-	bool silent = w->view->mode == FAULT_SILENT;
+	bool silent = w->view->mode == FAULT_SILENT ||
+	    w->view->mode == FAULT_HELD || w->view->mode == FAULT_HELD_ALL;
 	json_t *rows = changes(w->view, w->table, w->after);
 
 	watcher_free(w);
@@ -372,7 +391,7 @@
 	struct store_sim *s = v->sim;
 	json_t *body, *rows;
 
-	if (apply_fault(v, req))
+	if (apply_fault(v, req, on_txn))
 		return;
 	body = request_json(req);
 	rows = json_array();
@@ -432,7 +451,7 @@
 	json_t *rows;
 	bool more;
 
-	if (apply_fault(v, req))
+	if (apply_fault(v, req, on_get))
 		return;
 	evhttp_parse_query_str(
 	    evhttp_uri_get_query(evhttp_request_get_evhttp_uri(req)), &q);
@@ -457,7 +476,7 @@
 	struct timeval tv;
 	int wait;
 
-	if (apply_fault(v, req))
+	if (apply_fault(v, req, on_feed))
 		return;
 	evhttp_parse_query_str(
 	    evhttp_uri_get_query(evhttp_request_get_evhttp_uri(req)), &q);
@@ -489,6 +508,7 @@
 
 	v->sim = s;
 	v->index = index;
+	TAILQ_INIT(&v->held);
 	v->http = evhttp_new(s->base);
 	evhttp_set_cb(v->http, "/v1/rows-tx", on_txn, v);
 	evhttp_set_cb(v->http, "/v1/rows-get", on_get, v);
@@ -497,12 +517,13 @@
 }
 
 struct store_sim *
-store_sim_new(struct event_base *base, uint16_t port)
+store_sim_new(struct event_base *base, uint16_t port, int nhosts)
 {
 	struct store_sim *s = xcalloc(1, sizeof(*s));
 	int i;
 
 	s->base = base;
+	s->nhosts = nhosts;
 	s->version = 1;
 	TAILQ_INIT(&s->rows);
 	TAILQ_INIT(&s->watchers);
@@ -521,7 +542,11 @@
 void
 store_sim_view_fault(struct store_sim *s, int view, enum fault_mode mode)
 {
-	s->views[view].mode = mode;
+	struct store_view *v = &s->views[view];
+
+	v->mode = mode;
+	if (mode == FAULT_NONE)
+		held_serve(&v->held);
 }
 
 void
