tests: a checker of the record of runs, and callers with a site's traffic

run_checker reads the stand-in's record and prints each pair of runs that breaks the rule on tasks that run once: two at once, or a start after a done end that is acknowledged without a lapse of the lease between. Given the logs of hosts it names who ordered each run, and counts the pairs that one host has ordered, with the seconds between the starts.

cell_caller submits jobs of 6 to 12 short and of 8 long tasks to all hosts in turn, retries refusals and follows accepted jobs to their end.

--- a/Makefile
+++ b/Makefile
@@ -36,7 +36,7 @@
 	libxxhash-dev libssl-dev uthash-dev libbsd-dev
 
 all: $(B)/celerycartd $(B)/celerycartctl $(B)/standin $(B)/caller \
-    $(B)/checker $(B)/cellstandin $(B)/soak
+    $(B)/checker $(B)/cellstandin $(B)/soak $(B)/run_checker $(B)/cell_caller
 
 $(B)/celerycartd: $(DAEMONOBJ) $(B)/libcc.a
 	$(CC) -o $@ $^ $(LIBS)
@@ -66,6 +66,12 @@
 $(B)/checker: $(B)/tests/tools/checker.o $(B)/libcc.a
 	$(CC) -o $@ $^ $(LIBS)
 
+$(B)/run_checker: $(B)/tests/tools/run_checker.o $(B)/libcc.a
+	$(CC) -o $@ $^ $(LIBS)
+
+$(B)/cell_caller: $(B)/tests/tools/cell_caller.o $(B)/libcc.a
+	$(CC) -o $@ $^ $(LIBS)
+
 WORLD = $(patsubst %.c,$(B)/%.o,$(wildcard tests/world/*.c))
 $(B)/unit: $(patsubst %.c,$(B)/%.o,$(wildcard tests/unit/*.c)) \
     $(WORLD) $(B)/platform/registry.o \
