tests: the cell's stand-in loses the answers of runners over cut paths

held=3 of a cut: calls to runners are carried out and not answered, and the store does nothing. Answers of runners that wait for an end aren't sent over any path that is cut.

--- a/tests/cellstandin/main.c
+++ b/tests/cellstandin/main.c
@@ -9,9 +9,9 @@
  * of other zones; runners=own (default) also from the runners of other zones,
  * and its runners from other hosts; runners=all from no runner; runners=none
  * from all. held=1 serves calls after the cut if their connection is open then,
- * held=2 orders to runners even if it isn't; held=0 (default) drops them.
- * cut=none ends all cuts. clock=PERCENT sets the clock rate of runner=N, or of
- * all.
+ * held=2 orders to runners even if it isn't; held=3 has runners carry them out
+ * at once and drops the answers; held=0 (default) drops them. cut=none ends all
+ * cuts. clock=PERCENT sets the clock rate of runner=N, or of all.
  */
 #include <event2/buffer.h>
 #include <event2/keyvalq_struct.h>
@@ -43,6 +43,7 @@
     {"late", FAULT_LATE},
     {"held", FAULT_HELD},
     {"held-all", FAULT_HELD_ALL},
+    {"unanswered", FAULT_UNANSWERED},
 };
 
 struct standin {
@@ -197,7 +198,7 @@
 set_zone_cut(struct standin *s, struct evkeyvalq *q)
 {
 	static const enum fault_mode held_modes[] = {
-	    FAULT_SILENT, FAULT_HELD, FAULT_HELD_ALL};
+	    FAULT_SILENT, FAULT_HELD, FAULT_HELD_ALL, FAULT_UNANSWERED};
 	const char *zone = query_get(q, "cut");
 	const char *held = query_get(q, "held");
 	struct zone_cut cut;
@@ -209,7 +210,7 @@
 		return;
 	cut.zone = atoi(zone) % ZONES;
 	cut.reach = reach_of(query_get(q, "runners"));
-	cut.mode = held_modes[held != NULL ? atoi(held) % 3 : 0];
+	cut.mode = held_modes[held != NULL ? atoi(held) % 4 : 0];
 	zones_cut(s->store, s->runners, s->nrunners, s->links, &cut);
 }
 
--- a/tests/cellstandin/runner_sim.c
+++ b/tests/cellstandin/runner_sim.c
@@ -396,6 +396,14 @@
 	free(n);
 }
 
+/* Whether answers on the path don't arrive. */
+static bool
+answers_lost(const struct runner_view *v)
+{
+	return v->mode == FAULT_SILENT || v->mode == FAULT_HELD ||
+	    v->mode == FAULT_HELD_ALL || v->mode == FAULT_UNANSWERED;
+}
+
 static void
 finish_hold(struct runner_sim *r)
 {
@@ -406,8 +414,7 @@
 	r->hold = NULL;
 	evhttp_connection_set_closecb(
 	    evhttp_request_get_connection(h->req), NULL, NULL);
-	if (h->view->mode != FAULT_SILENT && h->view->mode != FAULT_HELD &&
-	    h->view->mode != FAULT_HELD_ALL)
+	if (!answers_lost(h->view))
 		answer_hold(r, h);
 	free(h);
 }
@@ -591,6 +598,8 @@
 	caller_addr(req, from);
 	why = start_or_refuse(&src, b);
 	json_decref(b);
+	if (answers_lost(v))
+		return;
 	if (r->mode == FAULT_LOST && r->orders++ % LOST_EVERY == 0)
 		reply_reset(req);
 	else if (why != NULL)
@@ -626,7 +635,8 @@
 	if (!passes_fence(r, b)) {
 		caller_addr(req, from);
 		note_order(&src, "refused", b, false, "fence");
-		refuse(r, req, "fence");
+		if (!answers_lost(v))
+			refuse(r, req, "fence");
 		json_decref(b);
 		return NULL;
 	}
@@ -671,7 +681,8 @@
 		return;
 	stop_run(r, b);
 	json_decref(b);
-	reply_json(req, 200, with_clock(r, json_object()));
+	if (!answers_lost(v))
+		reply_json(req, 200, with_clock(r, json_object()));
 	finish_hold(r);
 }
 
@@ -724,7 +735,8 @@
 		r->hold = h;
 		return;
 	}
-	answer_hold(r, h);
+	if (!answers_lost(v))
+		answer_hold(r, h);
 	free(h);
 }
 
--- a/tests/cellstandin/standin.h
+++ b/tests/cellstandin/standin.h
@@ -28,6 +28,8 @@
 	/** As FAULT_HELD; orders to runners are carried out then even if their
 	 * connection has closed. */
 	FAULT_HELD_ALL,
+	/** Runners carry calls out and don't answer; the store does nothing. */
+	FAULT_UNANSWERED,
 };
 
 /** Callers of a zone reach store and runners at the zone's own address, so that
--- a/tests/cellstandin/store_sim.c
+++ b/tests/cellstandin/store_sim.c
@@ -136,6 +136,7 @@
 		reply_reset(req);
 		return true;
 	case FAULT_SILENT:
+	case FAULT_UNANSWERED:
 		return true;
 	case FAULT_HELD:
 	case FAULT_HELD_ALL:
@@ -292,7 +293,8 @@
 	struct store_sim *s = w->view->sim;
 	struct evhttp_request *req = w->req;
 	bool silent = w->view->mode == FAULT_SILENT ||
-	    w->view->mode == FAULT_HELD || w->view->mode == FAULT_HELD_ALL;
+	    w->view->mode == FAULT_HELD || w->view->mode == FAULT_HELD_ALL ||
+	    w->view->mode == FAULT_UNANSWERED;
 	json_t *rows = changes(w->view, w->table, w->after);
 
 	watcher_free(w);
--- a/tests/cellstandin/zones.c
+++ b/tests/cellstandin/zones.c
@@ -38,7 +38,8 @@
 	for (i = 0; i < nrunners; i++)
 		cut_runner(runners[i], i, cut);
 	if (links != NULL)
-		link_sim_cut(links, cut->zone, cut->mode != FAULT_SILENT);
+		link_sim_cut(links, cut->zone,
+		    cut->mode == FAULT_HELD || cut->mode == FAULT_HELD_ALL);
 }
 
 void
