--- a/tests/scripts/fail-zone-cuts.sh
+++ b/tests/scripts/fail-zone-cuts.sh
@@ -92,7 +92,7 @@
 TIME=$(awk "BEGIN { print int($ROUNDS * ($CUT_S + $CALM_S + 0.3)) }")
 "$BIN/cell_caller" --port $((PORT + 100)) --hosts $HOSTS --rate "$RATE" \
     --long-rate "$LONG_RATE" --short-ms "$SHORT_MS" --seconds "$TIME" \
-    --drain "${DRAIN:-45}" --seed "$SEED" > "$RUN/caller.out" &
+    --drain "${DRAIN:-45}" --seed "$SEED" > "$RUN/caller.out" 2> "$RUN/shown.log" &
 LOAD=$!
 PIDS+=($LOAD)
 sleep 3
@@ -105,7 +105,7 @@
 check "each accepted job is completed" all_settled
 check "no guarantee was broken" unbroken
 sort "$RUN/cellstandin.log" | sed 's/ [0-9a-f.]*$//' | uniq -c | head -5
-not_twice() { "$BIN/run_checker" "$RECORD" "$RUN"/c?.log > "$RUN/pairs.out"; }
+not_twice() { "$BIN/run_checker" "$RECORD" "$RUN"/c?.log "$RUN/shown.log" > "$RUN/pairs.out"; }
 check "no task ran twice" not_twice
 tail -1 "$RUN/pairs.out"
 finish
--- a/tests/scripts/run-all.sh
+++ b/tests/scripts/run-all.sh
@@ -41,7 +41,7 @@
 run unit-sanitized env ASAN_OPTIONS=detect_leaks=0 build/san/unit
 run fuzz build/san/fuzz
 run prop-cells tests/scripts/prop-cells.sh
-for t in cli access cost pairs $(cd tests/scripts && ls fail-*.sh | sed 's/\.sh$//'); do
+for t in cli access cost pairs run-checker $(cd tests/scripts && ls fail-*.sh | sed 's/\.sh$//'); do
 	run "$t" "tests/scripts/$t.sh"
 done
 run soak tests/scripts/soak.sh 1 6 8 3
--- a/tests/tools/cell_caller.c
+++ b/tests/tools/cell_caller.c
@@ -141,6 +141,8 @@
 	state = json_string_value(json_object_get(b, "state"));
 	if (state != NULL && strcmp(state, "completed") == 0) {
 		j->load->completed++;
+		fprintf(stderr, "shown_completed id=%s boot_ms=%lld\n", j->id,
+		    (long long)clock_boot_ms());
 		job_end(j);
 	} else if (state != NULL &&
 	    (strcmp(state, "failed") == 0 || strcmp(state, "canceled") == 0)) {
--- a/tests/tools/run_checker.c
+++ b/tests/tools/run_checker.c
@@ -1,13 +1,16 @@
 /*
  * Checks that no task ran twice, against the record of a cell's stand-in:
  *   run_checker RECORD [LOG]...
- * Two forms of a violation: "at-once", two runs of a task at the same time on
+ * Forms of a violation: "at-once", two runs of a task at the same time on
  * runners that are up; "after-done", a start after an end as done that was
  * acknowledged before or is later, unless the runner's lease was over between
- * the two. Tasks that may have copies are exempt. The logs of hosts tell whose
- * a fencing token is. Prints one line for each pair of runs, then the counts,
- * with the seconds between the starts of the pairs that one host has ordered;
- * exits with 1 when there is a pair.
+ * the two; "after-shown", a start over a second after a caller was shown that
+ * the job is completed. Tasks that may have copies are exempt from the first,
+ * and from the second until a second after the acknowledgement. The logs of
+ * hosts tell whose a fencing token is, that of callers what they were shown.
+ * Prints one line for each pair of runs, then the counts, with the seconds
+ * between the starts of the pairs that one host has ordered; exits with 1 when
+ * there is a pair.
  */
 #include <inttypes.h>
 #include <jansson.h>
@@ -22,14 +25,19 @@
 
 #define LINE_MAX_BYTES 4096
 #define HOST_UNKNOWN "-"
+/** Time after which a start is a violation even if copies may run, and after
+ * the job was shown as completed. */
+#define GRACE_MS 1000
 
 enum form {
 	FORM_AT_ONCE,
 	FORM_AFTER_DONE,
+	FORM_AFTER_SHOWN,
 	FORMS,
 };
 
-static const char *const form_names[FORMS] = {"at-once", "after-done"};
+static const char *const form_names[FORMS] = {
+    "at-once", "after-done", "after-shown"};
 
 struct run_seen {
 	TAILQ_ENTRY(run_seen) link;
@@ -45,6 +53,7 @@
 	char how[16];
 	bool lapsed; /**< the lease was over between its end and now */
 	bool acked;
+	int64_t acked_ms;
 };
 
 struct task_seen {
@@ -70,6 +79,13 @@
 	char host[32];
 };
 
+/** A job that a caller was shown as completed. */
+struct job_shown {
+	UT_hash_handle hh;
+	char id[32];
+	int64_t shown_ms;
+};
+
 /** Seconds between the starts of the pairs of one host. */
 struct spread {
 	int pairs;
@@ -80,6 +96,7 @@
 static struct task_seen *tasks;
 static struct runner_seen *runners;
 static struct fence_owner *owners;
+static struct job_shown *shown;
 static int64_t first_ms; /**< time of the first event */
 static int64_t starts, ends_done, unreadable;
 static int pairs[FORMS];
@@ -155,14 +172,44 @@
 	HASH_ADD(hh, owners, fence, sizeof(o->fence), o);
 }
 
+static void
+add_shown(const char *id, int64_t ms)
+{
+	struct job_shown *j;
+
+	HASH_FIND_STR(shown, id, j);
+	if (j != NULL)
+		return;
+	j = xcalloc(1, sizeof(*j));
+	str_copy(j->id, id, sizeof(j->id));
+	j->shown_ms = ms;
+	HASH_ADD_STR(shown, id, j);
+}
+
+/* Whether the task's job was shown as completed long enough before. */
+static bool
+was_shown(const char *task, int64_t now)
+{
+	char id[32];
+	struct job_shown *j;
+
+	if (sscanf(task, "%31[^.]", id) != 1)
+		return false;
+	HASH_FIND_STR(shown, id, j);
+	return j != NULL && now > j->shown_ms + GRACE_MS;
+}
+
 static void
 read_log(FILE *f)
 {
-	char line[LINE_MAX_BYTES], host[32];
+	char line[LINE_MAX_BYTES], host[32], id[32];
 	const char *at;
-	int64_t fence;
+	int64_t fence, ms;
 
 	while (fgets(line, sizeof(line), f) != NULL) {
+		if (sscanf(line, "shown_completed id=%31s boot_ms=%" SCNd64, id,
+			&ms) == 2)
+			add_shown(id, ms);
 		at = strstr(line, " host=");
 		if (at != NULL &&
 		    sscanf(at, " host=%31s event=claimed fence=%" SCNd64, host,
@@ -241,9 +288,13 @@
 	TAILQ_FOREACH (a, &t->runs, link) {
 		if (!t->copies && a->end_ms == 0)
 			add_pair(FORM_AT_ONCE, a, n);
-		else if (!t->copies && a->acked)
+		else if (a->acked &&
+		    (!t->copies || n->start_ms > a->acked_ms + GRACE_MS))
 			add_pair(FORM_AFTER_DONE, a, n);
 	}
+	a = TAILQ_LAST(&t->runs, run_list);
+	if (was_shown(t->name, n->start_ms))
+		add_pair(FORM_AFTER_SHOWN, a != NULL ? a : n, n);
 	TAILQ_INSERT_TAIL(&t->runs, n, link);
 	TAILQ_INSERT_TAIL(&n->runner->running, n, runner_link);
 }
@@ -287,6 +338,7 @@
 	}
 	TAILQ_REMOVE(&r->ended, n, runner_link);
 	n->acked = strcmp(n->how, "done") == 0 && !n->lapsed;
+	n->acked_ms = number_of(e, "t");
 	if (!n->acked || n->task->copies)
 		return;
 	for (b = TAILQ_NEXT(n, link); b != NULL; b = TAILQ_NEXT(b, link))
@@ -403,5 +455,5 @@
 	}
 	printf("\n");
 	return starts == 0 || unreadable > 0 || pairs[FORM_AT_ONCE] > 0 ||
-	    pairs[FORM_AFTER_DONE] > 0;
+	    pairs[FORM_AFTER_DONE] > 0 || pairs[FORM_AFTER_SHOWN] > 0;
 }
