A leader's fence stays below the next leader's claim

What callers would see: after a change of the leader with a slow store, work stands still until a third leader claims, and on a runner that restarted in between the former leader's starts are carried out beside the next leader's: one task runs twice (TWICE).

Cause: a leader raises a runner's fence, when the runner restarts or lapses, to the version of its last commit, which "is lower than the version of every later claim". That holds for commits to the first part of the store, which depend on the leader's row. Commits to the other parts, used while the store is slow, depend on the part's guard; the next leader changes that after its claim. A commit in between has a version above the claim. With that fence the runner takes the orders of the former leader and refuses those of the next one, which takes itself for deposed.

Ruled out: the fence of holds after an expired lease on the next leader's side (its runner wasn't silent), late copies of orders (none reached that runner).

Change: only commits to the first part count for the fence.

--- a/src/cell/cell.h
+++ b/src/cell/cell.h
@@ -178,18 +178,19 @@
 			* on a runner that isn't adopted yet */
 	struct commit_chain chains[COMMIT_CHAINS];
 	struct part parts[CELL_PARTS];
-	uint64_t store_version; /**< version of the newest finished commit */
-	uint64_t commit_seq;	/**< number of this process's last commit */
-	uint64_t changes;	/**< number of the last change of a job */
-	uint64_t ack_change;	/**< the pending acknowledgement of ends is
-				 * done once the changes up to this one are
-				 * stored; 0: none is pending */
-	struct load *load;	/**< read of jobs and runners under way */
-	int64_t commit_ms;	/**< send time of the last commit to any part */
-	int64_t committed_ms;	/**< time of the last answer that a commit was
-				 * done */
-	int64_t renewed_ms;	/**< send time of the newest finished commit to
-				 * the first part: the leadership's renewal */
+	/** Version of the newest finished commit to the first part. */
+	uint64_t store_version;
+	uint64_t commit_seq;  /**< number of this process's last commit */
+	uint64_t changes;     /**< number of the last change of a job */
+	uint64_t ack_change;  /**< the pending acknowledgement of ends is
+			       * done once the changes up to this one are
+			       * stored; 0: none is pending */
+	struct load *load;    /**< read of jobs and runners under way */
+	int64_t commit_ms;    /**< send time of the last commit to any part */
+	int64_t committed_ms; /**< time of the last answer that a commit was
+			       * done */
+	int64_t renewed_ms;   /**< send time of the newest finished commit to
+			       * the first part: the leadership's renewal */
 	int64_t unrenewed_log_ms; /**< last line on a renewal that is due */
 	double commit_latency_ms; /**< average answer time of commits */
 	int64_t store_failing_since_ms; /**< commits have failed since then; 0:
--- a/src/cell/commit_send.c
+++ b/src/cell/commit_send.c
@@ -102,12 +102,15 @@
 
 	c->chains[k->chain].version = version;
 	c->chains[k->chain].commit = NULL;
-	if (version > c->store_version)
-		c->store_version = version;
 	c->committed_ms = c->ports.now();
-	/* Only commits to the first part depend on the leader's row. */
-	if (chain_part(k->chain) == PART_FIRST && sent_ms > c->renewed_ms)
-		c->renewed_ms = sent_ms;
+	/* Only commits to the first part depend on the leader's row, so that
+	 * no other leader had claimed before. */
+	if (chain_part(k->chain) == PART_FIRST) {
+		if (version > c->store_version)
+			c->store_version = version;
+		if (sent_ms > c->renewed_ms)
+			c->renewed_ms = sent_ms;
+	}
 	if (c->store_failing_since_ms != 0)
 		kvlog(KVLOG_INFO, "store_back", "down_ms=%lld",
 		    (long long)(c->committed_ms - c->store_failing_since_ms));
--- a/tests/unit/cell_leases_test.c
+++ b/tests/unit/cell_leases_test.c
@@ -88,3 +88,43 @@
 		finish_world(w);
 	}
 }
+
+static void
+submit_jobs(struct world *w, int from, int n)
+{
+	char id[JOB_ID_DIGITS + 1];
+	int i;
+
+	for (i = from; i < from + n; i++) {
+		format_job_id(id, i);
+		world_submit(w, id, "batch", &long_step, 1);
+		world_run(w, 25);
+	}
+}
+
+/*
+ * Guards against TWICE: the leader before raised a runner's fence above that of
+ * the next leader, by the version of a commit that didn't depend on the
+ * leader's row. So the runner took its orders and refused the next leader's.
+ */
+void
+test_cell_fence_below_next_claim(void)
+{
+	struct world *w = start_world(RUNNERS);
+	const struct cell *first = world_cell(w, 0);
+	const struct cell *next = world_cell(w, 1);
+	int i;
+
+	/* The store is slow, so jobs go to all of its parts. */
+	world_set_store_latency(w, 250);
+	submit_jobs(w, 1, 48);
+	world_cut_first_part(w, 0, true);
+	submit_jobs(w, 49, 14);
+	world_claim(w, 1);
+	for (i = 0; i < 200; i++) {
+		world_run(w, 10);
+		CU_ASSERT(first->phase == CELL_IDLE ||
+		    first->store_version < next->fence);
+	}
+	world_delete(w);
+}
--- a/tests/unit/main.c
+++ b/tests/unit/main.c
@@ -71,6 +71,8 @@
 	test_capacity_shrinks_unseen},
     {"cell", "two leaders at once run no task twice",
 	test_cell_two_leaders_one_run},
+    {"cell", "no leader's fence passes that of the next one",
+	test_cell_fence_below_next_claim},
     {"cell", "leases granted by the leader before count after a takeover",
 	test_cell_inherited_lease_counts},
     {"cell", "tasks of unreachable runners restart after their lease lapsed",
--- a/tests/world/world.c
+++ b/tests/world/world.c
@@ -162,6 +162,7 @@
 	struct cell cell;
 	bool alive;
 	bool cut_store;
+	bool cut_first_part; /**< of the store */
 	bool wants_pass;
 	int interval_ms;   /**< least time between ticks; 0: no limit */
 	int64_t ticked_ms; /**< last tick */
@@ -1570,7 +1571,8 @@
 
 	copy_txn(e, t);
 	e->err = CC_ETIMEOUT;
-	if (e->cell->cut_store) {
+	if (e->cell->cut_store ||
+	    (e->cell->cut_first_part && strcmp(t->part, CELL_PART) == 0)) {
 		add_event(w, timeout_ms, store_error, e);
 	} else if (chance(w, w->faults.store_refused)) {
 		e->err = CC_EUNAVAIL;
@@ -2113,6 +2115,12 @@
 	w->cells[i].cut_store = cut;
 }
 
+void
+world_cut_first_part(struct world *w, int i, bool cut)
+{
+	w->cells[i].cut_first_part = cut;
+}
+
 /* Callers */
 
 struct submit_arg {
--- a/tests/world/world.h
+++ b/tests/world/world.h
@@ -55,6 +55,9 @@
 void world_cell_restart(struct world *w, int i);
 /** The cell can reach neither store nor registry while @p cut is set. */
 void world_cut_store(struct world *w, int i, bool cut);
+/** The cell's transactions on the first part of the store get no answer and
+ * aren't done while @p cut is set. */
+void world_cut_first_part(struct world *w, int i, bool cut);
 
 void world_runner_crash(struct world *w, int r, int64_t down_ms);
 /** As world_runner_crash, but it comes back under another id. */
