tests: processes with runners that answer late

A cell of three daemons and eight runners; while tasks of 0.9 to 4 s run, four runners answer 1.2 s late for 6 s, twice. The stand-in's runners can delay their answers, and it counts each start of a task that had ended as done, also one that the checker excuses since the lease was over (`repeats`).

--- a/tests/cellstandin/main.c
+++ b/tests/cellstandin/main.c
@@ -137,10 +137,13 @@
 	const char *down = query_get(q, "down");
 	const char *view = query_get(q, "view");
 	const char *cpu = query_get(q, "cpu");
+	const char *delay = query_get(q, "delay");
 	int i = which != NULL ? atoi(which) : -1;
 
 	if (i >= 0 && i < s->nrunners && cpu != NULL)
 		runner_sim_resize(s->runners[i], atoi(cpu));
+	if (i >= 0 && i < s->nrunners && delay != NULL)
+		runner_sim_delay(s->runners[i], atoi(delay));
 	if (i < 0 || i >= s->nrunners || mode == NULL)
 		return;
 	if (strcmp(mode, "crash") == 0)
@@ -187,9 +190,10 @@
 	struct standin *s = arg;
 
 	reply_json(req, 200,
-	    json_pack("{s:i,s:i,s:i,s:i,s:O}", "broken", s->record.broken,
+	    json_pack("{s:i,s:i,s:i,s:i,s:i,s:O}", "broken", s->record.broken,
 		"starts", s->record.starts, "done", s->record.done, "crashes",
-		s->record.crashes, "texts", s->record.texts));
+		s->record.crashes, "repeats", s->record.repeats, "texts",
+		s->record.texts));
 }
 
 /* Answers 200 when the job is known to job_sim_known, else 404. */
--- a/tests/cellstandin/runner_sim.c
+++ b/tests/cellstandin/runner_sim.c
@@ -119,6 +119,7 @@
 	int former_cpu;
 	int64_t resized_ms; /**< last change of its capacity */
 	enum fault_mode mode;
+	int delay_ms; /**< from an answer to its sending */
 	struct sim_hold *hold;
 	struct event *tick;
 };
@@ -202,10 +203,66 @@
 	return body;
 }
 
+/** An answer that is sent after a delay. */
+struct late_answer {
+	struct evhttp_request *req; /**< NULL: the connection is closed */
+	int status;
+	json_t *body;
+	struct event *timer;
+};
+
+static void
+on_late_closed(struct evhttp_connection *c, void *arg)
+{
+	struct late_answer *a = arg;
+
+	(void)c;
+	a->req = NULL;
+}
+
+static void
+send_late_answer(evutil_socket_t fd, short what, void *arg)
+{
+	struct late_answer *a = arg;
+
+	(void)fd;
+	(void)what;
+	if (a->req != NULL) {
+		evhttp_connection_set_closecb(
+		    evhttp_request_get_connection(a->req), NULL, NULL);
+		reply_json(a->req, a->status, a->body);
+	} else {
+		json_decref(a->body);
+	}
+	event_free(a->timer);
+	free(a);
+}
+
+static void
+answer(const struct runner_sim *r, struct evhttp_request *req, int status,
+    json_t *body)
+{
+	struct timeval tv = {r->delay_ms / 1000, r->delay_ms % 1000 * 1000};
+	struct late_answer *a;
+
+	if (r->delay_ms == 0) {
+		reply_json(req, status, body);
+		return;
+	}
+	a = xcalloc(1, sizeof(*a));
+	a->req = req;
+	a->status = status;
+	a->body = body;
+	a->timer = evtimer_new(r->base, send_late_answer, a);
+	evhttp_connection_set_closecb(
+	    evhttp_request_get_connection(req), on_late_closed, a);
+	evtimer_add(a->timer, &tv);
+}
+
 static void
 refuse(const struct runner_sim *r, struct evhttp_request *req, const char *why)
 {
-	reply_json(req, 409, with_clock(r, json_pack("{s:s}", "reason", why)));
+	answer(r, req, 409, with_clock(r, json_pack("{s:s}", "reason", why)));
 }
 
 static int
@@ -284,7 +341,7 @@
 			json_array_append_new(finished,
 			    json_pack("[I,s,i,s,s]", (json_int_t)e->number,
 				e->task, e->run, e->how, ""));
-	reply_json(h->req, 200,
+	answer(r, h->req, 200,
 	    with_clock(r,
 		json_pack(
 		    "{s:o,s:o}", "running", running, "finished", finished)));
@@ -377,7 +434,7 @@
 
 	if (id == NULL || strcmp(id, r->id) == 0)
 		return false;
-	reply_json(req, 421, with_clock(r, json_object()));
+	answer(r, req, 421, with_clock(r, json_object()));
 	return true;
 }
 
@@ -432,6 +489,7 @@
 		return "old";
 	}
 	check_start(r, j, step, index, task);
+	r->record->repeats += j->ended[step][index];
 	j->started_ms[step][index] = now_ms();
 	n = xcalloc(1, sizeof(*n));
 	n->runner = r;
@@ -466,7 +524,7 @@
 	else if (why != NULL)
 		refuse(r, req, why);
 	else
-		reply_json(req, 200, with_clock(r, json_object()));
+		answer(r, req, 200, with_clock(r, json_object()));
 }
 
 /*
@@ -510,7 +568,7 @@
 			break;
 		}
 	json_decref(b);
-	reply_json(req, 200, with_clock(r, json_object()));
+	answer(r, req, 200, with_clock(r, json_object()));
 	finish_hold(r);
 }
 
@@ -738,6 +796,12 @@
 	r->views[view].mode = mode;
 }
 
+void
+runner_sim_delay(struct runner_sim *r, int ms)
+{
+	r->delay_ms = ms;
+}
+
 void
 runner_sim_resize(struct runner_sim *r, int cpu)
 {
--- a/tests/cellstandin/standin.h
+++ b/tests/cellstandin/standin.h
@@ -41,6 +41,9 @@
 	int starts;    /**< runs started */
 	int done;      /**< runs ended as done */
 	int crashes;   /**< of runners under a task */
+	/** Starts of tasks that had ended as done, also where the lease lapsed
+	 * before that end was acknowledged. */
+	int repeats;
 };
 
 /** Counts and prints a violation @p what, seen at the task @p name. */
@@ -72,6 +75,8 @@
 /** As runner_sim_fault, for the callers of one view. */
 void runner_sim_view_fault(
     struct runner_sim *r, int view, enum fault_mode mode);
+/** Sends each answer @p ms later. */
+void runner_sim_delay(struct runner_sim *r, int ms);
 /** Sets the runner's capacity, thousandths of a core. */
 void runner_sim_resize(struct runner_sim *r, int cpu);
 /** Ends the runner's process; after @p down_ms a new incarnation starts. */
