A runner that is listed again gets no lower fence

What callers saw: a pause of the whole cell, until a leader has claimed and read everything anew, though nobody else had claimed. The log has `deposed why=runner` or `why=hold`, no newer leader's row, and a claim by the same host with itself as the leader it knows.

Cause: when a runner's leases lapse or it restarts, the leader raises the fence of its orders to that runner. A runner that the registry lacks for some seconds and that has no runs is forgotten. When it is listed again its orders got the leader's first fence. The runner has seen the raised one and refuses them; the leader takes that for a newer leader. A zone that is cut off twice does this: the first cut lets leases lapse, after it holds bring the raised fence, and in the second cut of 10 s the entries expire and the runners are forgotten.

Ruled out: a second leader (the test has none).

Change: a runner that is found gets the version of the newest commit to the first part, which no fence that was raised before exceeds and which is below the next claim. Test "a runner that is listed again gets no lower fence": fails without the change (the leader is idle), passes with it; for it the registry of the world can lack a runner that works on. unit: 107 passed.

--- a/src/cell/runners.c
+++ b/src/cell/runners.c
@@ -99,7 +99,9 @@
 
 	r->listed = true;
 	r->listed_born_ms = in->born_ms;
-	r->fence = c->fence;
+	/* This leader may have known the runner before and raised its fence,
+	 * to such a version. */
+	r->fence = c->store_version;
 	HASH_ADD_STR(c->runners, info.id, r);
 	c->runners_version++;
 	cell_mark_runner_due(c, r);
--- a/tests/unit/cell_leases_test.c
+++ b/tests/unit/cell_leases_test.c
@@ -128,3 +128,31 @@
 	}
 	world_delete(w);
 }
+
+/*
+ * Guards against leaders that depose themselves: a runner whose fence had been
+ * raised was forgotten while the registry lacked it, and got lower fences once
+ * it was listed again.
+ */
+void
+test_cell_fence_of_relisted_runner(void)
+{
+	struct world *w = start_world(RUNNERS);
+
+	world_submit(w, JOB, "batch", &long_step, 1);
+	world_run(w, 1000);
+	/* Its leases lapse. */
+	world_runner_cut(w, 0, true);
+	world_run(w, 9000);
+	world_runner_cut(w, 0, false);
+	world_run(w, 30000);
+	world_runner_unlist(w, 0, true);
+	world_run(w, 10000);
+	world_runner_unlist(w, 0, false);
+	world_run(w, 1000);
+	submit_jobs(w, 1, 4);
+	world_run(w, 5000);
+	CU_ASSERT_EQUAL(world_cell(w, 0)->phase, CELL_SERVING);
+	CU_ASSERT_EQUAL(world_violations(w), 0);
+	world_delete(w);
+}
--- a/tests/unit/main.c
+++ b/tests/unit/main.c
@@ -73,6 +73,8 @@
 	test_cell_two_leaders_one_run},
     {"cell", "no leader's fence passes that of the next one",
 	test_cell_fence_below_next_claim},
+    {"cell", "a runner that is listed again gets no lower fence",
+	test_cell_fence_of_relisted_runner},
     {"cell", "leases granted by the leader before count after a takeover",
 	test_cell_inherited_lease_counts},
     {"cell", "tasks of unreachable runners restart after their lease lapsed",
--- a/tests/unit/unit.h
+++ b/tests/unit/unit.h
@@ -66,6 +66,7 @@
 void test_capacity_shrinks_unseen(void);
 void test_cell_two_leaders_one_run(void);
 void test_cell_fence_below_next_claim(void);
+void test_cell_fence_of_relisted_runner(void);
 void test_cell_inherited_lease_counts(void);
 void test_cell_runner_back_after_drain(void);
 void test_cell_refused_row_opens_nothing(void);
--- a/tests/world/world.c
+++ b/tests/world/world.c
@@ -116,6 +116,7 @@
 	int64_t resized_ms; /**< last change of cpu */
 	bool refuses;	    /**< connections to it are refused */
 	int replaced;	    /**< times that it came back under another id */
+	bool unlisted;	    /**< missing from the registry */
 	bool cut;
 	bool cut_from[WORLD_CELLS_MAX]; /**< cells that can't reach it */
 	int answer_delay_ms;
@@ -846,6 +847,12 @@
 	w->runners[i].refuses = refuses;
 }
 
+void
+world_runner_unlist(struct world *w, int i, bool unlisted)
+{
+	w->runners[i].unlisted = unlisted;
+}
+
 void
 world_runner_cut(struct world *w, int i, bool cut)
 {
@@ -2037,7 +2044,7 @@
 		struct world_runner *r = &w->runners[i];
 		struct runner_info *in = &infos[n];
 
-		if (!runner_up(r))
+		if (!runner_up(r) || r->unlisted)
 			continue;
 		memset(in, 0, sizeof(*in));
 		str_copy(in->id, r->id, sizeof(in->id));
@@ -2076,7 +2083,7 @@
 	return c->cell.phase == CELL_SERVING && !c->cut_store &&
 	    c->interval_ms == 0 && w->store_latency_ms <= STORE_LATENCY_MS &&
 	    memcmp(&w->faults, &none, sizeof(none)) == 0 && reaches(c, r) &&
-	    r->leaves_at == 0 && r->answer_delay_ms == 0;
+	    r->leaves_at == 0 && r->answer_delay_ms == 0 && !r->unlisted;
 }
 
 /* An entry that a test itself gave the cell may say that the runner drains. */
--- a/tests/world/world.h
+++ b/tests/world/world.h
@@ -66,6 +66,8 @@
 void world_runner_resize(struct world *w, int r, int64_t cpu);
 /** Connections to the runner are refused while @p refuses is set. */
 void world_runner_refuse(struct world *w, int r, bool refuses);
+/** The registry lacks the runner, which works on, while @p unlisted is set. */
+void world_runner_unlist(struct world *w, int r, bool unlisted);
 /** No cell can reach the runner while @p cut is set; the runner works on. */
 void world_runner_cut(struct world *w, int r, bool cut);
 /** This cell can't reach the runner while @p cut is set; others can. */
