--- a/src/cell/orders.c
+++ b/src/cell/orders.c
@@ -157,7 +157,7 @@
 	    .saved =
 		checkpoint_task->saved != NULL ? checkpoint_task->saved : "",
 	    .ticket = run->ticket,
-	    .born_ms = r->info.born_ms,
+	    .born_ms = r->info.born_ms != 0 ? r->info.born_ms : r->dead_born_ms,
 	};
 
 	run->until_ms = o.until_ms;
@@ -246,6 +246,8 @@
 	else
 		cell_run_ended(c, run, END_LOST, "");
 	cell_runner_reset(c, r);
+	if (r->info.born_ms != 0)
+		r->dead_born_ms = r->info.born_ms;
 	r->info.born_ms = 0;
 	cell_mark_runner_due(c, r);
 }
--- a/tests/unit/cell_fences_test.c
+++ b/tests/unit/cell_fences_test.c
@@ -15,9 +15,12 @@
 #define OTHER_PARTS 14
 #define SLOW_CLOCK_PCT 98
 #define LINK_MS 100
+#define SLOW_LINK_MS 400
 
 static const struct world_step long_step = {
     .count = 8, .cpu = 2000, .ms = 25000, .after = -1};
+static const struct world_step single_step = {
+    .count = 1, .cpu = 2000, .ms = 25000, .after = -1};
 static const struct world_step wide_step = {
     .count = 24, .cpu = 2000, .ms = 5000, .after = -1};
 
@@ -177,3 +180,66 @@
 	for (crash_ms = 0; crash_ms <= 600; crash_ms += 25)
 		takeover_in_parts(crash_ms);
 }
+
+static const struct runner *
+first_runner(struct world *w)
+{
+	const struct runner *r;
+
+	HASH_FIND_STR(world_cell(w, 0)->runners, "ra", r);
+	return r;
+}
+
+/*
+ * A runner with a slow link restarts @p ms after a change of the link, and a
+ * start shows it. Then nothing but answers on their way comes from it.
+ * @return whether the start has shown it
+ */
+static bool
+restart_with_answers_under_way(int64_t ms)
+{
+	struct world *w = new_world(1, 1);
+	const struct runner *r;
+	bool shown;
+	int i;
+
+	world_claim(w, 0);
+	world_run(w, 1000);
+	world_submit(w, JOB, "batch", &single_step, 1);
+	world_run(w, 1000);
+	world_runner_set_delay(w, 0, SLOW_LINK_MS);
+	world_run(w, 5000 + ms);
+	world_runner_crash(w, 0, 1);
+	world_runner_set_delay(w, 0, 0);
+	world_submit(w, JOB2, "batch", &single_step, 1);
+	r = first_runner(w);
+	for (i = 0; i < SLOW_LINK_MS && r->dead_born_ms == 0; i++)
+		world_run(w, 1);
+	shown = r->dead_born_ms != 0;
+	world_runner_cut(w, 0, true);
+	for (i = 0; i < 2 * SLOW_LINK_MS; i++) {
+		CU_ASSERT(
+		    r->info.born_ms == 0 || r->info.born_ms != r->dead_born_ms);
+		world_run(w, 1);
+	}
+	world_runner_cut(w, 0, false);
+	world_run(w, 60000);
+	CU_ASSERT(world_all_jobs_ended(w));
+	finish_world(w);
+	return shown;
+}
+
+/*
+ * Guards against TWICE: a leader that a start had shown a restart of the runner
+ * took an answer of the incarnation before for that of the new one.
+ */
+void
+test_cell_answer_of_dead_incarnation(void)
+{
+	int64_t ms;
+	int n = 0;
+
+	for (ms = 0; ms < SLOW_LINK_MS; ms += 10)
+		n += restart_with_answers_under_way(ms);
+	CU_ASSERT(n > 0);
+}
--- a/tests/unit/cell_leases_test.c
+++ b/tests/unit/cell_leases_test.c
@@ -14,6 +14,7 @@
 
 /** Latency of a store that is slow enough for commits to go to all parts. */
 #define SLOW_STORE_MS 120
+#define FIRST_PART 1 /* bit mask of parts */
 
 static const struct world_step long_step = {
     .count = 8, .cpu = 2000, .ms = 25000, .after = -1};
@@ -137,3 +138,71 @@
 		finish_world(w);
 	}
 }
+
+static void
+submit_jobs(struct world *w, int from, int n)
+{
+	char id[JOB_ID_DIGITS + 1];
+	int i;
+
+	for (i = from; i < from + n; i++) {
+		format_job_id(id, i);
+		world_submit(w, id, "batch", &long_step, 1);
+		world_run(w, 25);
+	}
+}
+
+/*
+ * Guards against TWICE: the leader before raised a runner's fence above that of
+ * the next leader, by the version of a commit that didn't depend on the
+ * leader's row. So the runner took its orders and refused the next leader's.
+ */
+void
+test_cell_cut_fence_below_next_claim(void)
+{
+	struct world *w = start_world(RUNNERS);
+	const struct cell *first = world_cell(w, 0);
+	const struct cell *next = world_cell(w, 1);
+	int i;
+
+	/* The store is slow, so jobs go to all of its parts. */
+	world_set_store_latency(w, 250);
+	submit_jobs(w, 1, 48);
+	world_cut_parts(w, 0, FIRST_PART);
+	submit_jobs(w, 49, 14);
+	world_claim(w, 1);
+	for (i = 0; i < 200; i++) {
+		world_run(w, 10);
+		CU_ASSERT(first->phase == CELL_IDLE ||
+		    first->renewed_version < next->fence);
+	}
+	world_delete(w);
+}
+
+/*
+ * Guards against leaders that depose themselves: a runner whose fence had been
+ * raised was forgotten while the registry lacked it, and got lower fences once
+ * it was listed again.
+ */
+void
+test_cell_fence_of_relisted_runner(void)
+{
+	struct world *w = start_world(RUNNERS);
+
+	world_submit(w, JOB, "batch", &long_step, 1);
+	world_run(w, 1000);
+	/* Its leases lapse. */
+	world_runner_cut(w, 0, true);
+	world_run(w, 9000);
+	world_runner_cut(w, 0, false);
+	world_run(w, 30000);
+	world_runner_list(w, 0, false);
+	world_run(w, 10000);
+	world_runner_list(w, 0, true);
+	world_run(w, 1000);
+	submit_jobs(w, 1, 4);
+	world_run(w, 5000);
+	CU_ASSERT_EQUAL(world_cell(w, 0)->phase, CELL_SERVING);
+	CU_ASSERT_EQUAL(world_violations(w), 0);
+	world_delete(w);
+}
