--- a/src/cell/runners.c
+++ b/src/cell/runners.c
@@ -89,6 +89,8 @@
 	r->listed_born_ms = in->born_ms;
 	if (!other_incarnation && born > in->born_ms)
 		r->info.born_ms = born;
+	if (r->info.born_ms == r->dead_born_ms)
+		r->info.born_ms = 0;
 	if (other_incarnation)
 		cell_runner_reset(c, r);
 	r->listed = true;
--- a/src/state/runner.c
+++ b/src/state/runner.c
@@ -88,7 +88,9 @@
 int64_t
 runner_bound_born_ms(const struct runner *r)
 {
-	return r->shows_born ? r->info.born_ms : 0;
+	if (!r->shows_born)
+		return 0;
+	return r->info.born_ms != 0 ? r->info.born_ms : r->dead_born_ms;
 }
 
 bool
--- a/src/state/runner.h
+++ b/src/state/runner.h
@@ -80,8 +80,11 @@
 	int64_t advice_pending_cpu;
 	/** Part of advice_pending_cpu, of steps with quick calls. */
 	int64_t quick_advice_pending_cpu;
-	bool listed;		   /**< in the newest list of the registry */
-	int64_t listed_born_ms;	   /**< start of the incarnation in that list */
+	bool listed;		/**< in the newest list of the registry */
+	int64_t listed_born_ms; /**< start of the incarnation in that list */
+	/** Start of the last incarnation that is known to be over while none
+	 * was known yet to follow; 0: none. */
+	int64_t dead_born_ms;
 	int64_t unlisted_since_ms; /**< since when it isn't listed; 0: it is */
 	uint64_t fence;	     /**< fencing token of orders to it; raised when it
 			      * restarts and when its lease lapses */
@@ -114,6 +117,9 @@
 	 * and renews no lease. */
 	bool polling;
 	int64_t poll_sent_ms;
+	/** The last renewal of the lease was sent after the last answer to a
+	 * hold. */
+	bool renewal_unanswered;
 	int64_t order_sent_ms; /**< last order that may extend the lease */
 	int64_t last_hold_answer_ms; /**< last answer to a hold; 0: none */
 	int64_t silent_since_ms;     /**< when it was found silent, as its holds
--- a/tests/cellstandin/standin.h
+++ b/tests/cellstandin/standin.h
@@ -49,6 +49,9 @@
 	int starts;    /**< runs started */
 	int done;      /**< runs ended as done */
 	int crashes;   /**< of runners under a task */
+	/** Starts of tasks that had ended as done, also where the lease lapsed
+	 * before that end was acknowledged. */
+	int repeats;
 };
 
 /** Counts and prints a violation @p what, seen at the task @p name. */
@@ -88,6 +91,8 @@
 void runner_sim_cut_store(struct runner_sim *r, bool cut);
 /** Sets the rate of the runner's clock, percent of real time. */
 void runner_sim_clock_rate(struct runner_sim *r, int pct);
+/** Sends each answer @p ms later. */
+void runner_sim_delay(struct runner_sim *r, int ms);
 /** Sets the runner's capacity, thousandths of a core. */
 void runner_sim_resize(struct runner_sim *r, int cpu);
 /** Ends the runner's process; after @p down_ms a new incarnation starts. */
