tests: zones whose cuts refuse calls or lose answers of the store

Property on cuts of zones: calls over a cut path may fail at once as not sent, and transactions as certainly not done. With orders held back, transactions that a cut stops may be done up to 12 s late, and those under way when it begins are done and not answered.

--- a/tests/prop/zones.cc
+++ b/tests/prop/zones.cc
@@ -32,6 +32,7 @@
 	bool lost;	  // orders are lost or late at any time
 	bool fails;	  // tasks fail
 	bool busy;	  // cells, links and the store are slow
+	bool refused;	  // calls over a cut path fail at once
 	bool crashes;	  // runners crash behind the cut
 };
 
@@ -108,7 +109,7 @@
 	h.seed = *in_range<uint32_t>(1, 1000000);
 	h.faults = {gen_switch(), gen_switch(), gen_switch(), gen_switch(),
 	    gen_switch(), gen_switch(), gen_switch(), gen_switch(),
-	    gen_switch(), gen_switch(),
+	    gen_switch(), gen_switch(), gen_switch(),
 	    getenv("ZONES_CRASHES") != nullptr && gen_switch()};
 	auto n = *in_range(1, 5);
 	for (int i = 0; i < n; i++)
@@ -310,6 +311,8 @@
 	world_disturb(p.w);
 	if (p.h.faults.held_back)
 		world_hold_back(p.w);
+	if (p.h.faults.refused)
+		world_refuse_cuts(p.w);
 	world_claim(p.w, 0);
 	world_run(p.w, 1500);
 	set_faults(p.w, p.h, true);
@@ -321,13 +324,13 @@
 	const zone_faults &f = h.faults;
 	if (getenv("LOUD") == nullptr)
 		return;
-	printf(
-	    "history: held_back=%d slow_clocks=%d pauses=%d parts=%d lag=%d "
-	    "early_paths=%d claims_back=%d lost=%d fails=%d busy=%d crashes=%d "
-	    "cuts=%zu gap=%lld copies=%d\n",
+	printf("history: held_back=%d slow_clocks=%d pauses=%d parts=%d lag=%d "
+	       "early_paths=%d claims_back=%d lost=%d fails=%d busy=%d "
+	       "refused=%d crashes=%d "
+	       "cuts=%zu gap=%lld copies=%d\n",
 	    f.held_back, f.slow_clocks, f.pauses, f.parts, f.lag, f.early_paths,
-	    f.claims_back, f.lost, f.fails, f.busy, f.crashes, h.cuts.size(),
-	    (long long)h.submit_gap_ms, h.copies);
+	    f.claims_back, f.lost, f.fails, f.busy, f.refused, f.crashes,
+	    h.cuts.size(), (long long)h.submit_gap_ms, h.copies);
 }
 
 // @return whether no guarantee was violated and all accepted jobs ended.
--- a/tests/world/world.c
+++ b/tests/world/world.c
@@ -13,6 +13,8 @@
 #define GANG_TIMEOUT_MS 3000
 #define STORE_LATENCY_MS 4
 #define ORDER_LATENCY_MS 3
+/** From a transaction whose answer a cut stops until its caller gives up. */
+#define STORE_TIMEOUT_MS 1000
 #define STOP_GRACE_MS 400
 #define MAX_HOLD_MS 10000
 /** A task that has crashed this many runners may be started twice more. */
@@ -209,6 +211,7 @@
 	} parts[PARTS_MAX];
 	bool fixed_timeouts;
 	bool holds_back;
+	bool cuts_refuse;
 	bool disturbed;
 	int64_t registry_lag_ms;
 	struct registry_list {
@@ -938,6 +941,7 @@
 	hold_fn hold_fn;
 	void *arg;
 	bool answer_lost; /**< carried out, but the cell gets no answer */
+	bool delayed;	  /**< by a pause: newer orders may be there before */
 	uint64_t serial;
 	int64_t sent_ms;
 	int64_t answered_by; /**< start of the incarnation that answers */
@@ -1032,7 +1036,8 @@
 	if (strcmp(o->id, r->id) != 0)
 		o->answer.result = ORDER_OTHER_INCARNATION;
 	else if (o->kind == KIND_START)
-		o->answer.result = do_start(w, r, &o->start, o->answer_lost);
+		o->answer.result =
+		    do_start(w, r, &o->start, o->answer_lost || o->delayed);
 	else
 		o->answer.result =
 		    do_stop(r, o->task, o->start.run, o->start.fence);
@@ -1061,12 +1066,20 @@
 	    : 0;
 }
 
+static bool
+is_refused(const struct order_event *o)
+{
+	return o->runner->refuses ||
+	    (o->cell->world->cuts_refuse && !reaches(o->cell, o->runner));
+}
+
 static void
 send_order(struct world *w, struct order_event *o)
 {
 	int64_t delay = pause_delay(o->cell);
 
-	if (o->runner->refuses) {
+	o->delayed = delay > 0;
+	if (is_refused(o)) {
 		o->answer.result = ORDER_NOT_SENT;
 		add_event(w, 1, deliver_order_answer, o);
 		return;
@@ -1405,7 +1418,7 @@
 	o->hold_fn = fn;
 	o->arg = arg;
 	o->answer.result = ORDER_NOT_SENT;
-	if (o->runner->refuses)
+	if (is_refused(o))
 		add_event(w, 1, hold_unserved, o);
 	else if (chance(w, w->faults.order_dropped))
 		add_event(
@@ -1554,6 +1567,12 @@
 	}
 }
 
+static bool
+cut_from_part(const struct world_cell *c, const char *part)
+{
+	return c->cut_store || (c->cut_parts >> (part[1] - '0') & 1) != 0;
+}
+
 static void
 do_txn(struct world *w, void *arg)
 {
@@ -1585,6 +1604,12 @@
 		}
 	}
 	r.version = w->version;
+	if (w->holds_back && cut_from_part(e->cell, e->part) &&
+	    !e->answer_lost) {
+		e->err = CC_ETIMEOUT;
+		add_event(w, STORE_TIMEOUT_MS, store_error, e);
+		return;
+	}
 	/* A paused cell gets this answer later, or none that a conflict shows.
 	 */
 	e->version = r.version;
@@ -1670,10 +1695,20 @@
 	    w->store_latency_ms / 2;
 }
 
-static bool
-cut_from_part(const struct world_cell *c, const char *part)
+/* A transaction that the cut refuses at once, or that has no answer and may be
+ * done late. */
+static void
+cut_txn(struct world *w, struct store_event *e, const struct store_txn *t,
+    int64_t timeout_ms)
 {
-	return c->cut_store || (c->cut_parts >> (part[1] - '0') & 1) != 0;
+	if (w->cuts_refuse) {
+		e->err = CC_EUNAVAIL;
+		add_event(w, STORE_LATENCY_MS, store_error, e);
+		return;
+	}
+	if (w->holds_back && random_below(w, 2) == 0)
+		add_unanswered_txn(w, e, t, 1000 + random_below(w, 11000));
+	add_event(w, timeout_ms, store_error, e);
 }
 
 static void
@@ -1686,7 +1721,7 @@
 	copy_txn(e, t);
 	e->err = CC_ETIMEOUT;
 	if (cut_from_part(e->cell, t->part)) {
-		add_event(w, timeout_ms, store_error, e);
+		cut_txn(w, e, t, timeout_ms);
 	} else if (chance(w, w->faults.store_refused)) {
 		e->err = CC_EUNAVAIL;
 		add_event(w, STORE_LATENCY_MS, store_error, e);
@@ -2284,6 +2319,12 @@
 	w->disturbed = true;
 }
 
+void
+world_refuse_cuts(struct world *w)
+{
+	w->cuts_refuse = true;
+}
+
 void
 world_registry_lag(struct world *w, int64_t ms)
 {
--- a/tests/world/world.h
+++ b/tests/world/world.h
@@ -63,12 +63,15 @@
 /** Cells get lists of the registry that are up to @p ms old. */
 void world_registry_lag(struct world *w, int64_t ms);
 /** From now on orders that a cut stops are carried out, unanswered, once their
- * path is there again: after newer ones. */
+ * path is there again: after newer ones. Transactions that it stops may be done
+ * late, and those under way when it begins are done and not answered. */
 void world_hold_back(struct world *w);
 /** Cuts are near all the time, so an end counts as known when it is
  * acknowledged, not already 100 ms after a runner has listed it: who got that
  * list may lead no more. */
 void world_disturb(struct world *w);
+/** From now on calls over a path that is cut fail at once, as not sent. */
+void world_refuse_cuts(struct world *w);
 /** Index of the cell that claimed last; -1: none leads. */
 int world_leader(const struct world *w);
 
