tests: a run and its copy may overtake each other

The world took a start for one with a reused run number if any higher number of the task had been started before. Where copies are allowed a run and its copy are under way at once and may overtake each other.

The rule asks for rising numbers of starts, and no number was used twice.

Now a number that was started before is a violation there, and a lower one that wasn't isn't; elsewhere any number that isn't higher is one, as before. That replaces the exception for starts that a pause has delayed.

--- a/tests/world/world.c
+++ b/tests/world/world.c
@@ -32,6 +32,7 @@
 #define PARTS_MAX 16
 #define CONDITIONS_MAX 16
 #define JOBS_MAX 512
+#define STARTS_MAX 8192
 #define REGISTRY_INTERVAL_MS 500
 #define ADVICE_DECISION_MS 25.0
 /** Largest value that the store accepts unless a test sets another limit. */
@@ -182,6 +183,17 @@
 	int unanswered[WORLD_RUNNERS_MAX]; /**< holds in a row, by runner */
 };
 
+/** Starts of a task. */
+struct start_count {
+	char task[TASK_NAME_LEN];
+	int n;
+	int runner;
+	uint32_t run; /**< highest run number started */
+	/** Whether the number that is lower by the bit's index was
+	 * started. */
+	uint64_t started;
+};
+
 struct world {
 	int64_t now;
 	uint64_t serial;
@@ -220,12 +232,7 @@
 		uint64_t version;
 		int64_t read_ms;
 	} registry; /**< what cells get while the registry is behind */
-	struct start_count {
-		char task[TASK_NAME_LEN];
-		int n;
-		int runner;
-		uint32_t run; /**< highest run number started */
-	} starts[8192];
+	struct start_count starts[STARTS_MAX];
 	int nstarts;
 };
 
@@ -627,8 +634,30 @@
 		report_violation(w, "cpu-exceeded", o->task);
 }
 
+/* Notes a run number. A run and its copy may overtake each other, so where
+ * copies are allowed a number may be lower than one before, but not the same.
+ * @return whether the number is new. */
+static bool
+note_run_number(struct start_count *s, uint32_t run, bool copies)
+{
+	uint32_t lower = s->run - run;
+	bool is_new = run > s->run;
+
+	if (is_new) {
+		s->started =
+		    run - s->run < 64 ? s->started << (run - s->run) : 0;
+		s->started |= 1;
+		s->run = run;
+	} else if (copies && lower < 64) {
+		is_new = (s->started >> lower & 1) == 0;
+		s->started |= 1ULL << lower;
+	}
+	return is_new;
+}
+
 static void
-count_start(struct world *w, const struct start_order *o, int runner, bool late)
+count_start(struct world *w, const struct start_order *o, int runner, bool late,
+    bool copies)
 {
 	int i;
 
@@ -636,14 +665,12 @@
 		if (strcmp(w->starts[i].task, o->task) == 0)
 			break;
 	if (i == w->nstarts) {
-		if (w->nstarts == 8192)
+		if (w->nstarts == STARTS_MAX)
 			return;
 		str_copy(w->starts[w->nstarts++].task, o->task, TASK_NAME_LEN);
 	}
-	if (!late && o->run <= w->starts[i].run)
+	if (!note_run_number(&w->starts[i], o->run, copies) && !late)
 		report_violation(w, "run-number-reused", o->task);
-	if (o->run > w->starts[i].run)
-		w->starts[i].run = o->run;
 	w->starts[i].n++;
 	w->starts[i].runner = runner;
 }
@@ -686,7 +713,7 @@
 	trace(w, "start", o->task, o->run, r, o->fence);
 	check_start(w, r, j, &ref, o);
 	task_record_of(j, ref.step, ref.index)->started_ms = w->now;
-	count_start(w, o, r->index, late);
+	count_start(w, o, r->index, late, j->steps[ref.step].speculative);
 	l = xcalloc(1, sizeof(*l));
 	str_copy(l->task, o->task, sizeof(l->task));
 	l->number = o->run;
@@ -941,7 +968,6 @@
 	hold_fn hold_fn;
 	void *arg;
 	bool answer_lost; /**< carried out, but the cell gets no answer */
-	bool delayed;	  /**< by a pause: newer orders may be there before */
 	uint64_t serial;
 	int64_t sent_ms;
 	int64_t answered_by; /**< start of the incarnation that answers */
@@ -1036,8 +1062,7 @@
 	if (strcmp(o->id, r->id) != 0)
 		o->answer.result = ORDER_OTHER_INCARNATION;
 	else if (o->kind == KIND_START)
-		o->answer.result =
-		    do_start(w, r, &o->start, o->answer_lost || o->delayed);
+		o->answer.result = do_start(w, r, &o->start, o->answer_lost);
 	else
 		o->answer.result =
 		    do_stop(r, o->task, o->start.run, o->start.fence);
@@ -1078,7 +1103,6 @@
 {
 	int64_t delay = pause_delay(o->cell);
 
-	o->delayed = delay > 0;
 	if (is_refused(o)) {
 		o->answer.result = ORDER_NOT_SENT;
 		add_event(w, 1, deliver_order_answer, o);
