A start isn't stopped while a late answer may show it

Callers would see tasks that start twice on a link that gets slow at once, the first run stopped as soon as it has begun: a runner's answers take 100 to 200 ms, the starts have no answer within 60 ms, and the hold that is to show them none within 120 ms.

Cause: a hold's time-out stops the starts without an answer, as no list would show them soon. Since late answers count, one usually does.

Change: a hold that timed out and may be answered late stops nothing. Ruled out: a lease that lapses (no run ended so), and a change of the test, which is right.

Unit: 120 passed.

--- a/src/cell/holds.c
+++ b/src/cell/holds.c
@@ -161,7 +161,7 @@
 }
 
 /* Settles unanswered starts by a stop, since no list of the runner will show
- * their outcome soon. */
+ * their outcome soon; a late answer to the hold would. */
 static void
 abort_unanswered_starts(struct cell *c, struct runner *r)
 {
@@ -173,7 +173,7 @@
 }
 
 static void
-hold_failed(struct cell *c, struct runner *r, enum order_result why)
+hold_failed(struct cell *c, struct runner *r, const struct hold_result *h)
 {
 	int64_t now = c->ports.now(), retry = now + HOLD_RETRY_MS;
 
@@ -182,10 +182,10 @@
 	if (r->avoid_until_ms < retry)
 		r->avoid_until_ms = retry;
 	if (r->hold_errors >= SILENT_ERRORS && r->silent_since_ms == 0)
-		mark_silent(c, r, why);
-	if (why == ORDER_OTHER_INCARNATION)
+		mark_silent(c, r, h->result);
+	if (h->result == ORDER_OTHER_INCARNATION)
 		cell_runner_gone(c, r);
-	else
+	else if (!h->more)
 		abort_unanswered_starts(c, r);
 }
 
@@ -247,7 +247,7 @@
 	if (h->result == ORDER_OK && !is_from_dead(h, r))
 		cell_apply_lists(c, r, h, o.sent_ms, o.is_late);
 	else if (h->result != ORDER_OK && !o.is_late)
-		hold_failed(c, r, h->result);
+		hold_failed(c, r, h);
 	cell_mark_runner_due(c, r);
 	c->ports.wake(c->ports.arg);
 }
