--- a/src/cell/orders.c
+++ b/src/cell/orders.c
@@ -244,7 +244,7 @@
 	if (run->open_orders > 0)
 		cell_abort_start(c, run);
 	else
-		cell_run_ended(c, run, END_LOST, "");
+		cell_run_lost(c, run, CAUSE_RESTARTED);
 	cell_runner_reset(c, r);
 	if (r->info.born_ms != 0)
 		r->dead_born_ms = r->info.born_ms;
