--- a/src/cell/lead_lease.h
+++ b/src/cell/lead_lease.h
@@ -6,9 +6,9 @@
  * two leaders then act at the same time: each on the runners that it reaches.
  * So the leases that a leader grants end within a bound after its last renewal.
  * Until they have ended, the next leader doesn't start inherited work unless it
- * has heard every runner, which from then on refuses the leader before. A runner
- * that restarts forgets that, so a leader starts nothing on a new incarnation
- * before its next renewal.
+ * has heard every runner, which from then on refuses the leader before. A
+ * runner that restarts forgets that, so a leader starts nothing on a new
+ * incarnation before its next renewal.
  */
 #ifndef LEAD_LEASE_H
 #define LEAD_LEASE_H
