tests: the review's stand-in builds again, and with each check

Cause: the store of the stand-in got a third argument and functions of zones and held calls, so that the review's scripts, which build it with their own runners, didn't compile. Found when they were to be run. The store gets those functions from a stand-in that has zones. make check builds the review's stand-in as its scripts do.

--- a/Makefile
+++ b/Makefile
@@ -100,6 +100,13 @@
 
 -include $(shell find $(B) -name '*.d' 2>/dev/null)
 
+# Built as the review's scripts build it, which use the store of the stand-in.
+$(B)/review-standin: review/standin/main.c review/standin/runner.c \
+    tests/cellstandin/store_sim.c tests/cellstandin/standin.h \
+    tests/cellstandin/held.h src/base/xalloc.c
+	$(CC) -std=gnu11 -O2 -g -Wall -Wextra -D_GNU_SOURCE -o $@ \
+	    $(filter %.c,$^) -levent -ljansson -lcrypto
+
 .PHONY: all deps demo check bench lint format proto clean
 
 deps:
@@ -114,7 +121,7 @@
 	-fno-sanitize-recover=undefined -fno-omit-frame-pointer
 
 check: deps
-	@$(MAKE) -s all $(B)/unit $(B)/prop $(B)/bench-place
+	@$(MAKE) -s all $(B)/unit $(B)/prop $(B)/bench-place $(B)/review-standin
 	@$(MAKE) -s B=$(B)/san SAN="$(SANITIZERS)" $(B)/san/celerycartd \
 	    $(B)/san/unit $(B)/san/fuzz
 	@tests/scripts/run-all.sh
--- a/tests/cellstandin/main.c
+++ b/tests/cellstandin/main.c
@@ -23,6 +23,7 @@
 
 #include "../../src/base/xalloc.h"
 #include "events.h"
+#include "held.h"
 #include "standin.h"
 #include "zones.h"
 
@@ -296,7 +297,13 @@
 	s.nrunners = atoi(argv[2]);
 	nhosts = argc > 4 ? atoi(argv[4]) : 0;
 	s.record.texts = json_array();
-	s.store = store_sim_new(base, (uint16_t)port, nhosts);
+	s.store = store_sim_new(base, (uint16_t)port);
+	if (s.store != NULL)
+		store_sim_set_zones(s.store,
+		    &(struct store_zones){.nhosts = nhosts,
+			.map_row = link_sim_map_row,
+			.hold = held_add,
+			.serve_held = held_serve});
 	if (nhosts > 0)
 		s.links =
 		    link_sim_new(base, nhosts, (uint16_t)(port + PEER_PORT));
--- a/tests/cellstandin/standin.h
+++ b/tests/cellstandin/standin.h
@@ -14,6 +14,8 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include "held.h"
+
 enum fault_mode {
 	FAULT_NONE,
 	FAULT_BUSY,   /**< the call is refused with 503 and not applied */
@@ -66,10 +68,20 @@
 int64_t now_ms(void);
 enum fault_mode fault_mode_of(const char *name);
 
-/** @param nhosts hosts whose addresses in rows are mapped for other zones
- * (link_sim_map_row); 0: none */
-struct store_sim *store_sim_new(
-    struct event_base *base, uint16_t port, int nhosts);
+struct store_sim *store_sim_new(struct event_base *base, uint16_t port);
+
+/** What a stand-in with zones does for the store (zones.h, held.h). */
+struct store_zones {
+	int nhosts; /**< whose addresses in rows are mapped for other zones */
+	/** As link_sim_map_row. */
+	void (*map_row)(int nhosts, int view, char *plain, size_t len);
+	/** As held_add and held_serve. */
+	void (*hold)(struct held_list *list, struct evhttp_request *req,
+	    held_fn fn, held_late_fn late, void *arg);
+	void (*serve_held)(struct held_list *list);
+};
+/** Without it, calls on paths that hold back are forgotten. */
+void store_sim_set_zones(struct store_sim *s, const struct store_zones *z);
 void store_sim_fault(struct store_sim *s, enum fault_mode mode);
 /** As store_sim_fault, for the callers of one view. */
 void store_sim_view_fault(struct store_sim *s, int view, enum fault_mode mode);
--- a/tests/cellstandin/store_sim.c
+++ b/tests/cellstandin/store_sim.c
@@ -8,9 +8,7 @@
 #include <sys/queue.h>
 
 #include "../../src/base/xalloc.h"
-#include "held.h"
 #include "standin.h"
-#include "zones.h"
 
 #define ANSWER_MS 4
 #define SLOW_MS 250
@@ -46,7 +44,7 @@
 
 struct store_sim {
 	struct event_base *base;
-	int nhosts; /**< whose addresses are mapped for other zones */
+	struct store_zones zones;
 	struct store_view views[VIEWS];
 	TAILQ_HEAD(row_list, cell_row) rows;
 	TAILQ_HEAD(watcher_list, watcher) watchers;
@@ -140,7 +138,8 @@
 		return true;
 	case FAULT_HELD:
 	case FAULT_HELD_ALL:
-		held_add(&v->held, req, fn, NULL, v);
+		if (v->sim->zones.hold != NULL)
+			v->sim->zones.hold(&v->held, req, fn, NULL, v);
 		return true;
 	default:
 		return false;
@@ -211,8 +210,9 @@
 		  (const unsigned char *)r->value, (int)len) -
 	    pad;
 	replace_views(v, plain, len);
-	if (strcmp(r->table, "servers") != 0)
-		link_sim_map_row(v->sim->nhosts, v->index, plain, len);
+	if (strcmp(r->table, "servers") != 0 && v->sim->zones.map_row != NULL)
+		v->sim->zones.map_row(
+		    v->sim->zones.nhosts, v->index, plain, len);
 	if (strcmp(r->table, "servers") == 0)
 		len = replace_first(v, plain, len);
 	coded = xmalloc(4 * ((len + 2) / 3) + 1);
@@ -519,13 +519,12 @@
 }
 
 struct store_sim *
-store_sim_new(struct event_base *base, uint16_t port, int nhosts)
+store_sim_new(struct event_base *base, uint16_t port)
 {
 	struct store_sim *s = xcalloc(1, sizeof(*s));
 	int i;
 
 	s->base = base;
-	s->nhosts = nhosts;
 	s->version = 1;
 	TAILQ_INIT(&s->rows);
 	TAILQ_INIT(&s->watchers);
@@ -547,8 +546,14 @@
 	struct store_view *v = &s->views[view];
 
 	v->mode = mode;
-	if (mode == FAULT_NONE)
-		held_serve(&v->held);
+	if (mode == FAULT_NONE && s->zones.serve_held != NULL)
+		s->zones.serve_held(&v->held);
+}
+
+void
+store_sim_set_zones(struct store_sim *s, const struct store_zones *z)
+{
+	s->zones = *z;
 }
 
 void
