--- a/Makefile
+++ b/Makefile
@@ -104,6 +104,7 @@
 $(B)/review-standin: review/standin/main.c review/standin/runner.c \
     tests/cellstandin/store_sim.c tests/cellstandin/standin.h \
     tests/cellstandin/held.h src/base/xalloc.c
+	@mkdir -p $(dir $@)
 	$(CC) -std=gnu11 -O2 -g -Wall -Wextra -D_GNU_SOURCE -o $@ \
 	    $(filter %.c,$^) -levent -ljansson -lcrypto
 
