--- a/review/lib-2.sh
+++ b/review/lib-2.sh
@@ -36,7 +36,7 @@
 choose_ports() {
 	local i k free
 	for i in $(seq 60); do
-		PORT=$((30000 + RANDOM % 2000 * 10))
+		PORT=$((10000 + RANDOM % 500 * 20))
 		free=1
 		for k in 0 1 10 11 12 13; do
 			is_open 127.0.0.1 $((PORT + k)) && free=0
@@ -136,11 +136,15 @@
 	local i
 	[ -x "$ROOT/target/celerycartd" ] || cannot_run "target/celerycartd is not built"
 	[ -x "$ROOT/review/bin/standin-2" ] || cannot_run "review/build-2.sh was not run"
-	choose_ports
-	"$ROOT/review/bin/standin-2" "$PORT" "$RUNNERS" "$RECORD" \
-	    2> "$TMP/standin.log" &
-	PIDS+=($!)
-	until_true 5 is_open 127.0.0.1 $((PORT + 1)) || cannot_run "stand-in"
+	for i in 1 2 3 4 5; do
+		choose_ports
+		"$ROOT/review/bin/standin-2" "$PORT" "$RUNNERS" "$RECORD" \
+		    ${RACKS:+"$RACKS"} \
+		    2> "$TMP/standin.log" &
+		PIDS+=($!)
+		until_true 3 is_open 127.0.0.1 $((PORT + 1)) && break
+		[ "$i" = 5 ] && cannot_run "stand-in"
+	done
 	manifest 3 "$@"
 	for i in $(seq "$HOSTS"); do start_host "$i"; done
 	until_true 15 all_ready || cannot_run "hosts are not ready"
--- a/review/standin-2/main.c
+++ b/review/standin-2/main.c
@@ -1,16 +1,19 @@
 /*
- * standin-2 PORT RUNNERS RECORD
+ * standin-2 PORT RUNNERS RECORD [RACKS]
  *
  * A stand-in for the platform of a small installation, written from the users'
  * pages: the metadata store on PORT, a control port on PORT+1 and the runners
  * from PORT+10 on, all on 127.0.0.1. What the runners see is appended to the
- * file RECORD, one line an event, with milliseconds of the boot clock.
+ * file RECORD, one line an event, with milliseconds of the boot clock. RACKS is
+ * a digit for each runner, its rack; without it eight runners share a rack.
  *
  * The spec of a submission tells how its tasks behave, in words:
  *   S<step>:<ms>          tasks of the step end as done after that time; with 0
  *                         they last
  *   F<step>.<index>:<n>:<ms>  the first n runs of the task end as failed after
  *                         that time
+ *   G<step>:<count>       the tasks of the step are a gang: they work from the
+ *                         moment when all of one run are present
  * Control: POST /config with a manifest; GET /crash?runner=N&down=MS;
  * GET /late?n=N&ms=MS&what=stop|start (the next N such orders get no answer and
  * are carried out later); GET /mute?runner=N&on=0|1 (no call is answered or
@@ -442,6 +445,9 @@
 	int64_t number;
 	int64_t begun_ms, ends_ms; /* ends_ms 0: lasts */
 	bool fails, stopping;
+	int gang;	 /* members of its gang; 0: none */
+	int64_t work_ms; /* of a gang, once it is complete */
+	bool complete, broken;
 };
 
 struct ended {
@@ -484,6 +490,7 @@
 
 static struct runner runners[RUNNERS_MAX];
 static int nrunners;
+static const char *racks;
 static int late_n, late_ms;
 static char late_what[16];
 
@@ -518,7 +525,10 @@
 
 	r->beat_ms = now_ms();
 	snprintf(address, sizeof(address), "127.0.0.1:%u", r->port);
-	snprintf(rack, sizeof(rack), "r1-%d", r->index / 8);
+	snprintf(rack, sizeof(rack), "r1-%d",
+	    racks != NULL && r->index < (int)strlen(racks)
+		? racks[r->index] - '0'
+		: r->index / 8);
 	j = json_pack("{s:s,s:s,s:s,s:s,s:i,s:s,s:i,s:i,s:{s:i,s:i,s:i},"
 		      "s:[s,s],s:I}",
 	    "service", "work", "address", address, "zone", "z0", "version",
@@ -660,6 +670,8 @@
 		if (sscanf(w, "S%d:%lld", &s, &ms) == 2 && s == step &&
 		    !n->fails)
 			n->ends_ms = ms > 0 ? n->begun_ms + ms : 0;
+		if (sscanf(w, "G%d:%d", &s, &times) == 2 && s == step)
+			n->gang = times;
 		if (sscanf(w, "F%d.%d:%d:%lld", &s, &i, &times, &ms) == 4 &&
 		    s == step && i == index && nth <= times) {
 			n->fails = true;
@@ -668,6 +680,56 @@
 	}
 }
 
+/* Length of the name of the task's step, ID.K.STEP. */
+static size_t
+step_len(const char *task)
+{
+	return (size_t)(strrchr(task, '.') - task);
+}
+
+static bool
+same_gang(const struct run *a, const struct run *b)
+{
+	size_t len = step_len(a->task);
+
+	return a->number == b->number && len == step_len(b->task) &&
+	    strncmp(a->task, b->task, len) == 0;
+}
+
+/* Lets a gang work once all of its members are present. */
+static void
+gang_check(const struct run *member)
+{
+	struct run *n;
+	int i, count = 0;
+	int64_t ends = now_ms() + member->work_ms;
+
+	for (i = 0; i < nrunners; i++)
+		TAILQ_FOREACH (n, &runners[i].runs, link)
+			count += same_gang(n, member);
+	if (count < member->gang)
+		return;
+	for (i = 0; i < nrunners; i++)
+		TAILQ_FOREACH (n, &runners[i].runs, link)
+			if (same_gang(n, member)) {
+				n->complete = true;
+				n->ends_ms = ends;
+			}
+}
+
+/* The other members end when one has ended otherwise than as done. */
+static void
+gang_break(const struct run *member)
+{
+	struct run *n;
+	int i;
+
+	for (i = 0; i < nrunners; i++)
+		TAILQ_FOREACH (n, &runners[i].runs, link)
+			if (n != member && same_gang(n, member))
+				n->broken = true;
+}
+
 static const char *
 start(struct runner *r, const json_t *b)
 {
@@ -695,6 +757,11 @@
 	snprintf(more, sizeof(more), "fence=%lld", (long long)r->fence);
 	note(r, "start", task, run, more);
 	TAILQ_INSERT_TAIL(&r->runs, n, link);
+	if (n->gang > 0) {
+		n->work_ms = n->ends_ms - n->begun_ms;
+		n->ends_ms = 0;
+		gang_check(n);
+	}
 	return NULL;
 }
 
@@ -911,6 +978,8 @@
 	evhttp_free(r->http);
 	r->http = NULL;
 	while ((n = TAILQ_FIRST(&r->runs)) != NULL) {
+		if (n->gang > 0)
+			gang_break(n);
 		TAILQ_REMOVE(&r->runs, n, link);
 		free(n);
 	}
@@ -927,6 +996,14 @@
 	r->down_until_ms = now_ms() + down;
 }
 
+static void
+end_and_break(struct runner *r, struct run *n, const char *how)
+{
+	if (n->gang > 0 && strcmp(how, "done") != 0)
+		gang_break(n);
+	run_end(r, n, how);
+}
+
 static void
 tick_runner(struct runner *r)
 {
@@ -942,9 +1019,14 @@
 	for (n = TAILQ_FIRST(&r->runs); n != NULL; n = next) {
 		next = TAILQ_NEXT(n, link);
 		if (clock_of(r) >= r->lease_ms)
-			run_end(r, n, "lapsed");
+			end_and_break(r, n, "lapsed");
+		else if (n->broken && !n->stopping)
+			run_end(r, n, "broken");
+		else if (n->gang > 0 && !n->complete && !n->stopping &&
+		    now >= n->begun_ms + GANG_TIMEOUT_MS)
+			run_end(r, n, "alone");
 		else if (n->ends_ms != 0 && now >= n->ends_ms)
-			run_end(r, n,
+			end_and_break(r, n,
 			    n->stopping	   ? "stopped"
 				: n->fails ? "failed"
 					   : "done");
@@ -1015,10 +1097,11 @@
 	struct evhttp *store, *control;
 	int port, i;
 
-	if (argc != 4 || (record = fopen(argv[3], "a")) == NULL)
+	if (argc < 4 || (record = fopen(argv[3], "a")) == NULL)
 		return 1;
 	signal(SIGPIPE, SIG_IGN);
 	port = atoi(argv[1]);
+	racks = argc > 4 ? argv[4] : NULL;
 	nrunners = atoi(argv[2]);
 	base = event_base_new();
 	store = evhttp_new(base);
