--- a/review/lib-2.sh
+++ b/review/lib-2.sh
@@ -38,7 +38,7 @@
 	for i in $(seq 60); do
 		PORT=$((10000 + RANDOM % 500 * 20))
 		free=1
-		for k in 0 1 10 11 12 13; do
+		for k in 0 1 2 10 11 12 13; do
 			is_open 127.0.0.1 $((PORT + k)) && free=0
 		done
 		for k in 1 2 3; do
@@ -87,7 +87,7 @@
 	addr: "$(host_addr "$1")"
 	callers: "$(host_addr "$1"):$((PORT + 100))"
 	readiness: "$(host_addr "$1"):$((PORT + 101))"
-	store: "127.0.0.1:$PORT"
+	store: "127.0.0.1:$((PORT + 2))"
 	peer_port: $((PORT + 102))
 	metrics_port: $((PORT + 103))
 	key: "celerycart-cell-peers"
@@ -139,7 +139,7 @@
 	for i in 1 2 3 4 5; do
 		choose_ports
 		"$ROOT/review/bin/standin-2" "$PORT" "$RUNNERS" "$RECORD" \
-		    ${RACKS:+"$RACKS"} \
+		    "${RACKS:--}" "${CPU:-16000}" \
 		    2> "$TMP/standin.log" &
 		PIDS+=($!)
 		until_true 3 is_open 127.0.0.1 $((PORT + 1)) && break
--- a/review/standin-2/main.c
+++ b/review/standin-2/main.c
@@ -1,11 +1,13 @@
 /*
- * standin-2 PORT RUNNERS RECORD [RACKS]
+ * standin-2 PORT RUNNERS RECORD [RACKS [CPU]]
  *
  * A stand-in for the platform of a small installation, written from the users'
- * pages: the metadata store on PORT, a control port on PORT+1 and the runners
- * from PORT+10 on, all on 127.0.0.1. What the runners see is appended to the
+ * pages: the metadata store on PORT and, through a path that can go silent, on
+ * PORT+2, a control port on PORT+1 and the runners from PORT+10 on, all on
+ * 127.0.0.1. What the runners see is appended to the
  * file RECORD, one line an event, with milliseconds of the boot clock. RACKS is
- * a digit for each runner, its rack; without it eight runners share a rack.
+ * a digit for each runner, its rack; with "-" eight runners share a rack. CPU is
+ * the capacity of a runner, in thousandths of a core (16000).
  *
  * The spec of a submission tells how its tasks behave, in words:
  *   S<step>:<ms>          tasks of the step end as done after that time; with 0
@@ -17,12 +19,16 @@
  * Control: POST /config with a manifest; GET /crash?runner=N&down=MS;
  * GET /late?n=N&ms=MS&what=stop|start (the next N such orders get no answer and
  * are carried out later); GET /mute?runner=N&on=0|1 (no call is answered or
- * carried out).
+ * carried out); GET /store?mode=ok|busy (calls to the store get 503, and waiting
+ * calls no answer; runners can't write there); GET /silent (the open channels through PORT+2 go silent).
  */
+#include <arpa/inet.h>
 #include <event2/buffer.h>
+#include <event2/bufferevent.h>
 #include <event2/event.h>
 #include <event2/http.h>
 #include <event2/keyvalq_struct.h>
+#include <event2/listener.h>
 #include <jansson.h>
 #include <signal.h>
 #include <stdbool.h>
@@ -38,7 +44,6 @@
 #define MAX_HOLD_MS 10000
 #define STOP_MS 100 /* a stop takes this long; stop_grace_ms is 400 */
 #define GANG_TIMEOUT_MS 3000
-#define CPU 16000
 #define MEM 65536
 #define RUNNERS_MAX 16
 #define HISTORY_MS 20000
@@ -184,6 +189,16 @@
 static TAILQ_HEAD(rows, row) rows = TAILQ_HEAD_INITIALIZER(rows);
 static TAILQ_HEAD(watches, watch) watches = TAILQ_HEAD_INITIALIZER(watches);
 static uint64_t version;
+static bool store_down;
+
+/* Refuses the call if the store is down. */
+static bool
+refuse_down(struct evhttp_request *req)
+{
+	if (store_down)
+		reply(req, 503, json_object(), STORE_ANSWER_MS);
+	return store_down;
+}
 
 static json_t *
 with_version(json_t *j)
@@ -255,9 +270,10 @@
 watch_end(struct watch *w, bool answered)
 {
 	TAILQ_REMOVE(&watches, w, link);
-	if (answered) {
+	if (answered)
 		evhttp_connection_set_closecb(
 		    evhttp_request_get_connection(w->req), NULL, NULL);
+	if (answered && !store_down) {
 		reply(w->req, 200,
 		    with_version(json_pack(
 			"{s:o}", "rows", changes(w->table, w->after))),
@@ -288,6 +304,8 @@
 {
 	struct watch *w, *next;
 
+	if (store_down)
+		return;
 	for (w = TAILQ_FIRST(&watches); w != NULL; w = next) {
 		json_t *list = changes(w->table, w->after);
 
@@ -302,11 +320,14 @@
 on_feed(struct evhttp_request *req, void *arg)
 {
 	struct evkeyvalq q;
-	struct watch *w = calloc(1, sizeof(*w));
+	struct watch *w;
 	struct timeval tv;
 	int wait;
 
 	(void)arg;
+	if (refuse_down(req))
+		return;
+	w = calloc(1, sizeof(*w));
 	query(req, &q);
 	w->req = req;
 	w->table = strdup(param(&q, "table", ""));
@@ -325,12 +346,16 @@
 static void
 on_tx(struct evhttp_request *req, void *arg)
 {
-	json_t *b = body_of(req), *seen = json_array(), *e;
+	json_t *b, *seen, *e;
 	bool hold = true, refused = false;
 	struct row *r;
 	size_t i;
 
 	(void)arg;
+	if (refuse_down(req))
+		return;
+	b = body_of(req);
+	seen = json_array();
 	json_array_foreach(json_object_get(b, "expected_rev"), i, e)
 	{
 		r = row_find(str(e, "table"), str(e, "part"), str(e, "key"));
@@ -374,9 +399,12 @@
 	const char *table, *part, *from, *to;
 	size_t n = 0, i, limit;
 	struct evkeyvalq q;
-	json_t *out = json_array();
+	json_t *out;
 
 	(void)arg;
+	if (refuse_down(req))
+		return;
+	out = json_array();
 	query(req, &q);
 	table = param(&q, "table", "");
 	part = param(&q, "part", "");
@@ -491,6 +519,7 @@
 static struct runner runners[RUNNERS_MAX];
 static int nrunners;
 static const char *racks;
+static int cpu = 16000;
 static int late_n, late_ms;
 static char late_what[16];
 
@@ -533,7 +562,7 @@
 		      "s:[s,s],s:I}",
 	    "service", "work", "address", address, "zone", "z0", "version",
 	    "1.0", "slots", 8, "state", "ready", "cold_left_ms", 0, "sequence",
-	    ++r->sequence, "capacity", "cpu", CPU, "mem_mb", MEM, "gpu", 0,
+	    ++r->sequence, "capacity", "cpu", cpu, "mem_mb", MEM, "gpu", 0,
 	    "labels", "a", rack, "born", (json_int_t)r->born_ms);
 	put("servers", r->id, j);
 	json_decref(j);
@@ -941,6 +970,20 @@
 	json_decref(b);
 }
 
+/* A runner takes many new channels at once. */
+static bool
+listen_widely(struct evhttp *http, uint16_t port)
+{
+	struct sockaddr_in at = {.sin_family = AF_INET,
+	    .sin_port = htons(port),
+	    .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
+	struct evconnlistener *l = evconnlistener_new_bind(base, NULL, NULL,
+	    LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE, 2048,
+	    (struct sockaddr *)&at, sizeof(at));
+
+	return l != NULL && evhttp_bind_listener(http, l) != NULL;
+}
+
 static void
 serve(struct runner *r)
 {
@@ -949,7 +992,7 @@
 	evhttp_set_cb(r->http, "/v1/run-stop", on_stop, r);
 	evhttp_set_cb(r->http, "/v1/hold", on_hold, r);
 	evhttp_set_cb(r->http, "/v1/pace", on_pace, r);
-	if (evhttp_bind_socket(r->http, "127.0.0.1", r->port) != 0) {
+	if (!listen_widely(r->http, r->port)) {
 		fprintf(stderr, "port %u is taken\n", r->port);
 		exit(1);
 	}
@@ -1036,7 +1079,7 @@
 		if (now >= h->until_ms)
 			hold_answer(h);
 	}
-	if (now - r->beat_ms >= HEARTBEAT_MS)
+	if (now - r->beat_ms >= HEARTBEAT_MS && !store_down)
 		beat(r);
 }
 
@@ -1052,6 +1095,97 @@
 		tick_runner(&runners[i]);
 }
 
+/* ---- the path to the store ---- */
+
+/* A channel from the path's port to the store. One that is silent forwards
+ * nothing more, and isn't closed. */
+struct channel {
+	TAILQ_ENTRY(channel) link;
+	struct bufferevent *ends[2];
+	bool silent;
+};
+static TAILQ_HEAD(, channel) channels = TAILQ_HEAD_INITIALIZER(channels);
+static uint16_t store_port;
+
+static void
+channel_read(struct bufferevent *from, void *arg)
+{
+	struct channel *c = arg;
+	struct bufferevent *to = c->ends[from == c->ends[0]];
+
+	if (c->silent)
+		evbuffer_drain(bufferevent_get_input(from), SIZE_MAX);
+	else
+		bufferevent_write_buffer(to, bufferevent_get_input(from));
+}
+
+static void
+channel_event(struct bufferevent *from, short what, void *arg)
+{
+	struct channel *c = arg;
+
+	(void)from;
+	if (what & BEV_EVENT_CONNECTED || c->silent)
+		return;
+	TAILQ_REMOVE(&channels, c, link);
+	bufferevent_free(c->ends[0]);
+	bufferevent_free(c->ends[1]);
+	free(c);
+}
+
+static void
+channel_new(struct evconnlistener *l, evutil_socket_t fd, struct sockaddr *sa,
+    int len, void *arg)
+{
+	struct channel *c = calloc(1, sizeof(*c));
+	struct sockaddr_in to = {.sin_family = AF_INET,
+	    .sin_port = htons(store_port),
+	    .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
+	int i;
+
+	(void)l;
+	(void)sa;
+	(void)len;
+	(void)arg;
+	c->ends[0] = bufferevent_socket_new(base, fd, BEV_OPT_CLOSE_ON_FREE);
+	c->ends[1] = bufferevent_socket_new(base, -1, BEV_OPT_CLOSE_ON_FREE);
+	for (i = 0; i < 2; i++) {
+		bufferevent_setcb(
+		    c->ends[i], channel_read, NULL, channel_event, c);
+		bufferevent_enable(c->ends[i], EV_READ | EV_WRITE);
+	}
+	TAILQ_INSERT_TAIL(&channels, c, link);
+	bufferevent_socket_connect(
+	    c->ends[1], (struct sockaddr *)&to, sizeof(to));
+}
+
+static bool
+serve_path(uint16_t port)
+{
+	struct sockaddr_in at = {.sin_family = AF_INET,
+	    .sin_port = htons(port),
+	    .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
+
+	return evconnlistener_new_bind(base, channel_new, NULL,
+		   LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE, 64,
+		   (struct sockaddr *)&at, sizeof(at)) != NULL;
+}
+
+static void
+silence_channels(void)
+{
+	struct channel *c;
+	int n = 0;
+
+	TAILQ_FOREACH (c, &channels, link) {
+		n += !c->silent;
+		c->silent = true;
+	}
+	fprintf(record, "%lld %d open channels to the store go silent\n",
+	    (long long)now_ms(), n);
+	fflush(record);
+}
+
 /* ---- control ---- */
 
 static void
@@ -1080,6 +1214,14 @@
 	} else if (strcmp(what, "mute") == 0) {
 		r->mute = atoi(param(&q, "on", "1")) != 0;
 		note(r, r->mute ? "muted" : "heard-again", "-", 0, "");
+	} else if (strcmp(what, "store") == 0) {
+		store_down = strcmp(param(&q, "mode", "ok"), "ok") != 0;
+		fprintf(record, "%lld the store is %s\n", (long long)now_ms(),
+		    store_down ? "down" : "back");
+		fflush(record);
+		notify();
+	} else if (strcmp(what, "silent") == 0) {
+		silence_channels();
 	} else if (strcmp(what, "late") == 0) {
 		late_n = atoi(param(&q, "n", "1"));
 		late_ms = atoi(param(&q, "ms", "2000"));
@@ -1101,8 +1243,10 @@
 		return 1;
 	signal(SIGPIPE, SIG_IGN);
 	port = atoi(argv[1]);
-	racks = argc > 4 ? argv[4] : NULL;
+	racks = argc > 4 && argv[4][0] != '-' ? argv[4] : NULL;
+	cpu = argc > 5 ? atoi(argv[5]) : cpu;
 	nrunners = atoi(argv[2]);
+	store_port = (uint16_t)port;
 	base = event_base_new();
 	store = evhttp_new(base);
 	evhttp_set_cb(store, "/v1/rows-tx", on_tx, NULL);
@@ -1113,8 +1257,12 @@
 	evhttp_set_cb(control, "/crash", on_control, "crash");
 	evhttp_set_cb(control, "/mute", on_control, "mute");
 	evhttp_set_cb(control, "/late", on_control, "late");
+	evhttp_set_cb(control, "/silent", on_control, "silent");
+	evhttp_set_cb(control, "/store", on_control, "store");
 	if (evhttp_bind_socket(store, "127.0.0.1", (uint16_t)port) != 0 ||
-	    evhttp_bind_socket(control, "127.0.0.1", (uint16_t)(port + 1)) != 0)
+	    evhttp_bind_socket(control, "127.0.0.1", (uint16_t)(port + 1)) !=
+		0 ||
+	    !serve_path((uint16_t)(port + 2)))
 		return 1;
 	for (i = 0; i < nrunners && i < RUNNERS_MAX; i++) {
 		struct runner *r = &runners[i];
