--- a/review/lib-2.sh
+++ b/review/lib-2.sh
@@ -36,7 +36,7 @@
 choose_ports() {
 	local i k free
 	for i in $(seq 60); do
-		PORT=$((10000 + RANDOM % 500 * 20))
+		PORT=$((20000 + RANDOM % 600 * 20))
 		free=1
 		for k in 0 1 2 10 11 12 13; do
 			is_open 127.0.0.1 $((PORT + k)) && free=0
