review: scripts started at one moment don't share a stand-in

Eight scripts started beside each other: one of case 9 with TROUBLE=0 was broken, at the same moment as one with the disruption. Suspected: both drew the same ports, the second's stand-in ended, and it went on with the first's; the record was overwritten. A script now asks whether its own stand-in is alive. Case 6 with TROUBLE=0 ended with 2 (unclear) in 2 of 5 runs, as it asked for B's state 15 ms after its task had ended; it waits a second now.

--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -27,6 +27,7 @@
     cannot_run "B was not accepted"
 # 3 s, and finish_s (14 s) besides
 until_true 18 seen_at_least " end .*task=$B.* done" 1
+sleep 1
 STATE=$(client GET 3 /desk/$B)
 
 # Tasks of A that run now, by the record of the runners.
--- a/review/lib-2.sh
+++ b/review/lib-2.sh
@@ -142,7 +142,9 @@
 		    "${RACKS:--}" "${CPU:-16000}" \
 		    2> "$TMP/standin.log" &
 		PIDS+=($!)
-		until_true 3 is_open 127.0.0.1 $((PORT + 1)) && break
+		# Another process may have taken the ports in the meantime.
+		until_true 3 is_open 127.0.0.1 $((PORT + 1)) && sleep 0.3 &&
+		    kill -0 "${PIDS[-1]}" 2>/dev/null && break
 		[ "$i" = 5 ] && cannot_run "stand-in"
 	done
 	manifest 3 "$@"
