cell: log why a waiting step has no runner; count the runners kept apart

The hypotheses (the mark of a run that outlives its task's suspicion, a silent runner, a registry that is too old, a lease that isn't renewed) could not be told apart.

Metrics runners_apart and runners_apart_longest_ms.

--- a/src/cell/cell.c
+++ b/src/cell/cell.c
@@ -10,6 +10,7 @@
 #include "../base/xalloc.h"
 #include "commit.h"
 #include "lead_lease.h"
+#include "wait_log.h"
 
 void
 cell_init(struct cell *c, const struct cell_terms *t,
@@ -173,6 +174,7 @@
 	cell_check_all_runners(c);
 	cell_pass(c);
 	cell_prefetch_advice(c);
+	wait_log(c);
 }
 
 void
--- a/src/cell/cell.h
+++ b/src/cell/cell.h
@@ -219,6 +219,7 @@
 	int64_t renewed_ms;   /**< send time of the newest finished commit to
 			       * the first part: the leadership's renewal */
 	int64_t unrenewed_log_ms; /**< last line on a renewal that is due */
+	int64_t wait_log_ms;	  /**< last lines on waiting steps */
 	double commit_latency_ms; /**< average answer time of commits */
 	int64_t store_failing_since_ms; /**< commits have failed since then; 0:
 					 * they don't fail */
@@ -291,6 +292,9 @@
     struct cell *c, const char *queue, const char *id, struct cell_answer *a);
 /** Cancels a job; calls @p fn once its end is stored. */
 void cell_cancel(struct cell *c, const char *id, cell_fn fn, void *arg);
+/** Counts the runners that are kept for one task each, which must run apart.
+ * @param longest_ms set to the age of the oldest such run; 0: there is none */
+int cell_runners_apart(const struct cell *c, int64_t *longest_ms);
 /** Counts the stored jobs of the queue that haven't started. */
 void cell_pending(struct cell *c, const char *queue, struct cell_answer *a);
 
--- a/src/coordination/runner_placement.c
+++ b/src/coordination/runner_placement.c
@@ -25,41 +25,77 @@
 	    r->listed_born_ms == r->info.born_ms;
 }
 
-bool
-placing_allowed(const struct runner *r, const struct placing_want *w)
+static const char *const refusal_names[PLACING_REFUSALS] = {"taken", "away",
+    "closed", "paused", "apart", "service", "label", "rack", "size", "full",
+    "beside", "spread"};
+
+const char *
+placing_refusal_name(enum placing_refusal why)
+{
+	return refusal_names[why];
+}
+
+/* A new incarnation has seen no fencing token, and another leader may have
+ * claimed since the last renewal. */
+static bool
+is_open(const struct runner *r, const struct placing_want *w)
+{
+	return r->adopted && r->stored_open && capacity_is_current(r) &&
+	    r->restarted_ms <= w->renewed_ms;
+}
+
+/* Whether the runner may take tasks of the step, whatever it has free now. */
+static enum placing_refusal
+check_allowed(const struct runner *r, const struct placing_want *w)
 {
 	const Cc__StepSpec *s = w->step->spec;
 
-	if (!runner_takes_work(r) || !r->adopted || !r->stored_open ||
-	    !capacity_is_current(r))
-		return false;
-	/* A new incarnation has seen no fencing token, and another leader may
-	 * have claimed since the last renewal. */
-	if (r->restarted_ms > w->renewed_ms)
-		return false;
-	if (w->now_ms < r->avoid_until_ms || r->napart > 0)
-		return false;
+	if (!runner_takes_work(r))
+		return PLACING_AWAY;
+	if (!is_open(r, w))
+		return PLACING_CLOSED;
+	if (w->now_ms < r->avoid_until_ms)
+		return PLACING_PAUSED;
+	if (r->napart > 0)
+		return PLACING_APART;
 	if (strcmp(r->info.service, w->service) != 0)
-		return false;
+		return PLACING_SERVICE;
 	if (s->required_label[0] != '\0' &&
 	    !runner_has_label(r, s->required_label))
-		return false;
+		return PLACING_LABEL;
 	if (w->rack != NULL && strcmp(r->info.rack, w->rack) != 0)
-		return false;
-	return runner_fits_empty(r, s);
+		return PLACING_RACK;
+	return runner_fits_empty(r, s) ? PLACING_TAKEN : PLACING_SIZE;
 }
 
-bool
-placing_feasible(const struct runner *r, const struct placing_want *w)
+enum placing_refusal
+placing_check(const struct runner *r, const struct placing_want *w)
 {
 	const Cc__StepSpec *s = w->step->spec;
+	enum placing_refusal why = check_allowed(r, w);
 
-	if (!placing_allowed(r, w) || !runner_fits(r, s))
-		return false;
+	if (why != PLACING_TAKEN)
+		return why;
+	if (!runner_fits(r, s))
+		return PLACING_FULL;
 	if (w->apart && r->nruns > 0 && !w->shares)
-		return false;
-	return s->max_per_runner == 0 ||
-	    runner_count_runs(r, w->step) < s->max_per_runner;
+		return PLACING_BESIDE;
+	if (s->max_per_runner > 0 &&
+	    runner_count_runs(r, w->step) >= s->max_per_runner)
+		return PLACING_SPREAD;
+	return PLACING_TAKEN;
+}
+
+bool
+placing_allowed(const struct runner *r, const struct placing_want *w)
+{
+	return check_allowed(r, w) == PLACING_TAKEN;
+}
+
+bool
+placing_feasible(const struct runner *r, const struct placing_want *w)
+{
+	return placing_check(r, w) == PLACING_TAKEN;
 }
 
 static int64_t
--- a/src/coordination/runner_placement.h
+++ b/src/coordination/runner_placement.h
@@ -21,6 +21,29 @@
 	int64_t renewed_ms; /**< last renewal of the leadership */
 };
 
+/** Why a runner takes no task of a step. */
+enum placing_refusal {
+	PLACING_TAKEN,	/**< it may take one */
+	PLACING_AWAY,	/**< not listed, gone, draining or silent */
+	PLACING_CLOSED, /**< not open to starts of this leader yet */
+	PLACING_PAUSED, /**< no work for a while, as it refused or failed some
+			 */
+	PLACING_APART,	/**< kept for a task that must run apart */
+	PLACING_SERVICE,
+	PLACING_LABEL,
+	PLACING_RACK,
+	PLACING_SIZE,	/**< too small even when it is empty */
+	PLACING_FULL,	/**< no room now, as all below */
+	PLACING_BESIDE, /**< has work beside which the task shouldn't run */
+	PLACING_SPREAD, /**< has as many tasks of the step as it may */
+	PLACING_REFUSALS
+};
+
+/** Name of the reason, for logs. */
+const char *placing_refusal_name(enum placing_refusal why);
+/** Whether the runner takes a task of the step now, and why not. */
+enum placing_refusal placing_check(
+    const struct runner *r, const struct placing_want *w);
 /** Whether the runner may take tasks of the step, whatever it has free now. */
 bool placing_allowed(const struct runner *r, const struct placing_want *w);
 /** Whether the runner may take a task of the step now. */
--- a/src/member/metrics.c
+++ b/src/member/metrics.c
@@ -86,6 +86,8 @@
 member_metrics(const struct member *m)
 {
 	const struct cell_counters *k = &m->cell.counters;
+	int64_t apart_ms = 0;
+	int apart = cell_runners_apart(&m->cell, &apart_ms);
 	const struct metric rows[] = {
 	    {"leads", member_leads(m)},
 	    {"ready", member_ready(m)},
@@ -102,6 +104,8 @@
 	    {"orders_direct_total", relay_port_counters(m->relays)->direct},
 	    {"orders_for_leader_total", relay_serve_orders(m->served)},
 	    {"runners", HASH_COUNT(m->cell.runners)},
+	    {"runners_apart", (uint64_t)apart},
+	    {"runners_apart_longest_ms", (uint64_t)apart_ms},
 	    {"accepted_total", k->accepted},
 	    {"refused_total", k->refused},
 	    {"completed_total", k->completed},
