crashes: a task that has outlived crashes isn't given up for two alone

Callers of a lasting job could read "failed" after runners had crashed under it for another cause: two proven crashes of runners that a task has to itself give it up, also when a run of the same task has lived on for long after earlier crashes. Such a run shows that the task doesn't crash each runner that starts it.

The count now remembers that a run outlived crashes (not stored: the next leader judges as before). Such a task is given up by four crashes, two of them proven; others as before.

--- a/src/cell/crashes.c
+++ b/src/cell/crashes.c
@@ -331,6 +331,6 @@
 		return;
 	kvlog(KVLOG_INFO, "task_cleared", "task=%s run=%u crashes=%u",
 	    run->name, run->number, t->crashes.n);
-	task_crashes_clear(&t->crashes);
+	task_crashes_outlive(&t->crashes);
 	cell_mark_dirty(c, t->step->occurrence->job);
 }
--- a/src/state/task_crashes.c
+++ b/src/state/task_crashes.c
@@ -1,7 +1,6 @@
 #include "task_crashes.h"
 
 #include <stdlib.h>
-#include <string.h>
 
 #include "../base/xalloc.h"
 
@@ -10,7 +9,7 @@
 /** Proven crashes without which a task is never given up. */
 #define GIVE_UP_PROVEN_MIN 2
 /** Proven crashes of runners that the task had to itself after which it is
- * given up. */
+ * given up, unless a run of it has outlived earlier ones. */
 #define GIVE_UP_ALONE_MIN 2
 /** Crashes after which it is given up in any case. */
 #define GIVE_UP_MIN 4
@@ -62,8 +61,9 @@
 {
 	if (task_crashes_has(k, crash->run))
 		return false;
-	if (task_crashes_cleared_by(k, crash->age_ms) ||
-	    has_other_cause(k, crash))
+	if (task_crashes_cleared_by(k, crash->age_ms))
+		task_crashes_outlive(k);
+	else if (has_other_cause(k, crash))
 		task_crashes_clear(k);
 	if (crash->age_ms > CLEAR_MAX_MS)
 		return false;
@@ -97,11 +97,18 @@
 void
 task_crashes_clear(struct task_crashes *k)
 {
-	uint32_t unsettled = k->unsettled;
+	struct task_crashes kept = {
+	    .unsettled = k->unsettled, .outlived = k->outlived};
 
 	task_crashes_done(k);
-	memset(k, 0, sizeof(*k));
-	k->unsettled = unsettled;
+	*k = kept;
+}
+
+void
+task_crashes_outlive(struct task_crashes *k)
+{
+	task_crashes_clear(k);
+	k->outlived = true;
 }
 
 bool
@@ -121,8 +128,10 @@
 bool
 task_crashes_exceeded(const struct task_crashes *k)
 {
-	return k->proven >= GIVE_UP_PROVEN_MIN &&
-	    (k->n >= GIVE_UP_MIN || k->alone >= GIVE_UP_ALONE_MIN);
+	if (k->proven < GIVE_UP_PROVEN_MIN)
+		return false;
+	return k->n >= GIVE_UP_MIN ||
+	    (k->alone >= GIVE_UP_ALONE_MIN && !k->outlived);
 }
 
 bool
--- a/src/state/task_crashes.h
+++ b/src/state/task_crashes.h
@@ -38,6 +38,9 @@
 	uint32_t proven; /**< of these, how many surely did */
 	uint32_t alone;	 /**< proven ones that had their runner to themselves */
 	int64_t age_ms;	 /**< age of the last of them at its end */
+	/** A run has outlived earlier crashes: the task doesn't crash each
+	 * runner that starts it. Not stored. */
+	bool outlived;
 	/** Runs on silent runners, which may have crashed; not stored. */
 	uint32_t unsettled;
 };
@@ -58,6 +61,8 @@
 bool task_crashes_has(const struct task_crashes *k, uint32_t run);
 /** Clears the suspicion. */
 void task_crashes_clear(struct task_crashes *k);
+/** Clears it as a run has outlived the crashes. */
+void task_crashes_outlive(struct task_crashes *k);
 /** Whether the task must run apart, so that the next crash has one cause. */
 bool task_crashes_suspected(const struct task_crashes *k);
 /**
--- a/tests/unit/main.c
+++ b/tests/unit/main.c
@@ -74,6 +74,8 @@
 	test_task_crashes_old_run_clears},
     {"crashes", "a cleared task keeps its unsettled runs",
 	test_task_crashes_clear_keeps_unsettled},
+    {"crashes", "a task that outlived crashes is given up by four later ones",
+	test_task_crashes_outlived_keeps},
     {"crashes", "stored counts of crashes read back the same",
 	test_task_crashes_row_round_trip},
     {"crashes", "a row of the version before proves no crash",
--- a/tests/unit/task_crashes_test.c
+++ b/tests/unit/task_crashes_test.c
@@ -123,6 +123,23 @@
 	task_crashes_done(&k);
 }
 
+/* Guards against LOST: a task that has outlived earlier crashes doesn't crash
+ * each runner that starts it, so two crashes alone don't show that it does. */
+void
+test_task_crashes_outlived_keeps(void)
+{
+	struct task_crashes k = {0};
+
+	add_some(&k, 1, true, false);
+	task_crashes_outlive(&k);
+	CU_ASSERT_EQUAL(k.n, 0);
+	add_some(&k, 3, true, true);
+	CU_ASSERT(!task_crashes_exceeded(&k));
+	add_some(&k, 1, true, true);
+	CU_ASSERT(task_crashes_exceeded(&k));
+	task_crashes_done(&k);
+}
+
 /* Guards against BUDGET: a task that is cleared runs apart on while the fate of
  * its runs on silent runners isn't known. */
 void
--- a/tests/unit/unit.h
+++ b/tests/unit/unit.h
@@ -71,6 +71,7 @@
 void test_task_crashes_run_counts_once(void);
 void test_task_crashes_old_run_clears(void);
 void test_task_crashes_clear_keeps_unsettled(void);
+void test_task_crashes_outlived_keeps(void);
 void test_task_crashes_row_round_trip(void);
 void test_task_crashes_former_row(void);
 void test_crashes_task_given_up(void);
