--- a/src/cell/place.c
+++ b/src/cell/place.c
@@ -5,15 +5,17 @@
 
 #include "../base/xalloc.h"
 
-#include "cell_internal.h"
+#include "apart.h"
 #include "lead_lease.h"
 
 /** A leader's run numbers of a task start at its generation times this, so that
  * it doesn't reuse a number of an earlier leader. */
 #define RUNS_PER_GENERATION 1024
 
-/** Longest wait of a suspected task for a runner without other work. */
-#define APART_WAIT_MS 1500
+/** Longest wait of a suspected task for a runner without other work, and for
+ * one without another suspected task. */
+#define EMPTY_WAIT_MS 1500
+#define SOUND_WAIT_MS 2500
 
 /** Placement of one step. */
 struct pick {
@@ -123,6 +125,10 @@
 	    .now_ms = now};
 	p->candidates = cell_scratch(c);
 	p->n = step_candidates(c, s, &p->want, p->candidates);
+	if (p->n == 0 && apart_is_only_choice(c, s)) {
+		p->want.joins_apart = true;
+		p->n = step_candidates(c, s, &p->want, p->candidates);
+	}
 	return true;
 }
 
@@ -157,6 +163,25 @@
 	    j->max_attempts > 0;
 }
 
+static enum placing_beside
+beside_after(int64_t waited_ms)
+{
+	if (waited_ms <= EMPTY_WAIT_MS)
+		return BESIDE_NOTHING;
+	return waited_ms <= SOUND_WAIT_MS ? BESIDE_SOUND : BESIDE_ANY;
+}
+
+/* Sets the conditions for this task of the step. */
+static void
+want_task(struct placing_want *w, const struct task *t)
+{
+	w->avoid = t->avoid;
+	w->last_attempt = on_last_attempt(t);
+	w->apart = task_crashes_suspected(&t->crashes);
+	w->beside =
+	    w->apart ? beside_after(w->now_ms - t->retry_ms) : BESIDE_ANY;
+}
+
 static void
 place_tasks(struct pick *p)
 {
@@ -169,10 +194,7 @@
 
 		if (t->done || t->run != NULL || t->retry_ms > p->want.now_ms)
 			continue;
-		p->want.avoid = t->avoid;
-		p->want.last_attempt = on_last_attempt(t);
-		p->want.apart = task_crashes_suspected(&t->crashes);
-		p->want.shares = p->want.now_ms - t->retry_ms > APART_WAIT_MS;
+		want_task(&p->want, t);
 		best = best_candidate(p);
 		if (best == NULL && p->want.apart)
 			continue;
@@ -180,6 +202,8 @@
 			return;
 		cell_start(p->cell, best->runner, t, cell_next_run(p->cell, t),
 		    best->ticket, false);
+		if (p->want.apart)
+			apart_keep(p->cell, t->run);
 	}
 }
 
--- a/src/cell/runners.c
+++ b/src/cell/runners.c
@@ -251,22 +251,3 @@
 		return;
 	r->listed = false;
 }
-
-int
-cell_runners_apart(const struct cell *c, int64_t *longest_ms)
-{
-	int64_t age, now = c->ports.now();
-	const struct runner *r;
-	const struct run *run;
-	int n = 0;
-
-	*longest_ms = 0;
-	for (r = c->runners; r != NULL; r = r->hh.next) {
-		n += r->napart > 0;
-		TAILQ_FOREACH (run, &r->runs, link) {
-			age = run->apart ? now - run->ordered_ms : 0;
-			*longest_ms = age > *longest_ms ? age : *longest_ms;
-		}
-	}
-	return n;
-}
--- a/src/cell/wait_log.c
+++ b/src/cell/wait_log.c
@@ -64,6 +64,7 @@
 	    .renewed_ms = c->renewed_ms,
 	    .service = q != NULL ? q->service : "",
 	    .apart = apart,
+	    .beside = apart ? BESIDE_NOTHING : BESIDE_ANY,
 	    .now_ms = now};
 	int counts[PLACING_REFUSALS] = {0}, i, n = 0;
 	const struct runner *r;
--- a/src/coordination/runner_placement.c
+++ b/src/coordination/runner_placement.c
@@ -56,7 +56,7 @@
 		return PLACING_CLOSED;
 	if (w->now_ms < r->avoid_until_ms)
 		return PLACING_PAUSED;
-	if (r->napart > 0)
+	if (!w->joins_apart && runner_is_apart(r, w->now_ms))
 		return PLACING_APART;
 	if (strcmp(r->info.service, w->service) != 0)
 		return PLACING_SERVICE;
@@ -68,6 +68,14 @@
 	return runner_fits_empty(r, s) ? PLACING_TAKEN : PLACING_SIZE;
 }
 
+static bool
+may_run_beside(const struct runner *r, const struct placing_want *w)
+{
+	if (w->beside == BESIDE_NOTHING)
+		return r->nruns == 0;
+	return w->beside == BESIDE_ANY || !runner_has_doubtful(r, w->now_ms);
+}
+
 enum placing_refusal
 placing_check(const struct runner *r, const struct placing_want *w)
 {
@@ -78,7 +86,7 @@
 		return why;
 	if (!runner_fits(r, s))
 		return PLACING_FULL;
-	if (w->apart && r->nruns > 0 && !w->shares)
+	if (!may_run_beside(r, w))
 		return PLACING_BESIDE;
 	if (s->max_per_runner > 0 &&
 	    runner_count_runs(r, w->step) >= s->max_per_runner)
--- a/src/coordination/runner_placement.h
+++ b/src/coordination/runner_placement.h
@@ -4,6 +4,13 @@
 
 #include "../state/runner.h"
 
+/** Beside which work a task may run. */
+enum placing_beside {
+	BESIDE_ANY,
+	BESIDE_SOUND,	/**< of tasks that aren't in doubt */
+	BESIDE_NOTHING, /**< on an empty runner */
+};
+
 /** The step to place, and conditions beside those in its specification. */
 struct placing_want {
 	const struct step *step;
@@ -14,8 +21,11 @@
 	const char *rack;     /**< NULL: any */
 	const char *avoid;    /**< a runner to avoid if another is feasible;
 				 NULL or "" for none */
-	bool apart;	      /**< on a runner without other work */
-	bool shares; /**< with apart: on a runner with other work if need be */
+	bool apart;	      /**< its crash would best have one cause: beside
+			       * as few runs as possible */
+	enum placing_beside beside;
+	/** Also on runners that are kept for other tasks. */
+	bool joins_apart;
 	bool last_attempt; /**< a further failure of the task fails its job */
 	int64_t now_ms;
 	int64_t renewed_ms; /**< last renewal of the leadership */
@@ -34,7 +44,7 @@
 	PLACING_RACK,
 	PLACING_SIZE,	/**< too small even when it is empty */
 	PLACING_FULL,	/**< no room now, as all below */
-	PLACING_BESIDE, /**< has work beside which the task shouldn't run */
+	PLACING_BESIDE, /**< has work beside which the task mustn't run now */
 	PLACING_SPREAD, /**< has as many tasks of the step as it may */
 	PLACING_REFUSALS
 };
--- a/src/state/runner.c
+++ b/src/state/runner.c
@@ -51,9 +51,7 @@
 		run->cpu = s->best_effort ? 0 : s->cpu;
 		run->mem_mb = s->mem_mb;
 		run->gpu = s->gpu;
-		run->apart = task_crashes_suspected(&t->crashes);
 	}
-	r->napart += run->apart;
 	run->unsized = t == NULL;
 	r->nunsized += run->unsized;
 	r->used_cpu += run->cpu;
@@ -64,6 +62,13 @@
 	return run;
 }
 
+void
+run_keep_apart(struct run *run)
+{
+	run->runner->napart += !run->apart;
+	run->apart = true;
+}
+
 void
 run_delete(struct run *run)
 {
@@ -133,6 +138,39 @@
 	return false;
 }
 
+/* Derived from the task each time: a mark on the run would outlive what it was
+ * set for. */
+static bool
+is_in_doubt(const struct run *run, int64_t now)
+{
+	return run->task != NULL &&
+	    task_crashes_in_doubt(&run->task->crashes, now - run->ordered_ms);
+}
+
+bool
+runner_is_apart(const struct runner *r, int64_t now)
+{
+	const struct run *run;
+
+	if (r->napart == 0)
+		return false;
+	TAILQ_FOREACH (run, &r->runs, link)
+		if (run->apart && is_in_doubt(run, now))
+			return true;
+	return false;
+}
+
+bool
+runner_has_doubtful(const struct runner *r, int64_t now)
+{
+	const struct run *run;
+
+	TAILQ_FOREACH (run, &r->runs, link)
+		if (is_in_doubt(run, now))
+			return true;
+	return false;
+}
+
 uint32_t
 runner_count_runs(const struct runner *r, const struct step *s)
 {
--- a/src/state/runner.h
+++ b/src/state/runner.h
@@ -37,7 +37,8 @@
 	int64_t cpu; /**< capacity that it holds, in thousandths of a core */
 	int64_t mem_mb;
 	int64_t gpu;
-	bool apart;	      /**< no other work is started beside it */
+	bool apart;	      /**< its runner is kept for it while its task is
+			       * in doubt */
 	bool unsized;	      /**< the capacity that it holds isn't known */
 	int64_t ordered_ms;   /**< first start order sent, or run adopted */
 	bool inherited;	      /**< an earlier leader started it; its age isn't
@@ -85,7 +86,7 @@
 	TAILQ_HEAD(run_list, run) runs;
 	int nruns;
 	TAILQ_HEAD(unsettled_list, unsettled_run) unsettled;
-	int napart; /**< runs beside which no other work is started */
+	int napart; /**< runs for which it is, or was, kept */
 	/** Runs of unknown size; no task fits while there are any. */
 	int nunsized;
 	int64_t used_cpu; /**< thousandths of a core */
@@ -175,6 +176,9 @@
  */
 struct run *run_new(
     struct runner *r, struct task *t, const char *name, uint32_t number);
+/** Keeps the runner for the run until that shows whether its task crashes
+ * runners. */
+void run_keep_apart(struct run *run);
 void runner_free_unsettled(struct unsettled_run *u, struct runner *r);
 /** Frees the run and its capacity; no task may refer to it any more. */
 void run_delete(struct run *run);
@@ -192,6 +196,10 @@
 /** Whether a task of the step would fit on the empty runner. */
 bool runner_fits_empty(const struct runner *r, const Cc__StepSpec *s);
 bool runner_has_label(const struct runner *r, const char *label);
+/** Whether the runner is kept for a run whose task is in doubt. */
+bool runner_is_apart(const struct runner *r, int64_t now);
+/** Whether the runner has a run whose task is in doubt. */
+bool runner_has_doubtful(const struct runner *r, int64_t now);
 /** Number of runs of this step on the runner. */
 uint32_t runner_count_runs(const struct runner *r, const struct step *s);
 
--- a/src/state/task_crashes.c
+++ b/src/state/task_crashes.c
@@ -117,6 +117,13 @@
 	return k->n + k->unsettled >= SUSPECTED_MIN;
 }
 
+bool
+task_crashes_in_doubt(const struct task_crashes *k, int64_t age_ms)
+{
+	return task_crashes_suspected(k) && age_ms <= CLEAR_MAX_MS &&
+	    !task_crashes_cleared_by(k, age_ms);
+}
+
 bool
 task_crashes_held(const struct task_crashes *k, bool silent)
 {
--- a/src/state/task_crashes.h
+++ b/src/state/task_crashes.h
@@ -63,8 +63,11 @@
 void task_crashes_clear(struct task_crashes *k);
 /** Clears it as a run has outlived the crashes. */
 void task_crashes_outlive(struct task_crashes *k);
-/** Whether the task must run apart, so that the next crash has one cause. */
+/** Whether the task should run apart, so that the next crash has one cause. */
 bool task_crashes_suspected(const struct task_crashes *k);
+/** Whether the task is suspected, and a run of this age has not shown yet that
+ * it isn't at fault. */
+bool task_crashes_in_doubt(const struct task_crashes *k, int64_t age_ms);
 /**
  * Whether the task waits until it is known whether it has crashed runners, as
  * one more start might be one too many.
