urgency: any priority may be held, not only those below 1000

A queue's priority was added to 1000 for late jobs and 2000 for expired ones, so that a priority of 1000 counted as late and one of 2000 as expired: such work came after late work of urgent queues and was boosted as expired.

How late a job is and its priority are two fields now, compared in this order. Objectives are bounded where they are added up, as a stretch may be any number.

The test can't be built before: it uses the bound. On the order alone: with priority 5000 the former rank is 5000, after 1000 of a late urgent job.

--- a/src/cell/preempt.c
+++ b/src/cell/preempt.c
@@ -35,8 +35,8 @@
 	const struct job *j = s->occurrence->job;
 	struct urgency u = step_urgency(s, now);
 
-	return j->priority == 0 && u.rank == 0 && s->ready_ms != 0 &&
-	    j->stored && !job_ended(j) && !s->spec->gang &&
+	return urgency_is_first(&u) && s->ready_ms != 0 && j->stored &&
+	    !job_ended(j) && !s->spec->gang &&
 	    now - s->ready_ms >= PREEMPT_WAIT_MS &&
 	    !(c->adopting && j->inherited) &&
 	    now + s->spec->estimate_ms + c->terms.stop_grace_ms / 2 < j->due_ms;
--- a/src/coordination/urgency.h
+++ b/src/coordination/urgency.h
@@ -16,11 +16,23 @@
  * this factor. */
 #define OBJECTIVE_EXPIRED_FACTOR 3
 
+/** Served first to last. */
+enum lateness {
+	LATENESS_BOOSTED,
+	LATENESS_NONE,
+	LATENESS_LATE,
+	LATENESS_EXPIRED,
+};
+
 struct urgency {
-	int rank; /**< lower is served first */
+	enum lateness lateness;
+	int priority; /**< lower is served first */
 	int64_t due_ms;
 };
 
+/** Beyond all times that matter. */
+#define OBJECTIVE_PART_MAX_MS 1000000000000000
+
 struct urgency_job {
 	int64_t accepted_ms;
 	int64_t due_ms;	      /**< accepted_ms + latency objective */
@@ -32,12 +44,15 @@
 };
 
 struct urgency urgency_of(const struct urgency_job *j, int64_t now);
-/** Whether the job is expired and ranks behind all other jobs. */
+/** Whether the job is expired and is served after all other jobs. */
 bool urgency_is_expired(const struct urgency *u);
+/** Whether the job is on time and of the highest priority. */
+bool urgency_is_first(const struct urgency *u);
 /** Negative when @p a comes before @p b. */
 int urgency_compare(const struct urgency *a, const struct urgency *b);
 /** Latency objective of a job in ms: the estimated run time of its critical
- * path times the queue's stretch, plus the queue's target latency. */
+ * path times the queue's stretch, plus the queue's target latency. Each part is
+ * at most OBJECTIVE_PART_MAX_MS, so that times can be added up. */
 int64_t urgency_objective_ms(
     int64_t critical_path_ms, double stretch, int64_t target_latency_ms);
 
--- a/tests/unit/decisions_test.c
+++ b/tests/unit/decisions_test.c
@@ -587,6 +587,29 @@
 	CU_ASSERT_DOUBLE_EQUAL(pacing_tail_share(90, 0), 0.0, 0.001);
 }
 
+/* Guards against LOST: a priority of 1000 or more counted as that of a late
+ * or expired job. */
+void
+test_urgency_any_priority(void)
+{
+	struct urgency_job j = {
+	    .accepted_ms = 0, .due_ms = 1000, .remaining_ms = 100};
+	struct urgency on_time, late, expired;
+
+	j.priority = 5000;
+	on_time = urgency_of(&j, 0);
+	j.priority = 0;
+	late = urgency_of(&j, 1500);
+	expired = urgency_of(&j, 5000);
+	CU_ASSERT(urgency_compare(&on_time, &late) < 0);
+	CU_ASSERT(urgency_compare(&late, &expired) < 0);
+	CU_ASSERT(!urgency_is_expired(&on_time));
+	CU_ASSERT(!urgency_is_first(&on_time));
+	CU_ASSERT(urgency_is_expired(&expired));
+	CU_ASSERT_EQUAL(urgency_objective_ms(INT64_MAX / 2, 1e300, 250),
+	    OBJECTIVE_PART_MAX_MS + 250);
+}
+
 static const char config_text[] =
     "{\"version\":7,\"routes\":[{\"name\":\"a\",\"host\":\"h.example\","
     "\"prefix\":\"/x/\",\"service\":\"s\",\"priority\":0,\"stretch\":1.5,"
--- a/tests/unit/main.c
+++ b/tests/unit/main.c
@@ -342,6 +342,8 @@
     {"decisions", "a deeply nested entry is refused", test_entries_nested},
     {"decisions", "a configuration out of range is refused whole",
 	test_entries_configuration},
+    {"decisions", "any priority on time comes before late jobs",
+	test_urgency_any_priority},
     {"decisions", "pages advance past keys that are alike",
 	test_entries_pages_advance},
     {"decisions", "good cell settings parse, bad ones give four findings",
--- a/tests/unit/unit.h
+++ b/tests/unit/unit.h
@@ -170,6 +170,7 @@
 void test_entries_too_long(void);
 void test_entries_nested(void);
 void test_entries_configuration(void);
+void test_urgency_any_priority(void);
 void test_entries_pages_advance(void);
 void test_cell_settings_findings(void);
 
