--- a/src/cell/advice.c
+++ b/src/cell/advice.c
@@ -36,7 +36,7 @@
 	uint64_t fence;
 	struct task_ref step; /**< index isn't used */
 	char host[64];
-	char queue[QUEUE_NAME_LEN];
+	char *queue;
 	char **named;
 	int nnamed;
 	bool quick;
@@ -48,7 +48,7 @@
 /** Share of the named runners that the answers for a queue allowed. */
 struct queue_share {
 	UT_hash_handle hh;
-	char queue[QUEUE_NAME_LEN];
+	char *queue;
 	struct advice_share share;
 };
 
@@ -68,9 +68,9 @@
 	HASH_FIND_STR(c->shares, queue, s);
 	if (s == NULL) {
 		s = xcalloc(1, sizeof(*s));
-		str_copy(s->queue, queue, sizeof(s->queue));
+		s->queue = xstrdup(queue);
 		advice_share_init(&s->share);
-		HASH_ADD_STR(c->shares, queue, s);
+		HASH_ADD_KEYPTR(hh, c->shares, s->queue, strlen(s->queue), s);
 	}
 	return &s->share;
 }
@@ -83,6 +83,7 @@
 	HASH_ITER(hh, c->shares, s, tmp)
 	{
 		HASH_DEL(c->shares, s);
+		free(s->queue);
 		free(s);
 	}
 }
@@ -247,6 +248,7 @@
 	for (i = 0; i < k->nnamed; i++)
 		free(k->named[i]);
 	free(k->named);
+	free(k->queue);
 	free(k);
 }
 
@@ -355,7 +357,7 @@
 	k->step.occurrence = s->occurrence->number;
 	k->step.step = s->index;
 	str_copy(k->host, lane->host, sizeof(k->host));
-	str_copy(k->queue, q->name, sizeof(k->queue));
+	k->queue = xstrdup(q->name);
 	k->named = xcalloc((size_t)n, sizeof(*k->named));
 	for (i = 0; i < n; i++)
 		k->named[k->nnamed++] = xstrdup(list[i].runner->info.id);
--- a/src/cell/cell.c
+++ b/src/cell/cell.c
@@ -88,10 +88,7 @@
 	retry_after_done(&c->retry_after);
 	cell_advice_done(c);
 	free(c->scratch);
-	if (c->config != NULL) {
-		config_done(c->config);
-		free(c->config);
-	}
+	config_delete(c->config);
 }
 
 void
@@ -142,10 +139,7 @@
 cell_set_config(struct cell *c, struct config *m)
 {
 	keep_queues(c, m);
-	if (c->config != NULL) {
-		config_done(c->config);
-		free(c->config);
-	}
+	config_delete(c->config);
 	c->config = m;
 	apply_config_to_jobs(c);
 	c->ports.wake(c->ports.arg);
--- a/src/cell/jobs.c
+++ b/src/cell/jobs.c
@@ -240,11 +240,17 @@
 	    c->ports.now() - c->renewed_ms < STATE_CURRENT_MS;
 }
 
+/* Why the cell takes no new job of this id and queue now; NULL: it does. */
 static const char *
-why_refused(const struct cell *c, const char *id)
+why_refused(const struct cell *c, const char *id, const char *queue)
 {
-	return unreadable_has(c->unreadable, id) ? "row-unreadable"
-						 : "store-down";
+	if (unreadable_has(c->unreadable, id))
+		return "row-unreadable";
+	if (cell_store_down(c))
+		return "store-down";
+	if (c->config != NULL && config_queue_refused(c->config, queue))
+		return "queue-unreadable";
+	return NULL;
 }
 
 /* Whether the store certainly has no job of that id. */
@@ -261,9 +267,9 @@
 	struct cell_answer ok = {.error = CC_OK};
 	struct cell_answer moved = {.error = CC_ENOTOWNER};
 	struct job *j = cell_job(c, id);
+	const char *why = why_refused(c, id, row->queue);
 
-	if (c->phase != CELL_SERVING || j != NULL || cell_store_down(c) ||
-	    unreadable_has(c->unreadable, id)) {
+	if (c->phase != CELL_SERVING || j != NULL || why != NULL) {
 		if (c->phase != CELL_SERVING)
 			fn(&moved, arg);
 		else if (j != NULL && j->stored)
@@ -271,7 +277,7 @@
 		else if (j != NULL)
 			add_waiter(j, fn, arg, false);
 		else
-			refuse(c, id, row, why_refused(c, id), fn, arg);
+			refuse(c, id, row, why, fn, arg);
 		cc__job_row__free_unpacked(row, NULL);
 		return;
 	}
--- a/src/member/calls.c
+++ b/src/member/calls.c
@@ -34,7 +34,7 @@
 	uint64_t serial;
 	struct member *member;
 	enum call_verb verb;
-	char queue[QUEUE_NAME_LEN];
+	char *queue;
 	char id[JOB_ID_LEN];
 	Cc__JobRow *job;
 	int64_t since_ms;
@@ -64,6 +64,7 @@
 	k->fn(a, k->arg);
 	if (k->job != NULL)
 		cc__job_row__free_unpacked(k->job, NULL);
+	free(k->queue);
 	free(k);
 }
 
@@ -267,7 +268,7 @@
 	k->member = m;
 	k->serial = ++m->call_serial;
 	k->verb = call->verb;
-	str_copy(k->queue, call->queue, sizeof(k->queue));
+	k->queue = xstrdup(call->queue);
 	str_copy(k->id, call->id, sizeof(k->id));
 	k->job = call->job;
 	k->since_ms = clock_boot_ms();
--- a/src/member/config.c
+++ b/src/member/config.c
@@ -13,24 +13,38 @@
 
 #define REQUEST_INTERVAL_MS 300
 #define REQUEST_TIMEOUT_MS 1000
+/** Most refused parts of a configuration that are logged. */
+#define REFUSALS_LOGGED_MAX 16
+
+static void
+log_refusals(const struct config *c)
+{
+	int i;
+
+	for (i = 0; i < c->nrefusals && i < REFUSALS_LOGGED_MAX; i++)
+		kvlog(KVLOG_WARN, "config_part_refused",
+		    "version=%llu name=%s field=%s refused=%d",
+		    (unsigned long long)c->version, c->refusals[i].name,
+		    c->refusals[i].field, c->nrefusals);
+}
 
 static void
 set_config(struct member *m, struct config *new, const void *value, size_t len,
     const char *from)
 {
-	if (m->config != NULL) {
-		config_done(m->config);
-		free(m->config);
-	}
+	config_delete(m->config);
 	free(m->config_text);
 	m->config = new;
 	m->config_text = xmalloc(len + 1);
 	memcpy(m->config_text, value, len);
 	m->config_text[len] = '\0';
 	m->config_len = len;
-	cell_set_config(&m->cell, m->ports.config_decode(value, len));
-	kvlog(KVLOG_INFO, "config_in_force", "version=%llu queues=%d from=%s",
-	    (unsigned long long)new->version, new->nqueues, from);
+	cell_set_config(&m->cell, config_copy(new));
+	kvlog(KVLOG_INFO, "config_in_force",
+	    "version=%llu queues=%d refused=%d from=%s",
+	    (unsigned long long)new->version, new->nqueues, new->nrefusals,
+	    from);
+	log_refusals(new);
 }
 
 void
@@ -39,14 +53,22 @@
 {
 	struct config *new = m->ports.config_decode(value, len);
 
-	if (new == NULL)
+	if (new == NULL) {
+		m->configs_unreadable++;
 		return;
+	}
+	if (new->version > m->config_read_version)
+		m->config_read_version = new->version;
 	if (m->config == NULL || new->version > m->config->version) {
 		set_config(m, new, value, len, from);
 		return;
 	}
-	config_done(new);
-	free(new);
+	if (new->version < m->config->version)
+		kvlog(KVLOG_INFO, "config_older",
+		    "version=%llu in_force=%llu from=%s",
+		    (unsigned long long)new->version,
+		    (unsigned long long)m->config->version, from);
+	config_delete(new);
 }
 
 void
--- a/src/member/member.c
+++ b/src/member/member.c
@@ -192,10 +192,7 @@
 	relay_serve_delete(m->served);
 	peer_net_delete(m->peers);
 	relay_port_delete(m->relays);
-	if (m->config != NULL) {
-		config_done(m->config);
-		free(m->config);
-	}
+	config_delete(m->config);
 	free(m->config_text);
 	free(m);
 }
--- a/src/member/member_internal.h
+++ b/src/member/member_internal.h
@@ -94,6 +94,8 @@
 	size_t config_len;
 	struct config *config; /**< this host's copy; the cell has another */
 	int64_t config_requested_ms;
+	uint64_t config_read_version; /**< highest version that was read */
+	uint64_t configs_unreadable;  /**< rows that couldn't be read */
 	/* reads of the commit row, which the leader renews */
 	bool commit_reading; /**< a read is in flight */
 	uint64_t commit_row_version;
--- a/src/state/config.c
+++ b/src/state/config.c
@@ -6,18 +6,98 @@
 
 #include "../base/xalloc.h"
 
-void
-config_init(struct config *c)
+struct config *
+config_new(void)
+{
+	return xcalloc(1, sizeof(struct config));
+}
+
+static void
+queue_done(struct queue *q)
 {
-	memset(c, 0, sizeof(*c));
+	free(q->name);
+	free(q->host);
+	free(q->prefix);
+	free(q->service);
 }
 
 void
-config_done(struct config *c)
+config_delete(struct config *c)
 {
+	int i;
+
+	if (c == NULL)
+		return;
+	for (i = 0; i < c->nqueues; i++)
+		queue_done(&c->queues[i]);
+	for (i = 0; i < c->nservices; i++)
+		free(c->services[i].name);
+	for (i = 0; i < c->nrefusals; i++)
+		free(c->refusals[i].name);
 	free(c->queues);
 	free(c->services);
-	config_init(c);
+	free(c->refusals);
+	free(c);
+}
+
+static char *
+copy_text(const char *s)
+{
+	return xstrdup(s != NULL ? s : "");
+}
+
+void
+config_add_queue(struct config *c, const struct queue *q)
+{
+	struct queue *copy;
+
+	c->queues =
+	    xrealloc(c->queues, (size_t)(c->nqueues + 1) * sizeof(*c->queues));
+	copy = &c->queues[c->nqueues++];
+	*copy = *q;
+	copy->name = copy_text(q->name);
+	copy->host = copy_text(q->host);
+	copy->prefix = copy_text(q->prefix);
+	copy->service = copy_text(q->service);
+}
+
+void
+config_add_service(struct config *c, const struct service *s)
+{
+	struct service *copy;
+
+	c->services = xrealloc(
+	    c->services, (size_t)(c->nservices + 1) * sizeof(*c->services));
+	copy = &c->services[c->nservices++];
+	*copy = *s;
+	copy->name = copy_text(s->name);
+}
+
+void
+config_refuse(struct config *c, const char *name, const char *field)
+{
+	c->refusals = xrealloc(
+	    c->refusals, (size_t)(c->nrefusals + 1) * sizeof(*c->refusals));
+	c->refusals[c->nrefusals++] =
+	    (struct config_refusal){.name = copy_text(name), .field = field};
+}
+
+struct config *
+config_copy(const struct config *c)
+{
+	struct config *copy = config_new();
+	int i;
+
+	copy->version = c->version;
+	copy->max_body_bytes = c->max_body_bytes;
+	copy->max_header_bytes = c->max_header_bytes;
+	for (i = 0; i < c->nqueues; i++)
+		config_add_queue(copy, &c->queues[i]);
+	for (i = 0; i < c->nservices; i++)
+		config_add_service(copy, &c->services[i]);
+	for (i = 0; i < c->nrefusals; i++)
+		config_refuse(copy, c->refusals[i].name, c->refusals[i].field);
+	return copy;
 }
 
 /* The Host header may have a port after the name. */
@@ -52,21 +132,26 @@
 	return best;
 }
 
-void
-config_add_queue(struct config *c, const struct queue *q)
-{
-	c->queues =
-	    xrealloc(c->queues, (size_t)(c->nqueues + 1) * sizeof(*c->queues));
-	c->queues[c->nqueues++] = *q;
-}
-
 const struct queue *
 config_queue(const struct config *c, const char *name)
 {
 	int i;
 
 	for (i = 0; i < c->nqueues; i++)
-		if (strcmp(c->queues[i].name, name) == 0)
+		if (!c->queues[i].refused &&
+		    strcmp(c->queues[i].name, name) == 0)
 			return &c->queues[i];
 	return NULL;
 }
+
+bool
+config_queue_refused(const struct config *c, const char *name)
+{
+	int i;
+
+	for (i = 0; i < c->nqueues; i++)
+		if (c->queues[i].refused &&
+		    strcmp(c->queues[i].name, name) == 0)
+			return true;
+	return false;
+}
--- a/src/state/config.h
+++ b/src/state/config.h
@@ -8,8 +8,6 @@
 #include <stddef.h>
 #include <stdint.h>
 
-#define QUEUE_NAME_LEN 64
-
 /** How a queue uses the advice service, and how long calls to it take. */
 struct advice_terms {
 	bool needed;	     /**< a start needs a ticket of the service */
@@ -19,10 +17,10 @@
 };
 
 struct queue {
-	char name[QUEUE_NAME_LEN];
-	char host[128];	  /**< value of the Host header, without a port */
-	char prefix[128]; /**< of the request path */
-	char service[64]; /**< service of the runners that run its jobs */
+	char *name;
+	char *host;    /**< value of the Host header, without a port */
+	char *prefix;  /**< of the request path */
+	char *service; /**< service of the runners that run its jobs */
 	int64_t timeout_ms;
 	int64_t target_latency_ms;
 	int priority;	       /**< 0 is the most urgent */
@@ -31,14 +29,22 @@
 	 * target_latency_ms. */
 	double stretch;
 	struct advice_terms advice;
+	/** It takes no new jobs, as some of its terms can't be read. */
+	bool refused;
 };
 
 struct service {
-	char name[64];
+	char *name;
 	/** The service's runners refuse a task that doesn't fit. */
 	bool admission_check;
 };
 
+/** Part of a configuration that can't be read. */
+struct config_refusal {
+	char *name;	   /**< of the queue or service; "" when unknown */
+	const char *field; /**< static text */
+};
+
 struct config {
 	uint64_t version; /**< 0: no configuration is known */
 	struct queue *queues;
@@ -47,18 +53,31 @@
 	int nservices;
 	int64_t max_body_bytes;
 	int64_t max_header_bytes;
+	/** What the rest, which is in force, lacks. */
+	struct config_refusal *refusals;
+	int nrefusals;
 };
 
-void config_init(struct config *c);
-void config_done(struct config *c);
+struct config *config_new(void);
+struct config *config_copy(const struct config *c);
+/** @p c may be NULL. */
+void config_delete(struct config *c);
+/** Notes a part that can't be read. */
+void config_refuse(struct config *c, const char *name, const char *field);
 /**
  * @return the queue of @p host with the longest prefix that matches @p path;
  *     NULL when there is none.
  */
 const struct queue *config_route(
     const struct config *c, const char *host, const char *path);
+/** @return the queue, unless it is refused; NULL when there is none. */
 const struct queue *config_queue(const struct config *c, const char *name);
-/** Adds a queue of an earlier configuration, for work accepted under it. */
+/** Whether the configuration has the queue, which takes no new jobs. */
+bool config_queue_refused(const struct config *c, const char *name);
+/** Adds a copy of a queue, such as one of an earlier configuration for work
+ * that was accepted under it. */
 void config_add_queue(struct config *c, const struct queue *q);
+/** Adds a copy of a service. */
+void config_add_service(struct config *c, const struct service *s);
 
 #endif
