registry: services and labels of runners have any length

What callers would see: work of a queue whose service has a name of 64 characters or more is accepted and never started, as each entry of its runners is refused; so is work that requires a label of 48 or more (LOST). Found by reading; the test that asserted it ("too long are refused") shows it.

Services, racks and labels are shared names now, one copy of each, 4 MiB together at most; beyond that an entry is refused, with a log line. A runner's zone isn't used, so it isn't kept; it still has to be a text.

test_entries_too_long asserted that a service, zone or label that doesn't fit is refused.

--- a/src/cell/load_rows.c
+++ b/src/cell/load_rows.c
@@ -181,7 +181,8 @@
 static void
 load_runner(struct cell *c, const Cc__RunnerRow *row)
 {
-	struct runner_info info = {.remaining_ms = -1};
+	struct runner_info info = {
+	    .service = "", .rack = "", .remaining_ms = -1};
 	struct runner *r;
 	size_t i;
 
--- a/src/ports/ports.h
+++ b/src/ports/ports.h
@@ -16,9 +16,7 @@
 #define RUNNER_ID_LEN 64
 #define TICKET_LEN 64
 #define TASK_NAME_LEN 64
-#define SAVED_LEN 64
 #define RUNNER_LABELS_MAX 8
-#define LABEL_LEN 48
 #define RUNNER_ADDR_LEN 48
 
 /** A versioned row of the store. */
@@ -239,14 +237,14 @@
 	char id[RUNNER_ID_LEN];
 	char addr[RUNNER_ADDR_LEN];
 	uint16_t port;
-	char service[64];
-	char zone[64];
+	/** Names of names.h; "" for none, and likewise those below. */
+	const char *service;
 	int64_t cpu; /**< thousandths of a core */
 	int64_t mem_mb;
 	int64_t gpu;
-	char labels[RUNNER_LABELS_MAX][LABEL_LEN];
+	const char *labels[RUNNER_LABELS_MAX];
 	int nlabels;
-	char rack[LABEL_LEN];
+	const char *rack;
 	bool draining;
 	int64_t remaining_ms; /**< least time until a draining runner leaves;
 				 -1: unknown */
