advice: tickets have any length

Test: the simulated environment gives tickets of 300 characters that differ at their end only, and checks each start's.

--- a/src/cell/grants.c
+++ b/src/cell/grants.c
@@ -64,7 +64,8 @@
 	if (g->state != GRANT_ALLOWED)
 		TAILQ_INSERT_TAIL(&a->allowed, g, link);
 	g->state = GRANT_ALLOWED;
-	str_copy(g->ticket, ticket, sizeof(g->ticket));
+	free(g->ticket);
+	g->ticket = ticket[0] != '\0' ? xstrdup(ticket) : NULL;
 	g->expires_ms = expires_ms;
 	g->born_ms = r != NULL ? r->info.born_ms : 0;
 }
@@ -80,6 +81,7 @@
 	HASH_ITER(hh, a->grants, g, tmp)
 	{
 		HASH_DEL(a->grants, g);
+		free(g->ticket);
 		free(g);
 	}
 	free(a);
@@ -91,7 +93,7 @@
 static struct runner *
 grant_runner(struct cell *c, struct grant *g, int64_t now)
 {
-	if (g->ticket[0] == '\0' || now >= g->expires_ms - TICKET_MARGIN_MS)
+	if (g->ticket == NULL || now >= g->expires_ms - TICKET_MARGIN_MS)
 		return NULL;
 	if (g->cached_version != c->runners_version) {
 		g->cached = cell_runner(c, g->runner);
@@ -183,8 +185,10 @@
 {
 	struct grant *g = grant_find(s->advice, r->info.id);
 
-	if (g != NULL)
-		g->ticket[0] = '\0';
+	if (g == NULL)
+		return;
+	free(g->ticket);
+	g->ticket = NULL;
 }
 
 uint32_t
--- a/src/cell/grants.h
+++ b/src/cell/grants.h
@@ -22,7 +22,7 @@
 				* the cell */
 	uint64_t cached_version; /**< cell's runners_version at that time */
 	enum grant_state state;
-	char ticket[TICKET_LEN]; /**< "" once the runner has refused it */
+	char *ticket; /**< NULL once the runner has refused it */
 	int64_t expires_ms;
 	int64_t born_ms; /**< start time of the runner incarnation that the
 			  * ticket is for; 0: unknown */
--- a/src/cell/orders.c
+++ b/src/cell/orders.c
@@ -156,7 +156,7 @@
 	    .fence = r->fence,
 	    .saved =
 		checkpoint_task->saved != NULL ? checkpoint_task->saved : "",
-	    .ticket = run->ticket,
+	    .ticket = run->ticket != NULL ? run->ticket : "",
 	    .born_ms = runner_bound_born_ms(r),
 	};
 
@@ -357,7 +357,8 @@
 	run = run_new(r, t, name, number);
 	run->ordered_ms = c->ports.now();
 	run->is_copy = is_copy;
-	str_copy(run->ticket, ticket, sizeof(run->ticket));
+	if (ticket[0] != '\0')
+		run->ticket = xstrdup(ticket);
 	last_run = t->last_run;
 	t->last_run = number > t->last_run ? number : t->last_run;
 	if (is_copy) {
--- a/src/ports/ports.h
+++ b/src/ports/ports.h
@@ -14,7 +14,6 @@
 #include <stdint.h>
 
 #define RUNNER_ID_LEN 64
-#define TICKET_LEN 64
 #define TASK_NAME_LEN 64
 #define RUNNER_LABELS_MAX 8
 #define RUNNER_ADDR_LEN 48
--- a/src/state/runner.c
+++ b/src/state/runner.c
@@ -81,6 +81,7 @@
 	r->nunsized -= run->unsized;
 	r->napart -= run->apart;
 	TAILQ_REMOVE(&r->runs, run, link);
+	free(run->ticket);
 	free(run);
 }
 
--- a/src/state/runner.h
+++ b/src/state/runner.h
@@ -63,7 +63,7 @@
 	int percent;	      /**< pace last ordered, in percent of full pace */
 	int load; /**< as last reported: tail latency in ms of a task with such
 		     a target, else processor use */
-	char ticket[TICKET_LEN];
+	char *ticket; /**< NULL: the start needs none */
 };
 
 /** A run that may have been at fault for a crash of its runner: the runner is
--- a/tests/unit/cell_test.c
+++ b/tests/unit/cell_test.c
@@ -507,6 +507,21 @@
 	finish_world(w);
 }
 
+/* Guards against LOST: a ticket that didn't fit an array was cut, or refused,
+ * and its step never started. The environment checks each start's ticket. */
+void
+test_cell_advice_long_tickets(void)
+{
+	const struct world_step step = {
+	    .count = 6, .cpu = 1000, .ms = 400, .after = -1};
+	struct world *w = start_world(8);
+
+	world_submit(w, "0000000000000001", "advised", &step, 1);
+	world_run(w, 3000);
+	CU_ASSERT_EQUAL(world_state(w, "0000000000000001"), JOB_COMPLETED);
+	finish_world(w);
+}
+
 /*
  * Six urgent jobs ask for advice at one moment. Each names runners that the
  * others don't, so that none finds its slots taken when its answer arrives.
--- a/tests/unit/main.c
+++ b/tests/unit/main.c
@@ -202,6 +202,8 @@
 	test_cell_failure_counts_once},
     {"cell", "long-running tasks leave runners that drain",
 	test_cell_drain_moves_long_running},
+    {"cell", "tickets of any length are passed on whole",
+	test_cell_advice_long_tickets},
     {"cell", "advice is asked once a step, before the step is ready",
 	test_cell_advice_before_ready},
     {"cell", "six jobs at one moment ask advice on different runners",
--- a/tests/unit/unit.h
+++ b/tests/unit/unit.h
@@ -34,6 +34,7 @@
 void test_cell_failure_counts_once(void);
 void test_cell_drain_moves_long_running(void);
 void test_cell_advice_before_ready(void);
+void test_cell_advice_long_tickets(void);
 void test_cell_advice_concurrent_jobs(void);
 void test_cell_unanswered_orders_in_time(void);
 void test_cell_idle_sends_no_holds(void);
--- a/tests/world/world.c
+++ b/tests/world/world.c
@@ -40,6 +40,9 @@
 #define STARTS_MAX 8192
 #define REGISTRY_INTERVAL_MS 500
 #define ADVICE_DECISION_MS 25.0
+/** Queue whose starts need a ticket. */
+#define ADVISED "advised"
+#define TICKET_LEN 300
 /** Largest value that the store accepts unless a test sets another limit. */
 #define MAX_ROW_BYTES 65536
 #define MAX_TXN_ENTRIES 100
@@ -696,6 +699,26 @@
 	    (t->lapsed_done_fence != 0 && fence >= t->lapsed_done_fence);
 }
 
+/* The ticket for a runner: long, and only its end tells it from others. */
+static void
+format_ticket(char ticket[TICKET_LEN], const char *runner)
+{
+	memset(ticket, 't', TICKET_LEN);
+	snprintf(ticket + TICKET_LEN / 2, TICKET_LEN / 2, "%s", runner);
+}
+
+static bool
+has_ticket(const struct world_job *j, const struct world_runner *r,
+    const struct start_order *o)
+{
+	char ticket[TICKET_LEN];
+
+	if (strcmp(j->queue, ADVISED) != 0)
+		return o->ticket[0] == '\0';
+	format_ticket(ticket, r->id);
+	return strcmp(o->ticket, ticket) == 0;
+}
+
 static void
 check_start(struct world *w, struct world_runner *r, struct world_job *j,
     const struct task_ref *ref, const struct start_order *o)
@@ -720,6 +743,8 @@
 		report_violation(w, "started-before-earlier-step", o->task);
 	if (used_cpu(r) + s->cpu > cpu_limit(r))
 		report_violation(w, "cpu-exceeded", o->task);
+	if (!has_ticket(j, r, o))
+		report_violation(w, "started-without-ticket", o->task);
 }
 
 /* Notes a run number. A run and its copy may overtake each other, so where
@@ -2144,12 +2169,17 @@
 {
 	struct advice_event *e = arg;
 	struct advice_row rows[128];
+	char tickets[128][TICKET_LEN];
 	int i, n = 0;
 
 	(void)w;
-	for (i = 0; i < e->n; i++)
-		if (e->ids[i][1] % 2 == 0)
-			rows[n++] = (struct advice_row){e->ids[i], "t"};
+	for (i = 0; i < e->n; i++) {
+		if (e->ids[i][1] % 2 != 0)
+			continue;
+		format_ticket(tickets[n], e->ids[i]);
+		rows[n] = (struct advice_row){e->ids[i], tickets[n]};
+		n++;
+	}
 	if (cell_alive(e->cell, e->incarnation))
 		e->fn(CC_OK, rows, n, 2500, e->arg);
 	for (i = 0; i < e->n; i++)
@@ -2212,7 +2242,7 @@
 		.priority = 2,
 		.max_attempts = 3,
 		.stretch = 2.2},
-	    {.name = "advised",
+	    {.name = ADVISED,
 		.service = "s",
 		.target_latency_ms = 250,
 		.priority = 0,
