log: texts from outside neither end a line nor hide what follows

Names of queues, services and racks have any length now, so one of 1,000 characters would cut all keys after it off the line, and a newline in one begins a line of its own. Control characters are written as "?", and such names are cut to 64 characters in the log only.

The test of the log captures such a text, and asserts step_waits for a task that no runner can hold.

--- a/src/base/kvlog.c
+++ b/src/base/kvlog.c
@@ -206,6 +206,15 @@
 	return 0;
 }
 
+/* A text from outside must not end the line or begin another one. */
+static void
+replace_controls(char *s)
+{
+	for (; *s != '\0'; s++)
+		if ((unsigned char)*s < ' ')
+			*s = '?';
+}
+
 void
 kvlog(enum kvlog_level level, const char *event, const char *fmt, ...)
 {
@@ -224,6 +233,7 @@
 	va_start(ap, fmt);
 	vsnprintf(pairs, sizeof(pairs), fmt, ap);
 	va_end(ap);
+	replace_controls(pairs);
 	if (dropped > 0)
 		snprintf(line, sizeof(line),
 		    "t=%lld level=%s host=%s event=%s repeats_dropped=%d %s",
--- a/src/base/kvlog.h
+++ b/src/base/kvlog.h
@@ -2,6 +2,9 @@
 #ifndef KVLOG_H
 #define KVLOG_H
 
+/** Format of a text that may be long. */
+#define KVLOG_TEXT "%.64s"
+
 enum kvlog_level {
 	KVLOG_ERROR,
 	KVLOG_WARN,
@@ -14,7 +17,9 @@
 int kvlog_open(const char *host, enum kvlog_level level);
 void kvlog_close(void);
 /**
- * Writes one event. @p fmt gives the pairs, such as "task=%s wait_ms=%d".
+ * Writes one event. @p fmt gives the pairs, such as "task=%s wait_ms=%d". A
+ * control character in them is written as "?". Texts of any length are given
+ * with KVLOG_TEXT, so that they leave room for the pairs after them.
  *
  * The rate is limited to 200 lines a second of each event, except at level
  * error; the next line of the event gives the number of those dropped.
--- a/src/cell/jobs.c
+++ b/src/cell/jobs.c
@@ -156,7 +156,8 @@
 	c->counters.canceled += state == JOB_CANCELED;
 	c->counters.failures[j->failure] += state == JOB_FAILED;
 	kvlog(KVLOG_INFO, "job_ended",
-	    "id=%s queue=%s state=%s took_ms=%lld due_in_ms=%lld failure=%s "
+	    "id=%s queue=" KVLOG_TEXT
+	    " state=%s took_ms=%lld due_in_ms=%lld failure=%s "
 	    "task=%s max_attempts=%u inherited=%d fence=%llu",
 	    j->id, j->row->queue, job_state_name(state),
 	    (long long)(j->ended_ms - j->accepted_ms),
@@ -289,7 +290,8 @@
 	cell_mark_dirty(c, j);
 	c->counters.accepted++;
 	kvlog(KVLOG_INFO, "submit",
-	    "id=%s queue=%s steps=%zu tasks=%u chain_ms=%lld objective_ms=%lld",
+	    "id=%s queue=" KVLOG_TEXT " steps=%zu tasks=%u chain_ms=%lld "
+	    "objective_ms=%lld",
 	    id, row->queue, row->n_steps, row->steps[0]->count,
 	    (long long)j->critical_path_ms,
 	    (long long)(j->due_ms - j->accepted_ms));
--- a/src/cell/runners.c
+++ b/src/cell/runners.c
@@ -156,7 +156,8 @@
 	c->runners_version++;
 	cell_mark_runner_due(c, r);
 	kvlog(KVLOG_INFO, "runner_found",
-	    "runner=%s service=%s rack=%s cpu=%lld mem_mb=%lld draining=%d "
+	    "runner=%s service=" KVLOG_TEXT " rack=" KVLOG_TEXT
+	    " cpu=%lld mem_mb=%lld draining=%d "
 	    "born_ms=%lld adopting=%d led_ms=%lld",
 	    in->id, in->service, in->rack, (long long)in->cpu,
 	    (long long)in->mem_mb, in->draining, (long long)in->born_ms,
--- a/src/member/config.c
+++ b/src/member/config.c
@@ -23,7 +23,7 @@
 
 	for (i = 0; i < c->nrefusals && i < REFUSALS_LOGGED_MAX; i++)
 		kvlog(KVLOG_WARN, "config_part_refused",
-		    "version=%llu name=%s field=%s refused=%d",
+		    "version=%llu name=" KVLOG_TEXT " field=%s refused=%d",
 		    (unsigned long long)c->version, c->refusals[i].name,
 		    c->refusals[i].field, c->nrefusals);
 }
--- a/tests/unit/cell_log_test.c
+++ b/tests/unit/cell_log_test.c
@@ -13,6 +13,7 @@
 #include "unit_world.h"
 
 #define JOB "0000000000000001"
+#define LARGE_JOB "0000000000000002"
 #define LOG_LEN 65536
 #define RUNNERS 2
 /** Time in which the leases of a silent runner are over. */
@@ -20,6 +21,8 @@
 
 static const struct world_step step = {
     .count = 1, .cpu = 1000, .ms = 4000, .after = -1};
+static const struct world_step large = {
+    .count = 1, .cpu = 17000, .ms = 4000, .after = -1};
 
 /** The log, written to a file instead of standard output. It can be opened
  * once in a process. */
@@ -82,7 +85,8 @@
 }
 
 /* Guards against a log that doesn't tell why a task was started again: the
- * start after a lapse names the run before, and by what it counted as ended. */
+ * start after a lapse names the run before, and by what it counted as ended;
+ * nor why one wasn't started; and against texts that end a line. */
 void
 test_log_start_after_lapse(void)
 {
@@ -96,7 +100,14 @@
 	world_run(w, 500);
 	world_runner_cut(w, runner_number(w, JOB ".0.0.0"), true);
 	world_run(w, LAPSE_MS);
+	world_submit(w, LARGE_JOB, "batch", &large, 1);
+	world_run(w, 3000);
+	kvlog(KVLOG_INFO, "text", "name=" KVLOG_TEXT " after=1", "a\nb\tc");
 	capture_end(l);
+	CU_ASSERT(logged(l, "event=text ", " name=a?b?c ", " after=1"));
+	CU_ASSERT(
+	    logged(l, "event=step_waits ", "job=" LARGE_JOB " ", " tasks=1 "));
+	CU_ASSERT(logged(l, "event=step_waits ", " held=none ", ",size:1"));
 	CU_ASSERT(logged(l, "event=placed ", "task=" JOB ".0.0.0 ",
 	    " prev_run=0 prev_how=none prev_by=none "));
 	CU_ASSERT(logged(l, "event=run_ended ", "task=" JOB ".0.0.0 ",
