--- a/bench/cell_bench.c
+++ b/bench/cell_bench.c
@@ -12,6 +12,7 @@
 #include <time.h>
 
 #include "../src/base/err.h"
+#include "../src/base/names.h"
 #include "../src/base/xalloc.h"
 #include "../src/cell/cell_internal.h"
 
@@ -289,21 +290,19 @@
 static struct config *
 make_config(void)
 {
-	struct config *m = xcalloc(1, sizeof(*m));
+	static const struct queue queue = {.name = "urgent",
+	    .service = "svc",
+	    .target_latency_ms = 250,
+	    .max_attempts = 3,
+	    .stretch = 1.5,
+	    .advice = {.needed = true,
+		.decision_ms = 22,
+		.runner_ms = 0.3,
+		.validity_ms = 2500}};
+	struct config *m = config_new();
 
-	config_init(m);
 	m->version = 1;
-	m->queues = xcalloc(1, sizeof(*m->queues));
-	m->nqueues = 1;
-	str_copy(m->queues[0].name, "urgent", QUEUE_NAME_LEN);
-	str_copy(m->queues[0].service, "svc", sizeof(m->queues[0].service));
-	m->queues[0].target_latency_ms = 250;
-	m->queues[0].max_attempts = 3;
-	m->queues[0].stretch = 1.5;
-	m->queues[0].advice = (struct advice_terms){.needed = true,
-	    .decision_ms = 22,
-	    .runner_ms = 0.3,
-	    .validity_ms = 2500};
+	config_add_queue(m, &queue);
 	return m;
 }
 
@@ -311,14 +310,16 @@
 set_runners(int n)
 {
 	struct runner_info *infos = xcalloc((size_t)n, sizeof(*infos));
+	char rack[16];
 	int i;
 
 	for (i = 0; i < n; i++) {
 		snprintf(infos[i].id, sizeof(infos[i].id), "r%d", i);
 		str_copy(infos[i].addr, "127.0.0.1", sizeof(infos[i].addr));
 		infos[i].port = 1;
-		str_copy(infos[i].service, "svc", sizeof(infos[i].service));
-		snprintf(infos[i].rack, sizeof(infos[i].rack), "k%d", i / 12);
+		snprintf(rack, sizeof(rack), "k%d", i / 12);
+		infos[i].service = "svc";
+		infos[i].rack = names_get(rack);
 		infos[i].cpu = 16000;
 		infos[i].mem_mb = 65536;
 		infos[i].born_ms = 1;
