tests: the simulated environment keeps the ticket of an order that is late

The adapter writes the order at once, so the product isn't concerned. The order keeps a copy, as it does of the task's name.

--- a/tests/world/world.c
+++ b/tests/world/world.c
@@ -1104,7 +1104,7 @@
 	char id[RUNNER_ID_LEN]; /**< of the incarnation that it is for */
 	enum order_kind kind;
 	char task[TASK_NAME_LEN];
-	char spec[64];
+	char ticket[TICKET_LEN];
 	struct start_order start;
 	struct hold_order hold;
 	order_fn fn;
@@ -1247,6 +1247,7 @@
 
 	copy->refs = 0;
 	copy->start.task = copy->task;
+	copy->start.ticket = copy->ticket;
 	copy->answer_lost = true;
 	copy->born_ms = o->runner->born_ms;
 	return copy;
@@ -1412,6 +1413,8 @@
 	o->start = *s;
 	str_copy(o->task, s->task, sizeof(o->task));
 	o->start.task = o->task;
+	str_copy(o->ticket, s->ticket, sizeof(o->ticket));
+	o->start.ticket = o->ticket;
 	o->fn = fn;
 	o->arg = arg;
 	send_order(o->cell->world, o);
