--- a/tests/fuzz/main.c
+++ b/tests/fuzz/main.c
@@ -88,6 +88,9 @@
 		q->service != NULL,
 	    "texts", t);
 	expect(objective >= 0 && objective < INT64_MAX / 1000, "objective", t);
+	expect(q->target_latency_ms >= 0 &&
+		q->target_latency_ms < INT64_MAX / 1000,
+	    "target_latency_ms", t);
 	expect(q->timeout_ms >= 0 && q->timeout_ms < INT64_MAX / 1000,
 	    "timeout_ms", t);
 	expect(q->priority >= 0, "priority", t);
