--- a/src/base/err.c
+++ b/src/base/err.c
@@ -12,6 +12,8 @@
     "no-entry",
     "busy",
     "store-unavailable",
+    "rate-limited",
+    "forbidden",
 };
 
 const char *
--- a/src/base/err.h
+++ b/src/base/err.h
@@ -14,6 +14,8 @@
 	CC_ENOENT = -8,	   /**< not found */
 	CC_EBUSY = -9,	   /**< not possible now; try again later */
 	CC_EUNAVAIL = -10, /**< the platform's store is unavailable */
+	CC_ERATE = -11,	   /**< beyond the client account's rate; not done */
+	CC_EPERM = -12,	   /**< it belongs to another client account */
 };
 
 /** Name of an error number, for log lines. */
--- a/src/cell/cell.c
+++ b/src/cell/cell.c
@@ -79,6 +79,7 @@
 	drop_jobs(c, &a);
 	drop_runners(c);
 	unreadable_drop_all(&c->unreadable);
+	account_delete_all(&c->accounts);
 }
 
 void
@@ -135,12 +136,42 @@
 			config_add_queue(m, j->queue);
 }
 
+/* Keeps the terms of accounts that the new configuration lacks while they have
+ * jobs, so that their caps hold for these. */
+static void
+keep_accounts(const struct cell *c, struct config *m)
+{
+	const struct account_terms *t;
+	const struct account *a;
+
+	for (a = c->accounts; a != NULL && c->config != NULL; a = a->hh.next) {
+		t = config_account(c->config, a->name);
+		if (t != NULL && config_account(m, a->name) == NULL)
+			config_add_account(m, t);
+	}
+}
+
+static void
+apply_config_to_accounts(struct cell *c)
+{
+	const struct account_terms *t;
+	struct account *a;
+
+	for (a = c->accounts; a != NULL; a = a->hh.next) {
+		t = config_account(c->config, a->name);
+		if (t != NULL)
+			account_set_terms(a, t);
+	}
+}
+
 void
 cell_set_config(struct cell *c, struct config *m)
 {
 	keep_queues(c, m);
+	keep_accounts(c, m);
 	config_delete(c->config);
 	c->config = m;
+	apply_config_to_accounts(c);
 	apply_config_to_jobs(c);
 	c->ports.wake(c->ports.arg);
 }
--- a/src/cell/cell.h
+++ b/src/cell/cell.h
@@ -53,6 +53,9 @@
 	int64_t status_ms;     /**< retention of ended jobs */
 	double remote_factor;  /**< slowdown of a run outside the step's
 				* preferred rack, as a factor */
+	double quota_excess;   /**< share of its cap by which a client account
+				* may exceed it */
+	int64_t quota_window_ms; /**< window of the rates of client accounts */
 };
 
 struct cell_ports {
@@ -168,7 +171,8 @@
 	uint64_t fence;	     /**< fencing token: version of the leader's row */
 	uint32_t generation; /**< number of the claim; base of run numbers */
 	char incarnation[32];
-	struct config *config; /**< in force at this host */
+	struct config *config;	  /**< in force at this host */
+	struct account *accounts; /**< client accounts of jobs */
 	struct job *jobs;
 	struct job *loading; /**< jobs read from the store, on no list yet */
 	struct unreadable_job *unreadable; /**< jobs that can't be read */
--- a/src/cell/cell_internal.h
+++ b/src/cell/cell_internal.h
@@ -51,6 +51,8 @@
 /* jobs.c: jobs of the cell and the calls of clients */
 
 struct job *cell_job(struct cell *c, const char *id);
+/** Sets the job's client account from its row. */
+void cell_bind_account(struct cell *c, struct job *j);
 /** Adds a new or loaded job and lists its ready steps. */
 void cell_add_job(struct cell *c, struct job *j);
 /** Lists the steps that have become ready for placement. */
--- a/src/cell/jobs.c
+++ b/src/cell/jobs.c
@@ -27,6 +27,20 @@
 	return j;
 }
 
+void
+cell_bind_account(struct cell *c, struct job *j)
+{
+	const struct account_terms *t = NULL;
+
+	if (j->row->account[0] == '\0')
+		return;
+	j->account = account_get(&c->accounts, j->row->account);
+	if (c->config != NULL)
+		t = config_account(c->config, j->row->account);
+	if (t != NULL)
+		account_set_terms(j->account, t);
+}
+
 void
 cell_apply_queue(struct cell *c, struct job *j)
 {
@@ -284,6 +298,7 @@
 	}
 	row->accepted_wall_ms = c->ports.wall_now();
 	j = job_new(id, row);
+	cell_bind_account(c, j);
 	j->accepted_ms = c->ports.now();
 	cell_add_job(c, j);
 	add_waiter(j, fn, arg, false);
--- a/src/cell/load_rows.c
+++ b/src/cell/load_rows.c
@@ -16,6 +16,7 @@
 	j->stored = true;
 	j->inherited = true;
 	j->part = p->part;
+	cell_bind_account(p->load->cell, j);
 	HASH_ADD_STR(p->load->cell->loading, id, j);
 	return j;
 }
@@ -65,6 +66,7 @@
 
 	cc__job_row__init(jr);
 	jr->queue = xstrdup(progress->queue);
+	jr->account = xstrdup(progress->account);
 	jr->spec = xstrdup("");
 	return add_stored(p, id, jr);
 }
--- a/src/member/member.c
+++ b/src/member/member.c
@@ -101,6 +101,8 @@
 	    .stop_grace_ms = s->stop_grace_ms,
 	    .status_ms = s->status_s * 1000,
 	    .remote_factor = s->remote_factor,
+	    .quota_excess = s->quota_excess,
+	    .quota_window_ms = s->quota_window_s * 1000,
 	};
 	struct cell_ports ports = {
 	    .store = m->ports.store,
--- a/src/protocol/peer.pb-c.c
+++ b/src/protocol/peer.pb-c.c
@@ -4102,7 +4102,7 @@
   (ProtobufCMessageInit) cc__beat__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cc__conf__field_descriptors[4] =
+static const ProtobufCFieldDescriptor cc__conf__field_descriptors[6] =
 {
   {
     "version",
@@ -4152,8 +4152,34 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "has_age",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Cc__Conf, has_age),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "age_ms",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Cc__Conf, age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cc__conf__field_indices_by_name[] = {
+  5,   /* field[5] = age_ms */
+  4,   /* field[4] = has_age */
   1,   /* field[1] = text */
   0,   /* field[0] = version */
   2,   /* field[2] = wall_ms */
@@ -4162,7 +4188,7 @@
 static const ProtobufCIntRange cc__conf__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor cc__conf__descriptor =
 {
@@ -4172,7 +4198,7 @@
   "Cc__Conf",
   "cc",
   sizeof(Cc__Conf),
-  4,
+  6,
   cc__conf__field_descriptors,
   cc__conf__field_indices_by_name,
   1,  cc__conf__number_ranges,
@@ -5592,7 +5618,7 @@
   (ProtobufCMessageInit) cc__ended__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cc__ack__field_descriptors[2] =
+static const ProtobufCFieldDescriptor cc__ack__field_descriptors[4] =
 {
   {
     "error",
@@ -5618,15 +5644,41 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "has_conf_age",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Cc__Ack, has_conf_age),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "conf_age_ms",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Cc__Ack, conf_age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cc__ack__field_indices_by_name[] = {
+  3,   /* field[3] = conf_age_ms */
   1,   /* field[1] = conf_version */
   0,   /* field[0] = error */
+  2,   /* field[2] = has_conf_age */
 };
 static const ProtobufCIntRange cc__ack__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor cc__ack__descriptor =
 {
@@ -5636,7 +5688,7 @@
   "Cc__Ack",
   "cc",
   sizeof(Cc__Ack),
-  2,
+  4,
   cc__ack__field_descriptors,
   cc__ack__field_indices_by_name,
   1,  cc__ack__number_ranges,
@@ -5902,7 +5954,7 @@
   (ProtobufCMessageInit) cc__step_spec__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cc__job_row__field_descriptors[7] =
+static const ProtobufCFieldDescriptor cc__job_row__field_descriptors[9] =
 {
   {
     "queue",
@@ -5988,10 +6040,36 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "account",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Cc__JobRow, account),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "over_rate",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Cc__JobRow, over_rate),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cc__job_row__field_indices_by_name[] = {
   6,   /* field[6] = accepted_wall_ms */
+  7,   /* field[7] = account */
   5,   /* field[5] = interval_ms */
+  8,   /* field[8] = over_rate */
   0,   /* field[0] = queue */
   3,   /* field[3] = repeat_count */
   1,   /* field[1] = spec */
@@ -6001,7 +6079,7 @@
 static const ProtobufCIntRange cc__job_row__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 0, 9 }
 };
 const ProtobufCMessageDescriptor cc__job_row__descriptor =
 {
@@ -6011,7 +6089,7 @@
   "Cc__JobRow",
   "cc",
   sizeof(Cc__JobRow),
-  7,
+  9,
   cc__job_row__field_descriptors,
   cc__job_row__field_indices_by_name,
   1,  cc__job_row__number_ranges,
@@ -6237,7 +6315,7 @@
   (ProtobufCMessageInit) cc__step_progress__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cc__job_progress__field_descriptors[7] =
+static const ProtobufCFieldDescriptor cc__job_progress__field_descriptors[8] =
 {
   {
     "state",
@@ -6323,8 +6401,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "account",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Cc__JobProgress, account),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cc__job_progress__field_indices_by_name[] = {
+  7,   /* field[7] = account */
   2,   /* field[2] = ended_wall_ms */
   6,   /* field[6] = failed_task */
   5,   /* field[5] = failure */
@@ -6336,7 +6427,7 @@
 static const ProtobufCIntRange cc__job_progress__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor cc__job_progress__descriptor =
 {
@@ -6346,7 +6437,7 @@
   "Cc__JobProgress",
   "cc",
   sizeof(Cc__JobProgress),
-  7,
+  8,
   cc__job_progress__field_descriptors,
   cc__job_progress__field_indices_by_name,
   1,  cc__job_progress__number_ranges,
@@ -6840,7 +6931,7 @@
   (ProtobufCMessageInit) cc__member_row__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cc__cell_call__field_descriptors[4] =
+static const ProtobufCFieldDescriptor cc__cell_call__field_descriptors[5] =
 {
   {
     "verb",
@@ -6890,8 +6981,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "account",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Cc__CellCall, account),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cc__cell_call__field_indices_by_name[] = {
+  4,   /* field[4] = account */
   2,   /* field[2] = id */
   3,   /* field[3] = job */
   1,   /* field[1] = queue */
@@ -6900,7 +7004,7 @@
 static const ProtobufCIntRange cc__cell_call__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor cc__cell_call__descriptor =
 {
@@ -6910,7 +7014,7 @@
   "Cc__CellCall",
   "cc",
   sizeof(Cc__CellCall),
-  4,
+  5,
   cc__cell_call__field_descriptors,
   cc__cell_call__field_indices_by_name,
   1,  cc__cell_call__number_ranges,
--- a/src/protocol/peer.pb-c.h
+++ b/src/protocol/peer.pb-c.h
@@ -367,10 +367,16 @@
   char *text;
   int64_t wall_ms;
   char *who;
+  /*
+   * Age of the sender's proof that this version is the newest; only with
+   * has_age, which earlier versions don't set.
+   */
+  protobuf_c_boolean has_age;
+  int64_t age_ms;
 };
 #define CC__CONF__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cc__conf__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string }
+    , 0, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0, 0 }
 
 
 struct  Cc__ConfGet
@@ -636,13 +642,18 @@
   ProtobufCMessage base;
   int32_t error;
   /*
-   * in the reply to a Beat
+   * in the reply to a Beat or CellBeat
    */
   uint64_t conf_version;
+  /*
+   * as in Conf, in the reply to a CellBeat
+   */
+  protobuf_c_boolean has_conf_age;
+  int64_t conf_age_ms;
 };
 #define CC__ACK__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cc__ack__descriptor) \
-    , 0, 0 }
+    , 0, 0, 0, 0 }
 
 
 /*
@@ -714,10 +725,18 @@
   int64_t start_at_ms;
   int64_t interval_ms;
   int64_t accepted_wall_ms;
+  /*
+   * client account; "": none
+   */
+  char *account;
+  /*
+   * sent beyond the account's rate
+   */
+  protobuf_c_boolean over_rate;
 };
 #define CC__JOB_ROW__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cc__job_row__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0,NULL, 0, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0,NULL, 0, 0, 0, 0, (char *)protobuf_c_empty_string, 0 }
 
 
 struct  Cc__TaskProgress
@@ -795,10 +814,14 @@
    */
   uint32_t failure;
   char *failed_task;
+  /*
+   * set like queue
+   */
+  char *account;
 };
 #define CC__JOB_PROGRESS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cc__job_progress__descriptor) \
-    , 0, 0, 0, 0,NULL, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string }
+    , 0, 0, 0, 0,NULL, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string }
 
 
 /*
@@ -926,10 +949,14 @@
   char *queue;
   char *id;
   Cc__JobRow *job;
+  /*
+   * of the caller; "": none
+   */
+  char *account;
 };
 #define CC__CELL_CALL__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cc__cell_call__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, NULL }
+    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, NULL, (char *)protobuf_c_empty_string }
 
 
 struct  Cc__CellReply
--- /dev/null
+++ b/src/state/account.h
@@ -0,0 +1,70 @@
+/**
+ * @file Client accounts at the leader: what each holds of the cell's resources.
+ *
+ * The state is derived from the runs that the leader knows, so a new leader
+ * builds it from stored rows and the lists of runners.
+ */
+#ifndef ACCOUNT_H
+#define ACCOUNT_H
+
+#include <stdbool.h>
+#include <stdint.h>
+#include <uthash.h>
+
+#include "resources.h"
+
+/** Terms of an account in the configuration. */
+struct account_terms {
+	char *name;
+	/** Share of the cell when all is full, relative to other accounts, and
+	 * the rate of submissions a second that the account is entitled to. */
+	double weight;
+	struct resources cap; /**< most that it may hold; 0: no limit */
+	/** Its calls are refused and its tasks wait, as its cap can't be read.
+	 */
+	bool refused;
+};
+
+struct account {
+	UT_hash_handle hh;
+	char *name;
+	double weight;
+	struct resources cap;
+	bool refused;
+	/** Sizes of all its runs, in whatever state. */
+	struct resources held;
+	/** Most that it may hold in runs which this leader doesn't know yet,
+	 * while it adopts the runners of a former leader. */
+	struct resources unseen;
+	int nruns;
+};
+
+/** @return the account of that name, which is added without limits when there
+ * is none. */
+struct account *account_get(struct account **accounts, const char *name);
+/** Frees all accounts; no job or run may refer to them any more. */
+void account_delete_all(struct account **accounts);
+/** Puts the terms of a configuration in force. */
+void account_set_terms(struct account *a, const struct account_terms *t);
+/** Whether the account has a limit of some kind. */
+bool account_is_limited(const struct account *a);
+/** Counts a run of this size, or takes it off. @p a may be NULL. */
+void account_hold(struct account *a, const struct resources *size);
+void account_release(struct account *a, const struct resources *size);
+/**
+ * Whether the account may hold @p size more: it stays within its cap, or it
+ * holds nothing, so that a task above the cap can run alone. @p a may be NULL:
+ * no account, no limit.
+ */
+bool account_fits(const struct account *a, const struct resources *size);
+/**
+ * Whether a gang of this total size may start.
+ * @param excess share of the cap by which a gang that runs alone may exceed it
+ */
+bool account_fits_gang(
+    const struct account *a, const struct resources *total, double excess);
+/** Whether the account's cap allows a gang of this total size at all. */
+bool account_allows_gang(const struct account_terms *t,
+    const struct resources *total, double excess);
+
+#endif
--- a/src/state/cell_settings.c
+++ b/src/state/cell_settings.c
@@ -13,6 +13,8 @@
 #define MINUTE_MS 60000
 #define DAY_S 86400
 #define MAX_HOLD_MIN_MS 1000
+#define MEMORY_MIN_MB 16
+#define MAX_FDS_MIN 64
 
 static const struct yaml_field fields[] = {
     {"host", YAML_NAME, S(host), 64, 0, 0, true, NULL, NULL},
@@ -37,6 +39,16 @@
 	NULL},
     {"link_mbps", YAML_AMOUNT, S(link_mbps), 0, 0, 0, false, NULL, NULL},
     {"cores", YAML_AMOUNT, S(cores), 0, 0, 0, false, NULL, NULL},
+    {"memory_mb", YAML_INT, S(memory_mb), 0, MEMORY_MIN_MB, INT32_MAX, false,
+	NULL, NULL},
+    {"max_fds", YAML_INT, S(max_fds), 0, MAX_FDS_MIN, INT32_MAX, false, NULL,
+	NULL},
+    {"revoke_strict", YAML_BOOL, S(revoke_strict), 0, 0, 0, false, NULL, NULL},
+    {"revoke_ms", YAML_INT, S(revoke_ms), 0, 1, DAY_S * 1000, false, NULL,
+	NULL},
+    {"quota_window_s", YAML_INT, S(quota_window_s), 0, 1, DAY_S, false, NULL,
+	NULL},
+    {"quota_excess", YAML_AMOUNT, S(quota_excess), 0, 0, 0, false, NULL, NULL},
     {NULL, YAML_TEXT, 0, 0, 0, 0, false, NULL, NULL},
 };
 
@@ -52,6 +64,10 @@
 	s->remote_factor = 1.0;
 	s->cores = 1.0;
 	s->link_mbps = 1000.0;
+	s->memory_mb = 120;
+	s->max_fds = 3075;
+	s->revoke_ms = 5000;
+	s->quota_window_s = 5;
 }
 
 static bool
--- a/src/state/cell_settings.h
+++ b/src/state/cell_settings.h
@@ -25,6 +25,16 @@
 				 of its step */
 	double link_mbps;     /**< bandwidth of this host, each way */
 	double cores;	      /**< processor cores of this host */
+	int64_t memory_mb;    /**< memory of this host */
+	int64_t max_fds;      /**< file descriptors of this process */
+	/** Calls with an API key are refused once the configuration's age may
+	 * exceed revoke_ms. */
+	bool revoke_strict;
+	int64_t revoke_ms; /**< a removed API key is accepted for at most this
+			      long */
+	int64_t quota_window_s; /**< window of the rates of client accounts */
+	/** Share of its cap by which a client account may exceed it. */
+	double quota_excess;
 };
 
 /** Parses and checks @p text; on findings the result must not be used. */
--- a/src/state/config.c
+++ b/src/state/config.c
@@ -34,6 +34,10 @@
 		free(c->services[i].name);
 	for (i = 0; i < c->nrefusals; i++)
 		free(c->refusals[i].name);
+	for (i = 0; i < c->naccounts; i++)
+		free(c->accounts[i].name);
+	account_keys_delete(c->keys);
+	free(c->accounts);
 	free(c->queues);
 	free(c->services);
 	free(c->refusals);
@@ -73,6 +77,48 @@
 	copy->name = copy_text(s->name);
 }
 
+int
+config_add_account(struct config *c, const struct account_terms *t)
+{
+	struct account_terms *copy;
+
+	c->accounts = xrealloc(
+	    c->accounts, (size_t)(c->naccounts + 1) * sizeof(*c->accounts));
+	copy = &c->accounts[c->naccounts];
+	*copy = *t;
+	copy->name = copy_text(t->name);
+	return c->naccounts++;
+}
+
+bool
+config_add_key(struct config *c, const char *key, size_t len, int account)
+{
+	if (c->keys == NULL)
+		c->keys = account_keys_new();
+	return account_keys_add(c->keys, key, len, account);
+}
+
+const struct account_terms *
+config_account(const struct config *c, const char *name)
+{
+	int i;
+
+	for (i = 0; i < c->naccounts; i++)
+		if (strcmp(c->accounts[i].name, name) == 0)
+			return &c->accounts[i];
+	return NULL;
+}
+
+const struct account_terms *
+config_key_account(const struct config *c, const char *key, size_t len)
+{
+	int i = ACCOUNT_KEY_UNKNOWN;
+
+	if (c->keys != NULL)
+		i = account_keys_find(c->keys, key, len);
+	return i != ACCOUNT_KEY_UNKNOWN ? &c->accounts[i] : NULL;
+}
+
 void
 config_refuse(struct config *c, const char *name, const char *field)
 {
@@ -91,6 +137,12 @@
 	copy->version = c->version;
 	copy->max_body_bytes = c->max_body_bytes;
 	copy->max_header_bytes = c->max_header_bytes;
+	copy->has_accounts = c->has_accounts;
+	copy->accounts_refused = c->accounts_refused;
+	if (c->keys != NULL)
+		copy->keys = account_keys_copy(c->keys);
+	for (i = 0; i < c->naccounts; i++)
+		config_add_account(copy, &c->accounts[i]);
 	for (i = 0; i < c->nqueues; i++)
 		config_add_queue(copy, &c->queues[i]);
 	for (i = 0; i < c->nservices; i++)
--- a/src/state/config.h
+++ b/src/state/config.h
@@ -8,6 +8,9 @@
 #include <stddef.h>
 #include <stdint.h>
 
+#include "account.h"
+#include "account_keys.h"
+
 /** How a queue uses the advice service, and how long calls to it take. */
 struct advice_terms {
 	bool needed;	     /**< a start needs a ticket of the service */
@@ -29,6 +32,8 @@
 	 * target_latency_ms. */
 	double stretch;
 	struct advice_terms advice;
+	/** Its callers need no API key. */
+	bool is_public;
 	/** It takes no new jobs, as some of its terms can't be read. */
 	bool refused;
 };
@@ -41,7 +46,8 @@
 
 /** Part of a configuration that can't be read. */
 struct config_refusal {
-	char *name;	   /**< of the queue or service; "" when unknown */
+	/** Of the queue, service or account; "" when unknown. */
+	char *name;
 	const char *field; /**< static text */
 };
 
@@ -51,6 +57,13 @@
 	int nqueues;
 	struct service *services;
 	int nservices;
+	/** Client accounts. Without them no call needs an API key. */
+	bool has_accounts;
+	/** The list of accounts can't be read: no key is known. */
+	bool accounts_refused;
+	struct account_terms *accounts;
+	int naccounts;
+	struct account_keys *keys; /**< NULL: none */
 	int64_t max_body_bytes;
 	int64_t max_header_bytes;
 	/** What the rest, which is in force, lacks. */
@@ -77,6 +90,21 @@
 /** Adds a copy of a queue, such as one of an earlier configuration for work
  * that was accepted under it. */
 void config_add_queue(struct config *c, const struct queue *q);
+/**
+ * Adds a copy of an account's terms, without keys.
+ * @return its index.
+ */
+int config_add_account(struct config *c, const struct account_terms *t);
+/** Adds an API key of the account with that index. @return false when the key
+ * is in use already. */
+bool config_add_key(struct config *c, const char *key, size_t len, int account);
+/** @return the terms of the account; NULL when there are none. */
+const struct account_terms *config_account(
+    const struct config *c, const char *name);
+/** @return the terms of the account that the API key belongs to; NULL when it
+ * is unknown. */
+const struct account_terms *config_key_account(
+    const struct config *c, const char *key, size_t len);
 /** Adds a copy of a service. */
 void config_add_service(struct config *c, const struct service *s);
 
--- a/src/state/job.h
+++ b/src/state/job.h
@@ -24,6 +24,7 @@
 /** The job has no rows in any part of the store. */
 #define PART_NONE (-1)
 
+struct account;
 struct run;
 struct queue;
 struct job;
@@ -114,6 +115,7 @@
 				     of dependent steps */
 	/** Its queue in the configuration in force; may be NULL. */
 	const struct queue *queue;
+	struct account *account; /**< client account; NULL: none */
 	int priority;
 	uint32_t max_attempts;
 	TAILQ_ENTRY(job) dirty_link; /**< in the cell's list of dirty jobs */
--- a/src/state/job_progress.c
+++ b/src/state/job_progress.c
@@ -150,6 +150,7 @@
 pack_outcome(Cc__JobProgress *p, const struct job *j)
 {
 	p->queue = xstrdup(j->row->queue);
+	p->account = xstrdup(j->row->account);
 	if (j->state != JOB_FAILED)
 		return;
 	p->failure = j->failure;
--- a/src/state/runner.c
+++ b/src/state/runner.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "../base/xalloc.h"
+#include "account.h"
 
 struct runner *
 runner_new(const struct runner_info *info)
@@ -35,10 +36,17 @@
 	free(u);
 }
 
+static struct resources
+run_size(const struct run *run)
+{
+	return (struct resources){run->cpu, run->mem_mb, run->gpu};
+}
+
 struct run *
 run_new(struct runner *r, struct task *t, const char *name, uint32_t number)
 {
 	struct run *run = xcalloc(1, sizeof(*run));
+	struct resources size;
 
 	run->runner = r;
 	run->task = t;
@@ -51,6 +59,9 @@
 		run->cpu = s->best_effort ? 0 : s->cpu;
 		run->mem_mb = s->mem_mb;
 		run->gpu = s->gpu;
+		run->account = t->step->occurrence->job->account;
+		size = run_size(run);
+		account_hold(run->account, &size);
 	}
 	run->unsized = t == NULL;
 	r->nunsized += run->unsized;
@@ -73,7 +84,9 @@
 run_delete(struct run *run)
 {
 	struct runner *r = run->runner;
+	struct resources size = run_size(run);
 
+	account_release(run->account, &size);
 	r->used_cpu -= run->cpu;
 	r->used_mem_mb -= run->mem_mb;
 	r->used_gpu -= run->gpu;
