access: API keys are checked at every host, within a bound of freshness

Change: each host checks the key of a call by its copy of the configuration. Where removed keys have a bound, the copy must be confirmed as the newest within that bound: by the send time of an answered watch, or by a peer's acknowledgement with the age of its own confirmation. Jobs belong to the account of their caller; others get 403.

--- a/src/cell/cell.h
+++ b/src/cell/cell.h
@@ -116,7 +116,9 @@
 };
 
 struct cell_answer {
-	int error; /**< CC_OK, CC_ENOENT, CC_EBUSY, CC_ETIMEOUT, CC_ENOTOWNER */
+	/** CC_OK, CC_ENOENT, CC_EBUSY, CC_ETIMEOUT, CC_ENOTOWNER, CC_EINVAL,
+	 * CC_ERATE or CC_EPERM. */
+	int error;
 	enum job_state state;
 	uint32_t pending; /**< for cell_pending(): the number of jobs */
 	uint32_t retry_after_ms;
@@ -291,11 +293,19 @@
  * an accepted job once it is stored. */
 void cell_submit(
     struct cell *c, const char *id, Cc__JobRow *row, cell_fn fn, void *arg);
-/** Reads the state of a job of the queue. */
-void cell_get(
-    struct cell *c, const char *queue, const char *id, struct cell_answer *a);
-/** Cancels a job; calls @p fn once its end is stored. */
-void cell_cancel(struct cell *c, const char *id, cell_fn fn, void *arg);
+/** Who asks about a job. */
+struct cell_caller {
+	const char *queue;
+	const char *account; /**< client account; "": none */
+};
+/** Reads the state of a job of the queue. A job of another account isn't shown:
+ * CC_EPERM. */
+void cell_get(struct cell *c, const struct cell_caller *by, const char *id,
+    struct cell_answer *a);
+/** Cancels a job; calls @p fn once its end is stored, or with CC_EPERM for a
+ * job of another account. */
+void cell_cancel(struct cell *c, const struct cell_caller *by, const char *id,
+    cell_fn fn, void *arg);
 /** Counts the runners that are kept for one task each, which must run apart.
  * @param longest_ms set to the age of the oldest such run; 0: there is none */
 int cell_runners_apart(const struct cell *c, int64_t *longest_ms);
--- a/src/cell/jobs.c
+++ b/src/cell/jobs.c
@@ -275,11 +275,21 @@
 	return state_is_current(c) && !unreadable_has(c->unreadable, id);
 }
 
+/* Whether the job belongs to another client account than the caller. Callers
+ * without an account use public queues, or no accounts are configured. */
+static bool
+is_foreign(const struct job *j, const char *account)
+{
+	return account[0] != '\0' && j->row->account[0] != '\0' &&
+	    strcmp(j->row->account, account) != 0;
+}
+
 void
 cell_submit(
     struct cell *c, const char *id, Cc__JobRow *row, cell_fn fn, void *arg)
 {
 	struct cell_answer ok = {.error = CC_OK};
+	struct cell_answer forbidden = {.error = CC_EPERM};
 	struct cell_answer moved = {.error = CC_ENOTOWNER};
 	struct job *j = cell_job(c, id);
 	const char *why = why_refused(c, id, row->queue);
@@ -287,6 +297,8 @@
 	if (c->phase != CELL_SERVING || j != NULL || why != NULL) {
 		if (c->phase != CELL_SERVING)
 			fn(&moved, arg);
+		else if (j != NULL && is_foreign(j, row->account))
+			fn(&forbidden, arg);
 		else if (j != NULL && j->stored)
 			fn(&ok, arg);
 		else if (j != NULL)
@@ -326,18 +338,22 @@
 }
 
 void
-cell_get(
-    struct cell *c, const char *queue, const char *id, struct cell_answer *a)
+cell_get(struct cell *c, const struct cell_caller *by, const char *id,
+    struct cell_answer *a)
 {
 	const struct job *j = cell_job(c, id);
 
 	*a = (struct cell_answer){
 	    .error = CC_EBUSY, .retry_after_ms = LOADING_RETRY_MS};
-	if (j == NULL || !j->stored || strcmp(j->row->queue, queue) != 0) {
+	if (j == NULL || !j->stored || strcmp(j->row->queue, by->queue) != 0) {
 		if (j == NULL && certainly_absent(c, id))
 			a->error = CC_ENOENT;
 		return;
 	}
+	if (is_foreign(j, by->account)) {
+		a->error = CC_EPERM;
+		return;
+	}
 	if (c->phase != CELL_SERVING)
 		return;
 	if (j->stored_state >= JOB_COMPLETED) {
@@ -351,7 +367,8 @@
 }
 
 void
-cell_cancel(struct cell *c, const char *id, cell_fn fn, void *arg)
+cell_cancel(struct cell *c, const struct cell_caller *by, const char *id,
+    cell_fn fn, void *arg)
 {
 	struct cell_answer a = {
 	    .error = CC_EBUSY, .retry_after_ms = LOADING_RETRY_MS};
@@ -363,6 +380,11 @@
 		fn(&a, arg);
 		return;
 	}
+	if (is_foreign(j, by->account)) {
+		a.error = CC_EPERM;
+		fn(&a, arg);
+		return;
+	}
 	kvlog(KVLOG_INFO, "cancel", "id=%s state=%s age_ms=%lld", id,
 	    job_state_name(j->state),
 	    (long long)(c->ports.now() - j->accepted_ms));
--- a/src/member/calls.c
+++ b/src/member/calls.c
@@ -35,6 +35,7 @@
 	struct member *member;
 	enum call_verb verb;
 	char *queue;
+	char *account; /**< of the caller; "": none */
 	char id[JOB_ID_LEN];
 	Cc__JobRow *job;
 	int64_t since_ms;
@@ -65,6 +66,7 @@
 	if (k->job != NULL)
 		cc__job_row__free_unpacked(k->job, NULL);
 	free(k->queue);
+	free(k->account);
 	free(k);
 }
 
@@ -98,6 +100,8 @@
 	case CC_OK:
 	case CC_ENOENT:
 	case CC_EINVAL:
+	case CC_ERATE:
+	case CC_EPERM:
 		finish(k, a);
 		return;
 	case CC_ENOTOWNER:
@@ -193,23 +197,23 @@
 }
 
 static void
-call_cell(struct member *m, enum call_verb verb, const char *queue,
-    const char *id, Cc__JobRow *job, cell_fn fn, void *arg)
+call_cell(struct member *m, const Cc__CellCall *call, cell_fn fn, void *arg)
 {
+	const struct cell_caller by = {call->queue, call->account};
 	struct cell_answer a;
 
-	switch (verb) {
+	switch ((enum call_verb)call->verb) {
 	case CALL_SUBMIT:
-		cell_submit(&m->cell, id, job, fn, arg);
+		cell_submit(&m->cell, call->id, copy_job(call->job), fn, arg);
 		return;
 	case CALL_CANCEL:
-		cell_cancel(&m->cell, id, fn, arg);
+		cell_cancel(&m->cell, &by, call->id, fn, arg);
 		return;
 	case CALL_GET:
-		cell_get(&m->cell, queue, id, &a);
+		cell_get(&m->cell, &by, call->id, &a);
 		break;
 	case CALL_PENDING:
-		cell_pending(&m->cell, queue, &a);
+		cell_pending(&m->cell, call->queue, &a);
 		break;
 	}
 	fn(&a, arg);
@@ -235,16 +239,16 @@
 	t->attempt = ++k->attempt;
 	k->in_flight = true;
 	k->retry_at_ms = 0;
-	if (member_leads(m)) {
-		call_cell(m, k->verb, k->queue, k->id,
-		    k->job != NULL ? copy_job(k->job) : NULL, on_local, t);
-		return;
-	}
-	m->forwarded++;
 	c.verb = k->verb;
 	c.queue = k->queue;
 	c.id = k->id;
 	c.job = k->job;
+	c.account = k->account;
+	if (member_leads(m)) {
+		call_cell(m, &c, on_local, t);
+		return;
+	}
+	m->forwarded++;
 	f.body_case = CC__FRAME__BODY_CELL_CALL;
 	f.cell_call = &c;
 	peer_call(
@@ -269,6 +273,7 @@
 	k->serial = ++m->call_serial;
 	k->verb = call->verb;
 	k->queue = xstrdup(call->queue);
+	k->account = xstrdup(call->account);
 	str_copy(k->id, call->id, sizeof(k->id));
 	k->job = call->job;
 	k->since_ms = clock_boot_ms();
@@ -378,6 +383,5 @@
 		on_served(&a, s);
 		return;
 	}
-	call_cell(m, (enum call_verb)call->verb, call->queue, call->id,
-	    call->job != NULL ? copy_job(call->job) : NULL, on_served, s);
+	call_cell(m, call, on_served, s);
 }
--- a/src/member/config.c
+++ b/src/member/config.c
@@ -39,11 +39,14 @@
 	memcpy(m->config_text, value, len);
 	m->config_text[len] = '\0';
 	m->config_len = len;
+	m->config_unreadable = false;
+	config_freshness_set_version(&m->freshness, new->version);
 	cell_set_config(&m->cell, config_copy(new));
 	kvlog(KVLOG_INFO, "config_in_force",
-	    "version=%llu queues=%d refused=%d from=%s",
-	    (unsigned long long)new->version, new->nqueues, new->nrefusals,
-	    from);
+	    "version=%llu queues=%d accounts=%d keys=%u refused=%d from=%s",
+	    (unsigned long long)new->version, new->nqueues, new->naccounts,
+	    new->keys != NULL ? account_keys_count(new->keys) : 0,
+	    new->nrefusals, from);
 	log_refusals(new);
 }
 
@@ -55,6 +58,7 @@
 
 	if (new == NULL) {
 		m->configs_unreadable++;
+		m->config_unreadable = true;
 		return;
 	}
 	if (new->version > m->config_read_version)
@@ -81,15 +85,27 @@
 	member_apply_config(m, row->value, row->len, "store");
 }
 
+/** A request to a peer for its configuration. */
+struct config_request {
+	struct member *member;
+	int64_t sent_ms;
+};
+
 static void
 on_config(int err, const Cc__Frame *f, void *arg)
 {
-	struct member *m = arg;
+	struct config_request *r = arg;
+	struct member *m = r->member;
 
-	if (err != CC_OK || f->body_case != CC__FRAME__BODY_CONF ||
-	    f->conf->version == 0)
-		return;
-	member_apply_config(m, f->conf->text, strlen(f->conf->text), "peer");
+	if (err == CC_OK && f->body_case == CC__FRAME__BODY_CONF &&
+	    f->conf->version != 0) {
+		member_apply_config(
+		    m, f->conf->text, strlen(f->conf->text), "peer");
+		if (f->conf->has_age)
+			config_freshness_confirm_peer(&m->freshness,
+			    f->conf->version, r->sent_ms, f->conf->age_ms);
+	}
+	free(r);
 }
 
 void
@@ -98,6 +114,7 @@
 	uint64_t have = m->config != NULL ? m->config->version : 0;
 	int64_t now = clock_boot_ms();
 	const struct cell_host *best = NULL;
+	struct config_request *r;
 	Cc__Frame f = CC__FRAME__INIT;
 	Cc__ConfGet get = CC__CONF_GET__INIT;
 	int i;
@@ -116,5 +133,8 @@
 	get.have = have;
 	f.body_case = CC__FRAME__BODY_CONF_GET;
 	f.conf_get = &get;
-	peer_call(m->peers, best->host, &f, REQUEST_TIMEOUT_MS, on_config, m);
+	r = xcalloc(1, sizeof(*r));
+	r->member = m;
+	r->sent_ms = now;
+	peer_call(m->peers, best->host, &f, REQUEST_TIMEOUT_MS, on_config, r);
 }
--- a/src/member/follow.c
+++ b/src/member/follow.c
@@ -29,6 +29,7 @@
 	uint64_t version;      /**< the next watch reports changes after it */
 	uint64_t list_version; /**< of the first page of this listing */
 	int64_t watch_sent_ms; /**< time of the last watch */
+	int64_t list_sent_ms;  /**< time of the first call of this listing */
 	int64_t answered_ms;   /**< time of the last answer */
 	int64_t failing_since_ms; /**< start of a failure; 0: none */
 	bool reading;		  /**< the table is being listed, not watched */
@@ -80,6 +81,7 @@
 	f->part = 0;
 	store_page_reset(&f->page);
 	f->list_version = 0;
+	f->list_sent_ms = clock_boot_ms();
 }
 
 static void
@@ -128,6 +130,14 @@
 	f->version = f->list_version;
 }
 
+static void
+report_current(struct follow *f, bool was_reading)
+{
+	if (f->options.current != NULL && !f->reading)
+		f->options.current(
+		    was_reading ? f->list_sent_ms : f->watch_sent_ms, f->arg);
+}
+
 /* @return ms until the next watch may be sent. */
 static int64_t
 watch_delay_ms(const struct follow *f)
@@ -143,6 +153,7 @@
 on_rows(const struct store_result *r, void *arg)
 {
 	struct follow *f = arg;
+	bool was_reading = f->reading;
 	int i;
 
 	if (f->deleted) {
@@ -171,6 +182,7 @@
 		page_read(f, r);
 	else if (r->version > f->version)
 		f->version = r->version;
+	report_current(f, was_reading);
 	if (watch_delay_ms(f) > 0)
 		schedule_call(f, watch_delay_ms(f));
 	else
--- a/src/member/follow.h
+++ b/src/member/follow.h
@@ -18,6 +18,13 @@
 /** Called for each new version of a row, deletions included. */
 typedef void (*follow_fn)(const struct row *row, void *arg);
 
+/**
+ * Called for each answer that shows the table's newest state, after its rows
+ * were reported.
+ * @param sent_ms when the call was sent: the state is at least as new
+ */
+typedef void (*follow_current_fn)(int64_t sent_ms, void *arg);
+
 /** What to follow. The caller keeps the strings until follow_delete(). */
 struct follow_options {
 	const char *table;
@@ -28,6 +35,7 @@
 	 * carries several changes of a table that changes all the time.
 	 */
 	int64_t min_interval_ms;
+	follow_current_fn current; /**< NULL: not needed */
 };
 
 /** Starts to list the table at once; @p fn is called from the event loop. */
--- a/src/member/member.c
+++ b/src/member/member.c
@@ -20,6 +20,9 @@
 /** Long-poll timeout of the watches of members and configuration; heartbeats
  * report changes while a watch gets no answers. */
 #define FOLLOW_WAIT_MS 3000
+/** Watches of the configuration within the time in which it must be confirmed:
+ * several, so that one that fails doesn't matter. */
+#define CONFIRMS_PER_BOUND 5
 /** Lease of a run at its runner, renewed by each hold. */
 #define LEASE_MS 4000
 /** Longest time without the store for which the leader keeps work running. */
@@ -118,6 +121,24 @@
 	cell_init(&m->cell, &terms, &ports, m->incarnation);
 }
 
+static void
+on_config_current(int64_t sent_ms, void *arg)
+{
+	struct member *m = arg;
+
+	if (!m->config_unreadable)
+		config_freshness_confirm(&m->freshness, sent_ms);
+}
+
+/* Long-poll timeout of the watch of the configuration. */
+static int64_t
+config_wait_ms(const struct cell_settings *s)
+{
+	if (!s->revoke_strict)
+		return FOLLOW_WAIT_MS;
+	return min_of(FOLLOW_WAIT_MS, s->revoke_ms / CONFIRMS_PER_BOUND);
+}
+
 static void
 set_incarnation(struct member *m)
 {
@@ -151,7 +172,8 @@
 	    .wait_ms = FOLLOW_WAIT_MS};
 	struct follow_options configs = {.table = p->config_table,
 	    .parts = config_parts,
-	    .wait_ms = FOLLOW_WAIT_MS};
+	    .wait_ms = config_wait_ms(s),
+	    .current = on_config_current};
 
 	m->base = base;
 	m->settings = s;
@@ -171,6 +193,8 @@
 	init_cell(m);
 	m->member_row_tried_ms = 1;
 	m->started_ms = clock_boot_ms();
+	config_freshness_init(
+	    &m->freshness, s->revoke_strict ? s->revoke_ms : 0);
 	config_parts[0] = p->config_part;
 	m->wake = evtimer_new(base, on_wake, m);
 	m->tick = event_new(base, -1, EV_PERSIST, on_tick, m);
--- a/src/member/member.h
+++ b/src/member/member.h
@@ -44,9 +44,10 @@
 struct member_call {
 	enum call_verb verb;
 	const char *queue;
-	const char *id;	    /**< job id; "" for CALL_PENDING */
-	Cc__JobRow *job;    /**< for CALL_SUBMIT; member_call() frees it */
-	int64_t timeout_ms; /**< time until the caller's deadline */
+	const char *id;	     /**< job id; "" for CALL_PENDING */
+	const char *account; /**< client account of the caller; "": none */
+	Cc__JobRow *job;     /**< for CALL_SUBMIT; member_call() frees it */
+	int64_t timeout_ms;  /**< time until the caller's deadline */
 };
 
 /** @return NULL when the port for links to other members cannot be bound. */
--- a/src/member/member_internal.h
+++ b/src/member/member_internal.h
@@ -5,8 +5,10 @@
 #include <sys/queue.h>
 
 #include "../base/hist.h"
+#include "../coordination/config_freshness.h"
 #include "../relay/relay_port.h"
 #include "../relay/relay_serve.h"
+#include "access.h"
 #include "follow.h"
 #include "member.h"
 
@@ -96,6 +98,11 @@
 	int64_t config_requested_ms;
 	uint64_t config_read_version; /**< highest version that was read */
 	uint64_t configs_unreadable;  /**< rows that couldn't be read */
+	/** The newest row in the store can't be read. */
+	bool config_unreadable;
+	struct config_freshness freshness;
+	uint64_t access[ACCESS_RESULTS]; /**< calls with checked keys */
+	int64_t access_log_ms;		 /**< last line on refused calls */
 	/* reads of the commit row, which the leader renews */
 	bool commit_reading; /**< a read is in flight */
 	uint64_t commit_row_version;
--- a/src/member/members.c
+++ b/src/member/members.c
@@ -235,13 +235,36 @@
 	return peer_net_up(m->peers, host);
 }
 
-/* Nothing to do: the answer itself keeps the link from being seen as silent. */
+/** A heartbeat whose acknowledgement may confirm the configuration. */
+struct beat_sent {
+	struct member *member;
+	int64_t sent_ms;
+};
+
+/* The answer also keeps the link from being seen as silent. */
 static void
 on_beat_answer(int err, const Cc__Frame *f, void *arg)
 {
-	(void)err;
-	(void)f;
-	(void)arg;
+	struct beat_sent *b = arg;
+
+	if (err == CC_OK && f->body_case == CC__FRAME__BODY_ACK &&
+	    f->ack->has_conf_age)
+		config_freshness_confirm_peer(&b->member->freshness,
+		    f->ack->conf_version, b->sent_ms, f->ack->conf_age_ms);
+	free(b);
+}
+
+static void
+send_beat(struct member *m, const char *host, Cc__CellBeat *beat, int64_t now)
+{
+	struct beat_sent *b = xcalloc(1, sizeof(*b));
+	Cc__Frame f = CC__FRAME__INIT;
+
+	b->member = m;
+	b->sent_ms = now;
+	f.body_case = CC__FRAME__BODY_CELL_BEAT;
+	f.cell_beat = beat;
+	peer_call(m->peers, host, &f, BEAT_TIMEOUT_MS, on_beat_answer, b);
 }
 
 static void
@@ -284,7 +307,6 @@
 	fill_beat(m, &b, stalled);
 	for (i = 0; i < m->nhosts; i++) {
 		struct cell_host *h = &m->hosts[i];
-		Cc__Frame f = CC__FRAME__INIT;
 
 		/*
 		 * A stall, a new leader or a shutdown is announced at once;
@@ -295,10 +317,7 @@
 		if (!member_linked(m, h->host))
 			continue;
 		h->beat_sent_ms = now;
-		f.body_case = CC__FRAME__BODY_CELL_BEAT;
-		f.cell_beat = &b;
-		peer_call(
-		    m->peers, h->host, &f, BEAT_TIMEOUT_MS, on_beat_answer, m);
+		send_beat(m, h->host, &b, now);
 	}
 }
 
@@ -336,15 +355,35 @@
 	peer_reply(m->peers, rq, &f);
 }
 
+/* Acknowledges a heartbeat, with the version of the configuration in force here
+ * and how long ago it was the newest. */
+static void
+reply_beat(struct member *m, const struct peer_request *rq)
+{
+	int64_t age = config_freshness_age_ms(&m->freshness, clock_boot_ms());
+	Cc__Frame f = CC__FRAME__INIT;
+	Cc__Ack a = CC__ACK__INIT;
+
+	a.conf_version = m->config != NULL ? m->config->version : 0;
+	a.has_conf_age = m->config != NULL && age >= 0;
+	a.conf_age_ms = a.has_conf_age ? age : 0;
+	f.body_case = CC__FRAME__BODY_ACK;
+	f.ack = &a;
+	peer_reply(m->peers, rq, &f);
+}
+
 static void
 reply_config(struct member *m, const struct peer_request *rq)
 {
 	Cc__Frame f = CC__FRAME__INIT;
 	Cc__Conf c = CC__CONF__INIT;
+	int64_t age = config_freshness_age_ms(&m->freshness, clock_boot_ms());
 
 	c.version = m->config != NULL ? m->config->version : 0;
 	if (m->config_text != NULL)
 		c.text = m->config_text;
+	c.has_age = m->config != NULL && age >= 0;
+	c.age_ms = c.has_age ? age : 0;
 	f.body_case = CC__FRAME__BODY_CONF;
 	f.conf = &c;
 	peer_reply(m->peers, rq, &f);
@@ -358,7 +397,7 @@
 	switch (f->body_case) {
 	case CC__FRAME__BODY_CELL_BEAT:
 		apply_beat(m, rq->host, f->cell_beat);
-		reply_ack(m, rq);
+		reply_beat(m, rq);
 		break;
 	case CC__FRAME__BODY_CELL_CALL:
 		member_serve_call(m, rq, f->cell_call);
--- a/tests/unit/cell_rows_test.c
+++ b/tests/unit/cell_rows_test.c
@@ -41,7 +41,8 @@
 {
 	struct cell_answer a;
 
-	cell_get(world_cell(w, 1), "urgent", JOB, &a);
+	cell_get(
+	    world_cell(w, 1), &(struct cell_caller){"urgent", ""}, JOB, &a);
 	return a.error;
 }
 
--- a/tests/unit/cell_test.c
+++ b/tests/unit/cell_test.c
@@ -661,19 +661,23 @@
 
 	world_submit(w, "0000000000000001", "batch", &batch_step, 1);
 	world_run(w, 500);
-	cell_get(world_cell(w, 0), "batch", "0000000000000001", &a);
+	cell_get(world_cell(w, 0), &(struct cell_caller){"batch", ""},
+	    "0000000000000001", &a);
 	CU_ASSERT_EQUAL(a.error, CC_OK);
 	CU_ASSERT_EQUAL(a.state, JOB_RUNNING);
 	world_cut_store(w, 0, true);
 	world_run(w, 600);
 	/* By now another cell may lead and have shown a newer state. */
-	cell_get(world_cell(w, 0), "batch", "0000000000000001", &a);
+	cell_get(world_cell(w, 0), &(struct cell_caller){"batch", ""},
+	    "0000000000000001", &a);
 	CU_ASSERT_NOT_EQUAL(a.error, CC_OK);
 	world_claim(w, 1);
 	world_run(w, 300);
-	cell_get(world_cell(w, 0), "batch", "0000000000000001", &a);
+	cell_get(world_cell(w, 0), &(struct cell_caller){"batch", ""},
+	    "0000000000000001", &a);
 	CU_ASSERT_NOT_EQUAL(a.error, CC_OK);
-	cell_get(world_cell(w, 0), "batch", "0000000000000009", &a);
+	cell_get(world_cell(w, 0), &(struct cell_caller){"batch", ""},
+	    "0000000000000009", &a);
 	CU_ASSERT_NOT_EQUAL(a.error, CC_ENOENT);
 	world_cut_store(w, 0, false);
 	finish_world(w);
--- a/tests/unit/failure_reason_test.c
+++ b/tests/unit/failure_reason_test.c
@@ -24,7 +24,8 @@
 {
 	struct cell_answer a;
 
-	cell_get(world_cell(w, world_leader(w)), "urgent", JOB, &a);
+	cell_get(world_cell(w, world_leader(w)),
+	    &(struct cell_caller){"urgent", ""}, JOB, &a);
 	CU_ASSERT_EQUAL(a.error, CC_OK);
 	CU_ASSERT_EQUAL(a.state, JOB_FAILED);
 	CU_ASSERT_EQUAL(a.failure, failure);
--- a/tests/unit/unit.h
+++ b/tests/unit/unit.h
@@ -182,4 +182,14 @@
 void test_entries_pages_advance(void);
 void test_cell_settings_findings(void);
 
+void test_accounts_keys_found(void);
+void test_accounts_odd_entries(void);
+void test_accounts_none_configured(void);
+void test_accounts_many(void);
+void test_accounts_cap(void);
+void test_accounts_cap_gang(void);
+void test_freshness_ends_by_itself(void);
+void test_freshness_of_peers(void);
+void test_freshness_without_bound(void);
+
 #endif
--- a/tests/world/world.c
+++ b/tests/world/world.c
@@ -2603,7 +2603,8 @@
 		if (j->completed_ms != 0 || !j->accepted)
 			continue;
 		a.error = CC_EBUSY;
-		cell_get(&w->cells[w->leader].cell, j->queue, j->id, &a);
+		cell_get(&w->cells[w->leader].cell,
+		    &(struct cell_caller){j->queue, ""}, j->id, &a);
 		if (a.error == CC_OK && a.state == JOB_COMPLETED)
 			j->completed_ms = w->now;
 		if (a.error == CC_OK && a.state == JOB_FAILED)
@@ -2884,8 +2885,8 @@
 	current = w;
 	if (w->leader < 0)
 		return;
-	cell_cancel(
-	    &w->cells[w->leader].cell, id, on_answer, submit_arg(w, id, true));
+	cell_cancel(&w->cells[w->leader].cell, &(struct cell_caller){"", ""},
+	    id, on_answer, submit_arg(w, id, true));
 }
 
 int
