accounts: starts stay within the caps, also after a takeover

Change: each run is charged to its job's account; a start, a copy or a gang is allowed while the account's cap has room for it. While a new leader adopts runners, inherited tasks that may run unseen count as held.

--- a/src/cell/cell.c
+++ b/src/cell/cell.c
@@ -8,6 +8,7 @@
 #include "../base/err.h"
 #include "../base/kvlog.h"
 #include "../base/xalloc.h"
+#include "account_cap.h"
 #include "commit.h"
 #include "lead_lease.h"
 #include "wait_log.h"
@@ -192,6 +193,7 @@
 	lead_lease_log(c);
 	cell_create_occurrences(c);
 	cell_check_adopted(c);
+	account_cap_update(c);
 	cell_drain(c);
 	cell_request_copies(c);
 	cell_boost_expired(c);
--- a/src/cell/cell_internal.h
+++ b/src/cell/cell_internal.h
@@ -85,8 +85,11 @@
 
 /* orders.c: start and stop orders */
 
-/** Starts the task on the runner; @p ticket is "" when none is needed. */
-void cell_start(struct cell *c, struct runner *r, struct task *t,
+/**
+ * Starts the task on the runner; @p ticket is "" when none is needed.
+ * @return false when the client account's cap doesn't allow it.
+ */
+bool cell_start(struct cell *c, struct runner *r, struct task *t,
     uint32_t number, const char *ticket, bool is_copy);
 /** Sends a stop for the run unless one was sent before. */
 void cell_stop(struct cell *c, struct run *run, const char *why);
--- a/src/cell/load.c
+++ b/src/cell/load.c
@@ -17,6 +17,7 @@
 #include "../base/err.h"
 #include "../base/kvlog.h"
 #include "../base/xalloc.h"
+#include "account_cap.h"
 #include "deposed.h"
 
 #define PAGE_ROWS 500
@@ -73,6 +74,7 @@
 	    HASH_COUNT(c->runners), count_closed(c),
 	    (long long)(c->ports.now() - c->lead_since_ms));
 	cell_check_adopted(c);
+	account_cap_update(c);
 	c->ports.wake(c->ports.arg);
 }
 
--- a/src/cell/orders.c
+++ b/src/cell/orders.c
@@ -5,6 +5,7 @@
 #include "../base/err.h"
 #include "../base/kvlog.h"
 #include "../base/xalloc.h"
+#include "account_cap.h"
 #include "cell_internal.h"
 #include "deposed.h"
 #include "lead_lease.h"
@@ -344,7 +345,7 @@
 	free(o);
 }
 
-void
+bool
 cell_start(struct cell *c, struct runner *r, struct task *t, uint32_t number,
     const char *ticket, bool is_copy)
 {
@@ -353,6 +354,10 @@
 	struct run *run;
 	uint32_t last_run;
 
+	/* The members of a gang start together, so the gang was checked as a
+	 * whole. */
+	if (!s->spec->gang && !account_cap_allows(c, s))
+		return false;
 	task_name(t, name, sizeof(name));
 	run = run_new(r, t, name, number);
 	run->ordered_ms = c->ports.now();
@@ -371,6 +376,7 @@
 		s->first_start_ms = run->ordered_ms;
 	start_log(c, run, last_run);
 	send_start(c, run);
+	return true;
 }
 
 /* Marks an unanswered stop, which is repeated at once if the runner answers
--- a/src/cell/place.c
+++ b/src/cell/place.c
@@ -5,6 +5,7 @@
 
 #include "../base/xalloc.h"
 
+#include "account_cap.h"
 #include "apart.h"
 #include "lead_lease.h"
 
@@ -198,10 +199,10 @@
 		best = best_candidate(p);
 		if (best == NULL && p->want.apart)
 			continue;
-		if (best == NULL)
+		if (best == NULL ||
+		    !cell_start(p->cell, best->runner, t,
+			cell_next_run(p->cell, t), best->ticket, false))
 			return;
-		cell_start(p->cell, best->runner, t, cell_next_run(p->cell, t),
-		    best->ticket, false);
 		if (p->want.apart)
 			apart_keep(p->cell, t->run);
 	}
@@ -350,7 +351,7 @@
 {
 	struct pick p;
 
-	if (!pick_init(&p, c, s, now))
+	if (!account_cap_allows(c, s) || !pick_init(&p, c, s, now))
 		return;
 	if (p.n > 0 && s->spec->gang)
 		place_gang(&p);
--- a/src/cell/speculative.c
+++ b/src/cell/speculative.c
@@ -86,8 +86,8 @@
 static void
 start_copy(struct cell *c, struct task *t, struct candidate *d)
 {
-	task_withdraw_copy_request(t);
-	cell_start(c, d->runner, t, cell_next_run(c, t), d->ticket, true);
+	if (cell_start(c, d->runner, t, cell_next_run(c, t), d->ticket, true))
+		task_withdraw_copy_request(t);
 }
 
 void
--- a/src/cell/wait_log.c
+++ b/src/cell/wait_log.c
@@ -3,6 +3,7 @@
 #include <stdio.h>
 
 #include "../base/kvlog.h"
+#include "account_cap.h"
 #include "lead_lease.h"
 
 /** Wait after which a step is logged, and the interval of the lines. */
@@ -51,6 +52,8 @@
 		return "registry";
 	if (!cell_may_start(c, s))
 		return "adoption";
+	if (!account_cap_allows(c, s))
+		return "account-cap";
 	return step_may_have_candidates(s) ? "none" : "advice";
 }
 
--- a/src/state/job.c
+++ b/src/state/job.c
@@ -186,6 +186,12 @@
 	return true;
 }
 
+struct resources
+step_task_size(const Cc__StepSpec *s)
+{
+	return (struct resources){s->cpu, s->mem_mb, s->gpu};
+}
+
 bool
 step_has_waiting(const struct step *s)
 {
--- a/src/state/job.h
+++ b/src/state/job.h
@@ -14,6 +14,7 @@
 #include <uthash.h>
 
 #include "../protocol/peer.pb-c.h"
+#include "resources.h"
 #include "task_crashes.h"
 #include "task_end.h"
 
@@ -146,6 +147,10 @@
 bool step_is_ready(const struct step *s);
 /** Whether the step has tasks that are neither done nor have a run. */
 bool step_has_waiting(const struct step *s);
+/** What a task of the step holds, as its client account is charged for it.
+ * Best-effort tasks count with their processors, though these aren't reserved.
+ */
+struct resources step_task_size(const Cc__StepSpec *s);
 /** Marks a task done and counts it; for a gang, all tasks of the step. */
 void task_set_done(struct task *t);
 /** Estimated duration of the critical path over the steps, ms. */
--- a/src/state/runner.c
+++ b/src/state/runner.c
@@ -36,17 +36,10 @@
 	free(u);
 }
 
-static struct resources
-run_size(const struct run *run)
-{
-	return (struct resources){run->cpu, run->mem_mb, run->gpu};
-}
-
 struct run *
 run_new(struct runner *r, struct task *t, const char *name, uint32_t number)
 {
 	struct run *run = xcalloc(1, sizeof(*run));
-	struct resources size;
 
 	run->runner = r;
 	run->task = t;
@@ -60,8 +53,8 @@
 		run->mem_mb = s->mem_mb;
 		run->gpu = s->gpu;
 		run->account = t->step->occurrence->job->account;
-		size = run_size(run);
-		account_hold(run->account, &size);
+		run->charged = step_task_size(s);
+		account_hold(run->account, &run->charged);
 	}
 	run->unsized = t == NULL;
 	r->nunsized += run->unsized;
@@ -84,9 +77,8 @@
 run_delete(struct run *run)
 {
 	struct runner *r = run->runner;
-	struct resources size = run_size(run);
 
-	account_release(run->account, &size);
+	account_release(run->account, &run->charged);
 	r->used_cpu -= run->cpu;
 	r->used_mem_mb -= run->mem_mb;
 	r->used_gpu -= run->gpu;
--- a/src/state/runner.h
+++ b/src/state/runner.h
@@ -37,7 +37,8 @@
 	int64_t cpu; /**< capacity that it holds, in thousandths of a core */
 	int64_t mem_mb;
 	int64_t gpu;
-	struct account *account; /**< that holds it; NULL: none */
+	struct account *account;  /**< that holds it; NULL: none */
+	struct resources charged; /**< what it holds of the account's cap */
 	bool apart;	      /**< its runner is kept for it while its task is
 			       * in doubt */
 	bool unsized;	      /**< the capacity that it holds isn't known */
