accounts: rates, shares and admission

Cause: a heavy account's burst delays all others; what is beyond an account's rate is served before what is within. Change: submissions are counted by account in a sliding window. Accounts above their share of the cell come after the others of the same priority. Gangs that a cap can never hold are refused at once.

--- /dev/null
+++ b/src/cell/account_order.c
@@ -0,0 +1,106 @@
+#include "account_order.h"
+
+#include <stdlib.h>
+
+#include "../base/xalloc.h"
+#include "../coordination/fair_share.h"
+#include "cell_internal.h"
+
+/* Estimated work of the starts that a step needs, core-ms. */
+static int64_t
+waiting_core_ms(const struct step *s)
+{
+	return (int64_t)step_pending_starts(s) * s->spec->cpu *
+	    s->spec->estimate_ms / 1000;
+}
+
+static void
+count_waiting(struct cell *c)
+{
+	struct account *a;
+	struct step *s;
+
+	for (a = c->accounts; a != NULL; a = a->hh.next)
+		a->wants = false;
+	c->waiting_core_ms = 0;
+	TAILQ_FOREACH (s, &c->steps, link) {
+		c->waiting_core_ms += waiting_core_ms(s);
+		if (s->occurrence->job->account != NULL)
+			s->occurrence->job->account->wants = true;
+	}
+}
+
+static struct resources
+cell_total(const struct cell *c)
+{
+	struct resources total = {0, 0, 0};
+	const struct runner *r;
+
+	for (r = c->runners; r != NULL; r = r->hh.next) {
+		if (!runner_takes_work(r))
+			continue;
+		total.cpu += r->info.cpu;
+		total.mem_mb += r->info.mem_mb;
+		total.gpu += r->info.gpu;
+	}
+	return total;
+}
+
+void
+account_order_update(struct cell *c)
+{
+	int n = 0, max = (int)HASH_COUNT(c->accounts);
+	struct fair_share *list;
+	struct account *a;
+
+	if (max == 0)
+		return;
+	count_waiting(c);
+	c->total = cell_total(c);
+	list = xcalloc((size_t)max, sizeof(*list));
+	for (a = c->accounts; a != NULL; a = a->hh.next)
+		list[n++] = (struct fair_share){.weight = a->weight,
+		    .held = a->held,
+		    .active = a->wants || a->nruns > 0};
+	fair_share_decide(list, n, &c->total);
+	n = 0;
+	for (a = c->accounts; a != NULL; a = a->hh.next)
+		a->above_share = list[n++].above;
+	free(list);
+}
+
+struct admission
+account_order_admit(struct cell *c, const Cc__JobRow *row, int64_t objective_ms)
+{
+	int64_t now = c->ports.now(), window = c->terms.quota_window_ms;
+	struct admission_request q = {.window_ms = window,
+	    .waiting_core_ms = c->waiting_core_ms,
+	    .cores_milli = c->total.cpu,
+	    .critical_path_ms = job_critical_path_ms(row),
+	    .objective_ms = objective_ms};
+	struct admission d;
+	struct account *a = NULL;
+
+	if (row->account[0] != '\0')
+		a = cell_account(c, row->account);
+	if (a != NULL) {
+		q.has_account = true;
+		q.rate = a->weight;
+		q.sent = rate_window_count(&a->sent, window, now);
+		q.refused = rate_window_count(&a->refusals, window, now);
+	}
+	d = admission_decide(&q);
+	if (a != NULL)
+		rate_window_add(
+		    d.admitted ? &a->sent : &a->refusals, window, now);
+	return d;
+}
+
+void
+account_order_loaded(struct cell *c, struct job *j)
+{
+	int64_t window = c->terms.quota_window_ms;
+
+	if (j->account != NULL && c->ports.now() - j->accepted_ms < window)
+		rate_window_add(&j->account->sent, window, c->ports.now());
+}
--- a/src/cell/cell.h
+++ b/src/cell/cell.h
@@ -91,6 +91,7 @@
 struct cell_counters {
 	uint64_t accepted;
 	uint64_t refused;
+	uint64_t refused_rate; /**< of refused, beyond their account's rate */
 	uint64_t completed;
 	uint64_t failed;
 	uint64_t canceled;
@@ -175,6 +176,9 @@
 	char incarnation[32];
 	struct config *config;	  /**< in force at this host */
 	struct account *accounts; /**< client accounts of jobs */
+	/* Kept while there are accounts: */
+	struct resources total;	 /**< of the runners that take work */
+	int64_t waiting_core_ms; /**< estimated work that waits */
 	struct job *jobs;
 	struct job *loading; /**< jobs read from the store, on no list yet */
 	struct unreadable_job *unreadable; /**< jobs that can't be read */
--- a/src/cell/cell_internal.h
+++ b/src/cell/cell_internal.h
@@ -51,6 +51,8 @@
 /* jobs.c: jobs of the cell and the calls of clients */
 
 struct job *cell_job(struct cell *c, const char *id);
+/** The client account of that name, with its terms in the configuration. */
+struct account *cell_account(struct cell *c, const char *name);
 /** Sets the job's client account from its row. */
 void cell_bind_account(struct cell *c, struct job *j);
 /** Adds a new or loaded job and lists its ready steps. */
--- a/src/cell/jobs.c
+++ b/src/cell/jobs.c
@@ -6,6 +6,7 @@
 #include "../base/kvlog.h"
 #include "../base/xalloc.h"
 #include "../coordination/leader_claim.h"
+#include "account_order.h"
 #include "cell_internal.h"
 
 /** Retry-after interval for callers while this host can't answer for sure. */
@@ -27,18 +28,27 @@
 	return j;
 }
 
-void
-cell_bind_account(struct cell *c, struct job *j)
+struct account *
+cell_account(struct cell *c, const char *name)
 {
 	const struct account_terms *t = NULL;
+	struct account *a = account_find(c->accounts, name);
 
-	if (j->row->account[0] == '\0')
-		return;
-	j->account = account_get(&c->accounts, j->row->account);
+	if (a != NULL)
+		return a;
+	a = account_get(&c->accounts, name);
 	if (c->config != NULL)
-		t = config_account(c->config, j->row->account);
+		t = config_account(c->config, name);
 	if (t != NULL)
-		account_set_terms(j->account, t);
+		account_set_terms(a, t);
+	return a;
+}
+
+void
+cell_bind_account(struct cell *c, struct job *j)
+{
+	if (j->row->account[0] != '\0')
+		j->account = cell_account(c, j->row->account);
 }
 
 void
@@ -218,19 +228,24 @@
 	TAILQ_INSERT_TAIL(&j->waiters, w, link);
 }
 
-uint32_t
-cell_count_refusal(struct cell *c, const char *id, const Cc__JobRow *row)
+static int64_t
+objective_ms(const struct cell *c, const Cc__JobRow *row)
 {
 	const struct queue *q =
 	    c->config != NULL ? config_queue(c->config, row->queue) : NULL;
-	int64_t objective = 0;
 
-	if (q != NULL)
-		objective = urgency_objective_ms(job_critical_path_ms(row),
-		    q->stretch, q->target_latency_ms);
+	if (q == NULL)
+		return 0;
+	return urgency_objective_ms(
+	    job_critical_path_ms(row), q->stretch, q->target_latency_ms);
+}
+
+uint32_t
+cell_count_refusal(struct cell *c, const char *id, const Cc__JobRow *row)
+{
 	c->counters.refused++;
 	return retry_after_refused(
-	    &c->retry_after, id, objective, c->ports.now());
+	    &c->retry_after, id, objective_ms(c, row), c->ports.now());
 }
 
 static void
@@ -275,6 +290,58 @@
 	return state_is_current(c) && !unreadable_has(c->unreadable, id);
 }
 
+/* The terms of the account forbid a gang of the job for good. */
+static bool
+has_gang_above_cap(const struct cell *c, const Cc__JobRow *row)
+{
+	const struct account_terms *t =
+	    c->config != NULL ? config_account(c->config, row->account) : NULL;
+	struct resources total;
+	size_t i;
+
+	for (i = 0; t != NULL && i < row->n_steps; i++) {
+		if (!row->steps[i]->gang)
+			continue;
+		total = step_task_size(row->steps[i]);
+		total = resources_times(&total, row->steps[i]->count);
+		if (!account_allows_gang(t, &total, c->terms.quota_excess))
+			return true;
+	}
+	return false;
+}
+
+/* Refuses a job that its account's rate or cap doesn't allow; counts it
+ * otherwise. @return whether it is admitted */
+static bool
+admit(struct cell *c, const char *id, Cc__JobRow *row, cell_fn fn, void *arg)
+{
+	struct cell_answer above_cap = {.error = CC_EINVAL};
+	struct cell_answer later = {.error = CC_ERATE};
+	struct admission d;
+
+	if (has_gang_above_cap(c, row)) {
+		kvlog(KVLOG_INFO, "submit_refused",
+		    "id=%s why=gang-above-cap account=" KVLOG_TEXT, id,
+		    row->account);
+		fn(&above_cap, arg);
+		return false;
+	}
+	d = account_order_admit(c, row, objective_ms(c, row));
+	row->over_rate = d.over_rate;
+	if (d.admitted)
+		return true;
+	c->counters.refused++;
+	c->counters.refused_rate++;
+	later.retry_after_ms = (uint32_t)d.retry_after_ms;
+	kvlog(KVLOG_INFO, "submit_refused",
+	    "id=%s why=rate account=" KVLOG_TEXT
+	    " waiting_core_ms=%lld cores_milli=%lld retry_after_ms=%u",
+	    id, row->account, (long long)c->waiting_core_ms,
+	    (long long)c->total.cpu, later.retry_after_ms);
+	fn(&later, arg);
+	return false;
+}
+
 /* Whether the job belongs to another client account than the caller. Callers
  * without an account use public queues, or no accounts are configured. */
 static bool
@@ -308,6 +375,10 @@
 		cc__job_row__free_unpacked(row, NULL);
 		return;
 	}
+	if (!admit(c, id, row, fn, arg)) {
+		cc__job_row__free_unpacked(row, NULL);
+		return;
+	}
 	row->accepted_wall_ms = c->ports.wall_now();
 	j = job_new(id, row);
 	cell_bind_account(c, j);
@@ -317,10 +388,10 @@
 	cell_mark_dirty(c, j);
 	c->counters.accepted++;
 	kvlog(KVLOG_INFO, "submit",
-	    "id=%s queue=" KVLOG_TEXT " steps=%zu tasks=%u chain_ms=%lld "
-	    "objective_ms=%lld",
-	    id, row->queue, row->n_steps, row->steps[0]->count,
-	    (long long)j->critical_path_ms,
+	    "id=%s queue=" KVLOG_TEXT " account=" KVLOG_TEXT
+	    " over_rate=%d steps=%zu tasks=%u chain_ms=%lld objective_ms=%lld",
+	    id, row->queue, row->account, row->over_rate, row->n_steps,
+	    row->steps[0]->count, (long long)j->critical_path_ms,
 	    (long long)(j->due_ms - j->accepted_ms));
 	c->ports.wake(c->ports.arg);
 }
--- a/src/cell/place.c
+++ b/src/cell/place.c
@@ -6,6 +6,7 @@
 #include "../base/xalloc.h"
 
 #include "account_cap.h"
+#include "account_order.h"
 #include "apart.h"
 #include "lead_lease.h"
 
@@ -72,6 +73,8 @@
 	    .priority = j->priority,
 	    .boosted = s->boosted,
 	    .long_running = s->spec->long_running,
+	    .over_rate = j->row->over_rate,
+	    .above_share = j->account != NULL && j->account->above_share,
 	};
 
 	return urgency_of(&u, now);
@@ -426,6 +429,7 @@
 	if (TAILQ_EMPTY(&c->steps) || c->config == NULL ||
 	    !lead_lease_allows_start(c) || !cell_capacities_current(c))
 		return;
+	account_order_update(c);
 	ranked = rank_steps(c, now, &n);
 	for (i = 0; i < n && c->ports.now() - now < PASS_MS; i++)
 		if (room_for(&room, ranked[i].step->spec))
--- /dev/null
+++ b/src/coordination/admission.h
@@ -0,0 +1,40 @@
+/**
+ * @file Whether a submission is admitted, by the rate of its client account and
+ * the work that waits.
+ *
+ * Load that it answers: one account sends several times its rate while the
+ * cell is full. What is beyond its rate would delay the work of others that are
+ * within theirs, so it is refused first, as long as it couldn't be served in
+ * time anyway.
+ */
+#ifndef ADMISSION_H
+#define ADMISSION_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+/** A submission, and what is known of its account and the cell. */
+struct admission_request {
+	bool has_account;
+	double
+	    rate; /**< submissions a second that the account is entitled to */
+	int64_t window_ms;
+	uint32_t sent;	  /**< admitted in the window */
+	uint32_t refused; /**< refused in the window: these will return */
+	int64_t waiting_core_ms; /**< estimated work that waits */
+	int64_t cores_milli;	 /**< of the cell, less lasting work */
+	int64_t critical_path_ms;
+	int64_t objective_ms;
+};
+
+struct admission {
+	bool admitted;
+	bool over_rate; /**< beyond the account's rate */
+	/** For a refused one: when its account's rate will have room for it and
+	 * for those refused before it. */
+	int64_t retry_after_ms;
+};
+
+struct admission admission_decide(const struct admission_request *q);
+
+#endif
--- a/src/coordination/urgency.h
+++ b/src/coordination/urgency.h
@@ -2,9 +2,11 @@
  * @file Order in which steps are served.
  *
  * Steps of jobs that are not past due come first, by priority and then by due
- * time. Steps of late jobs, which are past due, follow, and last those of
- * expired jobs: these will end so late that their result has no value to the
- * caller. An expired step may be boosted, which puts it before all others.
+ * time. Steps of late jobs, which are past due, follow, then those of jobs that
+ * were sent beyond the rate of their client account, and last those of expired
+ * jobs: these will end so late that their result has no value to the caller. An
+ * expired step may be boosted, which puts it before all others. Within a
+ * priority, accounts that hold more than their share come after the others.
  */
 #ifndef URGENCY_H
 #define URGENCY_H
@@ -21,12 +23,14 @@
 	LATENESS_BOOSTED,
 	LATENESS_NONE,
 	LATENESS_LATE,
+	LATENESS_OVER_RATE, /**< sent beyond the rate of its client account */
 	LATENESS_EXPIRED,
 };
 
 struct urgency {
 	enum lateness lateness;
-	int priority; /**< lower is served first */
+	int priority;	  /**< lower is served first */
+	bool above_share; /**< its client account holds more than its share */
 	int64_t due_ms;
 };
 
@@ -41,6 +45,8 @@
 	bool boosted; /**< expired, but served first now (see expired_credit.h)
 		       */
 	bool long_running; /**< ends only when canceled */
+	bool over_rate;	   /**< sent beyond the rate of its client account */
+	bool above_share;  /**< as in struct urgency */
 };
 
 struct urgency urgency_of(const struct urgency_job *j, int64_t now);
--- a/src/state/account.c
+++ b/src/state/account.c
@@ -6,11 +6,19 @@
 #include "../base/xalloc.h"
 
 struct account *
-account_get(struct account **accounts, const char *name)
+account_find(struct account *accounts, const char *name)
 {
 	struct account *a;
 
-	HASH_FIND_STR(*accounts, name, a);
+	HASH_FIND_STR(accounts, name, a);
+	return a;
+}
+
+struct account *
+account_get(struct account **accounts, const char *name)
+{
+	struct account *a = account_find(*accounts, name);
+
 	if (a != NULL)
 		return a;
 	a = xcalloc(1, sizeof(*a));
--- a/src/state/account.h
+++ b/src/state/account.h
@@ -11,6 +11,7 @@
 #include <stdint.h>
 #include <uthash.h>
 
+#include "rate_window.h"
 #include "resources.h"
 
 /** Terms of an account in the configuration. */
@@ -37,8 +38,14 @@
 	 * while it adopts the runners of a former leader. */
 	struct resources unseen;
 	int nruns;
+	bool wants;		     /**< it has steps with tasks to start */
+	bool above_share;	     /**< it holds more than its share */
+	struct rate_window sent;     /**< admitted submissions */
+	struct rate_window refusals; /**< submissions refused for its rate */
 };
 
+/** @return the account of that name; NULL when there is none. */
+struct account *account_find(struct account *accounts, const char *name);
 /** @return the account of that name, which is added without limits when there
  * is none. */
 struct account *account_get(struct account **accounts, const char *name);
