accounts: what is beyond an account's rate takes nothing from its rate

Cause: over-rate submissions that were admitted counted in the window, so the account's next ones within its rate were refused as well. Change: the window counts only submissions within the rate.

--- a/src/cell/account_order.c
+++ b/src/cell/account_order.c
@@ -90,9 +90,11 @@
 		q.refused = rate_window_count(&a->refusals, window, now);
 	}
 	d = admission_decide(&q);
-	if (a != NULL)
-		rate_window_add(
-		    d.admitted ? &a->sent : &a->refusals, window, now);
+	/* What is beyond the rate takes nothing from the rate. */
+	if (a != NULL && !d.over_rate)
+		rate_window_add(&a->sent, window, now);
+	else if (a != NULL && !d.admitted)
+		rate_window_add(&a->refusals, window, now);
 	return d;
 }
 
@@ -101,6 +103,7 @@
 {
 	int64_t window = c->terms.quota_window_ms;
 
-	if (j->account != NULL && c->ports.now() - j->accepted_ms < window)
+	if (j->account != NULL && !j->row->over_rate &&
+	    c->ports.now() - j->accepted_ms < window)
 		rate_window_add(&j->account->sent, window, c->ports.now());
 }
--- a/src/coordination/admission.c
+++ b/src/coordination/admission.c
@@ -40,7 +40,8 @@
 struct admission
 admission_decide(const struct admission_request *q)
 {
-	struct admission a = {.admitted = true};
+	struct admission a = {
+	    .sent = q->sent, .rate = q->rate, .admitted = true};
 
 	if (!q->has_account)
 		return a;
--- a/src/coordination/admission.h
+++ b/src/coordination/admission.h
@@ -19,7 +19,7 @@
 	double
 	    rate; /**< submissions a second that the account is entitled to */
 	int64_t window_ms;
-	uint32_t sent;	  /**< admitted in the window */
+	uint32_t sent;	  /**< in the window, within the rate */
 	uint32_t refused; /**< refused in the window: these will return */
 	int64_t waiting_core_ms; /**< estimated work that waits */
 	int64_t cores_milli;	 /**< of the cell, less lasting work */
@@ -28,6 +28,8 @@
 };
 
 struct admission {
+	uint32_t sent; /**< by the account in the window, before this one */
+	double rate;   /**< of the account */
 	bool admitted;
 	bool over_rate; /**< beyond the account's rate */
 	/** For a refused one: when its account's rate will have room for it and
--- a/src/state/account.h
+++ b/src/state/account.h
@@ -40,7 +40,7 @@
 	int nruns;
 	bool wants;		     /**< it has steps with tasks to start */
 	bool above_share;	     /**< it holds more than its share */
-	struct rate_window sent;     /**< admitted submissions */
+	struct rate_window sent;     /**< submissions within its rate */
 	struct rate_window refusals; /**< submissions refused for its rate */
 };
 
