--- a/src/cell/account_order.c
+++ b/src/cell/account_order.c
@@ -6,6 +6,10 @@
 #include "../coordination/fair_share.h"
 #include "cell_internal.h"
 
+/** A new leader counts jobs that were accepted so lately for their account's
+ * rate. */
+#define LOADED_MS 1000
+
 /* Estimated work of the starts that a step needs, core-ms. */
 static int64_t
 waiting_core_ms(const struct step *s)
@@ -73,8 +77,7 @@
 account_order_admit(struct cell *c, const Cc__JobRow *row, int64_t objective_ms)
 {
 	int64_t now = c->ports.now(), window = c->terms.quota_window_ms;
-	struct admission_request q = {.window_ms = window,
-	    .waiting_core_ms = c->waiting_core_ms,
+	struct admission_request q = {.waiting_core_ms = c->waiting_core_ms,
 	    .cores_milli = c->total.cpu,
 	    .critical_path_ms = job_critical_path_ms(row),
 	    .objective_ms = objective_ms};
@@ -86,13 +89,14 @@
 	if (a != NULL) {
 		q.has_account = true;
 		q.rate = a->weight;
-		q.sent = rate_window_count(&a->sent, window, now);
+		q.tokens = token_bucket_tokens(
+		    &a->rate, a->weight, admission_burst(a->weight), now);
 		q.refused = rate_window_count(&a->refusals, window, now);
 	}
 	d = admission_decide(&q);
 	/* What is beyond the rate takes nothing from the rate. */
 	if (a != NULL && !d.over_rate)
-		rate_window_add(&a->sent, window, now);
+		token_bucket_take(&a->rate);
 	else if (a != NULL && !d.admitted)
 		rate_window_add(&a->refusals, window, now);
 	return d;
@@ -101,9 +105,13 @@
 void
 account_order_loaded(struct cell *c, struct job *j)
 {
-	int64_t window = c->terms.quota_window_ms;
+	struct account *a = j->account;
 
-	if (j->account != NULL && !j->row->over_rate &&
-	    c->ports.now() - j->accepted_ms < window)
-		rate_window_add(&j->account->sent, window, c->ports.now());
+	if (a == NULL || j->row->over_rate)
+		return;
+	/* Jobs are read in no order, so older ones count like new ones. */
+	if (c->ports.now() - j->accepted_ms <= LOADED_MS &&
+	    token_bucket_tokens(&a->rate, a->weight, admission_burst(a->weight),
+		c->ports.now()) >= 1.0)
+		token_bucket_take(&a->rate);
 }
--- a/src/cell/jobs.c
+++ b/src/cell/jobs.c
@@ -330,8 +330,8 @@
 	row->over_rate = d.over_rate;
 	if (d.over_rate && d.admitted)
 		kvlog(KVLOG_INFO, "submit_over_rate",
-		    "id=%s account=" KVLOG_TEXT " sent=%u rate=%.2f", id,
-		    row->account, d.sent, d.rate);
+		    "id=%s account=" KVLOG_TEXT " tokens=%.1f rate=%.2f", id,
+		    row->account, d.tokens, d.rate);
 	if (d.admitted)
 		return true;
 	c->counters.refused++;
@@ -339,9 +339,9 @@
 	later.retry_after_ms = (uint32_t)d.retry_after_ms;
 	kvlog(KVLOG_INFO, "submit_refused",
 	    "id=%s why=rate account=" KVLOG_TEXT
-	    " sent=%u rate=%.2f waiting_core_ms=%lld cores_milli=%lld "
+	    " tokens=%.1f rate=%.2f waiting_core_ms=%lld cores_milli=%lld "
 	    "retry_after_ms=%u",
-	    id, row->account, d.sent, d.rate, (long long)c->waiting_core_ms,
+	    id, row->account, d.tokens, d.rate, (long long)c->waiting_core_ms,
 	    (long long)c->total.cpu, later.retry_after_ms);
 	fn(&later, arg);
 	return false;
--- a/src/coordination/admission.c
+++ b/src/coordination/admission.c
@@ -5,13 +5,17 @@
 /** A caller that waits longer has given up. */
 #define RETRY_MAX_MS 15000
 
-/* Submissions that the rate allows in the window; always one. */
-static double
-window_limit(const struct admission_request *q)
+/** Length of a burst at the account's rate. */
+#define BURST_S 1.0
+/** A client of a small account may send a few submissions together. */
+#define BURST_MIN 4.0
+
+double
+admission_burst(double rate)
 {
-	double n = q->rate * (double)q->window_ms / 1000.0;
+	double burst = rate * BURST_S;
 
-	return n < 1.0 ? 1.0 : n;
+	return burst > BURST_MIN ? burst : BURST_MIN;
 }
 
 /* Whether the submission can meet its objective behind all work that waits. */
@@ -29,7 +33,7 @@
 static int64_t
 retry_after_ms(const struct admission_request *q)
 {
-	double ahead = (double)q->sent + 1.0 - window_limit(q) + q->refused;
+	double ahead = 1.0 - q->tokens + q->refused;
 	double ms = q->rate > 0 ? ahead * 1000.0 / q->rate : RETRY_MAX_MS;
 
 	if (ms < RETRY_MIN_MS)
@@ -41,11 +45,11 @@
 admission_decide(const struct admission_request *q)
 {
 	struct admission a = {
-	    .sent = q->sent, .rate = q->rate, .admitted = true};
+	    .tokens = q->tokens, .rate = q->rate, .admitted = true};
 
 	if (!q->has_account)
 		return a;
-	a.over_rate = (double)q->sent + 1.0 > window_limit(q);
+	a.over_rate = q->tokens < 1.0;
 	a.admitted = !a.over_rate || is_in_time(q);
 	if (!a.admitted)
 		a.retry_after_ms = retry_after_ms(q);
--- a/src/coordination/admission.h
+++ b/src/coordination/admission.h
@@ -16,11 +16,10 @@
 /** A submission, and what is known of its account and the cell. */
 struct admission_request {
 	bool has_account;
-	double
-	    rate; /**< submissions a second that the account is entitled to */
-	int64_t window_ms;
-	uint32_t sent;	  /**< in the window, within the rate */
-	uint32_t refused; /**< refused in the window: these will return */
+	double rate;   /**< submissions a second that the account is entitled to
+			*/
+	double tokens; /**< of its token bucket; one for each submission */
+	uint32_t refused;	 /**< refused lately: these will return */
 	int64_t waiting_core_ms; /**< estimated work that waits */
 	int64_t cores_milli;	 /**< of the cell, less lasting work */
 	int64_t critical_path_ms;
@@ -28,7 +27,7 @@
 };
 
 struct admission {
-	uint32_t sent; /**< by the account in the window, before this one */
+	double tokens; /**< as in the request */
 	double rate;   /**< of the account */
 	bool admitted;
 	bool over_rate; /**< beyond the account's rate */
@@ -37,6 +36,8 @@
 	int64_t retry_after_ms;
 };
 
+/** Submissions that an account of this rate may send at once. */
+double admission_burst(double rate);
 struct admission admission_decide(const struct admission_request *q);
 
 #endif
--- a/src/state/account.h
+++ b/src/state/account.h
@@ -13,6 +13,7 @@
 
 #include "rate_window.h"
 #include "resources.h"
+#include "token_bucket.h"
 
 /** Terms of an account in the configuration. */
 struct account_terms {
@@ -40,7 +41,7 @@
 	int nruns;
 	bool wants;		     /**< it has steps with tasks to start */
 	bool above_share;	     /**< it holds more than its share */
-	struct rate_window sent;     /**< submissions within its rate */
+	struct token_bucket rate;    /**< of submissions */
 	struct rate_window refusals; /**< submissions refused for its rate */
 };
 
