--- a/src/cell/account_order.c
+++ b/src/cell/account_order.c
@@ -73,32 +73,55 @@
 	free(list);
 }
 
+/* What is known of the account, for a submission at @p now. One that returns
+ * earlier than it was told takes nothing from those that are within the rate.
+ */
+static void
+fill_request(struct cell *c, struct account *a, const char *id, int64_t now,
+    struct admission_request *q)
+{
+	int64_t promised = retry_after_promised(&c->retry_after, id);
+
+	q->has_account = true;
+	q->rate = a->weight;
+	q->promised_in_ms = promised > now ? promised - now : 0;
+	q->tokens = token_bucket_tokens(
+	    &a->rate, a->weight, admission_burst(a->weight), now);
+	q->refused =
+	    rate_window_count(&a->refusals, c->terms.quota_window_ms, now);
+}
+
+static void
+count_decision(struct cell *c, struct account *a, const char *id, int64_t now,
+    const struct admission *d)
+{
+	if (!d->over_rate)
+		token_bucket_take(&a->rate);
+	if (d->admitted || d->keeps_promise)
+		return;
+	rate_window_add(&a->refusals, c->terms.quota_window_ms, now);
+	retry_after_promise(&c->retry_after, id, now + d->retry_after_ms, now);
+}
+
 struct admission
-account_order_admit(struct cell *c, const Cc__JobRow *row, int64_t objective_ms)
+account_order_admit(
+    struct cell *c, const char *id, const Cc__JobRow *row, int64_t objective_ms)
 {
-	int64_t now = c->ports.now(), window = c->terms.quota_window_ms;
+	int64_t now = c->ports.now();
 	struct admission_request q = {.waiting_core_ms = c->waiting_core_ms,
 	    .cores_milli = c->total.cpu,
 	    .critical_path_ms = job_critical_path_ms(row),
 	    .objective_ms = objective_ms};
-	struct admission d;
 	struct account *a = NULL;
+	struct admission d;
 
 	if (row->account[0] != '\0')
 		a = cell_account(c, row->account);
-	if (a != NULL) {
-		q.has_account = true;
-		q.rate = a->weight;
-		q.tokens = token_bucket_tokens(
-		    &a->rate, a->weight, admission_burst(a->weight), now);
-		q.refused = rate_window_count(&a->refusals, window, now);
-	}
+	if (a != NULL)
+		fill_request(c, a, id, now, &q);
 	d = admission_decide(&q);
-	/* What is beyond the rate takes nothing from the rate. */
-	if (a != NULL && !d.over_rate)
-		token_bucket_take(&a->rate);
-	else if (a != NULL && !d.admitted)
-		rate_window_add(&a->refusals, window, now);
+	if (a != NULL)
+		count_decision(c, a, id, now, &d);
 	return d;
 }
 
--- a/src/cell/account_order.h
+++ b/src/cell/account_order.h
@@ -9,8 +9,8 @@
  * steps are ranked. */
 void account_order_update(struct cell *c);
 /** Decides on a submission, and counts it for its account. */
-struct admission account_order_admit(
-    struct cell *c, const Cc__JobRow *row, int64_t objective_ms);
+struct admission account_order_admit(struct cell *c, const char *id,
+    const Cc__JobRow *row, int64_t objective_ms);
 /** Counts a stored job in its account's window, as of when it was accepted. */
 void account_order_loaded(struct cell *c, struct job *j);
 
--- a/src/cell/jobs.c
+++ b/src/cell/jobs.c
@@ -326,7 +326,7 @@
 		fn(&above_cap, arg);
 		return false;
 	}
-	d = account_order_admit(c, row, objective_ms(c, row));
+	d = account_order_admit(c, id, row, objective_ms(c, row));
 	row->over_rate = d.over_rate;
 	if (d.over_rate && d.admitted)
 		kvlog(KVLOG_INFO, "submit_over_rate",
--- a/src/coordination/admission.c
+++ b/src/coordination/admission.c
@@ -49,9 +49,12 @@
 
 	if (!q->has_account)
 		return a;
-	a.over_rate = q->tokens < 1.0;
+	a.over_rate = q->tokens < 1.0 || q->promised_in_ms > 0;
 	a.admitted = !a.over_rate || is_in_time(q);
-	if (!a.admitted)
+	a.keeps_promise = !a.admitted && q->promised_in_ms > 0;
+	if (a.keeps_promise)
+		a.retry_after_ms = q->promised_in_ms;
+	else if (!a.admitted)
 		a.retry_after_ms = retry_after_ms(q);
 	return a;
 }
--- a/src/coordination/admission.h
+++ b/src/coordination/admission.h
@@ -19,7 +19,9 @@
 	double rate;   /**< submissions a second that the account is entitled to
 			*/
 	double tokens; /**< of its token bucket; one for each submission */
-	uint32_t refused;	 /**< refused lately: these will return */
+	uint32_t refused; /**< refused lately: these will return */
+	/** It was refused before, and told to return in this time; 0: not. */
+	int64_t promised_in_ms;
 	int64_t waiting_core_ms; /**< estimated work that waits */
 	int64_t cores_milli;	 /**< of the cell, less lasting work */
 	int64_t critical_path_ms;
@@ -30,7 +32,9 @@
 	double tokens; /**< as in the request */
 	double rate;   /**< of the account */
 	bool admitted;
-	bool over_rate; /**< beyond the account's rate */
+	bool over_rate;	    /**< beyond the account's rate */
+	bool keeps_promise; /**< refused until the time that it was told before
+			     */
 	/** For a refused one: when its account's rate will have room for it and
 	 * for those refused before it. */
 	int64_t retry_after_ms;
--- a/src/coordination/retry_after.c
+++ b/src/coordination/retry_after.c
@@ -82,6 +82,25 @@
 	return (uint32_t)(ms > DELAY_MAX_MS ? DELAY_MAX_MS : ms);
 }
 
+void
+retry_after_promise(
+    struct retry_after *t, const char *id, int64_t promised_ms, int64_t now)
+{
+	struct refusals *r = refusals_of(t, id, now);
+
+	r->promised_ms = promised_ms;
+	r->last_ms = now;
+}
+
+int64_t
+retry_after_promised(const struct retry_after *t, const char *id)
+{
+	const struct refusals *r;
+
+	HASH_FIND_STR(t->jobs, id, r);
+	return r != NULL ? r->promised_ms : 0;
+}
+
 void
 retry_after_accepted(struct retry_after *t, const char *id)
 {
