admission: work that finds free processors is no backlog

Change: the backlog is the part of the waiting work beyond the free processors, without the steps that a cap keeps back.

--- a/src/cell/account_order.c
+++ b/src/cell/account_order.c
@@ -4,18 +4,24 @@
 
 #include "../base/xalloc.h"
 #include "../coordination/fair_share.h"
+#include "account_cap.h"
 #include "cell_internal.h"
 
 /** A new leader counts jobs that were accepted so lately for their account's
  * rate. */
 #define LOADED_MS 1000
 
-/* Estimated work of the starts that a step needs, core-ms. */
-static int64_t
-waiting_core_ms(const struct step *s)
+/* Adds the starts that a step needs, unless its account's cap keeps them back.
+ */
+static void
+add_waiting(struct cell *c, const struct step *s)
 {
-	return (int64_t)step_pending_starts(s) * s->spec->cpu *
-	    s->spec->estimate_ms / 1000;
+	int64_t cpu = (int64_t)step_pending_starts(s) * s->spec->cpu;
+
+	if (!account_cap_allows(c, s))
+		return;
+	c->waiting_cpu += cpu;
+	c->waiting_core_ms += cpu * s->spec->estimate_ms / 1000;
 }
 
 static void
@@ -26,28 +32,30 @@
 
 	for (a = c->accounts; a != NULL; a = a->hh.next)
 		a->wants = false;
-	c->waiting_core_ms = 0;
+	c->waiting_cpu = c->waiting_core_ms = 0;
 	TAILQ_FOREACH (s, &c->steps, link) {
-		c->waiting_core_ms += waiting_core_ms(s);
+		add_waiting(c, s);
 		if (s->occurrence->job->account != NULL)
 			s->occurrence->job->account->wants = true;
 	}
 }
 
-static struct resources
-cell_total(const struct cell *c)
+static void
+sum_runners(struct cell *c)
 {
-	struct resources total = {0, 0, 0};
 	const struct runner *r;
 
+	c->total = (struct resources){0, 0, 0};
+	c->free_cpu = 0;
 	for (r = c->runners; r != NULL; r = r->hh.next) {
 		if (!runner_takes_work(r))
 			continue;
-		total.cpu += r->info.cpu;
-		total.mem_mb += r->info.mem_mb;
-		total.gpu += r->info.gpu;
+		c->total.cpu += r->info.cpu;
+		c->total.mem_mb += r->info.mem_mb;
+		c->total.gpu += r->info.gpu;
+		if (r->info.cpu > r->used_cpu)
+			c->free_cpu += r->info.cpu - r->used_cpu;
 	}
-	return total;
 }
 
 void
@@ -60,7 +68,7 @@
 	if (max == 0)
 		return;
 	count_waiting(c);
-	c->total = cell_total(c);
+	sum_runners(c);
 	list = xcalloc((size_t)max, sizeof(*list));
 	for (a = c->accounts; a != NULL; a = a->hh.next)
 		list[n++] = (struct fair_share){.weight = a->weight,
@@ -108,8 +116,10 @@
     struct cell *c, const char *id, const Cc__JobRow *row, int64_t objective_ms)
 {
 	int64_t now = c->ports.now();
-	struct admission_request q = {.waiting_core_ms = c->waiting_core_ms,
-	    .cores_milli = c->total.cpu,
+	struct admission_request q = {.waiting_cpu = c->waiting_cpu,
+	    .waiting_core_ms = c->waiting_core_ms,
+	    .free_cpu = c->free_cpu,
+	    .total_cpu = c->total.cpu,
 	    .critical_path_ms = job_critical_path_ms(row),
 	    .objective_ms = objective_ms};
 	struct account *a = NULL;
--- a/src/cell/jobs.c
+++ b/src/cell/jobs.c
@@ -339,10 +339,12 @@
 	later.retry_after_ms = (uint32_t)d.retry_after_ms;
 	kvlog(KVLOG_INFO, "submit_refused",
 	    "id=%s why=rate account=" KVLOG_TEXT
-	    " tokens=%.1f rate=%.2f waiting_core_ms=%lld cores_milli=%lld "
+	    " tokens=%.1f rate=%.2f waiting_core_ms=%lld waiting_cpu=%lld "
+	    "free_cpu=%lld "
 	    "retry_after_ms=%u",
 	    id, row->account, d.tokens, d.rate, (long long)c->waiting_core_ms,
-	    (long long)c->total.cpu, later.retry_after_ms);
+	    (long long)c->waiting_cpu, (long long)c->free_cpu,
+	    later.retry_after_ms);
 	fn(&later, arg);
 	return false;
 }
--- a/src/coordination/admission.c
+++ b/src/coordination/admission.c
@@ -18,16 +18,25 @@
 	return burst > BURST_MIN ? burst : BURST_MIN;
 }
 
+/* Time until the work that waits and finds no free processors has run. Work
+ * that does find some waits for other reasons, such as advice. */
+static int64_t
+backlog_ms(const struct admission_request *q)
+{
+	int64_t beyond = q->waiting_cpu - q->free_cpu;
+
+	if (beyond <= 0)
+		return 0;
+	return (int64_t)((double)q->waiting_core_ms * 1000.0 * (double)beyond /
+	    (double)q->waiting_cpu / (double)q->total_cpu);
+}
+
 /* Whether the submission can meet its objective behind all work that waits. */
 static bool
 is_in_time(const struct admission_request *q)
 {
-	int64_t wait_ms;
-
-	if (q->cores_milli <= 0)
-		return false;
-	wait_ms = q->waiting_core_ms * 1000 / q->cores_milli;
-	return wait_ms + q->critical_path_ms <= q->objective_ms;
+	return q->total_cpu > 0 &&
+	    backlog_ms(q) + q->critical_path_ms <= q->objective_ms;
 }
 
 static int64_t
--- a/src/coordination/admission.h
+++ b/src/coordination/admission.h
@@ -22,8 +22,11 @@
 	uint32_t refused; /**< refused lately: these will return */
 	/** It was refused before, and told to return in this time; 0: not. */
 	int64_t promised_in_ms;
-	int64_t waiting_core_ms; /**< estimated work that waits */
-	int64_t cores_milli;	 /**< of the cell, less lasting work */
+	int64_t waiting_cpu;	 /**< of starts that wait, in thousandths of a
+				  * core, as all below */
+	int64_t waiting_core_ms; /**< their estimated work, core-ms */
+	int64_t free_cpu;
+	int64_t total_cpu;
 	int64_t critical_path_ms;
 	int64_t objective_ms;
 };
