admission: an early return takes a token that is left unused

Cause: after a burst the bucket was full while callers that returned early were still refused until the time that they had been told. Change: they are within the rate while the bucket is more than half full.

--- a/src/coordination/admission.c
+++ b/src/coordination/admission.c
@@ -50,6 +50,16 @@
 	return ms > RETRY_MAX_MS ? RETRY_MAX_MS : (int64_t)ms;
 }
 
+/* One that returns earlier than it was told takes only a token that others
+ * leave unused. */
+static bool
+is_within_rate(const struct admission_request *q)
+{
+	if (q->promised_in_ms > 0)
+		return q->tokens >= 1.0 + admission_burst(q->rate) / 2;
+	return q->tokens >= 1.0;
+}
+
 struct admission
 admission_decide(const struct admission_request *q)
 {
@@ -58,7 +68,7 @@
 
 	if (!q->has_account)
 		return a;
-	a.over_rate = q->tokens < 1.0 || q->promised_in_ms > 0;
+	a.over_rate = !is_within_rate(q);
 	a.admitted = !a.over_rate || is_in_time(q);
 	a.keeps_promise = !a.admitted && q->promised_in_ms > 0;
 	if (a.keeps_promise)
