--- a/tests/unit/unit.h
+++ b/tests/unit/unit.h
@@ -192,4 +192,15 @@
 void test_freshness_of_peers(void);
 void test_freshness_without_bound(void);
 
+void test_near_wait_free_around_bound(void);
+void test_near_wait_meets_deadline(void);
+void test_near_wait_deadline_missed(void);
+void test_near_wait_data_on_one_rack(void);
+void test_near_wait_run_time_unknown(void);
+void test_near_wait_run_time_wrong(void);
+void test_near_wait_heavy_tail(void);
+void test_near_wait_errors_measured(void);
+void test_near_wait_long_running_rack(void);
+void test_near_wait_ten_thousand(void);
+
 #endif
