cell: wait for rack-local capacity while that pays

Tasks with a preferred rack and gangs with same_rack wait for their rack by a forecast from the runs there. A gang that memory, accelerators or long-running work keeps off every rack starts on several; it was never started before, as only processors of empty racks were looked at.

--- a/src/cell/cell.c
+++ b/src/cell/cell.c
@@ -11,6 +11,7 @@
 #include "account_cap.h"
 #include "commit.h"
 #include "lead_lease.h"
+#include "near_room.h"
 #include "wait_log.h"
 
 void
@@ -89,6 +90,7 @@
 	cell_resign(c);
 	retry_after_done(&c->retry_after);
 	cell_advice_done(c);
+	near_room_free(c->near_room);
 	free(c->scratch);
 	config_delete(c->config);
 }
--- a/src/cell/cell.h
+++ b/src/cell/cell.h
@@ -11,6 +11,7 @@
 #define CELL_H
 
 #include "../coordination/advice_lanes.h"
+#include "../coordination/estimate_error.h"
 #include "../coordination/expired_credit.h"
 #include "../coordination/retry_after.h"
 #include "../ports/ports.h"
@@ -162,6 +163,7 @@
 };
 
 struct candidate;
+struct near_room;
 
 TAILQ_HEAD(step_list, step);
 TAILQ_HEAD(job_list, job);
@@ -188,14 +190,18 @@
 	struct runner_list due;	   /**< runners to process in the next pass */
 	struct candidate *scratch; /**< buffer of cell_scratch() */
 	size_t nscratch;	   /**< candidates that the buffer holds */
-	struct step_list steps;	   /**< steps with tasks to place */
-	struct job_list dirty;	   /**< jobs to write to the store */
-	struct job_list ended;	   /**< ended jobs, oldest first */
-	struct job_list live;	   /**< jobs that haven't ended */
-	struct job_list timed;	   /**< repeated jobs that haven't ended */
-	struct lanes lanes;	   /**< hosts that call the advice service */
-	struct queue_share *shares;	/**< share of runners that the advice
-					 * service allows, by queue */
+	struct near_room *near_room; /**< forecasts of near_room.h; NULL: none
+				      * was needed yet */
+	struct estimate_error
+	    estimate_error;	    /**< errors of estimates of run times */
+	struct step_list steps;	    /**< steps with tasks to place */
+	struct job_list dirty;	    /**< jobs to write to the store */
+	struct job_list ended;	    /**< ended jobs, oldest first */
+	struct job_list live;	    /**< jobs that haven't ended */
+	struct job_list timed;	    /**< repeated jobs that haven't ended */
+	struct lanes lanes;	    /**< hosts that call the advice service */
+	struct queue_share *shares; /**< share of runners that the advice
+				     * service allows, by queue */
 	char ask_cursor[RUNNER_ID_LEN]; /**< id of the runner that the
 					 * candidates of the next advice call
 					 * begin with */
--- a/src/cell/grants.c
+++ b/src/cell/grants.c
@@ -180,6 +180,19 @@
 	return n;
 }
 
+bool
+step_holds_ticket(
+    struct cell *c, const struct step *s, const struct runner *r, int64_t now)
+{
+	struct grant *g;
+
+	if (!s->occurrence->job->queue->advice.needed)
+		return true;
+	g = grant_find(s->advice, r->info.id);
+	return g != NULL && g->state == GRANT_ALLOWED &&
+	    grant_runner(c, g, now) != NULL;
+}
+
 void
 step_ticket_refused(struct step *s, const struct runner *r)
 {
--- a/src/cell/grants.h
+++ b/src/cell/grants.h
@@ -46,6 +46,9 @@
 /** Records a ticket for the runner. */
 void grant_allow(struct cell *c, struct advice *a, const char *runner,
     const char *ticket, int64_t expires_ms);
+/** Whether the step needs no ticket for the runner or holds a valid one. */
+bool step_holds_ticket(
+    struct cell *c, const struct step *s, const struct runner *r, int64_t now);
 /** Tasks of the step that fit now on runners with a valid ticket. */
 uint32_t granted_slots(
     struct cell *c, const struct step *s, const struct placing_want *w);
--- a/src/cell/place.c
+++ b/src/cell/place.c
@@ -9,6 +9,7 @@
 #include "account_order.h"
 #include "apart.h"
 #include "lead_lease.h"
+#include "near_room.h"
 
 /** A leader's run numbers of a task start at its generation times this, so that
  * it doesn't reuse a number of an earlier leader. */
@@ -26,6 +27,9 @@
 	struct placing_want want;
 	struct candidate *candidates;
 	int n;
+	/** Waiting tasks that are to wait for the preferred rack; -1: not
+	 * decided. */
+	int64_t held;
 };
 
 struct ranked {
@@ -121,19 +125,27 @@
 		return false;
 	p->cell = c;
 	p->step = s;
+	p->held = -1;
 	p->want = (struct placing_want){.step = s,
 	    .renewed_ms = c->renewed_ms,
 	    .service = q->service,
 	    .remote_factor = c->terms.remote_factor,
 	    .urgent = q->priority == 0,
 	    .now_ms = now};
+	return true;
+}
+
+static void
+find_candidates(struct pick *p)
+{
+	struct cell *c = p->cell;
+
 	p->candidates = cell_scratch(c);
-	p->n = step_candidates(c, s, &p->want, p->candidates);
-	if (p->n == 0 && apart_is_only_choice(c, s)) {
+	p->n = step_candidates(c, p->step, &p->want, p->candidates);
+	if (p->n == 0 && apart_is_only_choice(c, p->step)) {
 		p->want.joins_apart = true;
-		p->n = step_candidates(c, s, &p->want, p->candidates);
+		p->n = step_candidates(c, p->step, &p->want, p->candidates);
 	}
-	return true;
 }
 
 static struct candidate *
@@ -186,6 +198,82 @@
 	    w->apart ? beside_after(w->now_ms - t->retry_ms) : BESIDE_ANY;
 }
 
+/* Tasks of the step that may start now. */
+static uint32_t
+waiting_tasks(const struct step *s, int64_t now)
+{
+	uint32_t i, n = 0;
+
+	for (i = 0; i < s->spec->count; i++)
+		n += !s->tasks[i].done && s->tasks[i].run == NULL &&
+		    s->tasks[i].retry_ms <= now;
+	return n;
+}
+
+static bool
+has_suspected(const struct step *s)
+{
+	uint32_t i;
+
+	for (i = 0; i < s->spec->count; i++)
+		if (task_crashes_suspected(&s->tasks[i].crashes))
+			return true;
+	return false;
+}
+
+static bool
+is_on_preferred_rack(const struct pick *p, const struct runner *r)
+{
+	return strcmp(r->info.rack, p->step->spec->preferred_rack) == 0;
+}
+
+/* Whether some candidate on the preferred rack takes the task now. */
+static bool
+near_candidate_is_free(const struct pick *p)
+{
+	int i;
+
+	for (i = 0; i < p->n; i++)
+		if (is_on_preferred_rack(p, p->candidates[i].runner) &&
+		    placing_feasible(p->candidates[i].runner, &p->want))
+			return true;
+	return false;
+}
+
+/* Whether the task waits for its preferred rack rather than start on @p best.
+ * A suspected task doesn't wait, as its choice of runners is limited already.
+ */
+static bool
+waits_for_rack(struct pick *p, const struct runner *best)
+{
+	uint32_t left;
+
+	if (p->step->spec->preferred_rack[0] == '\0' || p->want.apart ||
+	    is_on_preferred_rack(p, best) || near_candidate_is_free(p))
+		return false;
+	left = waiting_tasks(p->step, p->want.now_ms);
+	if (p->held < 0)
+		p->held =
+		    near_room_hold_tasks(p->cell, p->step, &p->want, left);
+	return left <= p->held;
+}
+
+/* Whether all waiting tasks of the step wait for their preferred rack. Found
+ * without a look at all runners, so that a pass reaches the steps behind. */
+static bool
+step_waits_for_rack(struct pick *p)
+{
+	struct step *s = p->step;
+	uint32_t left;
+
+	if (s->spec->gang || s->spec->preferred_rack[0] == '\0' ||
+	    has_suspected(s) || near_room_is_free(p->cell, s, &p->want))
+		return false;
+	left = waiting_tasks(s, p->want.now_ms);
+	p->held = near_room_hold_tasks(p->cell, s, &p->want, left);
+	return left <= p->held;
+}
+
 static void
 place_tasks(struct pick *p)
 {
@@ -202,6 +290,8 @@
 		best = best_candidate(p);
 		if (best == NULL && p->want.apart)
 			continue;
+		if (best != NULL && waits_for_rack(p, best->runner))
+			return;
 		if (best == NULL ||
 		    !cell_start(p->cell, best->runner, t,
 			cell_next_run(p->cell, t), best->ticket, false))
@@ -233,26 +323,6 @@
 	return sum > UINT32_MAX ? UINT32_MAX : (uint32_t)sum;
 }
 
-/* Whether the gang would fit on one rack if that were empty. */
-static bool
-rack_could_ever_fit(const struct pick *p)
-{
-	const struct runner *r, *o;
-	uint64_t sum;
-
-	for (r = p->cell->runners; r != NULL; r = r->hh.next) {
-		sum = 0;
-		for (o = p->cell->runners; o != NULL; o = o->hh.next)
-			if (strcmp(r->info.rack, o->info.rack) == 0 &&
-			    p->step->spec->cpu > 0)
-				sum +=
-				    (uint64_t)o->info.cpu / p->step->spec->cpu;
-		if (sum >= p->step->spec->count)
-			return true;
-	}
-	return false;
-}
-
 /* The rack for a gang: the preferred one if the gang fits, else the one with
  * the fewest slots that it fits on; NULL when there is none. */
 static const char *
@@ -323,6 +393,20 @@
 	}
 }
 
+/* Whether the gang waits to be rack-local. */
+static bool
+gang_waits_for_rack(struct pick *p, const char *rack)
+{
+	const Cc__StepSpec *s = p->step->spec;
+
+	if (!near_room_matters(p->step))
+		return false;
+	if (s->same_rack ? rack != NULL
+			 : rack_slots(p, s->preferred_rack) >= s->count)
+		return false;
+	return near_room_hold_gang(p->cell, p->step, &p->want);
+}
+
 static void
 place_gang(struct pick *p)
 {
@@ -339,12 +423,11 @@
 	}
 	qsort(p->candidates, (size_t)p->n, sizeof(*p->candidates),
 	    compare_candidates);
-	if (p->step->spec->same_rack) {
+	if (p->step->spec->same_rack)
 		rack = gang_rack(p);
-		/* A gang that no rack could ever hold is spread over racks. */
-		if (rack == NULL && rack_could_ever_fit(p))
-			return;
-	}
+	if (gang_waits_for_rack(p, rack))
+		return;
+	/* Without a rack that holds it, the gang is spread over racks. */
 	if (rack_slots(p, rack) >= p->step->spec->count)
 		start_gang(p, rack);
 }
@@ -354,12 +437,16 @@
 {
 	struct pick p;
 
+	s->near_until_ms = 0;
 	if (!account_cap_allows(c, s) || !pick_init(&p, c, s, now))
 		return;
-	if (p.n > 0 && s->spec->gang)
-		place_gang(&p);
-	else if (p.n > 0)
-		place_tasks(&p);
+	if (!step_waits_for_rack(&p)) {
+		find_candidates(&p);
+		if (p.n > 0 && s->spec->gang)
+			place_gang(&p);
+		else if (p.n > 0)
+			place_tasks(&p);
+	}
 	if (s->ncopies > 0)
 		cell_place_copies(c, s, now);
 }
@@ -430,6 +517,7 @@
 	    !lead_lease_allows_start(c) || !cell_capacities_current(c))
 		return;
 	account_order_update(c);
+	near_room_begin(c);
 	ranked = rank_steps(c, now, &n);
 	for (i = 0; i < n && c->ports.now() - now < PASS_MS; i++)
 		if (room_for(&room, ranked[i].step->spec))
--- a/src/cell/preempt.c
+++ b/src/cell/preempt.c
@@ -36,7 +36,7 @@
 	struct urgency u = step_urgency(s, now);
 
 	return urgency_is_first(&u) && s->ready_ms != 0 && j->stored &&
-	    !job_ended(j) && !s->spec->gang &&
+	    !job_ended(j) && !s->spec->gang && s->near_until_ms <= now &&
 	    now - s->ready_ms >= PREEMPT_WAIT_MS &&
 	    !(c->adopting && j->inherited) &&
 	    now + s->spec->estimate_ms + c->terms.stop_grace_ms / 2 < j->due_ms;
--- a/src/cell/run_ends.c
+++ b/src/cell/run_ends.c
@@ -5,6 +5,7 @@
 #include "../base/kvlog.h"
 #include "../base/xalloc.h"
 #include "cell_internal.h"
+#include "near_room.h"
 
 /** Weight of the newest end in the moving average of a runner's failure rate.
  */
@@ -173,6 +174,7 @@
 		return;
 	v = (double)s->estimate_ms / (double)took;
 	v = v < 0.2 ? 0.2 : v > 3.0 ? 3.0 : v;
+	near_room_run_done(c, run, took);
 	r->samples++;
 	r->speed += (v - r->speed) * (r->samples < 8 ? 0.25 : 0.1);
 }
--- a/src/state/job.h
+++ b/src/state/job.h
@@ -75,6 +75,9 @@
 	uint32_t ncopies; /**< tasks that need a copy */
 	int64_t ready_ms; /**< when it became ready; 0: not ready yet */
 	int64_t first_start_ms;
+	/** End of its wait for a rack, as the last placement pass decided; 0:
+	 * it doesn't wait for one. */
+	int64_t near_until_ms;
 	bool listed;  /**< on the list of steps with tasks to place */
 	bool boosted; /**< expired, which is far past its latency objective, but
 			 placed before all others now */
--- a/tests/unit/main.c
+++ b/tests/unit/main.c
@@ -402,6 +402,20 @@
 	test_near_wait_long_running_rack},
     {"near wait", "of 10,000 waiting tasks those wait that are served in time",
 	test_near_wait_ten_thousand},
+    {"near room", "a gang beside long-running work starts on two racks",
+	test_near_gang_beside_long_running},
+    {"near room", "a gang that memory keeps off each rack starts on two",
+	test_near_gang_memory},
+    {"near room", "the members of a gang wait together",
+	test_near_gang_waits_together},
+    {"near room", "a task waits for its rack and starts there",
+	test_near_wait_ends_near},
+    {"near room", "a wait ends when the rack's runners drain",
+	test_near_wait_ends_with_drain},
+    {"near room", "a change of the leader doesn't double a wait",
+	test_near_wait_not_doubled},
+    {"near room", "a burst with its data on one rack uses others too",
+	test_near_burst_on_one_rack},
 };
 
 int
--- /dev/null
+++ b/tests/unit/near_room_test.c
@@ -0,0 +1,203 @@
+/** @file Waits for rack-local capacity in a cell; racks have four runners of 16
+ * processors and 64 GB. */
+#include <CUnit/CUnit.h>
+#include <stdio.h>
+
+#include "unit.h"
+#include "unit_world.h"
+
+#define FILL "00000000000000f1"
+#define JOB "00000000000000a1"
+#define TASK JOB ".0.0.0"
+
+/* Takes all processors of the runners of rack 0. */
+static void
+fill_rack(struct world *w, uint32_t ms)
+{
+	const struct world_step fill = {
+	    .count = 4, .cpu = 16000, .ms = ms, .after = -1, .rack = "rack0"};
+
+	world_submit(w, FILL, "batch", &fill, 1);
+	world_run(w, 100);
+	CU_ASSERT_EQUAL(world_live_runs(w, FILL), 4);
+}
+
+static void
+submit_near(struct world *w, uint32_t ms)
+{
+	const struct world_step step = {
+	    .count = 1, .cpu = 4000, .ms = ms, .after = -1, .rack = "rack0"};
+
+	world_submit(w, JOB, "urgent", &step, 1);
+}
+
+/* Whether the runner with that id is on rack 0. */
+static bool
+on_rack0(const char *id)
+{
+	return id != NULL && id[0] == 'r' && id[1] >= 'a' && id[1] <= 'd';
+}
+
+/* Guards against a gang that is never started, as processors that long-running
+ * work holds count as capacity of its rack. */
+void
+test_near_gang_beside_long_running(void)
+{
+	const struct world_step service = {
+	    .count = 8, .cpu = 9000, .after = -1, .long_running = true};
+	const struct world_step gang = {.count = 6,
+	    .cpu = 7000,
+	    .ms = 1000,
+	    .after = -1,
+	    .gang = true,
+	    .same_rack = true};
+	struct world *w = start_world(8);
+
+	world_submit(w, FILL, "batch", &service, 1);
+	world_run(w, 500);
+	CU_ASSERT_EQUAL(world_live_runs(w, FILL), 8);
+	world_submit(w, JOB, "urgent", &gang, 1);
+	world_run(w, 500);
+	CU_ASSERT_EQUAL(world_live_runs(w, JOB), 6);
+	world_run(w, 2000);
+	CU_ASSERT_EQUAL(world_state(w, JOB), JOB_COMPLETED);
+	finish_world(w);
+}
+
+/* Guards against a gang that is never started, as its members fit on a rack by
+ * processors and not by memory. */
+void
+test_near_gang_memory(void)
+{
+	const struct world_step gang = {.count = 6,
+	    .cpu = 4000,
+	    .mem_mb = 60000,
+	    .ms = 1000,
+	    .after = -1,
+	    .gang = true,
+	    .same_rack = true};
+	struct world *w = start_world(8);
+
+	world_submit(w, JOB, "urgent", &gang, 1);
+	world_run(w, 500);
+	CU_ASSERT_EQUAL(world_live_runs(w, JOB), 6);
+	world_run(w, 2000);
+	CU_ASSERT_EQUAL(world_state(w, JOB), JOB_COMPLETED);
+	finish_world(w);
+}
+
+/* A gang waits as a whole while its rack becomes free in time. Guards against
+ * members that start apart from the others. */
+void
+test_near_gang_waits_together(void)
+{
+	const struct world_step fill = {
+	    .count = 8, .cpu = 9000, .ms = 800, .after = -1};
+	const struct world_step gang = {.count = 6,
+	    .cpu = 7000,
+	    .ms = 3000,
+	    .after = -1,
+	    .gang = true,
+	    .same_rack = true};
+	struct world *w = start_world(8);
+	const char *first;
+	char task[64];
+	int i;
+
+	world_submit(w, FILL, "batch", &fill, 1);
+	world_run(w, 100);
+	world_submit(w, JOB, "urgent", &gang, 1);
+	world_run(w, 400);
+	CU_ASSERT_EQUAL(world_live_runs(w, JOB), 0);
+	world_run(w, 1000);
+	CU_ASSERT_EQUAL(world_live_runs(w, JOB), 6);
+	first = world_runner_of(w, TASK);
+	for (i = 0; i < 6; i++) {
+		snprintf(task, sizeof(task), JOB ".0.0.%d", i);
+		CU_ASSERT_EQUAL(
+		    on_rack0(world_runner_of(w, task)), on_rack0(first));
+	}
+	finish_world(w);
+}
+
+/* Guards against a remote start just before rack-local capacity is free. */
+void
+test_near_wait_ends_near(void)
+{
+	struct world *w = start_world(8);
+
+	fill_rack(w, 1000);
+	submit_near(w, 2000);
+	world_run(w, 600);
+	CU_ASSERT_EQUAL(world_live_runs(w, JOB), 0);
+	world_run(w, 800);
+	CU_ASSERT_EQUAL(world_live_runs(w, JOB), 1);
+	CU_ASSERT(on_rack0(world_runner_of(w, TASK)));
+	finish_world(w);
+}
+
+/* Guards against a wait for runners that take no more work. */
+void
+test_near_wait_ends_with_drain(void)
+{
+	struct world *w = start_world(12);
+	int r;
+
+	fill_rack(w, 4000);
+	submit_near(w, 5000);
+	world_run(w, 500);
+	CU_ASSERT_EQUAL(world_live_runs(w, JOB), 0);
+	for (r = 0; r < 4; r++)
+		world_runner_drain(w, r, 5000);
+	world_run(w, 1000);
+	CU_ASSERT_EQUAL(world_live_runs(w, JOB), 1);
+	CU_ASSERT_FALSE(on_rack0(world_runner_of(w, TASK)));
+	finish_world(w);
+}
+
+/* The runs on the rack take far longer than estimated. Guards against a new
+ * leader that begins the wait of 4 s anew. */
+void
+test_near_wait_not_doubled(void)
+{
+	struct world *w = start_world(8);
+	int r;
+
+	for (r = 0; r < 4; r++)
+		world_runner_slowdown(w, r, 20);
+	fill_rack(w, 1500);
+	submit_near(w, 2000);
+	world_run(w, 1500);
+	CU_ASSERT_EQUAL(world_live_runs(w, JOB), 0);
+	world_claim(w, 1);
+	world_run(w, 2600);
+	CU_ASSERT_EQUAL(world_live_runs(w, JOB), 1);
+	CU_ASSERT_FALSE(on_rack0(world_runner_of(w, TASK)));
+	finish_world(w);
+}
+
+/* The data of a burst is on one rack, which can't run all of it in time.
+ * Guards against another rack that stays idle while the whole burst waits. */
+void
+test_near_burst_on_one_rack(void)
+{
+	const struct world_step step = {
+	    .count = 4, .cpu = 4000, .ms = 1000, .after = -1, .rack = "rack0"};
+	struct world *w = start_world(8);
+	char id[JOB_ID_DIGITS + 1];
+	int i, live = 0;
+
+	for (i = 0; i < 20; i++) {
+		format_job_id(id, i + 1);
+		world_submit(w, id, "urgent", &step, 1);
+	}
+	world_run(w, 600);
+	for (i = 0; i < 20; i++) {
+		format_job_id(id, i + 1);
+		live += world_live_runs(w, id);
+	}
+	CU_ASSERT_EQUAL(live, 32);
+	world_run(w, 6000);
+	CU_ASSERT(world_all_jobs_ended(w));
+	finish_world(w);
+}
--- a/tests/unit/unit.h
+++ b/tests/unit/unit.h
@@ -202,5 +202,12 @@
 void test_near_wait_errors_measured(void);
 void test_near_wait_long_running_rack(void);
 void test_near_wait_ten_thousand(void);
+void test_near_gang_beside_long_running(void);
+void test_near_gang_memory(void);
+void test_near_gang_waits_together(void);
+void test_near_wait_ends_near(void);
+void test_near_wait_ends_with_drain(void);
+void test_near_wait_not_doubled(void);
+void test_near_burst_on_one_rack(void);
 
 #endif
--- a/tests/world/world.c
+++ b/tests/world/world.c
@@ -2822,7 +2822,11 @@
 		cc__step_spec__init(s);
 		s->count = steps[i].count;
 		s->cpu = steps[i].cpu;
-		s->mem_mb = 100;
+		s->mem_mb = steps[i].mem_mb > 0 ? steps[i].mem_mb : 100;
+		s->gpu = steps[i].gpu;
+		if (steps[i].rack != NULL)
+			s->preferred_rack = xstrdup(steps[i].rack);
+		s->same_rack = steps[i].same_rack;
 		s->estimate_ms = steps[i].ms;
 		s->gang = steps[i].gang;
 		s->long_running = steps[i].long_running;
--- a/tests/world/world.h
+++ b/tests/world/world.h
@@ -115,9 +115,15 @@
 /** A step of a job that a test submits. */
 struct world_step {
 	uint32_t count;
-	uint32_t cpu; /**< of each task, thousandths of a core */
-	uint32_t ms;  /**< run time */
-	int after;    /**< index of the step before; -1: none */
+	uint32_t cpu;	 /**< of each task, thousandths of a core */
+	uint32_t ms;	 /**< run time */
+	int after;	 /**< index of the step before; -1: none */
+	uint32_t mem_mb; /**< of each task; 0: 100 */
+	uint32_t gpu;
+	/** Rack of the step's data; NULL: none. Runners 0 to 3 are on "rack0",
+	 * 4 to 7 on "rack1", and so on. */
+	const char *rack;
+	bool same_rack; /**< the gang should be on one rack */
 	bool gang;
 	bool long_running; /**< its tasks run until they are stopped */
 	bool checkpoints;
