--- a/bench/bench.c
+++ b/bench/bench.c
@@ -242,5 +242,6 @@
 	measure_packing(CLUSTER_WORKERS);
 	for (i = 0; i < sizeof(runner_counts) / sizeof(runner_counts[0]); i++)
 		cell_bench(runner_counts[i]);
+	near_bench();
 	return 0;
 }
--- a/bench/cell_bench.c
+++ b/bench/cell_bench.c
@@ -29,6 +29,14 @@
 #define GRANTED_PERCENT 70 /* chance of a ticket for a runner */
 #define TICK_MS 25	   /* interval of cell_tick */
 #define RUNS_MAX 64	   /* runs in the answer to a hold */
+#define RUNNERS_PER_RACK 12
+/* The passes with many tasks that wait for a rack. */
+#define NEAR_RUNNERS 1100
+#define TASKS_PER_RUNNER 4 /* that take all of its processors */
+#define WAITING_TASKS 10000
+#define WAITING_RUN_MS 1000 /* a remote run never meets the objective */
+#define LONG_RUN_MS 4000
+#define PASS_REPEATS 15
 
 struct event {
 	STAILQ_ENTRY(event) link;
@@ -57,6 +65,7 @@
 	int n;		  /**< runners */
 	uint64_t *ends;	  /**< by runner: number of its last end */
 	uint64_t starts;  /**< orders to start a run */
+	int64_t run_ms;	  /**< run time of a task */
 	struct cell cell;
 } sim;
 
@@ -186,7 +195,7 @@
 	(void)fresh;
 	sim.starts++;
 	schedule_event(ANSWER_DELAY_MS, answer_order, arg)->callback.order = fn;
-	e = schedule_event(TASK_RUN_MS, end_run, NULL);
+	e = schedule_event(sim.run_ms, end_run, NULL);
 	e->runner = runner_index(t);
 	e->run = o->run;
 	str_copy(e->task, o->task, sizeof(e->task));
@@ -288,14 +297,14 @@
 }
 
 static struct config *
-make_config(void)
+make_config(bool advised)
 {
-	static const struct queue queue = {.name = "urgent",
+	struct queue queue = {.name = "urgent",
 	    .service = "svc",
 	    .target_latency_ms = 250,
 	    .max_attempts = 3,
 	    .stretch = 1.5,
-	    .advice = {.needed = true,
+	    .advice = {.needed = advised,
 		.decision_ms = 22,
 		.runner_ms = 0.3,
 		.validity_ms = 2500}};
@@ -317,7 +326,7 @@
 		snprintf(infos[i].id, sizeof(infos[i].id), "r%d", i);
 		str_copy(infos[i].addr, "127.0.0.1", sizeof(infos[i].addr));
 		infos[i].port = 1;
-		snprintf(rack, sizeof(rack), "k%d", i / 12);
+		snprintf(rack, sizeof(rack), "k%d", i / RUNNERS_PER_RACK);
 		infos[i].service = "svc";
 		infos[i].rack = names_get(rack);
 		infos[i].cpu = 16000;
@@ -340,8 +349,9 @@
 	free(hosts);
 }
 
+/* Submits a job of one step; @p rack is "" for none. */
 static void
-submit(int serial)
+submit_step(int serial, uint32_t count, uint32_t estimate_ms, const char *rack)
 {
 	Cc__JobRow *row = xcalloc(1, sizeof(*row));
 	Cc__StepSpec *s = xcalloc(1, sizeof(*s));
@@ -353,17 +363,23 @@
 	row->spec = xstrdup("work");
 	row->steps = xcalloc(1, sizeof(*row->steps));
 	row->steps[row->n_steps++] = s;
-	s->count = TASKS_PER_JOB;
+	s->count = count;
 	s->cpu = 3500;
 	s->mem_mb = 100;
-	s->estimate_ms = TASK_RUN_MS;
-	s->preferred_rack = xstrdup("");
+	s->estimate_ms = estimate_ms;
+	s->preferred_rack = xstrdup(rack);
 	s->required_label = xstrdup("");
 	s->image = xstrdup("");
 	snprintf(id, sizeof(id), "%016x", serial);
 	cell_submit(&sim.cell, id, row, ignore_answer, NULL);
 }
 
+static void
+submit(int serial)
+{
+	submit_step(serial, TASKS_PER_JOB, TASK_RUN_MS, "");
+}
+
 static void
 run_due_events(void)
 {
@@ -409,7 +425,7 @@
 }
 
 static void
-start_cell(int n)
+start_cell(int n, bool advised)
 {
 	struct cell_terms terms = {.max_hold_ms = 10000,
 	    .lease_ms = 4000,
@@ -432,11 +448,12 @@
 	memset(&sim, 0, sizeof(sim));
 	sim.now = 1000;
 	sim.n = n;
+	sim.run_ms = TASK_RUN_MS;
 	sim.ends = xcalloc((size_t)n, sizeof(*sim.ends));
 	for (i = 0; i < EVENT_RING_SIZE; i++)
 		STAILQ_INIT(&sim.ring[i]);
 	cell_init(&sim.cell, &terms, &ports, "bench");
-	cell_set_config(&sim.cell, make_config());
+	cell_set_config(&sim.cell, make_config(advised));
 	set_hosts(n / RUNNERS_PER_HOST + 1);
 	sim.version = 1;
 	claim = (struct cell_claim){.fence = sim.version,
@@ -452,7 +469,7 @@
 	double jobs_due = 0, t;
 	uint64_t starts, advice_calls;
 
-	start_cell(n);
+	start_cell(n, true);
 	simulate(50, 0, &serial, &jobs_due);
 	set_runners(n);
 	simulate(WARMUP_MS, n, &serial, &jobs_due);
@@ -469,3 +486,118 @@
 	printf("cell_asks_per_s_%d=%.0f\n", n,
 	    (double)advice_calls * 1000.0 / MEASURE_MS);
 }
+
+/* Simulates without new jobs. */
+static void
+simulate_idle(int64_t ms)
+{
+	int serial = 0;
+	double jobs_due = 0;
+
+	simulate(ms, 0, &serial, &jobs_due);
+}
+
+static int
+compare_times(const void *a, const void *b)
+{
+	double x = *(const double *)a, y = *(const double *)b;
+
+	return x < y ? -1 : x > y;
+}
+
+/* Median processor time of a placement pass. Virtual time stands still, so that
+ * no pass is cut short. */
+static double
+pass_us(void)
+{
+	double v[PASS_REPEATS], t;
+	int i;
+
+	for (i = 0; i < PASS_REPEATS; i++) {
+		t = cpu_s();
+		cell_place(&sim.cell);
+		v[i] = (cpu_s() - t) * 1e6;
+	}
+	qsort(v, PASS_REPEATS, sizeof(v[0]), compare_times);
+	return v[PASS_REPEATS / 2];
+}
+
+static void
+submit_waiting(bool near_data)
+{
+	char rack[16];
+	int i;
+
+	for (i = 0; i < WAITING_TASKS; i++) {
+		snprintf(rack, sizeof(rack), "k%d",
+		    i % (NEAR_RUNNERS / RUNNERS_PER_RACK));
+		submit_step(
+		    NEAR_RUNNERS + i, 1, WAITING_RUN_MS, near_data ? rack : "");
+	}
+}
+
+/* The ends of the runs can't be forecast any more, so that no step waits. */
+static void
+forget_estimates(void)
+{
+	const struct runner *r;
+	const struct run *run;
+
+	for (r = sim.cell.runners; r != NULL; r = r->hh.next)
+		TAILQ_FOREACH (run, &r->runs, link)
+			run->task->step->occurrence->job->row->steps[0]
+			    ->estimate_ms = 0;
+}
+
+static void
+measure_pass(bool near_data)
+{
+	const char *name = near_data ? "" : "_baseline_no_rack";
+	int i, steps = 0, waits = 0;
+	struct step *s;
+
+	start_cell(NEAR_RUNNERS, false);
+	simulate_idle(50);
+	set_runners(NEAR_RUNNERS);
+	simulate_idle(1000);
+	sim.run_ms = LONG_RUN_MS;
+	for (i = 0; i < NEAR_RUNNERS; i++)
+		submit_step(i, TASKS_PER_RUNNER, TASK_RUN_MS, "");
+	simulate_idle(200);
+	/* A runner with room that no queue uses, so that steps are looked at.
+	 */
+	cell_runner_listed(&sim.cell,
+	    &(struct runner_info){.id = "x1100",
+		.addr = "127.0.0.1",
+		.port = 1,
+		.service = "other",
+		.rack = names_get("x"),
+		.cpu = 16000,
+		.mem_mb = 65536,
+		.born_ms = 1,
+		.version = sim.version});
+	submit_waiting(near_data);
+	/* Simulating the commits would take minutes, a pass each step. */
+	TAILQ_FOREACH (s, &sim.cell.steps, link)
+		s->occurrence->job->stored = true;
+	cell_place(&sim.cell);
+	TAILQ_FOREACH (s, &sim.cell.steps, link) {
+		steps += cell_may_start(&sim.cell, s);
+		waits += s->near_until_ms > sim.now;
+	}
+	printf("near_pass_steps%s=%d\n", name, steps);
+	printf("near_pass_waits%s=%d\n", name, waits);
+	printf("near_pass_us%s=%.0f\n", name, pass_us());
+	forget_estimates();
+	printf("near_pass_us_never%s=%.0f\n", name, pass_us());
+	TAILQ_FOREACH (s, &sim.cell.steps, link)
+		s->ready_ms -= WAITING_RUN_MS;
+	printf("near_pass_us_after%s=%.0f\n", name, pass_us());
+}
+
+void
+near_bench(void)
+{
+	measure_pass(false);
+	measure_pass(true);
+}
--- a/bench/cell_bench.h
+++ b/bench/cell_bench.h
@@ -7,5 +7,11 @@
  * the starts and the advice calls per second of virtual time.
  */
 void cell_bench(int n);
+/**
+ * Prints the processor time in us of a placement pass with 10,000 waiting tasks
+ * that have a preferred rack, and of one without: while some wait for their
+ * rack, when the forecast lets none wait, and after the end of all waits.
+ */
+void near_bench(void);
 
 #endif
