--- a/tests/unit/near_room_test.c
+++ b/tests/unit/near_room_test.c
@@ -39,12 +39,16 @@
 }
 
 /* Guards against a gang that is never started, as processors that long-running
- * work holds count as capacity of its rack. */
+ * work holds count as capacity of its rack, and against a wait for the end of
+ * such work. */
 void
 test_near_gang_beside_long_running(void)
 {
-	const struct world_step service = {
-	    .count = 8, .cpu = 9000, .after = -1, .long_running = true};
+	const struct world_step service = {.count = 8,
+	    .cpu = 9000,
+	    .ms = 1000,
+	    .after = -1,
+	    .long_running = true};
 	const struct world_step gang = {.count = 6,
 	    .cpu = 7000,
 	    .ms = 1000,
