--- a/tests/unit/unit.h
+++ b/tests/unit/unit.h
@@ -192,4 +192,22 @@
 void test_freshness_of_peers(void);
 void test_freshness_without_bound(void);
 
+void test_near_wait_free_around_bound(void);
+void test_near_wait_meets_deadline(void);
+void test_near_wait_deadline_missed(void);
+void test_near_wait_data_on_one_rack(void);
+void test_near_wait_run_time_unknown(void);
+void test_near_wait_run_time_wrong(void);
+void test_near_wait_heavy_tail(void);
+void test_near_wait_errors_measured(void);
+void test_near_wait_long_running_rack(void);
+void test_near_wait_ten_thousand(void);
+void test_near_gang_beside_long_running(void);
+void test_near_gang_memory(void);
+void test_near_gang_waits_together(void);
+void test_near_wait_ends_near(void);
+void test_near_wait_ends_with_drain(void);
+void test_near_wait_not_doubled(void);
+void test_near_burst_on_one_rack(void);
+
 #endif
