tests: the simulated environment has accounts and judges their caps

Cause: nothing checked from outside that an account's runs stay within its cap. Change: jobs of tests/world may have an account, and its configuration caps. A start that takes the sum of the account's live runs over all runners above the highest cap that may be in force is the violation cap-exceeded.

--- a/tests/prop/cells.cc
+++ b/tests/prop/cells.cc
@@ -327,6 +327,8 @@
 	zones_hold},
     // Guards against LOST: runners cut off and not listed counted as crashed.
     {"cuts", "no job fails as its runners are cut off", crash_cuts_keep},
+    // Guards against QUOTA: an account's runs exceed its cap.
+    {"caps", "accounts stay within their caps under faults", caps_hold},
     // Guards against BUDGET: a task that crashes its runners starts for ever.
     {"deadly", "tasks that crash runners are given up among cuts",
 	crash_cuts_give_up},
--- a/tests/prop/prop.h
+++ b/tests/prop/prop.h
@@ -33,6 +33,9 @@
 /** Plays one history of cuts of zones; @return whether it keeps all
  * guarantees. */
 bool zones_hold();
+/** Plays one history of accounts with caps; @return whether it keeps all
+ * guarantees. */
+bool caps_hold();
 /** Plays one history of crashes and cuts; @return whether it keeps all
  * guarantees but the next, and every job that crashes no runner completes. */
 bool crash_cuts_keep();
--- a/tests/world/world.c
+++ b/tests/world/world.c
@@ -53,11 +53,21 @@
 #define OPEN_WITHIN_MS 3000
 /** Interval of the comparison of stored rows with the leader's state. */
 #define ROW_CHECK_MS 100
+/** As the default of the settings. */
+#define QUOTA_EXCESS 0.1
+#define QUOTA_WINDOW_MS 5000
 /** Interval at which an order that a cut holds back tries its path again. */
 #define HELD_RETRY_MS 60
 
 struct order_event;
 
+/** The accounts of one version of the configuration. */
+struct account_list {
+	struct world_account accounts[WORLD_ACCOUNTS_MAX];
+	int n;
+	uint64_t version;
+};
+
 struct event {
 	struct event *next;
 	int64_t at;
@@ -164,6 +174,7 @@
 struct world_job {
 	char id[JOB_ID_LEN];
 	char queue[64];
+	char account[32]; /**< "": none */
 	struct world_step steps[8];
 	int nsteps;
 	bool accepted;
@@ -195,6 +206,7 @@
 	int interval_ms;   /**< least time between ticks; 0: no limit */
 	int64_t ticked_ms; /**< last tick */
 	int incarnation;
+	struct account_list accounts; /**< of its configuration */
 	/** Start of each runner's incarnation that answered this cell last. */
 	int64_t connected_born_ms[WORLD_RUNNERS_MAX];
 	struct rtt rtt;
@@ -221,6 +233,7 @@
 	struct stored_row rows[ROWS_MAX];
 	int nrows;
 	uint64_t version;
+	struct account_list accounts; /**< of the newest configuration */
 	uint64_t refused_rows; /**< rows of runners last refused as too large */
 	struct world_runner runners[WORLD_RUNNERS_MAX];
 	int nrunners;
@@ -699,6 +712,63 @@
 	    (t->lapsed_done_fence != 0 && fence >= t->lapsed_done_fence);
 }
 
+/* Cap of the account, thousandths of a core; INT64_MAX: none. */
+static int64_t
+cap_of(const struct account_list *list, const char *account)
+{
+	int i;
+
+	for (i = 0; i < list->n; i++)
+		if (strcmp(list->accounts[i].name, account) == 0 &&
+		    list->accounts[i].cap_cpu > 0)
+			return list->accounts[i].cap_cpu;
+	return INT64_MAX;
+}
+
+/* Highest cap of the newest configuration, that of the leading cell, and the
+ * sender's when it sent the start. */
+static int64_t
+highest_cap(const struct world *w, const char *account, int64_t sent_cap)
+{
+	int64_t cap = cap_of(&w->accounts, account), leaders;
+
+	if (w->leader >= 0) {
+		leaders = cap_of(&w->cells[w->leader].accounts, account);
+		cap = leaders > cap ? leaders : cap;
+	}
+	return sent_cap > cap ? sent_cap : cap;
+}
+
+/* What the account's live runs use, thousandths of a core. */
+static int64_t
+account_cpu(struct world *w, const char *account)
+{
+	const struct live_run *l;
+	const struct world_job *j;
+	struct task_ref ref;
+	int64_t sum = 0;
+	int i;
+
+	for (i = 0; i < w->nrunners; i++)
+		for (l = w->runners[i].runs; l != NULL; l = l->next) {
+			j = job_of(w, l->task, &ref);
+			if (j != NULL && strcmp(j->account, account) == 0)
+				sum += l->cpu;
+		}
+	return sum;
+}
+
+/* Whether the account is above its cap with one more task, which may exceed the
+ * limit itself. */
+static bool
+exceeds_cap(struct world *w, const char *account, int64_t sent_cap)
+{
+	int64_t cap = highest_cap(w, account, sent_cap);
+
+	return cap != INT64_MAX &&
+	    (double)account_cpu(w, account) > (double)cap * (1 + QUOTA_EXCESS);
+}
+
 /* The ticket for a runner: long, and only its end tells it from others. */
 static void
 format_ticket(char ticket[TICKET_LEN], const char *runner)
@@ -721,7 +791,7 @@
 
 static void
 check_start(struct world *w, struct world_runner *r, struct world_job *j,
-    const struct task_ref *ref, const struct start_order *o)
+    const struct task_ref *ref, const struct start_order *o, int64_t sent_cap)
 {
 	const struct world_step *s = &j->steps[ref->step];
 
@@ -743,6 +813,8 @@
 		report_violation(w, "started-before-earlier-step", o->task);
 	if (used_cpu(r) + s->cpu > cpu_limit(r))
 		report_violation(w, "cpu-exceeded", o->task);
+	if (exceeds_cap(w, j->account, sent_cap))
+		report_violation(w, "cap-exceeded", o->task);
 	if (!has_ticket(j, r, o))
 		report_violation(w, "started-without-ticket", o->task);
 }
@@ -802,7 +874,7 @@
 
 static enum order_result
 do_start(struct world *w, struct world_runner *r, const struct start_order *o,
-    bool late)
+    int64_t sent_cap, bool late)
 {
 	struct task_ref ref;
 	struct world_job *j = job_of(w, o->task, &ref);
@@ -826,7 +898,7 @@
 		return ORDER_INVALID;
 	}
 	trace(w, "start", o->task, o->run, r, o->fence);
-	check_start(w, r, j, &ref, o);
+	check_start(w, r, j, &ref, o, sent_cap);
 	task_record_of(j, ref.step, ref.index)->started_ms = w->now;
 	count_start(w, o, r->index, late, j->steps[ref.step].speculative);
 	l = xcalloc(1, sizeof(*l));
@@ -1115,6 +1187,7 @@
 	bool over;	  /**< the cell takes no answer any more */
 	uint64_t serial;
 	int64_t sent_ms;
+	int64_t sent_cap;    /**< the account's, as the sender had it */
 	int64_t late_ms;     /**< wait for a late answer after the time-out */
 	int64_t answered_by; /**< start of the incarnation that answers */
 	/** Start of the incarnation that received a hold or an order whose
@@ -1303,7 +1376,8 @@
 	else if (o->kind == KIND_START && !is_bound_to(r, o->start.born_ms))
 		o->answer.result = ORDER_RESTARTED;
 	else if (o->kind == KIND_START)
-		o->answer.result = do_start(w, r, &o->start, o->answer_lost);
+		o->answer.result =
+		    do_start(w, r, &o->start, o->sent_cap, o->answer_lost);
 	else
 		o->answer.result =
 		    do_stop(r, o->task, o->start.run, o->start.fence);
@@ -1407,8 +1481,12 @@
     const struct start_order *s, bool fresh, order_fn fn, void *arg)
 {
 	struct order_event *o = order_event(p, t);
+	const struct world_job *j;
+	struct task_ref ref;
 
 	(void)fresh;
+	j = job_of(o->cell->world, s->task, &ref);
+	o->sent_cap = cap_of(&o->cell->accounts, j != NULL ? j->account : "");
 	o->kind = KIND_START;
 	o->start = *s;
 	str_copy(o->task, s->task, sizeof(o->task));
@@ -2230,7 +2308,7 @@
 }
 
 static struct config *
-make_config(void)
+make_config(const struct account_list *list)
 {
 	static const struct queue queues[] = {
 	    {.name = "urgent",
@@ -2258,10 +2336,21 @@
 	};
 	struct config *c = config_new();
 	size_t i;
+	int k;
 
-	c->version = 1;
+	c->version = 1 + list->version;
 	for (i = 0; i < sizeof(queues) / sizeof(queues[0]); i++)
 		config_add_queue(c, &queues[i]);
+	c->has_accounts = list->n > 0;
+	for (k = 0; k < list->n; k++) {
+		char name[32];
+
+		str_copy(name, list->accounts[k].name, sizeof(name));
+		config_add_account(c,
+		    &(struct account_terms){.name = name,
+			.weight = list->accounts[k].weight,
+			.cap = {.cpu = list->accounts[k].cap_cpu}});
+	}
 	return c;
 }
 
@@ -2276,7 +2365,9 @@
 	    .hold_wait_ms = 1200,
 	    .stop_grace_ms = STOP_GRACE_MS,
 	    .status_ms = 120000,
-	    .remote_factor = 3};
+	    .remote_factor = 3,
+	    .quota_excess = QUOTA_EXCESS,
+	    .quota_window_ms = QUOTA_WINDOW_MS};
 	struct cell_ports ports = {.store = &c->store,
 	    .runners = &c->runners,
 	    .advice = &c->advice,
@@ -2294,7 +2385,8 @@
 	c->world = w;
 	c->alive = true;
 	cell_init(&c->cell, &terms, &ports, name);
-	cell_set_config(&c->cell, make_config());
+	c->accounts = w->accounts;
+	cell_set_config(&c->cell, make_config(&c->accounts));
 	cell_set_hosts(&c->cell, (const char(*)[64])hosts, 2);
 }
 
@@ -2434,6 +2526,15 @@
 	    &c->cell, w->registry.infos, w->registry.n, w->registry.version);
 }
 
+static void
+feed_config(const struct world *w, struct world_cell *c)
+{
+	if (c->accounts.version == w->accounts.version)
+		return;
+	c->accounts = w->accounts;
+	cell_set_config(&c->cell, make_config(&c->accounts));
+}
+
 static bool
 tick_is_due(struct world_cell *c)
 {
@@ -2523,8 +2624,10 @@
 			reset_calm(w);
 		if (!c->alive || cell_paused(c))
 			continue;
-		if (w->now % REGISTRY_INTERVAL_MS == 0 && !c->cut_store)
+		if (w->now % REGISTRY_INTERVAL_MS == 0 && !c->cut_store) {
 			feed_registry(w, c);
+			feed_config(w, c);
+		}
 		if (!tick_is_due(c))
 			continue;
 		cell_tick(&c->cell);
@@ -2799,7 +2902,7 @@
 		j->accepted = true;
 		j->accepted_ms = s->world->now;
 	}
-	if (!s->cancels && a->error == CC_EBUSY)
+	if (!s->cancels && (a->error == CC_EBUSY || a->error == CC_ERATE))
 		j->refused = true;
 	if (s->cancels && a->error == CC_OK)
 		j->canceled = true;
@@ -2807,13 +2910,15 @@
 }
 
 static Cc__JobRow *
-make_job_row(const char *queue, const struct world_step *steps, int n)
+make_job_row(const char *queue, const char *account,
+    const struct world_step *steps, int n)
 {
 	Cc__JobRow *row = xcalloc(1, sizeof(*row));
 	int i;
 
 	cc__job_row__init(row);
 	row->queue = xstrdup(queue);
+	row->account = xstrdup(account);
 	row->spec = xstrdup("spec");
 	row->steps = xcalloc((size_t)n, sizeof(*row->steps));
 	for (i = 0; i < n; i++) {
@@ -2849,9 +2954,24 @@
 	return s;
 }
 
+void
+world_set_accounts(struct world *w, const struct world_account *list, int n)
+{
+	memcpy(w->accounts.accounts, list, (size_t)n * sizeof(*list));
+	w->accounts.n = n;
+	w->accounts.version++;
+}
+
 void
 world_submit(struct world *w, const char *id, const char *queue,
     const struct world_step *steps, int n)
+{
+	world_submit_as(w, id, queue, "", steps, n);
+}
+
+void
+world_submit_as(struct world *w, const char *id, const char *queue,
+    const char *account, const struct world_step *steps, int n)
 {
 	struct world_job *j = find_job(w, id);
 	int i;
@@ -2863,6 +2983,7 @@
 		j = &w->jobs[w->njobs++];
 		str_copy(j->id, id, sizeof(j->id));
 		str_copy(j->queue, queue, sizeof(j->queue));
+		str_copy(j->account, account, sizeof(j->account));
 		j->submitted_ms = w->now;
 		j->nsteps = n;
 		memcpy(j->steps, steps, (size_t)n * sizeof(*steps));
@@ -2876,7 +2997,8 @@
 	/* A refused job that is submitted again may be accepted. */
 	j->refused = false;
 	cell_submit(&w->cells[w->leader].cell, id,
-	    make_job_row(queue, steps, n), on_answer, submit_arg(w, id, false));
+	    make_job_row(queue, account, steps, n), on_answer,
+	    submit_arg(w, id, false));
 }
 
 void
--- a/tests/world/world.h
+++ b/tests/world/world.h
@@ -3,7 +3,8 @@
  *
  * Implements a cell's ports: a store, runners and an advice service. A seeded
  * generator injects faults. Each violation of a guarantee that shows at the
- * runners, such as two live runs of one task, is recorded. So is a stored row
+ * runners, such as two live runs of one task or a start that takes an account
+ * above its cap, is recorded. So is a stored row
  * of runners that differs from the leader's state without being marked as stale
  * (row_check.h), and a runner that is ready and answers but isn't opened.
  */
@@ -14,6 +15,7 @@
 
 #define WORLD_RUNNERS_MAX 16
 #define WORLD_CELLS_MAX 3
+#define WORLD_ACCOUNTS_MAX 4
 
 struct world;
 
@@ -126,10 +128,24 @@
 			      */
 };
 
+/** A client account of the configuration. */
+struct world_account {
+	const char *name; /**< static text */
+	int64_t cap_cpu;  /**< thousandths of a core; 0: no cap */
+	double weight;
+};
+/** Puts a configuration with these accounts in the store; a cell that reaches
+ * the store has it within 500 ms. */
+void world_set_accounts(
+    struct world *w, const struct world_account *list, int n);
+
 /** Submits the job to the leading cell, if there is one, and records the
  * answer. */
 void world_submit(struct world *w, const char *id, const char *queue,
     const struct world_step *steps, int n);
+/** As world_submit(), for a client account. */
+void world_submit_as(struct world *w, const char *id, const char *queue,
+    const char *account, const struct world_step *steps, int n);
 void world_cancel(struct world *w, const char *id);
 /** State of the job at the leader; -1 when no cell leads or the leader doesn't
  * know the job. */
