accounts: the second run of a done speculative task counts after a takeover

Change: of a speculative task two runs count, less those known and one that has ended when it is done.

--- a/src/cell/account_cap.c
+++ b/src/cell/account_cap.c
@@ -9,16 +9,28 @@
 	    (!job_ended(j) || j->ended_ms >= c->lead_since_ms);
 }
 
-/* Tasks of the step that may have a run which isn't known. */
+/* Runs of a speculative task that may exist and aren't known: of two, one has
+ * ended when the task is done. The other one may go on until it is stopped. */
 static int64_t
-unseen_tasks(const struct step *s)
+unseen_runs(const struct task *t)
 {
-	int64_t tasks = (int64_t)s->spec->count - s->ndone;
+	int n = (t->done ? 1 : 2) - (t->run != NULL) - (t->copy != NULL);
 
-	/* A speculative task may have two. */
-	if (s->spec->speculative)
-		tasks *= 2;
-	return tasks - s->nheld;
+	return n > 0 ? n : 0;
+}
+
+/* Runs of the step that may exist and aren't known. */
+static int64_t
+unseen_of_step(const struct step *s)
+{
+	int64_t sum = 0;
+	uint32_t i;
+
+	if (!s->spec->speculative || s->spec->gang)
+		return (int64_t)s->spec->count - s->ndone - s->nheld;
+	for (i = 0; i < s->spec->count; i++)
+		sum += unseen_runs(&s->tasks[i]);
+	return sum;
 }
 
 static void
@@ -33,7 +45,7 @@
 			const struct step *s = &j->occurrences[i]->steps[k];
 
 			size = step_task_size(s->spec);
-			size = resources_times(&size, unseen_tasks(s));
+			size = resources_times(&size, unseen_of_step(s));
 			resources_add(&j->account->unseen, &size);
 		}
 }
