--- a/tests/scripts/prop-cells.sh
+++ b/tests/scripts/prop-cells.sh
@@ -9,6 +9,10 @@
 RC_PARAMS=${RC_PARAMS:-seed=20261204 max_success=600} \
 	build/prop cells zones > "$OUT/zones" 2>&1 &
 KEYS="$KEYS zones"
+# Twenty seconds.
+RC_PARAMS=${RC_PARAMS:-seed=20261207 max_success=2000 noshrink=1} \
+	build/prop cells caps > "$OUT/caps" 2>&1 &
+KEYS="$KEYS caps"
 for k in cuts deadly deadly-led; do
 	RC_PARAMS=${RC_PARAMS:-seed=20261205 max_success=1500 noshrink=1} \
 		build/prop cells "$k" > "$OUT/$k" 2>&1 &
