accounts: runs of jobs that ended before a takeover count

Change: the outcome of an account's job says how many runs it had and the size of its largest task. They count as unseen until the runners are adopted, or until the leases of former leaders are over where a closed runner's row names one. A listed run of an ended job is charged to its account until it is over.

--- a/src/cell/account_cap.c
+++ b/src/cell/account_cap.c
@@ -1,14 +1,34 @@
 #include "account_cap.h"
 
+#include "lead_lease.h"
+
 /* Whether runs of the job may exist that this leader doesn't know. */
 static bool
 may_run_unseen(const struct cell *c, const struct job *j)
 {
-	return j->inherited && j->account != NULL &&
+	return j->inherited && j->account != NULL && j->left_runs == 0 &&
 	    account_is_limited(j->account) &&
 	    (!job_ended(j) || j->ended_ms >= c->lead_since_ms);
 }
 
+/* Whether runs of a job that ended under an earlier leader may go on unknown:
+ * on runners that aren't adopted yet, or on a closed one, which isn't awaited,
+ * until its lease is over. */
+static bool
+may_be_left(const struct cell *c, const struct job *j)
+{
+	return j->left_runs > 0 && j->account != NULL &&
+	    (c->adopting || j->left_closed);
+}
+
+static void
+add_left(struct job *j)
+{
+	struct resources size = resources_times(&j->left_size, j->left_runs);
+
+	resources_add(&j->account->unseen, &size);
+}
+
 /* Runs of a speculative task that may exist and aren't known: of two, one has
  * ended when the task is done. The other one may go on until it is stopped. */
 static int64_t
@@ -58,11 +78,13 @@
 
 	for (a = c->accounts; a != NULL; a = a->hh.next)
 		a->unseen = (struct resources){0, 0, 0};
-	if (!c->adopting || c->accounts == NULL)
+	if (c->accounts == NULL || lead_lease_inherited_over(c))
 		return;
 	for (j = c->jobs; j != NULL; j = j->hh.next)
-		if (may_run_unseen(c, j))
+		if (c->adopting && may_run_unseen(c, j))
 			add_unseen(j);
+		else if (may_be_left(c, j))
+			add_left(j);
 }
 
 bool
--- a/src/cell/load_rows.c
+++ b/src/cell/load_rows.c
@@ -134,6 +134,8 @@
 
 	if (task_ref_parse(&name, ref->task))
 		HASH_FIND_STR(c->loading, name.id, j);
+	if (j != NULL && job_ended(j) && j->left_runs > 0)
+		j->left_closed = true;
 	if (j == NULL || job_ended(j))
 		return NULL;
 	t = job_task(j, &name);
--- a/src/cell/reconcile.c
+++ b/src/cell/reconcile.c
@@ -6,6 +6,7 @@
 #include <string.h>
 
 #include "../base/kvlog.h"
+#include "../state/account.h"
 #include "cell_internal.h"
 #include "crashes.h"
 
@@ -27,6 +28,18 @@
 	    (unsigned long long)c->fence);
 }
 
+/* Charges a run of a job that ended under an earlier leader to its account
+ * until the run is over. */
+static void
+charge_left_run(struct run *run, struct job *j)
+{
+	run->account = j->account;
+	run->charged = j->left_size;
+	account_hold(run->account, &run->charged);
+	if (j->left_runs > 0)
+		j->left_runs--;
+}
+
 /* Adds a run that the runner lists and this leader doesn't know: binds it to
  * its task, or stops it when the task doesn't need it. */
 static void
@@ -47,6 +60,8 @@
 	run->inherited = true;
 	log_adopted_run(c, run);
 	if (t == NULL) {
+		if (j != NULL && job_ended(j))
+			charge_left_run(run, j);
 		cell_stop(c, run, "unknown");
 		return;
 	}
--- a/src/protocol/peer.pb-c.c
+++ b/src/protocol/peer.pb-c.c
@@ -6315,7 +6315,7 @@
   (ProtobufCMessageInit) cc__step_progress__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cc__job_progress__field_descriptors[8] =
+static const ProtobufCFieldDescriptor cc__job_progress__field_descriptors[12] =
 {
   {
     "state",
@@ -6413,12 +6413,64 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "left_runs",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cc__JobProgress, left_runs),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "left_cpu",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Cc__JobProgress, left_cpu),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "left_mem_mb",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Cc__JobProgress, left_mem_mb),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "left_gpu",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Cc__JobProgress, left_gpu),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cc__job_progress__field_indices_by_name[] = {
   7,   /* field[7] = account */
   2,   /* field[2] = ended_wall_ms */
   6,   /* field[6] = failed_task */
   5,   /* field[5] = failure */
+  9,   /* field[9] = left_cpu */
+  11,   /* field[11] = left_gpu */
+  10,   /* field[10] = left_mem_mb */
+  8,   /* field[8] = left_runs */
   4,   /* field[4] = queue */
   1,   /* field[1] = started */
   0,   /* field[0] = state */
@@ -6427,7 +6479,7 @@
 static const ProtobufCIntRange cc__job_progress__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 8 }
+  { 0, 12 }
 };
 const ProtobufCMessageDescriptor cc__job_progress__descriptor =
 {
@@ -6437,7 +6489,7 @@
   "Cc__JobProgress",
   "cc",
   sizeof(Cc__JobProgress),
-  8,
+  12,
   cc__job_progress__field_descriptors,
   cc__job_progress__field_indices_by_name,
   1,  cc__job_progress__number_ranges,
--- a/src/protocol/peer.pb-c.h
+++ b/src/protocol/peer.pb-c.h
@@ -818,10 +818,19 @@
    * set like queue
    */
   char *account;
+  /*
+   * Runs that the job of an account had when its end was stored: they may be
+   * alive until they are stopped. The size is that of its largest task, of
+   * each kind; rows of an earlier version have neither.
+   */
+  uint32_t left_runs;
+  int64_t left_cpu;
+  int64_t left_mem_mb;
+  int64_t left_gpu;
 };
 #define CC__JOB_PROGRESS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cc__job_progress__descriptor) \
-    , 0, 0, 0, 0,NULL, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string }
+    , 0, 0, 0, 0,NULL, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0 }
 
 
 /*
--- a/src/state/job.h
+++ b/src/state/job.h
@@ -117,6 +117,12 @@
 	/** Its queue in the configuration in force; may be NULL. */
 	const struct queue *queue;
 	struct account *account; /**< client account; NULL: none */
+	/** Of a job that ended under an earlier leader: runs that weren't over
+	 * by then and aren't known to this leader, and the most that one
+	 * holds. */
+	uint32_t left_runs;
+	struct resources left_size;
+	bool left_closed; /**< the row of a closed runner has such a run */
 	int priority;
 	uint32_t max_attempts;
 	TAILQ_ENTRY(job) dirty_link; /**< in the cell's list of dirty jobs */
--- a/src/state/job_progress.c
+++ b/src/state/job_progress.c
@@ -157,6 +157,36 @@
 	p->failed_task = xstrdup(j->failed_task);
 }
 
+static void
+take_larger(int64_t *most, int64_t amount)
+{
+	*most = amount > *most ? amount : *most;
+}
+
+static void
+count_left(struct task *t, void *arg)
+{
+	Cc__JobProgress *p = arg;
+	struct resources size = step_task_size(t->step->spec);
+
+	p->left_runs += (t->run != NULL) + (t->copy != NULL);
+	take_larger(&p->left_cpu, size.cpu);
+	take_larger(&p->left_mem_mb, size.mem_mb);
+	take_larger(&p->left_gpu, size.gpu);
+}
+
+static void
+pack_left(Cc__JobProgress *p, const struct job *j)
+{
+	if (j->account == NULL)
+		return;
+	p->left_runs = j->left_runs;
+	p->left_cpu = j->left_size.cpu;
+	p->left_mem_mb = j->left_size.mem_mb;
+	p->left_gpu = j->left_size.gpu;
+	job_each_task((struct job *)(uintptr_t)j, count_left, p);
+}
+
 Cc__JobProgress *
 job_progress(const struct job *j, uint32_t number)
 {
@@ -169,6 +199,7 @@
 	p->started = j->started;
 	if (job_ended(j)) {
 		pack_outcome(p, j);
+		pack_left(p, j);
 		return p;
 	}
 	p->steps = xcalloc(
@@ -244,6 +275,9 @@
 	j->state =
 	    p->state <= JOB_CANCELED ? (enum job_state)p->state : JOB_QUEUED;
 	j->stored_state = j->state;
+	j->left_runs = p->left_runs;
+	j->left_size =
+	    (struct resources){p->left_cpu, p->left_mem_mb, p->left_gpu};
 	if (j->state != JOB_FAILED)
 		return;
 	j->failure = job_failure_of(p->failure);
