bench: decisions with 10,000 jobs over 200 accounts, beside none

Cause: the cost of accounts in a placement pass wasn't measured. Change: bench-place submits 10,000 jobs at once at 1,100 runners, without accounts and over 200, and prints the processor time per start and per pass.

--- a/bench/bench.c
+++ b/bench/bench.c
@@ -242,5 +242,7 @@
 	measure_packing(CLUSTER_WORKERS);
 	for (i = 0; i < sizeof(runner_counts) / sizeof(runner_counts[0]); i++)
 		cell_bench(runner_counts[i]);
+	cell_bench_waiting(0);
+	cell_bench_waiting(200);
 	return 0;
 }
--- a/bench/cell_bench.c
+++ b/bench/cell_bench.c
@@ -29,6 +29,14 @@
 #define GRANTED_PERCENT 70 /* chance of a ticket for a runner */
 #define TICK_MS 25	   /* interval of cell_tick */
 #define RUNS_MAX 64	   /* runs in the answer to a hold */
+#define ACCOUNT_NAME_LEN 32
+/** Above the rate at which an account submits, so that none is over its rate.
+ */
+#define ACCOUNT_RATE 1000
+#define ACCOUNT_CPU 100000 /* cap, thousandths of a core */
+#define WAITING_JOBS 10000 /* of the measurement with accounts */
+#define WAITING_RUNNERS 1100
+#define WAITING_MS 1000
 
 struct event {
 	STAILQ_ENTRY(event) link;
@@ -55,6 +63,7 @@
 	struct event_list ring[EVENT_RING_SIZE]; /**< by clock step */
 	uint64_t version; /**< of the store's last change */
 	int n;		  /**< runners */
+	int naccounts;	  /**< of the submitted jobs; 0: none */
 	uint64_t *ends;	  /**< by runner: number of its last end */
 	uint64_t starts;  /**< orders to start a run */
 	struct cell cell;
@@ -287,6 +296,12 @@
 	(void)arg;
 }
 
+static void
+account_name(char name[ACCOUNT_NAME_LEN], int n)
+{
+	snprintf(name, ACCOUNT_NAME_LEN, "account%d", n);
+}
+
 static struct config *
 make_config(void)
 {
@@ -300,9 +315,19 @@
 		.runner_ms = 0.3,
 		.validity_ms = 2500}};
 	struct config *m = config_new();
+	char name[ACCOUNT_NAME_LEN];
+	int i;
 
 	m->version = 1;
 	config_add_queue(m, &queue);
+	m->has_accounts = sim.naccounts > 0;
+	for (i = 0; i < sim.naccounts; i++) {
+		account_name(name, i);
+		config_add_account(m,
+		    &(struct account_terms){.name = name,
+			.weight = ACCOUNT_RATE,
+			.cap = {.cpu = ACCOUNT_CPU}});
+	}
 	return m;
 }
 
@@ -345,12 +370,16 @@
 {
 	Cc__JobRow *row = xcalloc(1, sizeof(*row));
 	Cc__StepSpec *s = xcalloc(1, sizeof(*s));
-	char id[JOB_ID_LEN];
+	char id[JOB_ID_LEN], name[ACCOUNT_NAME_LEN];
 
 	cc__job_row__init(row);
 	cc__step_spec__init(s);
 	row->queue = xstrdup("urgent");
 	row->spec = xstrdup("work");
+	if (sim.naccounts > 0) {
+		account_name(name, serial % sim.naccounts);
+		row->account = xstrdup(name);
+	}
 	row->steps = xcalloc(1, sizeof(*row->steps));
 	row->steps[row->n_steps++] = s;
 	s->count = TASKS_PER_JOB;
@@ -409,7 +438,7 @@
 }
 
 static void
-start_cell(int n)
+start_cell(int n, int naccounts)
 {
 	struct cell_terms terms = {.max_hold_ms = 10000,
 	    .lease_ms = 4000,
@@ -418,7 +447,9 @@
 	    .hold_wait_ms = 1000,
 	    .stop_grace_ms = 400,
 	    .status_ms = 2000,
-	    .remote_factor = 2};
+	    .remote_factor = 2,
+	    .quota_excess = 0.1,
+	    .quota_window_ms = 5000};
 	struct cell_ports ports = {.store = &store,
 	    .runners = &runners,
 	    .advice = &advice,
@@ -432,6 +463,7 @@
 	memset(&sim, 0, sizeof(sim));
 	sim.now = 1000;
 	sim.n = n;
+	sim.naccounts = naccounts;
 	sim.ends = xcalloc((size_t)n, sizeof(*sim.ends));
 	for (i = 0; i < EVENT_RING_SIZE; i++)
 		STAILQ_INIT(&sim.ring[i]);
@@ -445,6 +477,17 @@
 	cell_lead(&sim.cell, &claim);
 }
 
+static int
+count_waiting(void)
+{
+	const struct step *s;
+	int n = 0;
+
+	TAILQ_FOREACH (s, &sim.cell.steps, link)
+		n++;
+	return n;
+}
+
 void
 cell_bench(int n)
 {
@@ -452,7 +495,7 @@
 	double jobs_due = 0, t;
 	uint64_t starts, advice_calls;
 
-	start_cell(n);
+	start_cell(n, 0);
 	simulate(50, 0, &serial, &jobs_due);
 	set_runners(n);
 	simulate(WARMUP_MS, n, &serial, &jobs_due);
@@ -469,3 +512,31 @@
 	printf("cell_asks_per_s_%d=%.0f\n", n,
 	    (double)advice_calls * 1000.0 / MEASURE_MS);
 }
+
+void
+cell_bench_waiting(int naccounts)
+{
+	int serial = 0;
+	double jobs_due = 0, t;
+	uint64_t starts;
+
+	start_cell(WAITING_RUNNERS, naccounts);
+	simulate(50, 0, &serial, &jobs_due);
+	set_runners(WAITING_RUNNERS);
+	simulate(WARMUP_MS, 0, &serial, &jobs_due);
+	jobs_due = WAITING_JOBS;
+	simulate(WARMUP_MS, 0, &serial, &jobs_due);
+	starts = sim.starts;
+	t = cpu_s();
+	simulate(WAITING_MS, 0, &serial, &jobs_due);
+	t = cpu_s() - t;
+	starts = sim.starts - starts;
+	printf("cell_waiting_us_a_start_accounts_%d=%.1f\n", naccounts,
+	    t * 1e6 / (double)starts);
+	printf("cell_waiting_us_a_pass_accounts_%d=%.1f\n", naccounts,
+	    t * 1e6 * CLOCK_STEP_MS / WAITING_MS);
+	printf("cell_waiting_starts_accounts_%d=%llu\n", naccounts,
+	    (unsigned long long)starts);
+	printf(
+	    "cell_waiting_steps_accounts_%d=%d\n", naccounts, count_waiting());
+}
--- a/bench/cell_bench.h
+++ b/bench/cell_bench.h
@@ -7,5 +7,10 @@
  * the starts and the advice calls per second of virtual time.
  */
 void cell_bench(int n);
+/**
+ * Prints the same for 10,000 jobs that were submitted at once by this number of
+ * client accounts, 0: without accounts; and the processor time per pass.
+ */
+void cell_bench_waiting(int naccounts);
 
 #endif
