--- a/bench/bench.c
+++ b/bench/bench.c
@@ -243,5 +243,7 @@
 	for (i = 0; i < sizeof(runner_counts) / sizeof(runner_counts[0]); i++)
 		cell_bench(runner_counts[i]);
 	near_bench();
+	cell_bench_waiting(0);
+	cell_bench_waiting(200);
 	return 0;
 }
--- a/bench/cell_bench.h
+++ b/bench/cell_bench.h
@@ -13,5 +13,10 @@
  * rack, when the forecast lets none wait, and after the end of all waits.
  */
 void near_bench(void);
+/**
+ * Prints the same for 10,000 jobs that were submitted at once by this number of
+ * client accounts, 0: without accounts; and the processor time per pass.
+ */
+void cell_bench_waiting(int naccounts);
 
 #endif
--- a/src/cell/account_order.h
+++ b/src/cell/account_order.h
@@ -5,8 +5,8 @@
 #include "../coordination/admission.h"
 #include "cell.h"
 
-/** Finds the accounts above their share, and the work that waits; called before
- * steps are ranked. */
+/** Finds the accounts above their share, and the work that waits. Called each
+ * tick and not in each placement pass, as it looks at all runners. */
 void account_order_update(struct cell *c);
 /** Decides on a submission, and counts it for its account. */
 struct admission account_order_admit(struct cell *c, const char *id,
--- a/src/cell/cell.c
+++ b/src/cell/cell.c
@@ -9,6 +9,7 @@
 #include "../base/kvlog.h"
 #include "../base/xalloc.h"
 #include "account_cap.h"
+#include "account_order.h"
 #include "commit.h"
 #include "lead_lease.h"
 #include "near_room.h"
@@ -114,6 +115,7 @@
 	    c->last_unanswered_ms = 0;
 	c->registry_gap_ms = 0;
 	c->unheard_runners = 0;
+	c->counts_unseen = true;
 	lead_lease_begin(c, claim);
 	cell_load(c);
 }
@@ -196,6 +198,7 @@
 	cell_create_occurrences(c);
 	cell_check_adopted(c);
 	account_cap_update(c);
+	account_order_update(c);
 	cell_drain(c);
 	cell_request_copies(c);
 	cell_boost_expired(c);
--- a/src/cell/load.c
+++ b/src/cell/load.c
@@ -18,6 +18,7 @@
 #include "../base/kvlog.h"
 #include "../base/xalloc.h"
 #include "account_cap.h"
+#include "account_order.h"
 #include "deposed.h"
 
 #define PAGE_ROWS 500
@@ -75,6 +76,7 @@
 	    (long long)(c->ports.now() - c->lead_since_ms));
 	cell_check_adopted(c);
 	account_cap_update(c);
+	account_order_update(c);
 	c->ports.wake(c->ports.arg);
 }
 
--- a/src/cell/place.c
+++ b/src/cell/place.c
@@ -516,7 +516,6 @@
 	if (TAILQ_EMPTY(&c->steps) || c->config == NULL ||
 	    !lead_lease_allows_start(c) || !cell_capacities_current(c))
 		return;
-	account_order_update(c);
 	near_room_begin(c);
 	ranked = rank_steps(c, now, &n);
 	for (i = 0; i < n && c->ports.now() - now < PASS_MS; i++)
