tests: load of uncooperative clients within lowered limits

Four load patterns against one host. The settings client_memory_kb, caller_conns and monitor_conns are read but not enforced yet.

--- a/Makefile
+++ b/Makefile
@@ -36,7 +36,8 @@
 	libxxhash-dev libssl-dev uthash-dev libbsd-dev
 
 all: $(B)/celerycartd $(B)/celerycartctl $(B)/standin $(B)/caller \
-    $(B)/checker $(B)/cellstandin $(B)/soak $(B)/run_checker $(B)/cell_caller
+    $(B)/checker $(B)/cellstandin $(B)/soak $(B)/run_checker $(B)/cell_caller \
+    $(B)/load_caller
 
 $(B)/celerycartd: $(DAEMONOBJ) $(B)/libcc.a
 	$(CC) -o $@ $^ $(LIBS)
@@ -72,6 +73,9 @@
 $(B)/cell_caller: $(B)/tests/tools/cell_caller.o $(B)/libcc.a
 	$(CC) -o $@ $^ $(LIBS)
 
+$(B)/load_caller: $(B)/tests/tools/load_caller.o $(B)/libcc.a
+	$(CC) -o $@ $^ $(LIBS)
+
 WORLD = $(patsubst %.c,$(B)/%.o,$(wildcard tests/world/*.c))
 $(B)/unit: $(patsubst %.c,$(B)/%.o,$(wildcard tests/unit/*.c)) \
     $(WORLD) $(B)/platform/registry.o \
--- a/src/state/cell_settings.c
+++ b/src/state/cell_settings.c
@@ -15,6 +15,12 @@
 #define MAX_HOLD_MIN_MS 1000
 #define MEMORY_MIN_MB 16
 #define MAX_FDS_MIN 64
+/** Holds the largest request that is served, and the growth of its buffer. */
+#define CLIENT_MEMORY_MIN_KB 1024
+/** Descriptors for the store, runners, peers, listeners and files. */
+#define RESERVED_FDS 200
+#define CALLER_CONNS_MAX 4096
+#define MONITOR_CONNS_MAX 256
 
 static const struct yaml_field fields[] = {
     {"host", YAML_NAME, S(host), 64, 0, 0, true, NULL, NULL},
@@ -43,6 +49,12 @@
 	NULL, NULL},
     {"max_fds", YAML_INT, S(max_fds), 0, MAX_FDS_MIN, INT32_MAX, false, NULL,
 	NULL},
+    {"client_memory_kb", YAML_INT, S(client_memory_kb), 0, CLIENT_MEMORY_MIN_KB,
+	INT32_MAX, false, NULL, NULL},
+    {"caller_conns", YAML_INT, S(caller_conns), 0, 1, INT32_MAX, false, NULL,
+	NULL},
+    {"monitor_conns", YAML_INT, S(monitor_conns), 0, 1, INT32_MAX, false, NULL,
+	NULL},
     {"revoke_strict", YAML_BOOL, S(revoke_strict), 0, 0, 0, false, NULL, NULL},
     {"revoke_ms", YAML_INT, S(revoke_ms), 0, 1, DAY_S * 1000, false, NULL,
 	NULL},
@@ -70,6 +82,32 @@
 	s->quota_window_s = 5;
 }
 
+static int64_t
+clamp(int64_t value, int64_t min, int64_t max)
+{
+	return value < min ? min : value > max ? max : value;
+}
+
+/*
+ * A sixth of the memory goes to clients, as the allocator keeps about as much
+ * again beside it. Callers get half of the descriptors that aren't reserved and
+ * monitoring a sixteenth; the rest is for runners, whose number a host can't
+ * choose.
+ */
+static void
+derive_limits(struct cell_settings *s)
+{
+	int64_t fds = clamp(s->max_fds - RESERVED_FDS, MAX_FDS_MIN, INT32_MAX);
+
+	if (s->client_memory_kb == 0)
+		s->client_memory_kb = clamp(
+		    s->memory_mb * 1024 / 6, CLIENT_MEMORY_MIN_KB, INT32_MAX);
+	if (s->caller_conns == 0)
+		s->caller_conns = clamp(fds / 2, 16, CALLER_CONNS_MAX);
+	if (s->monitor_conns == 0)
+		s->monitor_conns = clamp(fds / 16, 4, MONITOR_CONNS_MAX);
+}
+
 static bool
 is_endpoint(const char *text)
 {
@@ -119,6 +157,7 @@
 	} else {
 		yaml_read_map(&d, yaml_doc_root(&d), "", fields, s);
 		check_combinations(&d, s);
+		derive_limits(s);
 	}
 	yaml_doc_done(&d);
 }
--- a/src/state/cell_settings.h
+++ b/src/state/cell_settings.h
@@ -27,6 +27,12 @@
 	double cores;	      /**< processor cores of this host */
 	int64_t memory_mb;    /**< memory of this host */
 	int64_t max_fds;      /**< file descriptors of this process */
+	/** Memory of all clients' connections; default: from memory_mb. */
+	int64_t client_memory_kb;
+	/** Connections of the callers' port, and of the readiness and metrics
+	 * ports together; default: from max_fds. */
+	int64_t caller_conns;
+	int64_t monitor_conns;
 	/** Calls with an API key are refused once the configuration's age may
 	 * exceed revoke_ms. */
 	bool revoke_strict;
