transport: one bound for the memory of all clients' connections

Parts of a body are joined as they arrive; one chunk of one byte cost a buffer element of about 1 KB. Pipelined requests are served one after the other; libevhtp parsed only one for each event of the socket, and left the rest in its buffer.

--- a/src/transport/http_server.c
+++ b/src/transport/http_server.c
@@ -6,7 +6,6 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
-#include <sys/queue.h>
 
 #include "../base/err.h"
 #include "../base/kvlog.h"
@@ -14,26 +13,52 @@
 #include "../sys/clock.h"
 
 #define BACKLOG 512
-#define READ_TIMEOUT_S 10
+/** Beyond the idle time, which the tick observes. */
+#define READ_TIMEOUT_S 20
 #define WRITE_TIMEOUT_S 30
 /** Time in which a complete request must arrive. */
 #define REQUEST_TIMEOUT_MS 10000
+/** Time in which a caller must read its responses. */
+#define RESPONSE_TIMEOUT_MS 30000
+/** A response that is younger counts as on its way: its connection isn't closed
+ * to make room. */
+#define RESPONSE_GRACE_MS 1000
+/** Callers may be idle for 15 s; the tick adds up to 0.5 s. */
+#define IDLE_TIMEOUT_MS 16000
 /** Larger headers are refused with status 431. */
 #define HEADERS_MAX_BYTES (16 << 10)
 /** Larger headers close the connection without an answer. */
-#define HEADERS_HARD_MAX_BYTES (256 << 10)
+#define HEADERS_HARD_MAX_BYTES (64 << 10)
+/** As many as HEADERS_MAX_BYTES can hold; more close the connection. */
+#define HEADERS_MAX_COUNT (HEADERS_MAX_BYTES / 4)
+/** Allocations of libevhtp for a header, beside its text. */
+#define HEADER_BYTES 160
+/** Allocations for a connection and its request, beside buffers; the parser of
+ * libevhtp has one of 8 KB. */
+#define CONNECTION_BYTES (12 << 10)
+#define BODY_FIRST_BYTES 4096
+/** Limits of a server that has no budget given. */
+#define MEMORY_MAX_BYTES (64 << 20)
 #define STATUS_HEADERS_TOO_LARGE 431
 #define CONNECTIONS_MAX 4096
 #define CONNECTIONS_PER_IP_MAX 1024
 #define TICK_MS 500
 
 struct caller_conn {
+	struct client client; /**< first: cast from it */
 	TAILQ_ENTRY(caller_conn) link;
 	struct http_server *server;
 	evhtp_connection_t *conn;
-	struct in6_addr ip;
-	int64_t idle_since_ms; /**< accepted, or last answered */
+	size_t searched; /**< input that doesn't hold the end of a head */
+	size_t head_end; /**< offset in the input */
 	size_t header_bytes;
+	int nheaders;
+	uint8_t *body; /**< of the request that arrives */
+	size_t body_len;
+	size_t body_size;     /**< allocated */
+	size_t request_bytes; /**< held by the request that waits */
+	int64_t unread_since_ms;
+	bool stopped; /**< not read, as memory is short */
 	bool in_body; /**< the head of a request is parsed, its body isn't */
 	bool refused; /**< answered before its body arrived; to be closed */
 	int open;     /**< requests that are not answered yet */
@@ -50,7 +75,10 @@
 	evhtp_t *htp;
 	struct event *tick;
 	TAILQ_HEAD(caller_conn_list, caller_conn) conns;
-	int nconns;
+	struct caller_budget *budget;
+	struct caller_budget own;    /**< where none is given */
+	struct caller_conn *current; /**< whose event is handled */
+	int64_t refusal_logged_ms;
 	int open;
 	bool leaving;
 	int64_t body_max;
@@ -90,7 +118,7 @@
 	int n = 0;
 
 	TAILQ_FOREACH (c, &f->conns, link)
-		n += memcmp(&c->ip, ip, sizeof(*ip)) == 0;
+		n += memcmp(&c->client.ip, ip, sizeof(*ip)) == 0;
 	return n;
 }
 
@@ -101,35 +129,154 @@
 
 	(void)conn;
 	TAILQ_REMOVE(&c->server->conns, c, link);
-	c->server->nconns--;
+	caller_budget_remove(c->server->budget, &c->client);
+	if (c->server->current == c)
+		c->server->current = NULL;
+	free(c->body);
 	free(c);
 	return EVHTP_RES_OK;
 }
 
+static void
+close_client(struct client *client)
+{
+	struct caller_conn *c = (struct caller_conn *)client;
+
+	evhtp_connection_free(c->conn);
+}
+
+static size_t
+input_bytes(const struct caller_conn *c)
+{
+	return evbuffer_get_length(
+	    bufferevent_get_input(evhtp_connection_get_bev(c->conn)));
+}
+
+static size_t
+output_bytes(const struct caller_conn *c)
+{
+	return evbuffer_get_length(
+	    bufferevent_get_output(evhtp_connection_get_bev(c->conn)));
+}
+
+/*
+ * Charges the connection for what it holds, and notes since when a request is
+ * unfinished or a response unread. Buffers of libevent are charged twice their
+ * length, as their parts are rounded up.
+ */
+static void
+account(struct caller_conn *c)
+{
+	int64_t now = clock_boot_ms();
+	size_t in = input_bytes(c), out = output_bytes(c);
+	bool unfinished = c->in_body || in > 0;
+
+	caller_budget_charge(c->server->budget, &c->client,
+	    CONNECTION_BYTES + 2 * (in + out) + c->body_size + c->header_bytes +
+		(size_t)c->nheaders * HEADER_BYTES + c->request_bytes);
+	if (out == 0)
+		c->unread_since_ms = 0;
+	else if (c->unread_since_ms == 0)
+		c->unread_since_ms = now;
+	c->client.answering = c->open > 0 ||
+	    (out > 0 && now - c->unread_since_ms < RESPONSE_GRACE_MS);
+	if (!unfinished && out == 0)
+		c->client.since_ms = 0;
+	else if (c->client.since_ms == 0)
+		c->client.since_ms = now;
+}
+
+/* Accounts for a connection after an event of it, and makes room. */
+static void
+settle(struct http_server *f, struct caller_conn *c)
+{
+	if (f->current != c)
+		return;
+	f->current = NULL;
+	account(c);
+	if (caller_budget_relieve(f->budget, &c->client, clock_boot_ms()) ||
+	    c->stopped || c->open > 0)
+		return;
+	c->stopped = true;
+	bufferevent_disable(evhtp_connection_get_bev(c->conn), EV_READ);
+}
+
+static void
+forget_body(struct caller_conn *c)
+{
+	c->body = NULL;
+	c->body_len = 0;
+	c->body_size = 0;
+}
+
+/* Whether the head of a request has arrived whole, or is too large. What was
+ * searched before isn't searched again. */
+static bool
+has_head(struct caller_conn *c, struct evbuffer *in)
+{
+	size_t len = evbuffer_get_length(in);
+	struct evbuffer_ptr from, end;
+
+	if (c->in_body || len > HEADERS_HARD_MAX_BYTES)
+		return true;
+	if (c->searched + 4 > len)
+		c->searched = 0;
+	if (len < 4)
+		return false;
+	evbuffer_ptr_set(in, &from, c->searched, EVBUFFER_PTR_SET);
+	end = evbuffer_search(in, "\r\n\r\n", 4, &from);
+	if (end.pos >= 0) {
+		c->head_end = (size_t)end.pos + 4;
+		return true;
+	}
+	c->searched = len - 3;
+	return false;
+}
+
 /*
  * When a request target arrives in parts, the parser of libevhtp loses its
  * position and adds a character to the target. So the parser is called only
  * once the whole head has arrived.
  */
+static void
+parse(struct caller_conn *c, struct bufferevent *bev)
+{
+	if (!has_head(c, bufferevent_get_input(bev)))
+		return;
+	c->searched = 0;
+	c->evhtp.read(bev, c->evhtp.arg);
+}
+
 static void
 on_readable(struct bufferevent *bev, void *arg)
 {
 	struct caller_conn *c = arg;
-	struct evbuffer *in = bufferevent_get_input(bev);
-	struct evbuffer_ptr end = evbuffer_search(in, "\r\n\r\n", 4, NULL);
+	struct http_server *f = c->server;
 
-	if (!c->in_body && end.pos < 0 &&
-	    evbuffer_get_length(in) <= HEADERS_HARD_MAX_BYTES)
-		return;
-	c->evhtp.read(bev, c->evhtp.arg);
+	f->current = c;
+	parse(c, bev);
+	settle(f, c);
 }
 
 static void
 on_written(struct bufferevent *bev, void *arg)
 {
 	struct caller_conn *c = arg;
-
+	struct http_server *f = c->server;
+
+	f->current = c;
+	c->unread_since_ms = 0;
+	/* Left to itself, libevhtp would parse what has arrived of the next
+	 * request here, whether its head is whole or not. */
+	if (c->conn->flags & EVHTP_CONN_FLAG_WAITING) {
+		c->conn->flags &= (uint16_t)~EVHTP_CONN_FLAG_WAITING;
+		bufferevent_enable(bev, EV_READ);
+	}
 	c->evhtp.write(bev, c->evhtp.arg);
+	if (f->current == c && c->open == 0 && !c->refused &&
+	    evbuffer_get_length(bufferevent_get_input(bev)) > 0)
+		parse(c, bev);
+	settle(f, c);
 }
 
 static void
@@ -158,8 +305,47 @@
 
 	(void)req;
 	c->header_bytes += hdr->klen + hdr->vlen;
-	return c->header_bytes > HEADERS_HARD_MAX_BYTES ? EVHTP_RES_BADREQ
-							: EVHTP_RES_OK;
+	c->nheaders++;
+	return c->header_bytes > HEADERS_HARD_MAX_BYTES ||
+		c->nheaders > HEADERS_MAX_COUNT
+	    ? EVHTP_RES_BADREQ
+	    : EVHTP_RES_OK;
+}
+
+/*
+ * Moves a part of a body into one block of memory. libevhtp would keep a buffer
+ * element of at least 1 KB for each part, of which a chunked body can have one
+ * for each byte.
+ */
+static evhtp_res
+on_body_part(evhtp_request_t *req, struct evbuffer *part, void *arg)
+{
+	struct caller_conn *c = arg;
+	size_t n = evbuffer_get_length(part), max;
+
+	(void)req;
+	if (c->refused) {
+		evbuffer_drain(part, n);
+		return EVHTP_RES_OK;
+	}
+	max = (size_t)c->server->body_max;
+	if (n > max || c->body_len > max - n)
+		return EVHTP_RES_DATA_TOO_LONG;
+	if (c->body_len + n + 1 > c->body_size) {
+		size_t size = c->body_size + c->body_size / 2;
+
+		if (size < BODY_FIRST_BYTES)
+			size = BODY_FIRST_BYTES;
+		if (size < c->body_len + n + 1)
+			size = c->body_len + n + 1;
+		if (size > max + 1)
+			size = max + 1;
+		c->body = xrealloc(c->body, size);
+		c->body_size = size;
+	}
+	evbuffer_remove(part, c->body + c->body_len, n);
+	c->body_len += n;
+	return EVHTP_RES_OK;
 }
 
 /*
@@ -191,6 +377,19 @@
 	return EVHTP_RES_OK;
 }
 
+static evhtp_res
+refuse_connection(struct http_server *f)
+{
+	int64_t now = clock_boot_ms();
+
+	if (now - f->refusal_logged_ms >= TICK_MS) {
+		f->refusal_logged_ms = now;
+		kvlog(KVLOG_WARN, "connection_refused", "open=%d",
+		    f->budget->nconns[CLIENT_CALLERS]);
+	}
+	return EVHTP_RES_ERROR;
+}
+
 static evhtp_res
 on_accept(evhtp_connection_t *conn, void *arg)
 {
@@ -198,24 +397,28 @@
 	struct in6_addr ip = ip_of(conn->saddr);
 	struct caller_conn *c;
 
-	if (f->nconns >= CONNECTIONS_MAX ||
-	    count_conns_from(f, &ip) >= CONNECTIONS_PER_IP_MAX) {
-		kvlog(KVLOG_WARN, "connection_refused", "open=%d", f->nconns);
-		return EVHTP_RES_ERROR;
-	}
+	if (count_conns_from(f, &ip) >= CONNECTIONS_PER_IP_MAX)
+		return refuse_connection(f);
 	c = xcalloc(1, sizeof(*c));
 	c->server = f;
 	c->conn = conn;
-	c->ip = ip;
-	c->idle_since_ms = clock_boot_ms();
+	c->client.ip = ip;
+	c->client.port = CLIENT_CALLERS;
+	c->client.close = close_client;
+	if (!caller_budget_add(f->budget, &c->client, clock_boot_ms())) {
+		free(c);
+		return refuse_connection(f);
+	}
+	caller_budget_charge(f->budget, &c->client, CONNECTION_BYTES);
 	TAILQ_INSERT_TAIL(&f->conns, c, link);
-	f->nconns++;
 	evhtp_connection_set_hook(
 	    conn, evhtp_hook_on_connection_fini, (evhtp_hook)conn_fini, c);
 	evhtp_connection_set_hook(
 	    conn, evhtp_hook_on_header, (evhtp_hook)on_header, c);
 	evhtp_connection_set_hook(
 	    conn, evhtp_hook_on_headers, (evhtp_hook)on_headers, c);
+	evhtp_connection_set_hook(
+	    conn, evhtp_hook_on_read, (evhtp_hook)on_body_part, c);
 	wrap_callbacks(c);
 	return EVHTP_RES_OK;
 }
@@ -252,42 +455,111 @@
 	return EVHTP_RES_OK;
 }
 
+/* Gives the body that has arrived to the request. */
+static void
+take_body(struct server_request *r, struct caller_conn *c)
+{
+	r->len = c->body_len;
+	r->body = c->body != NULL ? c->body : xmalloc(1);
+	r->body[r->len] = '\0';
+	c->request_bytes =
+	    c->body_size + c->header_bytes + (size_t)c->nheaders * HEADER_BYTES;
+	forget_body(c);
+	c->in_body = false;
+	c->header_bytes = 0;
+	c->nheaders = 0;
+}
+
+/* Refuses a request that hasn't been passed to the handler. */
+static void
+refuse_request(struct caller_conn *c, evhtp_request_t *req)
+{
+	c->server->budget->refused++;
+	c->refused = true;
+	free(c->body);
+	forget_body(c);
+	evhtp_headers_add_header(
+	    req->headers_out, evhtp_header_new("Retry-After", "1", 0, 0));
+	evhtp_headers_add_header(
+	    req->headers_out, evhtp_header_new("Connection", "close", 0, 0));
+	evhtp_request_set_keepalive(req, 0);
+	evhtp_send_reply(req, EVHTP_RES_SERVUNAVAIL);
+}
+
 static void
 on_request(evhtp_request_t *req, void *arg)
 {
 	struct http_server *f = arg;
 	struct server_request *r;
 	struct caller_conn *c = conn_of(f, evhtp_request_get_connection(req));
+	bool alone;
 
-	if (c != NULL && c->refused)
+	if (c == NULL || c->refused)
 		return;
+	account(c);
+	if (!caller_budget_relieve(f->budget, &c->client, clock_boot_ms())) {
+		refuse_request(c, req);
+		return;
+	}
 	r = xcalloc(1, sizeof(*r));
 	r->server = f;
 	r->req = req;
 	r->conn = c;
-	r->len = evbuffer_get_length(req->buffer_in);
-	r->body = xmalloc(r->len + 1);
-	evbuffer_copyout(req->buffer_in, r->body, r->len);
-	r->body[r->len] = '\0';
+	alone = c->body_len == 0 && c->head_end == input_bytes(c);
+	take_body(r, c);
 	r->path = xstrdup(req->uri->path->full);
 	f->open++;
-	if (r->conn != NULL) {
-		r->conn->open++;
-		r->conn->in_body = false;
-		r->conn->header_bytes = 0;
-	}
+	c->open++;
 	evhtp_request_set_hook(
 	    req, evhtp_hook_on_request_fini, (evhtp_hook)request_fini, r);
 	r->in_handler = true;
 	f->fn(r, f->arg);
 	if (r->answered) {
 		request_free(r);
+		/* libevhtp parses one request for each event of the socket.
+		 * With more input, the next one is parsed when the response is
+		 * written, so that at most one is unread. */
+		if (!alone) {
+			evhtp_request_pause(req);
+			evhtp_request_resume(req);
+		}
 		return;
 	}
 	r->in_handler = false;
+	account(c);
 	evhtp_request_pause(req);
 }
 
+/* Why a connection without a request that waits is closed; CLIENT_ENDS: it
+ * isn't. */
+static enum client_end
+overdue(const struct caller_conn *c, int64_t now)
+{
+	if (c->unread_since_ms != 0)
+		return now - c->unread_since_ms > RESPONSE_TIMEOUT_MS
+		    ? CLIENT_END_SLOW_READER
+		    : CLIENT_ENDS;
+	if (c->client.since_ms != 0)
+		return now - c->client.since_ms > REQUEST_TIMEOUT_MS
+		    ? CLIENT_END_SLOW_SENDER
+		    : CLIENT_ENDS;
+	return now - c->client.idle_since_ms > IDLE_TIMEOUT_MS ? CLIENT_END_IDLE
+							       : CLIENT_ENDS;
+}
+
+static void
+resume_stopped(struct http_server *f)
+{
+	struct caller_conn *c;
+
+	for (c = TAILQ_FIRST(&f->conns); c != NULL; c = TAILQ_NEXT(c, link)) {
+		if (!c->stopped)
+			continue;
+		c->stopped = false;
+		bufferevent_enable(evhtp_connection_get_bev(c->conn), EV_READ);
+	}
+}
+
 static void
 on_tick(evutil_socket_t fd, short what, void *arg)
 {
@@ -298,16 +570,32 @@
 	(void)fd;
 	(void)what;
 	for (c = TAILQ_FIRST(&f->conns); c != NULL; c = next) {
+		enum client_end why;
+
 		next = TAILQ_NEXT(c, link);
-		if (c->open == 0 &&
-		    (f->leaving || now - c->idle_since_ms > REQUEST_TIMEOUT_MS))
+		account(c);
+		if (c->open > 0)
+			continue;
+		why = overdue(c, now);
+		if (f->leaving)
 			evhtp_connection_free(c->conn);
+		else if (why != CLIENT_ENDS)
+			caller_budget_end(f->budget, &c->client, why, now);
 	}
+	if (caller_budget_relieve(f->budget, NULL, now))
+		resume_stopped(f);
 }
 
 struct http_server *
 http_server_new(
     struct event_base *base, const struct settings *s, server_fn fn, void *arg)
+{
+	return http_server_new_limited(base, s, NULL, fn, arg);
+}
+
+struct http_server *
+http_server_new_limited(struct event_base *base, const struct settings *s,
+    struct caller_budget *budget, server_fn fn, void *arg)
 {
 	struct http_server *f = xcalloc(1, sizeof(*f));
 	struct timeval rt = {READ_TIMEOUT_S, 0}, wt = {WRITE_TIMEOUT_S, 0};
@@ -315,6 +603,8 @@
 	char addr[64];
 
 	f->base = base;
+	caller_budget_init(&f->own, MEMORY_MAX_BYTES, CONNECTIONS_MAX, 0);
+	f->budget = budget != NULL ? budget : &f->own;
 	f->body_max = s->body_max;
 	f->fn = fn;
 	f->arg = arg;
@@ -434,10 +724,14 @@
 			evbuffer_add(req->buffer_out, body, len);
 		if (r->conn != NULL) {
 			r->conn->open--;
-			r->conn->idle_since_ms = clock_boot_ms();
+			r->conn->request_bytes = 0;
+			r->conn->client.since_ms = 0;
+			r->conn->client.idle_since_ms = clock_boot_ms();
 		}
 		evhtp_request_unset_hook(req, evhtp_hook_on_request_fini);
 		evhtp_send_reply(req, (evhtp_res)status);
+		if (r->conn != NULL)
+			account(r->conn);
 		if (!in_handler)
 			evhtp_request_resume(req);
 	}
--- a/src/transport/http_server.h
+++ b/src/transport/http_server.h
@@ -13,6 +13,7 @@
 #include <stdint.h>
 
 #include "../state/settings.h"
+#include "caller_budget.h"
 
 struct http_server;
 struct server_request;
@@ -29,6 +30,10 @@
 /** Listens on the caller port; NULL when it cannot be bound. */
 struct http_server *http_server_new(
     struct event_base *base, const struct settings *s, server_fn fn, void *arg);
+/** The same within @p budget, which must outlive the server. */
+struct http_server *http_server_new_limited(struct event_base *base,
+    const struct settings *s, struct caller_budget *budget, server_fn fn,
+    void *arg);
 void http_server_delete(struct http_server *f);
 /** Drains: accepts no connections, and closes each open one once it is idle. */
 void http_server_drain(struct http_server *f);
--- a/tests/unit/http_server_test.c
+++ b/tests/unit/http_server_test.c
@@ -112,3 +112,116 @@
 	http_server_delete(f);
 	event_base_free(base);
 }
+
+#define CHUNKS 3000
+#define PIPELINED 400
+
+struct whole_seen {
+	int n;
+	size_t len;
+	int wrong;
+};
+
+/* Answers with the path; counts bytes of the body that differ from 'x'. */
+static void
+on_whole(struct server_request *r, void *arg)
+{
+	struct whole_seen *s = arg;
+	const char *path = server_request_path(r);
+	const uint8_t *body = server_request_body(r, &s->len);
+	size_t i;
+
+	s->n++;
+	for (i = 0; i < s->len; i++)
+		s->wrong += body[i] != 'x';
+	server_answer(r, 200, "text/plain", path, strlen(path), NULL);
+}
+
+static struct http_server *
+whole_server(struct event_base *base, struct whole_seen *seen)
+{
+	struct settings s = {.addr = "127.0.0.1", .caller_port = PORT};
+
+	s.body_max = 1 << 20;
+	memset(seen, 0, sizeof(*seen));
+	return http_server_new(base, &s, on_whole, seen);
+}
+
+/* Guards against losing or repeating parts when they are joined. */
+void
+test_http_server_byte_chunks(void)
+{
+	static const char head[] = "POST /q HTTP/1.1\r\nHost: a.example\r\n"
+				   "Transfer-Encoding: chunked\r\n\r\n";
+	struct event_base *base = event_base_new();
+	struct whole_seen seen;
+	struct http_server *f = whole_server(base, &seen);
+	int fd, i;
+
+	CU_ASSERT_PTR_NOT_NULL_FATAL(f);
+	fd = connect_to(PORT);
+	CU_ASSERT_FATAL(fd >= 0);
+	run_events(base);
+	CU_ASSERT(write(fd, head, strlen(head)) > 0);
+	for (i = 0; i < CHUNKS; i++) {
+		CU_ASSERT(write(fd, "1\r\nx\r\n", 6) == 6);
+		if (i % 7 == 0)
+			run_events(base);
+	}
+	CU_ASSERT(write(fd, "0\r\n\r\n", 5) == 5);
+	run_events(base);
+	CU_ASSERT_EQUAL(seen.n, 1);
+	CU_ASSERT_EQUAL(seen.len, CHUNKS);
+	CU_ASSERT_EQUAL(seen.wrong, 0);
+	close(fd);
+	run_events(base);
+	http_server_delete(f);
+	event_base_free(base);
+}
+
+/* Guards against lost or repeated requests where parsing pauses for responses
+ * that are unread. */
+void
+test_http_server_pipelined(void)
+{
+	struct event_base *base = event_base_new();
+	struct whole_seen seen;
+	struct http_server *f = whole_server(base, &seen);
+	char *text = xcalloc(PIPELINED, 64), *answers = xcalloc(PIPELINED, 256);
+	const char *at = answers;
+	size_t got = 0;
+	ssize_t n;
+	int fd, i, in_order = 0;
+
+	CU_ASSERT_PTR_NOT_NULL_FATAL(f);
+	for (i = 0; i < PIPELINED; i++)
+		sprintf(text + strlen(text),
+		    "GET /p%06d HTTP/1.1\r\nHost: a.example\r\n\r\n", i);
+	fd = connect_to(PORT);
+	CU_ASSERT_FATAL(fd >= 0);
+	run_events(base);
+	CU_ASSERT(write(fd, text, strlen(text)) == (ssize_t)strlen(text));
+	for (i = 0; i < PIPELINED; i++) {
+		run_events(base);
+		n = recv(
+		    fd, answers + got, PIPELINED * 256 - got - 1, MSG_DONTWAIT);
+		got += n > 0 ? (size_t)n : 0;
+	}
+	for (i = 0; i < PIPELINED; i++) {
+		char path[16];
+
+		snprintf(path, sizeof(path), "/p%06d", i);
+		at = strstr(at, path);
+		if (at == NULL)
+			break;
+		in_order++;
+	}
+	CU_ASSERT_EQUAL(seen.n, PIPELINED);
+	CU_ASSERT_EQUAL(in_order, PIPELINED);
+	close(fd);
+	run_events(base);
+	http_server_delete(f);
+	event_base_free(base);
+	free(text);
+	free(answers);
+}
