--- a/src/transport/http_server.c
+++ b/src/transport/http_server.c
@@ -50,7 +50,8 @@
 	struct http_server *server;
 	evhtp_connection_t *conn;
 	size_t searched; /**< input that doesn't hold the end of a head */
-	size_t head_end; /**< offset in the input */
+	size_t parsed;	 /**< bytes of the input that the request takes, without
+			    the framing of chunks */
 	size_t header_bytes;
 	int nheaders;
 	uint8_t *body; /**< of the request that arrives */
@@ -217,6 +218,7 @@
 	size_t len = evbuffer_get_length(in);
 	struct evbuffer_ptr from, end;
 
+	c->parsed = 0;
 	if (c->in_body || len > HEADERS_HARD_MAX_BYTES)
 		return true;
 	if (c->searched + 4 > len)
@@ -226,7 +228,7 @@
 	evbuffer_ptr_set(in, &from, c->searched, EVBUFFER_PTR_SET);
 	end = evbuffer_search(in, "\r\n\r\n", 4, &from);
 	if (end.pos >= 0) {
-		c->head_end = (size_t)end.pos + 4;
+		c->parsed = (size_t)end.pos + 4;
 		return true;
 	}
 	c->searched = len - 3;
@@ -345,6 +347,7 @@
 	}
 	evbuffer_remove(part, c->body + c->body_len, n);
 	c->body_len += n;
+	c->parsed += n;
 	return EVHTP_RES_OK;
 }
 
@@ -505,7 +508,7 @@
 	r->server = f;
 	r->req = req;
 	r->conn = c;
-	alone = c->body_len == 0 && c->head_end == input_bytes(c);
+	alone = c->parsed == input_bytes(c);
 	take_body(r, c);
 	r->path = xstrdup(req->uri->path->full);
 	f->open++;
--- a/tests/fuzz/main.c
+++ b/tests/fuzz/main.c
@@ -1,6 +1,7 @@
 /*
  * Fuzzes the decoders of what others write: entries of runners, the
- * configuration, submissions, and rows of the cell. Built with sanitizers.
+ * configuration, submissions, and rows of the cell; and the server that callers
+ * send requests to. Built with sanitizers.
  *
  * usage: fuzz [SEED [CASES]]
  */
@@ -16,6 +17,7 @@
 #include "../../src/base/xalloc.h"
 #include "../../src/coordination/urgency.h"
 #include "../../src/state/job.h"
+#include "http_fuzz.h"
 #include "mutate.h"
 
 #define SEED 20261205
@@ -197,5 +199,6 @@
 	setvbuf(stdout, NULL, _IOLBF, 0);
 	for (i = 0; i < sizeof(targets) / sizeof(targets[0]); i++)
 		fuzz_target(i, seed + (uint32_t)i, cases);
+	broken += fuzz_http(seed + (uint32_t)i, cases);
 	return broken > 0;
 }
