--- a/bench/cell_bench.c
+++ b/bench/cell_bench.c
@@ -643,29 +643,32 @@
 {
 	measure_pass(false);
 	measure_pass(true);
-	void cell_bench_waiting(int naccounts)
-	{
-		int serial = 0;
-		double jobs_due = 0, t;
-		uint64_t starts;
-
-		start_cell(WAITING_RUNNERS, true, naccounts);
-		simulate(50, 0, &serial, &jobs_due);
-		set_runners(WAITING_RUNNERS);
-		simulate(WARMUP_MS, 0, &serial, &jobs_due);
-		jobs_due = WAITING_JOBS;
-		simulate(WARMUP_MS, 0, &serial, &jobs_due);
-		starts = sim.starts;
-		t = cpu_s();
-		simulate(WAITING_MS, 0, &serial, &jobs_due);
-		t = cpu_s() - t;
-		starts = sim.starts - starts;
-		printf("cell_waiting_us_a_start_accounts_%d=%.1f\n", naccounts,
-		    t * 1e6 / (double)starts);
-		printf("cell_waiting_us_a_pass_accounts_%d=%.1f\n", naccounts,
-		    t * 1e6 * CLOCK_STEP_MS / WAITING_MS);
-		printf("cell_waiting_starts_accounts_%d=%llu\n", naccounts,
-		    (unsigned long long)starts);
-		printf("cell_waiting_steps_accounts_%d=%d\n", naccounts,
-		    count_waiting());
-	}
+}
+
+void
+cell_bench_waiting(int naccounts)
+{
+	int serial = 0;
+	double jobs_due = 0, t;
+	uint64_t starts;
+
+	start_cell(WAITING_RUNNERS, true, naccounts);
+	simulate(50, 0, &serial, &jobs_due);
+	set_runners(WAITING_RUNNERS);
+	simulate(WARMUP_MS, 0, &serial, &jobs_due);
+	jobs_due = WAITING_JOBS;
+	simulate(WARMUP_MS, 0, &serial, &jobs_due);
+	starts = sim.starts;
+	t = cpu_s();
+	simulate(WAITING_MS, 0, &serial, &jobs_due);
+	t = cpu_s() - t;
+	starts = sim.starts - starts;
+	printf("cell_waiting_us_a_start_accounts_%d=%.1f\n", naccounts,
+	    t * 1e6 / (double)starts);
+	printf("cell_waiting_us_a_pass_accounts_%d=%.1f\n", naccounts,
+	    t * 1e6 * CLOCK_STEP_MS / WAITING_MS);
+	printf("cell_waiting_starts_accounts_%d=%llu\n", naccounts,
+	    (unsigned long long)starts);
+	printf(
+	    "cell_waiting_steps_accounts_%d=%d\n", naccounts, count_waiting());
+}
