--- a/tests/scripts/cell.sh
+++ b/tests/scripts/cell.sh
@@ -1,5 +1,6 @@
 # Functions that the scripts of a cell share: three daemons of the folder DAEMONS,
-# with the store of the stand-in at PORT and CELL_CORES cores each.
+# with the store of the stand-in at PORT, CELL_CORES cores each and the further
+# settings CELL_EXTRA.
 DAEMONS=${DAEMONS:-$BIN}
 
 cell_addr() { echo "127.0.0.$((70 + $1))"; }
@@ -16,6 +17,7 @@
 	peer_port: $((PORT + 102))
 	metrics_port: $((PORT + 103))
 	cores: ${CELL_CORES:-0.25}
+	${CELL_EXTRA:-}
 	EOF
 }
 cell_daemon() {
