accounts: view and metrics of client accounts

Cause: operators can't see why an account's calls are refused or its jobs wait. Change: the leader counts for each account its waiting steps, refusals by reason and times to the first start; celerycartctl cell accounts and the metrics show the 50 that hold or wait most and the sum of the others. Each host counts refused calls by reason and shows the age of its configuration's confirmation. The text of the metrics grows. A waiting job takes no more memory.

--- a/src/cell/jobs.c
+++ b/src/cell/jobs.c
@@ -73,6 +73,7 @@
 	if (s->listed || step_pending_starts(s) == 0)
 		return;
 	s->listed = true;
+	account_add_waiting(s->occurrence->job->account);
 	TAILQ_INSERT_TAIL(&c->steps, s, link);
 }
 
@@ -143,8 +144,10 @@
 		for (k = 0; k < j->row->n_steps; k++) {
 			struct step *s = &j->occurrences[i]->steps[k];
 
-			if (s->listed)
+			if (s->listed) {
 				TAILQ_REMOVE(&c->steps, s, link);
+				account_remove_waiting(j->account);
+			}
 			s->listed = false;
 			step_advice_free(s);
 		}
@@ -248,6 +251,14 @@
 	    &c->retry_after, id, objective_ms(c, row), c->ports.now());
 }
 
+static void
+count_account_refusal(
+    struct cell *c, const Cc__JobRow *row, enum account_refusal why)
+{
+	if (row->account[0] != '\0')
+		cell_account(c, row->account)->refused_total[why]++;
+}
+
 static void
 refuse(struct cell *c, const char *id, const Cc__JobRow *row, const char *why,
     cell_fn fn, void *arg)
@@ -255,6 +266,7 @@
 	struct cell_answer a = {.error = CC_EBUSY,
 	    .retry_after_ms = cell_count_refusal(c, id, row)};
 
+	count_account_refusal(c, row, ACCOUNT_REFUSED_UNAVAILABLE);
 	kvlog(KVLOG_INFO, "submit_refused",
 	    "id=%s why=%s store_down_ms=%lld retry_after_ms=%u", id, why,
 	    (long long)(c->ports.now() - c->committed_ms), a.retry_after_ms);
@@ -320,6 +332,7 @@
 	struct admission d;
 
 	if (has_gang_above_cap(c, row)) {
+		count_account_refusal(c, row, ACCOUNT_REFUSED_GANG);
 		kvlog(KVLOG_INFO, "submit_refused",
 		    "id=%s why=gang-above-cap account=" KVLOG_TEXT, id,
 		    row->account);
@@ -336,6 +349,7 @@
 		return true;
 	c->counters.refused++;
 	c->counters.refused_rate++;
+	count_account_refusal(c, row, ACCOUNT_REFUSED_RATE);
 	later.retry_after_ms = (uint32_t)d.retry_after_ms;
 	kvlog(KVLOG_INFO, "submit_refused",
 	    "id=%s why=rate account=" KVLOG_TEXT
--- a/src/cell/orders.c
+++ b/src/cell/orders.c
@@ -200,6 +200,11 @@
 	}
 	if (!j->started) {
 		j->started = true;
+		if (j->account != NULL && j->row->repeat_count == 0)
+			log2_hist_add(&j->account->first_start_ms,
+			    now > j->accepted_ms
+				? (uint64_t)(now - j->accepted_ms)
+				: 0);
 		kvlog(KVLOG_INFO, "job_started", "id=%s wait_ms=%lld", j->id,
 		    (long long)(now - j->accepted_ms));
 	}
--- a/src/cell/place.c
+++ b/src/cell/place.c
@@ -406,6 +406,7 @@
 		next = TAILQ_NEXT(s, link);
 		if (step_pending_starts(s) == 0) {
 			TAILQ_REMOVE(&c->steps, s, link);
+			account_remove_waiting(s->occurrence->job->account);
 			s->listed = s->boosted = false;
 			continue;
 		}
--- a/src/ctl/cmd_cell.c
+++ b/src/ctl/cmd_cell.c
@@ -66,6 +66,28 @@
     {NULL, NULL, COL_TEXT},
 };
 
+static const struct column account_cols[] = {
+    {"account", "ACCOUNT", COL_TEXT},
+    {"accounts", "ACCOUNTS", COL_INT},
+    {"weight", "WEIGHT", COL_REAL},
+    {"held_cpu", "CPU HELD", COL_INT},
+    {"unseen_cpu", "CPU UNSEEN", COL_INT},
+    {"cap_cpu", "CPU CAP", COL_INT},
+    {"held_mem_mb", "MB HELD", COL_INT},
+    {"cap_mem_mb", "MB CAP", COL_INT},
+    {"held_gpu", "GPU HELD", COL_INT},
+    {"cap_gpu", "GPU CAP", COL_INT},
+    {"above_share", "ABOVE SHARE", COL_BOOL},
+    {"steps_waiting", "STEPS WAITING", COL_INT},
+    {"first_start_p50_ms", "START MS P50", COL_INT},
+    {"first_start_p99_ms", "START MS P99", COL_INT},
+    {"refused_rate", "REFUSED RATE", COL_INT},
+    {"refused_gang", "REFUSED GANG", COL_INT},
+    {"refused_unavailable", "REFUSED OTHER", COL_INT},
+    {"terms_unreadable", "UNREADABLE", COL_BOOL},
+    {NULL, NULL, COL_TEXT},
+};
+
 static const struct {
 	const char *name;
 	const struct column *cols;
@@ -76,6 +98,7 @@
     {"jobs", job_cols, true},
     {"failed", failed_cols, true},
     {"runs", run_cols, true},
+    {"accounts", account_cols, true},
 };
 
 static void
@@ -136,7 +159,8 @@
 	if (i == n && strcmp(what, "cell") != 0) {
 		fprintf(stderr,
 		    "celerycartctl: cell takes one argument, members, "
-		    "runners, jobs, failed or runs, or none for a summary\n");
+		    "runners, jobs, failed, runs or accounts, or none for a "
+		    "summary\n");
 		return CTL_USAGE;
 	}
 	snprintf(path, sizeof(path), "/cell/%s", what);
--- a/src/ctl/commands.c
+++ b/src/ctl/commands.c
@@ -485,7 +485,9 @@
 const struct command commands[] = {
     {"status", "one host: lease, table, shards",
 	"celerycartctl --host 127.0.0.11:7011 status", cmd_status},
-    {"cell", "a cell on the platform: members, runners, jobs, failed, runs",
+    {"cell",
+	"a cell on the platform: members, runners, jobs, failed, runs, "
+	"accounts",
 	"celerycartctl --host 127.0.0.11:9464 cell runners", cmd_cell},
     {"hosts", "the entry hosts and their state", "celerycartctl hosts --json",
 	cmd_hosts},
--- a/src/member/member.h
+++ b/src/member/member.h
@@ -66,7 +66,7 @@
 void member_call(
     struct member *m, const struct member_call *call, cell_fn fn, void *arg);
 /** A state view as JSON, for operators.
- * @param name cell, members, runners, jobs, failed or runs
+ * @param name cell, members, runners, jobs, failed, runs or accounts
  * @return a string to be freed; NULL for an unknown name */
 char *member_view(const struct member *m, const char *name);
 /** Counters and latency quantiles as text, one a line; to be freed. */
--- a/src/member/view.c
+++ b/src/member/view.c
@@ -3,6 +3,7 @@
 #include <stdio.h>
 #include <string.h>
 
+#include "../cell/account_stats.h"
 #include "../sys/clock.h"
 #include "member_internal.h"
 
@@ -142,6 +143,62 @@
 	return list;
 }
 
+static void
+set_resources(json_t *j, const char *kind, const struct resources *r)
+{
+	char name[32];
+
+	snprintf(name, sizeof(name), "%s_cpu", kind);
+	json_object_set_new(j, name, json_integer(r->cpu));
+	snprintf(name, sizeof(name), "%s_mem_mb", kind);
+	json_object_set_new(j, name, json_integer(r->mem_mb));
+	snprintf(name, sizeof(name), "%s_gpu", kind);
+	json_object_set_new(j, name, json_integer(r->gpu));
+}
+
+/* @param n number of accounts that @p a sums up */
+static json_t *
+account_json(const char *name, int n, const struct account *a)
+{
+	const uint64_t *refused = a->refused_total;
+	json_t *j = json_pack(
+	    "{s:s,s:i,s:f,s:b,s:b,s:i,s:i,s:I,s:I,s:I,s:I,s:I}", "account",
+	    name, "accounts", n, "weight", a->weight, "above_share",
+	    a->above_share, "terms_unreadable", a->refused, "runs", a->nruns,
+	    "steps_waiting", (int)a->nwaiting, "refused_rate",
+	    (json_int_t)refused[ACCOUNT_REFUSED_RATE], "refused_gang",
+	    (json_int_t)refused[ACCOUNT_REFUSED_GANG], "refused_unavailable",
+	    (json_int_t)refused[ACCOUNT_REFUSED_UNAVAILABLE],
+	    "first_start_p50_ms",
+	    (json_int_t)log2_hist_quantile(&a->first_start_ms, 0.5),
+	    "first_start_p99_ms",
+	    (json_int_t)log2_hist_quantile(&a->first_start_ms, 0.99));
+
+	set_resources(j, "cap", &a->cap);
+	set_resources(j, "held", &a->held);
+	set_resources(j, "unseen", &a->unseen);
+	return j;
+}
+
+/* Client accounts that hold or wait most; the others are one row without a
+ * name. */
+static json_t *
+view_accounts(const struct member *m)
+{
+	struct account_stats s;
+	json_t *list = json_array();
+	int i;
+
+	account_stats_get(&m->cell, &s);
+	for (i = 0; i < s.nshown; i++)
+		json_array_append_new(
+		    list, account_json(s.shown[i]->name, 1, s.shown[i]));
+	if (s.nothers > 0)
+		json_array_append_new(
+		    list, account_json("", s.nothers, &s.others));
+	return list;
+}
+
 static const struct {
 	const char *name;
 	json_t *(*view)(const struct member *m);
@@ -152,6 +209,7 @@
     {"jobs", view_jobs},
     {"failed", view_failed},
     {"runs", view_runs},
+    {"accounts", view_accounts},
 };
 
 char *
--- a/src/state/account.c
+++ b/src/state/account.c
@@ -49,6 +49,29 @@
 	a->refused = t->refused;
 }
 
+const char *
+account_refusal_name(enum account_refusal why)
+{
+	static const char *const names[ACCOUNT_REFUSALS] = {
+	    "rate", "gang-above-cap", "unavailable"};
+
+	return names[why];
+}
+
+void
+account_add_waiting(struct account *a)
+{
+	if (a != NULL)
+		a->nwaiting++;
+}
+
+void
+account_remove_waiting(struct account *a)
+{
+	if (a != NULL)
+		a->nwaiting--;
+}
+
 bool
 account_is_limited(const struct account *a)
 {
--- a/src/state/account.h
+++ b/src/state/account.h
@@ -11,6 +11,7 @@
 #include <stdint.h>
 #include <uthash.h>
 
+#include "../base/log2_hist.h"
 #include "rate_window.h"
 #include "resources.h"
 
@@ -26,6 +27,15 @@
 	bool refused;
 };
 
+/** Why a submission of an account was refused. */
+enum account_refusal {
+	ACCOUNT_REFUSED_RATE, /**< beyond its rate, and there is no room */
+	ACCOUNT_REFUSED_GANG, /**< its cap can't hold a gang of the job */
+	ACCOUNT_REFUSED_UNAVAILABLE, /**< for a reason that isn't the account's
+				      */
+	ACCOUNT_REFUSALS
+};
+
 struct account {
 	UT_hash_handle hh;
 	char *name;
@@ -42,6 +52,11 @@
 	bool above_share;	     /**< it holds more than its share */
 	struct rate_window sent;     /**< submissions within its rate */
 	struct rate_window refusals; /**< submissions refused for its rate */
+	uint32_t nwaiting;	     /**< steps with tasks to start */
+	uint64_t refused_total[ACCOUNT_REFUSALS];
+	/** Times from accept to first start of its jobs that aren't repeated.
+	 */
+	struct log2_hist first_start_ms;
 };
 
 /** @return the account of that name; NULL when there is none. */
@@ -53,6 +68,11 @@
 void account_delete_all(struct account **accounts);
 /** Puts the terms of a configuration in force. */
 void account_set_terms(struct account *a, const struct account_terms *t);
+/** Name of a reason, for metrics. */
+const char *account_refusal_name(enum account_refusal why);
+/** Counts a step with tasks to start, or takes it off. @p a may be NULL. */
+void account_add_waiting(struct account *a);
+void account_remove_waiting(struct account *a);
 /** Whether the account has a limit of some kind. */
 bool account_is_limited(const struct account *a);
 /** Counts a run of this size, or takes it off. @p a may be NULL. */
--- a/tests/scripts/cli.sh
+++ b/tests/scripts/cli.sh
@@ -29,6 +29,7 @@
 	say celerycartd --check -c bad.yaml
 	say celerycartd --check -c missing.yaml
 	say celerycartctl nonsense
+	say celerycartctl cell nonsense
 	say celerycartctl submit --help
 	say celerycartctl config check classes.yaml
 	say celerycartctl config check badc.yaml
--- a/tests/scripts/fail-accounts.sh
+++ b/tests/scripts/fail-accounts.sh
@@ -146,6 +146,35 @@
 check "after the cut the host refuses the removed key" until_true 20 gets "$H" $A4 $J 401
 check "and serves the other one" until_true 20 gets "$H" $A2 $J 200
 
+# A leader counts from its takeover on, and the cut may change it more than once.
+N=0
+counts_start() {
+	N=$((N + 1))
+	post "$O" $A2 "/urgent/00000000000c$(printf %04d $N)"
+	[ "$(metric 'account_first_start_ms_count{account="alpha"}')" -gt 0 ]
+}
+check "the leader's metrics count the account's first starts" until_true 20 counts_start
+shows_idle() {
+	[ "$(metric 'account_held_cpu{account="alpha"}')" = 0 ] &&
+	    [ "$(metric 'account_steps_waiting{account="alpha"}')" = 0 ]
+}
+check "they show that it holds and wants nothing once its jobs are done" until_true 20 shows_idle
+shows_share() {
+	[ "$(metric 'account_weight{account="alpha"}')" = 100.000 ] &&
+	    [ "$(metric accounts_summed)" = 0 ]
+}
+check "they show its share" until_true 20 shows_share
+text_of() { curl -s -m 2 "http://$(cell_addr "$1"):$((PORT + 103))/metrics"; } # HOST
+counts_unconfirmed() { text_of "$1" | grep -q '^celerycart_access_refused_total{why="config-unconfirmed"} [1-9]'; }
+confirmed() { text_of "$1" | grep -q '^celerycart_config_confirmed_ms_ago [0-9]\{1,3\}$'; }
+check "the host that was cut off counts its refusals" counts_unconfirmed "$H"
+for i in 1 2 3; do check "host $i shows a confirmed configuration" until_true 10 confirmed $i; done
+lists_account() {
+	"$BIN/celerycartctl" --host "$(cell_addr "$(leader)"):$((PORT + 103))" --key $KEY cell accounts |
+	    grep -q '^alpha  *1  *100\.0'
+}
+check "celerycartctl lists the account" until_true 20 lists_account
+
 for i in 1 2 3; do kill -KILL "${DAEMON[$i]}"; done
 for i in 1 2 3; do wait "${DAEMON[$i]}" 2> /dev/null; done
 for i in 1 2 3; do host $i; done
--- a/tests/unit/accounts_test.c
+++ b/tests/unit/accounts_test.c
@@ -8,7 +8,9 @@
 #include <string.h>
 
 #include "../../platform/config_row.h"
+#include "../../src/base/log2_hist.h"
 #include "../../src/base/xalloc.h"
+#include "../../src/cell/account_stats.h"
 #include "../../src/coordination/config_freshness.h"
 #include "../../src/state/account.h"
 #include "unit.h"
@@ -211,3 +213,63 @@
 	config_freshness_init(&f, 0);
 	CU_ASSERT_TRUE(config_freshness_holds(&f, 100000));
 }
+
+/* Guards against metrics that grow with the accounts, and against a sum that
+ * loses or repeats what an account holds. */
+void
+test_accounts_shown(void)
+{
+	static struct cell c;
+	struct account_stats s;
+	struct account *a;
+	char name[32];
+	int64_t held = 0;
+	int i;
+
+	for (i = 0; i < 3 * ACCOUNT_STATS_MAX; i++) {
+		snprintf(name, sizeof(name), "a%d", i);
+		a = account_get(&c.accounts, name);
+		/* Neither in rising nor in falling order. */
+		a->held.cpu = (i * 7) % (3 * ACCOUNT_STATS_MAX);
+		log2_hist_add(&a->first_start_ms, 10);
+	}
+	account_find(c.accounts, "a0")->nwaiting = 3;
+	account_stats_get(&c, &s);
+	CU_ASSERT_EQUAL(s.nshown, ACCOUNT_STATS_MAX);
+	CU_ASSERT_EQUAL(s.nothers, 2 * ACCOUNT_STATS_MAX);
+	/* It holds nothing, and all waiting steps are its own. */
+	CU_ASSERT_STRING_EQUAL(s.shown[0]->name, "a0");
+	for (i = 1; i < s.nshown; i++) {
+		CU_ASSERT_EQUAL(
+		    s.shown[i]->held.cpu, 3 * ACCOUNT_STATS_MAX - i);
+		held += s.shown[i]->held.cpu;
+	}
+	held += s.others.held.cpu;
+	CU_ASSERT_EQUAL(
+	    held, 3 * ACCOUNT_STATS_MAX * (3 * ACCOUNT_STATS_MAX - 1) / 2);
+	CU_ASSERT_EQUAL(s.others.nwaiting, 0);
+	CU_ASSERT_EQUAL(s.others.first_start_ms.total, 2 * ACCOUNT_STATS_MAX);
+	account_delete_all(&c.accounts);
+}
+
+/* Guards against quantiles below the values that were added, and against values
+ * beyond the range that aren't counted. */
+void
+test_accounts_first_start(void)
+{
+	struct log2_hist h = {0}, sum = {0};
+	uint64_t v;
+
+	CU_ASSERT_EQUAL(log2_hist_quantile(&h, 0.5), 0);
+	log2_hist_add(&h, 0);
+	CU_ASSERT_EQUAL(log2_hist_quantile(&h, 0.99), 0);
+	for (v = 1; v < 100; v++)
+		log2_hist_add(&h, v);
+	CU_ASSERT_EQUAL(log2_hist_quantile(&h, 0.5), 63);
+	CU_ASSERT_EQUAL(log2_hist_quantile(&h, 0.99), 127);
+	log2_hist_add(&h, UINT64_MAX);
+	log2_hist_merge(&sum, &h);
+	log2_hist_merge(&sum, &h);
+	CU_ASSERT_EQUAL(sum.total, 202);
+	CU_ASSERT_EQUAL(log2_hist_quantile(&sum, 1.0), (UINT64_C(1) << 31) - 1);
+}
--- a/tests/unit/unit.h
+++ b/tests/unit/unit.h
@@ -188,6 +188,8 @@
 void test_accounts_many(void);
 void test_accounts_cap(void);
 void test_accounts_cap_gang(void);
+void test_accounts_shown(void);
+void test_accounts_first_start(void);
 void test_freshness_ends_by_itself(void);
 void test_freshness_of_peers(void);
 void test_freshness_without_bound(void);
