tests: gangs above a cap, steps held by a cap and jobs beyond a rate are logged

Cause: the log lines that OPERATIONS.md sends operators to had no check. Change: fail-accounts.sh has an account with a cap and a low rate.

--- a/tests/scripts/fail-accounts.sh
+++ b/tests/scripts/fail-accounts.sh
@@ -17,6 +17,7 @@
 A3=third-key-of-alpha-1d77
 A4=fourth-key-of-alpha-e5b8
 B1=only-key-of-beta-44aa
+C1=only-key-of-gamma-6e0d
 NEVER=in-no-configuration-3b09
 VERSION=1001
 # configure KEYS: a new version with these keys of alpha, a JSON list. Returns when
@@ -24,7 +25,7 @@
 configure() {
 	local text status
 	VERSION=$((VERSION + 2))
-	text=$(jq -nc --argjson keys "$1" --argjson v $VERSION --arg b "$B1" '
+	text=$(jq -nc --argjson keys "$1" --argjson v $VERSION --arg b "$B1" --arg c "$C1" '
 	    def queue(n; more): {name: n, host: "cell.example", prefix: "/\(n)/",
 	        timeout_ms: 3000, target_latency_ms: 250, priority: 0,
 	        service: "work", max_attempts: 3, stretch: 1.5} + more;
@@ -32,7 +33,8 @@
 	     services: [{name: "work", admission_check: false}],
 	     limits: {max_body_bytes: 262144},
 	     tenants: [{name: "alpha", api_keys: $keys, weight: 100},
-	               {name: "beta", api_keys: [$b], weight: 100}]}')
+	               {name: "beta", api_keys: [$b], weight: 100},
+	               {name: "gamma", api_keys: [$c], weight: 0.2, cap: {cpu: 1000}}]}')
 	status=$(jq -n --arg v "$(printf %s "$text" | base64 -w 0)" \
 	    '{expected_rev: [], writes: [{table: "op", part: "", key: "config", value: $v}], remove: []}' |
 	    curl -s -m 4 -o /dev/null -w '%{http_code}' -d @- "http://127.0.0.1:$PORT/v1/rows-tx")
@@ -73,7 +75,7 @@
 		sleep 0.1
 	done
 }
-no_key_in() { ! grep -l -F -e "$A1" -e "$A2" -e "$A3" -e "$A4" -e "$B1" -e "$NEVER" "$@"; }
+no_key_in() { ! grep -l -F -e "$A1" -e "$A2" -e "$A3" -e "$A4" -e "$B1" -e "$C1" -e "$NEVER" "$@"; }
 refused_at() { # HOST REASON: the host's log names the reason
 	grep -q "event=access_refused why=$2 " "$RUN/c$1.log"
 }
@@ -103,6 +105,32 @@
 	check "host $i logs the unknown key" refused_at $i unknown-key
 done
 
+# What operators search the logs for; see docs/OPERATIONS.md.
+any_log() { grep -q -E "$1" "$RUN"/c*.log; }
+# step_of COUNT MS GANG
+step_of() {
+	printf '{"spec":"%sx1000x%s","steps":[{"count":%s,"cpu":1000,"mem_mb":10,"estimate_ms":%s,"gang":%s}]}' \
+	    "$1" "$2" "$1" "$2" "$3"
+}
+check "a gang above the account's cap gets 400" \
+    test "$(status 1 $C1 POST /urgent/00000000000000c1 -d "$(step_of 2 100 true)")" = 400
+check "a line names the reason and the account" \
+    any_log 'event=submit_refused id=00000000000000c1 why=gang-above-cap account="?gamma'
+counts_gang() { [ "$(metric 'account_refused_total{account="gamma",why="gang-above-cap"}')" -gt 0 ]; }
+check "the leader counts it" until_true 10 counts_gang
+check "a job of more tasks than the cap holds is taken" \
+    test "$(status 2 $C1 POST /urgent/00000000000000c2 -d "$(step_of 3 2500 false)")" = 200
+check "a line says that the cap holds its step back" \
+    until_true 20 any_log 'event=step_waits job=00000000000000c2 .* held=account-cap'
+N=0
+sends_beyond_rate() {
+	N=$((N + 1))
+	status 3 $C1 POST "/urgent/00000000000d$(printf %04d $N)" -d "$(step_of 1 10 false)"
+	any_log 'event=(submit_over_rate|submit_refused) id=00000000000d.* account="?gamma"? sent='
+}
+check "a line says that a job is beyond its account's rate" until_true 20 sends_beyond_rate
+check "the job that the cap held back is completed" until_true 30 done_for 1 $C1 /urgent/00000000000000c2
+
 J=/urgent/00000000000000b0
 check "a key that is in no version yet is refused" posts 1 $A3 $J 401
 check "a version adds a key" configure "$(keys $A1 $A2 $A3)"
