--- a/tests/unit/unit.h
+++ b/tests/unit/unit.h
@@ -208,6 +208,8 @@
 void test_share_all_at_caps(void);
 void test_rate_window_slides(void);
 void test_rate_window_long_idle(void);
+void test_accounts_shown(void);
+void test_accounts_first_start(void);
 void test_freshness_ends_by_itself(void);
 void test_freshness_of_peers(void);
 void test_freshness_without_bound(void);
