--- a/src/cell/account_order.c
+++ b/src/cell/account_order.c
@@ -11,6 +11,9 @@
  * rate. */
 #define LOADED_MS 1000
 
+/** Interval at which the order of accounts is found anew. */
+#define UPDATE_MS 100
+
 /* Adds the starts that a step needs, unless its account's cap keeps them back.
  */
 static void
@@ -27,17 +30,11 @@
 static void
 count_waiting(struct cell *c)
 {
-	struct account *a;
-	struct step *s;
+	const struct step *s;
 
-	for (a = c->accounts; a != NULL; a = a->hh.next)
-		a->wants = false;
 	c->waiting_cpu = c->waiting_core_ms = 0;
-	TAILQ_FOREACH (s, &c->steps, link) {
+	TAILQ_FOREACH (s, &c->steps, link)
 		add_waiting(c, s);
-		if (s->occurrence->job->account != NULL)
-			s->occurrence->job->account->wants = true;
-	}
 }
 
 static void
@@ -65,15 +62,16 @@
 	struct fair_share *list;
 	struct account *a;
 
-	if (max == 0)
+	if (max == 0 || c->ports.now() - c->account_order_ms < UPDATE_MS)
 		return;
+	c->account_order_ms = c->ports.now();
 	count_waiting(c);
 	sum_runners(c);
 	list = xcalloc((size_t)max, sizeof(*list));
 	for (a = c->accounts; a != NULL; a = a->hh.next)
 		list[n++] = (struct fair_share){.weight = a->weight,
 		    .held = a->held,
-		    .active = a->wants || a->nruns > 0};
+		    .active = a->nwaiting > 0 || a->nruns > 0};
 	fair_share_decide(list, n, &c->total);
 	n = 0;
 	for (a = c->accounts; a != NULL; a = a->hh.next)
--- a/src/cell/account_order.h
+++ b/src/cell/account_order.h
@@ -6,7 +6,7 @@
 #include "cell.h"
 
 /** Finds the accounts above their share, and the work that waits. Called each
- * tick and not in each placement pass, as it looks at all runners. */
+ * tick; acts at intervals only, as it looks at all runners and steps. */
 void account_order_update(struct cell *c);
 /** Decides on a submission, and counts it for its account. */
 struct admission account_order_admit(struct cell *c, const char *id,
--- a/src/cell/cell.c
+++ b/src/cell/cell.c
@@ -115,6 +115,7 @@
 	    c->last_unanswered_ms = 0;
 	c->registry_gap_ms = 0;
 	c->unheard_runners = 0;
+	c->account_order_ms = 0;
 	c->counts_unseen = true;
 	lead_lease_begin(c, claim);
 	cell_load(c);
--- a/src/cell/cell.h
+++ b/src/cell/cell.h
@@ -179,10 +179,11 @@
 	struct config *config;	  /**< in force at this host */
 	struct account *accounts; /**< client accounts of jobs */
 	/* Kept while there are accounts: */
-	struct resources total;	 /**< of the runners that take work */
-	int64_t free_cpu;	 /**< of these runners */
-	int64_t waiting_cpu;	 /**< of starts that wait, caps aside */
-	int64_t waiting_core_ms; /**< their estimated work */
+	struct resources total;	  /**< of the runners that take work */
+	int64_t account_order_ms; /**< last time that these were found */
+	int64_t free_cpu;	  /**< of these runners */
+	int64_t waiting_cpu;	  /**< of starts that wait, caps aside */
+	int64_t waiting_core_ms;  /**< their estimated work */
 	struct job *jobs;
 	struct job *loading; /**< jobs read from the store, on no list yet */
 	struct unreadable_job *unreadable; /**< jobs that can't be read */
--- a/src/coordination/urgency.h
+++ b/src/coordination/urgency.h
@@ -27,10 +27,12 @@
 	LATENESS_EXPIRED,
 };
 
+/** Small, as a list of them is sorted in each placement pass. */
 struct urgency {
-	enum lateness lateness;
-	int priority;	  /**< lower is served first */
-	bool above_share; /**< its client account holds more than its share */
+	enum lateness lateness : 8;
+	bool above_share : 1; /**< its client account holds more than its share
+			       */
+	int priority;	      /**< lower is served first */
 	int64_t due_ms;
 };
 
--- a/src/state/account.h
+++ b/src/state/account.h
@@ -49,7 +49,6 @@
 	 * while it adopts the runners of a former leader. */
 	struct resources unseen;
 	int nruns;
-	bool wants;		     /**< it has steps with tasks to start */
 	bool above_share;	     /**< it holds more than its share */
 	struct token_bucket rate;    /**< of submissions */
 	struct rate_window refusals; /**< submissions refused for its rate */
