--- a/src/cell/account_cap.c
+++ b/src/cell/account_cap.c
@@ -46,8 +46,10 @@
 	int64_t sum = 0;
 	uint32_t i;
 
-	if (!s->spec->speculative || s->spec->gang)
-		return (int64_t)s->spec->count - s->ndone - s->nheld;
+	if (!s->spec->speculative || s->spec->gang) {
+		sum = (int64_t)s->spec->count - s->ndone - s->nheld;
+		return sum > 0 ? sum : 0;
+	}
 	for (i = 0; i < s->spec->count; i++)
 		sum += unseen_runs(&s->tasks[i]);
 	return sum;
--- a/src/cell/cell.c
+++ b/src/cell/cell.c
@@ -15,6 +15,9 @@
 #include "near_room.h"
 #include "wait_log.h"
 
+/** Most accounts whose terms are kept after a configuration without them. */
+#define ACCOUNTS_KEPT_MAX 1000
+
 void
 cell_init(struct cell *c, const struct cell_terms *t,
     const struct cell_ports *p, const char *incarnation)
@@ -115,7 +118,9 @@
 	    c->last_unanswered_ms = 0;
 	c->registry_gap_ms = 0;
 	c->unheard_runners = 0;
-	c->account_order_ms = 0;
+	c->account_order_ms = c->free_cpu = 0;
+	c->waiting_cpu = c->waiting_core_ms = 0;
+	c->total = c->largest = (struct resources){0, 0, 0};
 	c->counts_unseen = true;
 	lead_lease_begin(c, claim);
 	cell_load(c);
@@ -142,18 +147,21 @@
 			config_add_queue(m, j->queue);
 }
 
-/* Keeps the terms of accounts that the new configuration lacks while they have
- * jobs, so that their caps hold for these. */
+/* Keeps the terms of accounts that the new configuration lacks, so that their
+ * caps hold for jobs accepted before. Every host does, as it may lead later. */
 static void
 keep_accounts(const struct cell *c, struct config *m)
 {
-	const struct account_terms *t;
-	const struct account *a;
-
-	for (a = c->accounts; a != NULL && c->config != NULL; a = a->hh.next) {
-		t = config_account(c->config, a->name);
-		if (t != NULL && config_account(m, a->name) == NULL)
-			config_add_account(m, t);
+	struct account_terms t;
+	int i, kept = 0;
+
+	for (i = 0; c->config != NULL && i < c->config->naccounts; i++) {
+		t = *c->config->accounts[i];
+		if (config_account(m, t.name) != NULL ||
+		    kept++ == ACCOUNTS_KEPT_MAX)
+			continue;
+		t.dropped = true;
+		config_add_account(m, &t);
 	}
 }
 
--- a/src/cell/cell.h
+++ b/src/cell/cell.h
@@ -182,8 +182,12 @@
 	struct resources total;	  /**< of the runners that take work */
 	int64_t account_order_ms; /**< last time that these were found */
 	int64_t free_cpu;	  /**< of these runners */
-	int64_t waiting_cpu;	  /**< of starts that wait, caps aside */
-	int64_t waiting_core_ms;  /**< their estimated work */
+	struct resources largest; /**< of each, on one of these runners */
+	/** Thousandths of a core of starts that wait, without those that a cap
+	 * or their size holds back; and their estimated work. Not whole
+	 * numbers, as callers' numbers may be very large. */
+	double waiting_cpu;
+	double waiting_core_ms;
 	struct job *jobs;
 	struct job *loading; /**< jobs read from the store, on no list yet */
 	struct unreadable_job *unreadable; /**< jobs that can't be read */
--- a/src/cell/jobs.c
+++ b/src/cell/jobs.c
@@ -6,7 +6,7 @@
 #include "../base/kvlog.h"
 #include "../base/xalloc.h"
 #include "../coordination/leader_claim.h"
-#include "account_order.h"
+#include "account_admit.h"
 #include "cell_internal.h"
 
 /** Retry-after interval for callers while this host can't answer for sure. */
@@ -339,7 +339,7 @@
 		fn(&above_cap, arg);
 		return false;
 	}
-	d = account_order_admit(c, id, row, objective_ms(c, row));
+	d = account_admit(c, id, row, objective_ms(c, row));
 	row->over_rate = d.over_rate;
 	if (d.over_rate && d.admitted)
 		kvlog(KVLOG_INFO, "submit_over_rate",
@@ -353,22 +353,22 @@
 	later.retry_after_ms = (uint32_t)d.retry_after_ms;
 	kvlog(KVLOG_INFO, "submit_refused",
 	    "id=%s why=rate account=" KVLOG_TEXT
-	    " tokens=%.1f rate=%.2f waiting_core_ms=%lld waiting_cpu=%lld "
-	    "free_cpu=%lld "
-	    "retry_after_ms=%u",
-	    id, row->account, d.tokens, d.rate, (long long)c->waiting_core_ms,
-	    (long long)c->waiting_cpu, (long long)c->free_cpu,
-	    later.retry_after_ms);
+	    " tokens=%.1f rate=%.2f waiting_core_ms=%.0f waiting_cpu=%.0f "
+	    "free_cpu=%lld retry_after_ms=%u",
+	    id, row->account, d.tokens, d.rate, c->waiting_core_ms,
+	    c->waiting_cpu, (long long)c->free_cpu, later.retry_after_ms);
 	fn(&later, arg);
 	return false;
 }
 
-/* Whether the job belongs to another client account than the caller. Callers
- * without an account use public queues, or no accounts are configured. */
+/* Whether the job belongs to another client account than the caller. A caller
+ * without a key, on a public queue, has none. */
 static bool
-is_foreign(const struct job *j, const char *account)
+is_foreign(const struct cell *c, const struct job *j, const char *account)
 {
-	return account[0] != '\0' && j->row->account[0] != '\0' &&
+	if (c->config == NULL || !c->config->has_accounts)
+		return false;
+	return j->row->account[0] != '\0' &&
 	    strcmp(j->row->account, account) != 0;
 }
 
@@ -385,7 +385,7 @@
 	if (c->phase != CELL_SERVING || j != NULL || why != NULL) {
 		if (c->phase != CELL_SERVING)
 			fn(&moved, arg);
-		else if (j != NULL && is_foreign(j, row->account))
+		else if (j != NULL && is_foreign(c, j, row->account))
 			fn(&forbidden, arg);
 		else if (j != NULL && j->stored)
 			fn(&ok, arg);
@@ -442,7 +442,7 @@
 			a->error = CC_ENOENT;
 		return;
 	}
-	if (is_foreign(j, by->account)) {
+	if (is_foreign(c, j, by->account)) {
 		a->error = CC_EPERM;
 		return;
 	}
@@ -472,7 +472,7 @@
 		fn(&a, arg);
 		return;
 	}
-	if (is_foreign(j, by->account)) {
+	if (is_foreign(c, j, by->account)) {
 		a.error = CC_EPERM;
 		fn(&a, arg);
 		return;
--- a/src/cell/load_rows.c
+++ b/src/cell/load_rows.c
@@ -5,7 +5,7 @@
 #include "../base/err.h"
 #include "../base/kvlog.h"
 #include "../base/xalloc.h"
-#include "account_order.h"
+#include "account_admit.h"
 #include "load.h"
 #include "runner_rows.h"
 
@@ -56,7 +56,7 @@
 	    c->ports.now() - (c->ports.wall_now() - jr->accepted_wall_ms);
 	if (j->accepted_ms > c->ports.now())
 		j->accepted_ms = c->ports.now();
-	account_order_loaded(c, j);
+	account_admit_loaded(c, j);
 }
 
 /* Creates the job of a progress row that has no job row: of an ended job only
--- a/src/cell/place.c
+++ b/src/cell/place.c
@@ -6,7 +6,6 @@
 #include "../base/xalloc.h"
 
 #include "account_cap.h"
-#include "account_order.h"
 #include "apart.h"
 #include "lead_lease.h"
 #include "near_room.h"
--- a/src/coordination/admission.c
+++ b/src/coordination/admission.c
@@ -1,8 +1,10 @@
 #include "admission.h"
 
-/** A caller that returns sooner finds the same load. */
+/** Shortest delay: most work takes about as long, so the load is hardly another
+ * before. */
 #define RETRY_MIN_MS 1000
-/** A caller that waits longer has given up. */
+/** Longest delay, beyond the time that callers of short work are assumed to
+ * wait. */
 #define RETRY_MAX_MS 15000
 
 /** Length of a burst at the account's rate. */
@@ -20,23 +22,26 @@
 
 /* Time until the work that waits and finds no free processors has run. Work
  * that does find some waits for other reasons, such as advice. */
-static int64_t
+static double
 backlog_ms(const struct admission_request *q)
 {
-	int64_t beyond = q->waiting_cpu - q->free_cpu;
+	double beyond = q->waiting_cpu - (double)q->free_cpu;
 
 	if (beyond <= 0)
 		return 0;
-	return (int64_t)((double)q->waiting_core_ms * 1000.0 * (double)beyond /
-	    (double)q->waiting_cpu / (double)q->total_cpu);
+	return q->waiting_core_ms * 1000.0 * beyond / q->waiting_cpu /
+	    (double)q->total_cpu;
 }
 
-/* Whether the submission can meet its objective behind all work that waits. */
+/* Whether the submission can meet its objective behind all work that waits. It
+ * is taken to while the capacity isn't known yet. */
 static bool
 is_in_time(const struct admission_request *q)
 {
-	return q->total_cpu > 0 &&
-	    backlog_ms(q) + q->critical_path_ms <= q->objective_ms;
+	if (q->total_cpu <= 0)
+		return true;
+	return backlog_ms(q) + (double)q->critical_path_ms <=
+	    (double)q->objective_ms;
 }
 
 static int64_t
@@ -55,7 +60,7 @@
 static bool
 is_within_rate(const struct admission_request *q)
 {
-	if (q->promised_in_ms > 0)
+	if (q->retry_due_in_ms > 0)
 		return q->tokens >= 1.0 + admission_burst(q->rate) / 2;
 	return q->tokens >= 1.0;
 }
@@ -70,9 +75,9 @@
 		return a;
 	a.over_rate = !is_within_rate(q);
 	a.admitted = !a.over_rate || is_in_time(q);
-	a.keeps_promise = !a.admitted && q->promised_in_ms > 0;
-	if (a.keeps_promise)
-		a.retry_after_ms = q->promised_in_ms;
+	a.retry_pending = !a.admitted && q->retry_due_in_ms > 0;
+	if (a.retry_pending)
+		a.retry_after_ms = q->retry_due_in_ms;
 	else if (!a.admitted)
 		a.retry_after_ms = retry_after_ms(q);
 	return a;
--- a/src/coordination/admission.h
+++ b/src/coordination/admission.h
@@ -21,10 +21,10 @@
 	double tokens; /**< of its token bucket; one for each submission */
 	uint32_t refused; /**< refused lately: these will return */
 	/** It was refused before, and told to return in this time; 0: not. */
-	int64_t promised_in_ms;
-	int64_t waiting_cpu;	 /**< of starts that wait, in thousandths of a
-				  * core, as all below */
-	int64_t waiting_core_ms; /**< their estimated work, core-ms */
+	int64_t retry_due_in_ms;
+	double waiting_cpu;	/**< of starts that wait, in thousandths of a
+				 * core, as all below */
+	double waiting_core_ms; /**< their estimated work, core-ms */
 	int64_t free_cpu;
 	int64_t total_cpu;
 	int64_t critical_path_ms;
@@ -36,7 +36,7 @@
 	double rate;   /**< of the account */
 	bool admitted;
 	bool over_rate;	    /**< beyond the account's rate */
-	bool keeps_promise; /**< refused until the time that it was told before
+	bool retry_pending; /**< refused until the time that it was told before
 			     */
 	/** For a refused one: when its account's rate will have room for it and
 	 * for those refused before it. */
--- a/src/coordination/config_freshness.c
+++ b/src/coordination/config_freshness.c
@@ -6,7 +6,7 @@
 void
 config_freshness_init(struct config_freshness *f, int64_t revoke_ms)
 {
-	*f = (struct config_freshness){
+	*f = (struct config_freshness){.bounded = revoke_ms > 0,
 	    .bound_ms = revoke_ms * CLOCK_RATE_PCT / 100};
 }
 
@@ -43,7 +43,7 @@
 bool
 config_freshness_holds(const struct config_freshness *f, int64_t now)
 {
-	if (f->bound_ms == 0)
+	if (!f->bounded)
 		return true;
 	return f->confirmed_ms != 0 && now - f->confirmed_ms < f->bound_ms;
 }
--- a/src/coordination/config_freshness.h
+++ b/src/coordination/config_freshness.h
@@ -13,8 +13,8 @@
 #include <stdint.h>
 
 struct config_freshness {
-	int64_t bound_ms; /**< longest time since the confirmation; 0: no bound
-			   */
+	bool bounded;	  /**< there is a bound */
+	int64_t bound_ms; /**< longest time since the confirmation */
 	uint64_t version; /**< of the copy in force */
 	/** The store had no newer version then; 0: not confirmed. */
 	int64_t confirmed_ms;
--- a/src/coordination/retry_after.c
+++ b/src/coordination/retry_after.c
@@ -83,22 +83,22 @@
 }
 
 void
-retry_after_promise(
-    struct retry_after *t, const char *id, int64_t promised_ms, int64_t now)
+retry_after_set_due(
+    struct retry_after *t, const char *id, int64_t due_ms, int64_t now)
 {
 	struct refusals *r = refusals_of(t, id, now);
 
-	r->promised_ms = promised_ms;
+	r->due_ms = due_ms;
 	r->last_ms = now;
 }
 
 int64_t
-retry_after_promised(const struct retry_after *t, const char *id)
+retry_after_due(const struct retry_after *t, const char *id)
 {
 	const struct refusals *r;
 
 	HASH_FIND_STR(t->jobs, id, r);
-	return r != NULL ? r->promised_ms : 0;
+	return r != NULL ? r->due_ms : 0;
 }
 
 void
--- a/src/coordination/retry_after.h
+++ b/src/coordination/retry_after.h
@@ -18,7 +18,7 @@
 	char id[JOB_ID_LEN];
 	uint32_t count;
 	int64_t last_ms;
-	int64_t promised_ms; /**< it may return by then; 0: no such promise */
+	int64_t due_ms; /**< its caller was told to return then; 0: not told */
 };
 
 struct retry_after {
@@ -34,11 +34,11 @@
  */
 uint32_t retry_after_refused(
     struct retry_after *t, const char *id, int64_t objective_ms, int64_t now);
-/** Records that the caller was told to return at @p promised_ms. */
-void retry_after_promise(
-    struct retry_after *t, const char *id, int64_t promised_ms, int64_t now);
+/** Records that the caller was told to return at @p due_ms. */
+void retry_after_set_due(
+    struct retry_after *t, const char *id, int64_t due_ms, int64_t now);
 /** @return the time that the job's caller was told to return at; 0: none. */
-int64_t retry_after_promised(const struct retry_after *t, const char *id);
+int64_t retry_after_due(const struct retry_after *t, const char *id);
 /** Forgets the refusals of a job that was accepted. */
 void retry_after_accepted(struct retry_after *t, const char *id);
 
--- a/src/member/access.c
+++ b/src/member/access.c
@@ -59,7 +59,7 @@
 	if (t == NULL)
 		return ACCESS_UNKNOWN_KEY;
 	*account = t->name;
-	return t->refused ? ACCESS_UNREADABLE : ACCESS_ALLOWED;
+	return t->unreadable ? ACCESS_UNREADABLE : ACCESS_ALLOWED;
 }
 
 static void
--- a/src/member/config.c
+++ b/src/member/config.c
@@ -39,7 +39,6 @@
 	memcpy(m->config_text, value, len);
 	m->config_text[len] = '\0';
 	m->config_len = len;
-	m->config_unreadable = false;
 	config_freshness_set_version(&m->freshness, new->version);
 	cell_set_config(&m->cell, config_copy(new));
 	kvlog(KVLOG_INFO, "config_in_force",
@@ -50,7 +49,7 @@
 	log_refusals(new);
 }
 
-void
+bool
 member_apply_config(
     struct member *m, const void *value, size_t len, const char *from)
 {
@@ -58,14 +57,13 @@
 
 	if (new == NULL) {
 		m->configs_unreadable++;
-		m->config_unreadable = true;
-		return;
+		return false;
 	}
 	if (new->version > m->config_read_version)
 		m->config_read_version = new->version;
 	if (m->config == NULL || new->version > m->config->version) {
 		set_config(m, new, value, len, from);
-		return;
+		return true;
 	}
 	if (new->version < m->config->version)
 		kvlog(KVLOG_INFO, "config_older",
@@ -73,6 +71,7 @@
 		    (unsigned long long)new->version,
 		    (unsigned long long)m->config->version, from);
 	config_delete(new);
+	return true;
 }
 
 void
@@ -82,7 +81,8 @@
 
 	if (row->deleted || !m->ports.is_config_row(row))
 		return;
-	member_apply_config(m, row->value, row->len, "store");
+	m->config_unreadable =
+	    !member_apply_config(m, row->value, row->len, "store");
 }
 
 /** A request to a peer for its configuration. */
--- a/src/member/member_internal.h
+++ b/src/member/member_internal.h
@@ -185,8 +185,9 @@
 /* config.c */
 void member_config_row(const struct row *row, void *arg);
 /** Puts a configuration in force if it is newer than the current one.
- * @param from its source, for the log */
-void member_apply_config(
+ * @param from its source, for the log
+ * @return false when it can't be read */
+bool member_apply_config(
     struct member *m, const void *value, size_t len, const char *from);
 /** Requests the configuration from a peer that announced a newer version. */
 void member_request_config(struct member *m);
--- a/src/member/view.c
+++ b/src/member/view.c
@@ -164,7 +164,7 @@
 	json_t *j = json_pack(
 	    "{s:s,s:i,s:f,s:b,s:b,s:i,s:i,s:I,s:I,s:I,s:I,s:I}", "account",
 	    name, "accounts", n, "weight", a->weight, "above_share",
-	    a->above_share, "terms_unreadable", a->refused, "runs", a->nruns,
+	    a->above_share, "terms_unreadable", a->unreadable, "runs", a->nruns,
 	    "steps_waiting", (int)a->nwaiting, "refused_rate",
 	    (json_int_t)refused[ACCOUNT_REFUSED_RATE], "refused_gang",
 	    (json_int_t)refused[ACCOUNT_REFUSED_GANG], "refused_unavailable",
--- a/src/state/account.c
+++ b/src/state/account.c
@@ -46,7 +46,7 @@
 {
 	a->weight = t->weight;
 	a->cap = t->cap;
-	a->refused = t->refused;
+	a->unreadable = t->unreadable;
 }
 
 const char *
@@ -133,7 +133,7 @@
 {
 	if (a == NULL)
 		return true;
-	if (a->refused)
+	if (a->unreadable)
 		return false;
 	return is_idle(a) || fits_beside(a, size);
 }
@@ -144,7 +144,7 @@
 {
 	if (a == NULL)
 		return true;
-	if (a->refused)
+	if (a->unreadable)
 		return false;
 	if (is_idle(a) && all_within(total, &a->cap, 1.0 + excess))
 		return true;
--- a/src/state/account.h
+++ b/src/state/account.h
@@ -18,6 +18,7 @@
 
 /** Terms of an account in the configuration. */
 struct account_terms {
+	UT_hash_handle hh; /**< in the configuration's accounts, by name */
 	char *name;
 	/** Share of the cell when all is full, relative to other accounts, and
 	 * the rate of submissions a second that the account is entitled to. */
@@ -25,7 +26,9 @@
 	struct resources cap; /**< most that it may hold; 0: no limit */
 	/** Its calls are refused and its tasks wait, as its cap can't be read.
 	 */
-	bool refused;
+	bool unreadable;
+	/** The configuration lacks it; kept for jobs accepted before. */
+	bool dropped;
 };
 
 /** Why a submission of an account was refused. */
@@ -42,7 +45,7 @@
 	char *name;
 	double weight;
 	struct resources cap;
-	bool refused;
+	bool unreadable; /**< as in its terms */
 	/** Sizes of all its runs, in whatever state. */
 	struct resources held;
 	/** Most that it may hold in runs which this leader doesn't know yet,
--- a/src/state/cell_settings.c
+++ b/src/state/cell_settings.c
@@ -14,6 +14,8 @@
 #define DAY_S 86400
 #define MAX_HOLD_MIN_MS 1000
 #define MEMORY_MIN_MB 16
+/** The store is asked for the configuration several times within revoke_ms. */
+#define REVOKE_MIN_MS 500
 #define MAX_FDS_MIN 64
 /** Holds the largest request that is served, and the growth of its buffer. */
 #define CLIENT_MEMORY_MIN_KB 1024
@@ -56,8 +58,8 @@
     {"monitor_conns", YAML_INT, S(monitor_conns), 0, 1, INT32_MAX, false, NULL,
 	NULL},
     {"revoke_strict", YAML_BOOL, S(revoke_strict), 0, 0, 0, false, NULL, NULL},
-    {"revoke_ms", YAML_INT, S(revoke_ms), 0, 1, DAY_S * 1000, false, NULL,
-	NULL},
+    {"revoke_ms", YAML_INT, S(revoke_ms), 0, REVOKE_MIN_MS, DAY_S * 1000, false,
+	NULL, NULL},
     {"quota_window_s", YAML_INT, S(quota_window_s), 0, 1, DAY_S, false, NULL,
 	NULL},
     {"quota_excess", YAML_AMOUNT, S(quota_excess), 0, 0, 0, false, NULL, NULL},
--- a/src/state/config.c
+++ b/src/state/config.c
@@ -34,8 +34,11 @@
 		free(c->services[i].name);
 	for (i = 0; i < c->nrefusals; i++)
 		free(c->refusals[i].name);
-	for (i = 0; i < c->naccounts; i++)
-		free(c->accounts[i].name);
+	HASH_CLEAR(hh, c->accounts_by_name);
+	for (i = 0; i < c->naccounts; i++) {
+		free(c->accounts[i]->name);
+		free(c->accounts[i]);
+	}
 	account_keys_delete(c->keys);
 	free(c->accounts);
 	free(c->queues);
@@ -80,13 +83,15 @@
 int
 config_add_account(struct config *c, const struct account_terms *t)
 {
-	struct account_terms *copy;
+	struct account_terms *copy = xmalloc(sizeof(*copy));
 
-	c->accounts = xrealloc(
-	    c->accounts, (size_t)(c->naccounts + 1) * sizeof(*c->accounts));
-	copy = &c->accounts[c->naccounts];
 	*copy = *t;
 	copy->name = copy_text(t->name);
+	c->accounts = xrealloc(
+	    c->accounts, (size_t)(c->naccounts + 1) * sizeof(*c->accounts));
+	c->accounts[c->naccounts] = copy;
+	HASH_ADD_KEYPTR(
+	    hh, c->accounts_by_name, copy->name, strlen(copy->name), copy);
 	return c->naccounts++;
 }
 
@@ -101,12 +106,10 @@
 const struct account_terms *
 config_account(const struct config *c, const char *name)
 {
-	int i;
+	struct account_terms *t;
 
-	for (i = 0; i < c->naccounts; i++)
-		if (strcmp(c->accounts[i].name, name) == 0)
-			return &c->accounts[i];
-	return NULL;
+	HASH_FIND_STR(c->accounts_by_name, name, t);
+	return t;
 }
 
 const struct account_terms *
@@ -116,7 +119,7 @@
 
 	if (c->keys != NULL)
 		i = account_keys_find(c->keys, key, len);
-	return i != ACCOUNT_KEY_UNKNOWN ? &c->accounts[i] : NULL;
+	return i != ACCOUNT_KEY_UNKNOWN ? c->accounts[i] : NULL;
 }
 
 void
@@ -142,7 +145,7 @@
 	if (c->keys != NULL)
 		copy->keys = account_keys_copy(c->keys);
 	for (i = 0; i < c->naccounts; i++)
-		config_add_account(copy, &c->accounts[i]);
+		config_add_account(copy, c->accounts[i]);
 	for (i = 0; i < c->nqueues; i++)
 		config_add_queue(copy, &c->queues[i]);
 	for (i = 0; i < c->nservices; i++)
--- a/src/state/config.h
+++ b/src/state/config.h
@@ -61,7 +61,8 @@
 	bool has_accounts;
 	/** The list of accounts can't be read: no key is known. */
 	bool accounts_refused;
-	struct account_terms *accounts;
+	struct account_terms **accounts;
+	struct account_terms *accounts_by_name; /**< hash of the same */
 	int naccounts;
 	struct account_keys *keys; /**< NULL: none */
 	int64_t max_body_bytes;
--- a/src/state/resources.h
+++ b/src/state/resources.h
@@ -34,6 +34,15 @@
 	return (struct resources){a->cpu * n, a->mem_mb * n, a->gpu * n};
 }
 
+/** The larger amount of each resource. */
+static inline struct resources
+resources_max(const struct resources *a, const struct resources *b)
+{
+	return (struct resources){a->cpu > b->cpu ? a->cpu : b->cpu,
+	    a->mem_mb > b->mem_mb ? a->mem_mb : b->mem_mb,
+	    a->gpu > b->gpu ? a->gpu : b->gpu};
+}
+
 static inline bool
 resources_none(const struct resources *a)
 {
--- a/tests/unit/accounts_test.c
+++ b/tests/unit/accounts_test.c
@@ -71,10 +71,10 @@
 	    "5,{\"name\":\"c\",\"api_keys\":[\"k3\"],\"cap\":{}}]");
 
 	CU_ASSERT_STRING_EQUAL(account_of(c, "k1"), "a");
-	CU_ASSERT_FALSE(config_account(c, "a")->refused);
+	CU_ASSERT_FALSE(config_account(c, "a")->unreadable);
 	CU_ASSERT_EQUAL(config_account(c, "a")->weight, 1.0);
-	CU_ASSERT_TRUE(config_account(c, "b")->refused);
-	CU_ASSERT_FALSE(config_account(c, "c")->refused);
+	CU_ASSERT_TRUE(config_account(c, "b")->unreadable);
+	CU_ASSERT_FALSE(config_account(c, "c")->unreadable);
 	CU_ASSERT_STRING_EQUAL(account_of(c, "k3"), "c");
 	config_delete(c);
 	c = decode_accounts("\"none\"");
@@ -83,6 +83,23 @@
 	config_delete(c);
 }
 
+/* Guards against an account with the keys of one entry and the cap of another.
+ */
+void
+test_accounts_one_name_twice(void)
+{
+	struct config *c = decode_accounts(
+	    "[{\"name\":\"a\",\"api_keys\":[\"k1\"],\"cap\":{\"cpu\":5}},"
+	    "{\"name\":\"a\",\"api_keys\":[\"k2\"]}]");
+
+	CU_ASSERT_EQUAL(c->naccounts, 1);
+	CU_ASSERT_EQUAL(config_account(c, "a")->cap.cpu, 5);
+	CU_ASSERT_STRING_EQUAL(account_of(c, "k1"), "a");
+	CU_ASSERT_STRING_EQUAL(account_of(c, "k2"), "");
+	CU_ASSERT_EQUAL(c->nrefusals, 1);
+	config_delete(c);
+}
+
 /* Guards the path of deployments without accounts. */
 void
 test_accounts_none_configured(void)
--- a/tests/unit/admission_test.c
+++ b/tests/unit/admission_test.c
@@ -91,10 +91,10 @@
 	struct admission_request q = request(10, 2, 3, 1000000);
 	struct admission a;
 
-	q.promised_in_ms = 700;
+	q.retry_due_in_ms = 700;
 	a = admission_decide(&q);
 	CU_ASSERT_FALSE(a.admitted);
-	CU_ASSERT_TRUE(a.keeps_promise);
+	CU_ASSERT_TRUE(a.retry_pending);
 	CU_ASSERT_EQUAL(a.retry_after_ms, 700);
 	q.tokens = 9;
 	CU_ASSERT_TRUE(admission_decide(&q).admitted);
--- a/tests/unit/cell_caps_test.c
+++ b/tests/unit/cell_caps_test.c
@@ -4,6 +4,7 @@
  */
 #include <CUnit/CUnit.h>
 
+#include "../../src/base/err.h"
 #include "unit.h"
 #include "unit_world.h"
 
@@ -183,3 +184,56 @@
 	cut_paths(w, 1, 0);
 	finish_capped(w);
 }
+
+static int
+get_error(struct world *w, const char *account)
+{
+	struct cell_answer a;
+
+	cell_get(world_cell(w, 0), &(struct cell_caller){"batch", account},
+	    FIRST, &a);
+	return a.error;
+}
+
+static void
+note_error(const struct cell_answer *a, void *arg)
+{
+	*(int *)arg = a->error;
+}
+
+/* Guards against callers without a key, who may use public queues, and those of
+ * other accounts: they must not see or cancel an account's job. */
+void
+test_caps_other_callers(void)
+{
+	struct world *w = start_capped(4000, &two_long);
+	int keyless = 1, other = 1;
+
+	CU_ASSERT_EQUAL(get_error(w, "a"), CC_OK);
+	CU_ASSERT_EQUAL(get_error(w, "b"), CC_EPERM);
+	CU_ASSERT_EQUAL(get_error(w, ""), CC_EPERM);
+	cell_cancel(world_cell(w, 0), &(struct cell_caller){"public", ""},
+	    FIRST, note_error, &keyless);
+	cell_cancel(world_cell(w, 0), &(struct cell_caller){"batch", "b"},
+	    FIRST, note_error, &other);
+	CU_ASSERT_EQUAL(keyless, CC_EPERM);
+	CU_ASSERT_EQUAL(other, CC_EPERM);
+	finish_capped(w);
+}
+
+/* Guards against a cap that ends with its account's entry while the next leader
+ * still has jobs of it. */
+void
+test_caps_account_removed(void)
+{
+	struct world *w = start_capped(4000, &eight_short);
+	struct world_account b = {"b", 1000, 100};
+
+	world_set_accounts(w, &b, 1);
+	world_run(w, 1000);
+	world_claim(w, 1);
+	world_run(w, 500);
+	CU_ASSERT_EQUAL(
+	    account_find(world_cell(w, 1)->accounts, "a")->cap.cpu, 4000);
+	finish_capped(w);
+}
--- a/tests/unit/unit.h
+++ b/tests/unit/unit.h
@@ -189,7 +189,10 @@
 
 void test_accounts_keys_found(void);
 void test_accounts_odd_entries(void);
+void test_accounts_one_name_twice(void);
 void test_accounts_none_configured(void);
+void test_caps_other_callers(void);
+void test_caps_account_removed(void);
 void test_accounts_many(void);
 void test_accounts_cap(void);
 void test_accounts_cap_gang(void);
--- a/tests/world/world.c
+++ b/tests/world/world.c
@@ -2707,7 +2707,7 @@
 			continue;
 		a.error = CC_EBUSY;
 		cell_get(&w->cells[w->leader].cell,
-		    &(struct cell_caller){j->queue, ""}, j->id, &a);
+		    &(struct cell_caller){j->queue, j->account}, j->id, &a);
 		if (a.error == CC_OK && a.state == JOB_COMPLETED)
 			j->completed_ms = w->now;
 		if (a.error == CC_OK && a.state == JOB_FAILED)
@@ -3008,11 +3008,14 @@
 void
 world_cancel(struct world *w, const char *id)
 {
+	const struct world_job *j = find_job(w, id);
+
 	current = w;
 	if (w->leader < 0)
 		return;
-	cell_cancel(&w->cells[w->leader].cell, &(struct cell_caller){"", ""},
-	    id, on_answer, submit_arg(w, id, true));
+	cell_cancel(&w->cells[w->leader].cell,
+	    &(struct cell_caller){"", j != NULL ? j->account : ""}, id,
+	    on_answer, submit_arg(w, id, true));
 }
 
 int
