near room: racks are bounded, later steps wait, ratios are finite

Causes and changes: - A lookup by a step's preferred rack created a rack that was kept for the life of the process, so memory grew with the names that callers sent. Lookups no longer create racks, each pass drops racks without runners, and the forecasts are freed when the leadership ends. - The wait of every step of an inherited job counted from the accept time, so that steps of old jobs that became ready after a takeover started remotely at once. The accept time now counts only for steps that were ready by the end of adoption. The end of loading is too early a mark: until adoption ends, runners report ends that the earlier leader had seen but not stored. - With remote_factor 0 the expected time of a remote run was 0, and the infinite ratio stayed among the errors of estimates. A factor below 1 counts as 1, and runs without an expected time are neither forecast nor counted. - Names: "hold" is the lease renewal of runners, so the capacity of steps that wait is "claimed".

Tests: a step that becomes ready after a takeover waits; a second takeover doesn't begin its wait anew; ratios stay finite with factor 0.

--- a/src/cell/cell.c
+++ b/src/cell/cell.c
@@ -83,6 +83,8 @@
 	drop_runners(c);
 	unreadable_drop_all(&c->unreadable);
 	account_delete_all(&c->accounts);
+	near_room_free(c->near_room);
+	c->near_room = NULL;
 }
 
 void
@@ -91,7 +93,6 @@
 	cell_resign(c);
 	retry_after_done(&c->retry_after);
 	cell_advice_done(c);
-	near_room_free(c->near_room);
 	free(c->scratch);
 	config_delete(c->config);
 }
@@ -115,7 +116,7 @@
 	    c->last_unanswered_ms = 0;
 	c->registry_gap_ms = 0;
 	c->unheard_runners = 0;
-	c->account_order_ms = 0;
+	c->account_order_ms = c->adopted_ms = 0;
 	c->counts_unseen = true;
 	lead_lease_begin(c, claim);
 	cell_load(c);
--- a/src/cell/cell.h
+++ b/src/cell/cell.h
@@ -218,6 +218,7 @@
 	int64_t adopt_until_ms;
 	bool adopting;	     /**< inherited work must not start: it may run
 			      * on a runner that isn't adopted yet */
+	int64_t adopted_ms;  /**< when adopting ended in this leadership */
 	bool counts_unseen;  /**< accounts may hold runs that aren't known */
 	int unheard_runners; /**< that weren't heard when it was freed */
 	enum deposed_by deposed_by; /**< why the last leadership ended, if it
--- a/src/cell/holds.c
+++ b/src/cell/holds.c
@@ -564,6 +564,7 @@
 	if (unknown > 0 && !lead_lease_inherited_over(c))
 		return;
 	c->adopting = false;
+	c->adopted_ms = c->ports.now();
 	c->stale_rows |= c->unreadable_rows;
 	c->unreadable_rows = 0;
 	c->unheard_runners = unknown;
--- a/src/cell/near_room.c
+++ b/src/cell/near_room.c
@@ -24,8 +24,8 @@
 /** A runner of a rack, for one forecast. */
 struct slot_state {
 	struct resources free;
-	uint32_t slots; /**< tasks of the step that fit */
-	uint32_t most;	/**< tasks of the step that it may take */
+	uint32_t slots;	    /**< tasks of the step that fit */
+	uint32_t max_tasks; /**< tasks of the step that it may take */
 };
 
 struct near_rack {
@@ -70,6 +70,16 @@
 		c->near_room->filled = false;
 }
 
+static void
+rack_delete(struct near_room *n, struct near_rack *k)
+{
+	HASH_DEL(n->racks, k);
+	free(k->name);
+	free(k->runners);
+	free(k->releases);
+	free(k);
+}
+
 void
 near_room_free(struct near_room *n)
 {
@@ -78,23 +88,26 @@
 	if (n == NULL)
 		return;
 	HASH_ITER(hh, n->racks, k, tmp)
-	{
-		HASH_DEL(n->racks, k);
-		free(k->name);
-		free(k->runners);
-		free(k->releases);
-		free(k);
-	}
+	rack_delete(n, k);
 	free(n->states);
 	free(n);
 }
 
 static struct near_rack *
-rack_get(struct near_room *n, const char *name)
+rack_find(const struct near_room *n, const char *name)
 {
 	struct near_rack *k;
 
 	HASH_FIND_STR(n->racks, name, k);
+	return k;
+}
+
+/* Only for racks of runners: callers may name any number of others. */
+static struct near_rack *
+rack_get(struct near_room *n, const char *name)
+{
+	struct near_rack *k = rack_find(n, name);
+
 	if (k != NULL)
 		return k;
 	k = xcalloc(1, sizeof(*k));
@@ -114,12 +127,12 @@
 	k->runners[k->n++] = r;
 }
 
-/* Sorts the runners by rack, once a pass. */
+/* Sorts the runners by rack, once a pass, and drops racks without runners. */
 static struct near_room *
 filled_room(struct cell *c)
 {
 	struct near_room *n = room_of(c);
-	struct near_rack *k;
+	struct near_rack *k, *tmp;
 	struct runner *r;
 
 	if (n->filled)
@@ -137,6 +150,11 @@
 			k->starts = UINT64_MAX;
 		rack_add(k, r);
 	}
+	HASH_ITER(hh, n->racks, k, tmp)
+	{
+		if (k->n == 0)
+			rack_delete(n, k);
+	}
 	n->filled = true;
 	return n;
 }
@@ -187,6 +205,8 @@
 	    run->task->step->spec->estimate_ms == 0)
 		return NEAR_NEVER;
 	expected = expected_ms(c, run);
+	if (expected <= 0)
+		return NEAR_NEVER;
 	ratio = estimate_error_quantile(&c->estimate_error,
 	    (double)(now - run->ordered_ms) / expected, END_QUANTILE);
 	if (ratio < 0)
@@ -239,12 +259,12 @@
 	k->starts = c->counters.starts;
 }
 
-/* Times that @p size fits; @p most when it takes nothing. */
+/* Times that @p size fits; @p max_tasks when it takes nothing. */
 static uint32_t
-fit_count(
-    const struct resources *room, const struct resources *size, uint32_t most)
+fit_count(const struct resources *room, const struct resources *size,
+    uint32_t max_tasks)
 {
-	int64_t n = most, m;
+	int64_t n = max_tasks, m;
 
 	if (size->cpu > 0 && (m = room->cpu / size->cpu) < n)
 		n = m;
@@ -264,7 +284,7 @@
 }
 
 static uint32_t
-most_tasks(struct cell *c, const struct step *s, const struct placing_want *w,
+max_tasks_on(struct cell *c, const struct step *s, const struct placing_want *w,
     const struct runner *r)
 {
 	uint32_t own;
@@ -304,10 +324,10 @@
 
 		t->free = (struct resources){r->info.cpu - r->used_cpu,
 		    r->info.mem_mb - r->used_mem_mb, r->info.gpu - r->used_gpu};
-		t->most = most_tasks(c, s, w, r);
-		t->slots = fit_count(&t->free, &size, t->most);
+		t->max_tasks = max_tasks_on(c, s, w, r);
+		t->slots = fit_count(&t->free, &size, t->max_tasks);
 		slots += t->slots;
-		if (t->most > 0)
+		if (t->max_tasks > 0)
 			resources_add(&spare, &t->free);
 	}
 	fill_releases(c, k, w->now_ms);
@@ -322,11 +342,11 @@
 			return f;
 		struct slot_state *t = &n->states[k->releases[i].runner];
 
-		if (t->most == 0)
+		if (t->max_tasks == 0)
 			continue;
 		resources_add(&t->free, &k->releases[i].freed);
 		resources_add(&spare, &k->releases[i].freed);
-		after = fit_count(&t->free, &size, t->most);
+		after = fit_count(&t->free, &size, t->max_tasks);
 		slots += after - t->slots;
 		t->slots = after;
 	}
@@ -346,15 +366,26 @@
 	return sum;
 }
 
-/* An inherited step may have waited under an earlier leader, so that its wait
- * counts from when its job was accepted. */
+/* A step may have waited under an earlier leader if it was ready by the end of
+ * adoption: until then, runners report ends that the earlier leader had seen
+ * but not stored. The start of its wait isn't stored, so the wait counts from
+ * when its job was accepted. */
+static int64_t
+wait_start_ms(const struct cell *c, const struct step *s)
+{
+	const struct job *j = s->occurrence->job;
+
+	return j->inherited && s->ready_ms <= c->adopted_ms ? j->accepted_ms
+							    : s->ready_ms;
+}
+
 static struct near_wait_input
 wait_input(const struct cell *c, const struct step *s, int64_t now)
 {
 	const struct job *j = s->occurrence->job;
 
 	return (struct near_wait_input){.now_ms = now,
-	    .ready_ms = j->inherited ? j->accepted_ms : s->ready_ms,
+	    .ready_ms = wait_start_ms(c, s),
 	    .deadline_ms = j->due_ms - later_ms(s),
 	    .run_ms = s->spec->estimate_ms,
 	    .remote_factor = c->terms.remote_factor,
@@ -387,7 +418,7 @@
 
 /* Claims the capacity of the tasks that wait, and notes the wait. */
 static void
-hold(struct cell *c, struct step *s, struct near_rack *k, uint32_t tasks,
+claim(struct cell *c, struct step *s, struct near_rack *k, uint32_t tasks,
     const struct near_wait_input *in)
 {
 	struct resources size = reserved_size(s->spec);
@@ -398,9 +429,10 @@
 	log_wait(c, s, k->name, tasks, in);
 }
 
-/* Tasks that wait for the rack, of @p tasks; claims nothing. */
+/* Number of @p tasks that wait for the rack. Sets in->free_ms and doesn't claim
+ * the capacity. */
 static uint32_t
-tasks_to_hold(struct cell *c, struct near_rack *k, const struct step *s,
+tasks_to_claim(struct cell *c, struct near_rack *k, const struct step *s,
     const struct placing_want *w, uint32_t tasks, struct near_wait_input *in)
 {
 	struct forecast f;
@@ -415,9 +447,11 @@
     struct cell *c, const struct step *s, const struct placing_want *w)
 {
 	const struct near_rack *k =
-	    rack_get(filled_room(c), s->spec->preferred_rack);
+	    rack_find(filled_room(c), s->spec->preferred_rack);
 	int i;
 
+	if (k == NULL)
+		return false;
 	for (i = 0; i < k->n; i++)
 		if (placing_feasible(k->runners[i], w) &&
 		    step_holds_ticket(c, s, k->runners[i], w->now_ms))
@@ -426,7 +460,7 @@
 }
 
 uint32_t
-near_room_hold_tasks(struct cell *c, struct step *s,
+near_room_claim_tasks(struct cell *c, struct step *s,
     const struct placing_want *w, uint32_t tasks)
 {
 	struct near_wait_input in = wait_input(c, s, w->now_ms);
@@ -435,15 +469,17 @@
 
 	if (w->now_ms >= near_wait_end(&in))
 		return 0;
-	k = rack_get(filled_room(c), s->spec->preferred_rack);
-	n = tasks_to_hold(c, k, s, w, tasks, &in);
+	k = rack_find(filled_room(c), s->spec->preferred_rack);
+	if (k == NULL)
+		return 0;
+	n = tasks_to_claim(c, k, s, w, tasks, &in);
 	if (n > 0)
-		hold(c, s, k, n, &in);
+		claim(c, s, k, n, &in);
 	return n;
 }
 
 bool
-near_room_hold_gang(
+near_room_claim_gang(
     struct cell *c, struct step *s, const struct placing_want *w)
 {
 	struct near_wait_input in = wait_input(c, s, w->now_ms);
@@ -456,10 +492,10 @@
 	for (k = n->racks; k != NULL; k = k->hh.next) {
 		if (!s->spec->same_rack && strcmp(k->name, preferred) != 0)
 			continue;
-		if (tasks_to_hold(c, k, s, w, s->spec->count, &in) <
+		if (tasks_to_claim(c, k, s, w, s->spec->count, &in) <
 		    s->spec->count)
 			continue;
-		hold(c, s, k, s->spec->count, &in);
+		claim(c, s, k, s->spec->count, &in);
 		return true;
 	}
 	return false;
@@ -468,11 +504,15 @@
 void
 near_room_run_done(struct cell *c, const struct run *run, int64_t ms)
 {
+	double expected;
+
 	/* Members of a gang end together, and some may have ended: on how many
 	 * racks it ran isn't known any more. */
 	if (run->inherited ||
 	    (run->task->step->spec->gang && run->task->step->spec->same_rack))
 		return;
-	estimate_error_add(
-	    &c->estimate_error, (double)ms / expected_ms(c, run));
+	expected = expected_ms(c, run);
+	/* An infinite ratio would stay among the errors of estimates. */
+	if (expected > 0)
+		estimate_error_add(&c->estimate_error, (double)ms / expected);
 }
--- a/src/cell/near_room.h
+++ b/src/cell/near_room.h
@@ -27,11 +27,11 @@
  * Decides how many of @p tasks waiting tasks of the step wait for capacity on
  * its preferred rack, and claims that capacity. The others start remotely now.
  */
-uint32_t near_room_hold_tasks(struct cell *c, struct step *s,
+uint32_t near_room_claim_tasks(struct cell *c, struct step *s,
     const struct placing_want *w, uint32_t tasks);
 /** Decides whether a gang waits for capacity for all of its members: on one
  * rack with same_rack, else on the preferred one. */
-bool near_room_hold_gang(
+bool near_room_claim_gang(
     struct cell *c, struct step *s, const struct placing_want *w);
 /** Adds the run time of a run that is done to the errors of estimates. */
 void near_room_run_done(struct cell *c, const struct run *run, int64_t ms);
--- a/src/cell/place.c
+++ b/src/cell/place.c
@@ -29,7 +29,7 @@
 	int n;
 	/** Waiting tasks that are to wait for the preferred rack; -1: not
 	 * decided. */
-	int64_t held;
+	int64_t claimed;
 };
 
 struct ranked {
@@ -125,7 +125,7 @@
 		return false;
 	p->cell = c;
 	p->step = s;
-	p->held = -1;
+	p->claimed = -1;
 	p->want = (struct placing_want){.step = s,
 	    .renewed_ms = c->renewed_ms,
 	    .service = q->service,
@@ -252,10 +252,10 @@
 	    is_on_preferred_rack(p, best) || near_candidate_is_free(p))
 		return false;
 	left = waiting_tasks(p->step, p->want.now_ms);
-	if (p->held < 0)
-		p->held =
-		    near_room_hold_tasks(p->cell, p->step, &p->want, left);
-	return left <= p->held;
+	if (p->claimed < 0)
+		p->claimed =
+		    near_room_claim_tasks(p->cell, p->step, &p->want, left);
+	return left <= p->claimed;
 }
 
 /* Whether all waiting tasks of the step wait for their preferred rack. Found
@@ -270,8 +270,8 @@
 	    has_suspected(s) || near_room_is_free(p->cell, s, &p->want))
 		return false;
 	left = waiting_tasks(s, p->want.now_ms);
-	p->held = near_room_hold_tasks(p->cell, s, &p->want, left);
-	return left <= p->held;
+	p->claimed = near_room_claim_tasks(p->cell, s, &p->want, left);
+	return left <= p->claimed;
 }
 
 static void
@@ -404,7 +404,7 @@
 	if (s->same_rack ? rack != NULL
 			 : rack_slots(p, s->preferred_rack) >= s->count)
 		return false;
-	return near_room_hold_gang(p->cell, p->step, &p->want);
+	return near_room_claim_gang(p->cell, p->step, &p->want);
 }
 
 static void
--- a/src/member/member.c
+++ b/src/member/member.c
@@ -103,7 +103,9 @@
 	    .hold_wait_ms = HOLD_WAIT_MS,
 	    .stop_grace_ms = s->stop_grace_ms,
 	    .status_ms = s->status_s * 1000,
-	    .remote_factor = s->remote_factor,
+	    /* A remote run isn't shorter than a rack-local one; 0 would
+	     * make estimates of run times 0. */
+	    .remote_factor = s->remote_factor >= 1 ? s->remote_factor : 1,
 	    .quota_excess = s->quota_excess,
 	    .quota_window_ms = s->quota_window_s * 1000,
 	};
--- a/tests/unit/main.c
+++ b/tests/unit/main.c
@@ -457,6 +457,12 @@
 	test_near_wait_not_doubled},
     {"near room", "a burst with its data on one rack uses others too",
 	test_near_burst_on_one_rack},
+    {"near room", "a step that becomes ready after a takeover waits",
+	test_near_later_step_waits_after_takeover},
+    {"near room", "a second takeover doesn't begin such a wait anew",
+	test_near_later_step_not_doubled},
+    {"near room", "a remote factor of 0 leaves errors of estimates finite",
+	test_near_remote_factor_zero},
 };
 
 int
--- a/tests/unit/unit.h
+++ b/tests/unit/unit.h
@@ -231,5 +231,8 @@
 void test_near_wait_ends_with_drain(void);
 void test_near_wait_not_doubled(void);
 void test_near_burst_on_one_rack(void);
+void test_near_later_step_waits_after_takeover(void);
+void test_near_later_step_not_doubled(void);
+void test_near_remote_factor_zero(void);
 
 #endif
