--- a/src/cell/cell.c
+++ b/src/cell/cell.c
@@ -86,6 +86,8 @@
 	drop_runners(c);
 	unreadable_drop_all(&c->unreadable);
 	account_delete_all(&c->accounts);
+	near_room_free(c->near_room);
+	c->near_room = NULL;
 }
 
 void
@@ -94,7 +96,6 @@
 	cell_resign(c);
 	retry_after_done(&c->retry_after);
 	cell_advice_done(c);
-	near_room_free(c->near_room);
 	free(c->scratch);
 	config_delete(c->config);
 }
@@ -118,7 +119,7 @@
 	    c->last_unanswered_ms = 0;
 	c->registry_gap_ms = 0;
 	c->unheard_runners = 0;
-	c->account_order_ms = c->free_cpu = 0;
+	c->account_order_ms = c->adopted_ms = c->free_cpu = 0;
 	c->waiting_cpu = c->waiting_core_ms = 0;
 	c->total = c->largest = (struct resources){0, 0, 0};
 	c->counts_unseen = true;
