transport: time and count the ends of clients' connections correctly

- Idle time starts when a response is written out, not when it is queued, so that a slow reader isn't closed as idle right after it has read.
A request that follows has its own time.
- A request that is late because the server stopped reading it counts as an end for lack of memory, not as a slow sender.
- The number of connections from an address is read from its sums instead of a scan of all connections on each accept.

--- a/src/transport/caller_budget.c
+++ b/src/transport/caller_budget.c
@@ -154,6 +154,39 @@
 	c->held = bytes;
 }
 
+/* Buffers of libevent are charged twice their length, as their parts are
+ * rounded up. */
+void
+caller_budget_charge_buffers(
+    struct caller_budget *b, struct client *c, size_t buffered, size_t other)
+{
+	caller_budget_charge(b, c, 2 * buffered + other);
+}
+
+void
+caller_budget_set_busy(struct client *c, int64_t now)
+{
+	if (c->since_ms == 0)
+		c->since_ms = now;
+}
+
+void
+caller_budget_set_idle(struct client *c, int64_t now)
+{
+	c->since_ms = 0;
+	c->idle_since_ms = now;
+}
+
+int
+caller_budget_conns_from(const struct caller_budget *b,
+    const struct in6_addr *ip, enum client_port port)
+{
+	const struct client_address *a;
+
+	HASH_FIND(hh, b->addresses, ip, sizeof(*ip), a);
+	return a != NULL ? a->nconns[port] : 0;
+}
+
 bool
 caller_budget_relieve(
     struct caller_budget *b, const struct client *spared, int64_t now)
--- a/src/transport/caller_budget.h
+++ b/src/transport/caller_budget.h
@@ -1,10 +1,12 @@
 /**
  * @file Memory and connection limits that all clients' connections share.
  *
- * Servers charge what each connection holds. When the limit is exceeded, those
- * connections are closed that have held an unfinished request, or an unread
- * response, longest, from the address that holds most. A connection with a
- * request that waits for its answer is never closed.
+ * Servers charge what each connection holds. When the limit is exceeded,
+ * connections are closed from the address that holds most: first those with an
+ * unfinished request or an unread response, the oldest first, then idle ones.
+ * The address comes before the age: a younger request from the address that
+ * holds most is closed before an older one from another address. A connection
+ * with a request that waits for its answer is never closed.
  */
 #ifndef CALLER_BUDGET_H
 #define CALLER_BUDGET_H
@@ -79,6 +81,17 @@
 /** States what @p c holds now. */
 void caller_budget_charge(
     struct caller_budget *b, struct client *c, size_t bytes);
+/** Charges the length of the client's libevent buffers, and @p other bytes. */
+void caller_budget_charge_buffers(
+    struct caller_budget *b, struct client *c, size_t buffered, size_t other);
+/** Notes that a request is unfinished or a response unread, if it isn't noted
+ * already. */
+void caller_budget_set_busy(struct client *c, int64_t now);
+/** Notes that a response was written out; the next request has its own time. */
+void caller_budget_set_idle(struct client *c, int64_t now);
+/** @return the number of connections from an address. */
+int caller_budget_conns_from(const struct caller_budget *b,
+    const struct in6_addr *ip, enum client_port port);
 /** Closes clients other than @p spared (NULL: none) until the limit holds.
  * @return false when it can't be reached. */
 bool caller_budget_relieve(
--- a/src/transport/http_server.c
+++ b/src/transport/http_server.c
@@ -13,7 +13,8 @@
 #include "../sys/clock.h"
 
 #define BACKLOG 512
-/** Beyond the idle time, which the tick observes. */
+/** Longer than the idle timeout, so that the tick closes idle connections
+ * first. */
 #define READ_TIMEOUT_S 20
 #define WRITE_TIMEOUT_S 30
 /** Time in which a complete request must arrive. */
@@ -77,8 +78,8 @@
 	struct event *tick;
 	TAILQ_HEAD(caller_conn_list, caller_conn) conns;
 	struct caller_budget *budget;
-	struct caller_budget own;    /**< where none is given */
-	struct caller_conn *current; /**< whose event is handled */
+	struct caller_budget default_budget; /**< where none is given */
+	struct caller_conn *current;	     /**< whose event is handled */
 	int64_t refusal_logged_ms;
 	int open;
 	bool leaving;
@@ -112,17 +113,6 @@
 	return ip;
 }
 
-static int
-count_conns_from(const struct http_server *f, const struct in6_addr *ip)
-{
-	const struct caller_conn *c;
-	int n = 0;
-
-	TAILQ_FOREACH (c, &f->conns, link)
-		n += memcmp(&c->client.ip, ip, sizeof(*ip)) == 0;
-	return n;
-}
-
 static evhtp_res
 conn_fini(evhtp_connection_t *conn, void *arg)
 {
@@ -162,18 +152,17 @@
 
 /*
  * Charges the connection for what it holds, and notes since when a request is
- * unfinished or a response unread. Buffers of libevent are charged twice their
- * length, as their parts are rounded up.
+ * unfinished or a response unread.
  */
 static void
-account(struct caller_conn *c)
+charge(struct caller_conn *c)
 {
 	int64_t now = clock_boot_ms();
 	size_t in = input_bytes(c), out = output_bytes(c);
 	bool unfinished = c->in_body || in > 0;
 
-	caller_budget_charge(c->server->budget, &c->client,
-	    CONNECTION_BYTES + 2 * (in + out) + c->body_size + c->header_bytes +
+	caller_budget_charge_buffers(c->server->budget, &c->client, in + out,
+	    CONNECTION_BYTES + c->body_size + c->header_bytes +
 		(size_t)c->nheaders * HEADER_BYTES + c->request_bytes);
 	if (out == 0)
 		c->unread_since_ms = 0;
@@ -183,8 +172,8 @@
 	    (out > 0 && now - c->unread_since_ms < RESPONSE_GRACE_MS);
 	if (!unfinished && out == 0)
 		c->client.since_ms = 0;
-	else if (c->client.since_ms == 0)
-		c->client.since_ms = now;
+	else
+		caller_budget_set_busy(&c->client, now);
 }
 
 /* Accounts for a connection after an event of it, and makes room. */
@@ -194,7 +183,7 @@
 	if (f->current != c)
 		return;
 	f->current = NULL;
-	account(c);
+	charge(c);
 	if (caller_budget_relieve(f->budget, &c->client, clock_boot_ms()) ||
 	    c->stopped || c->open > 0)
 		return;
@@ -268,6 +257,9 @@
 
 	f->current = c;
 	c->unread_since_ms = 0;
+	/* While a body is awaited, what was written is "100 Continue". */
+	if (!c->in_body)
+		caller_budget_set_idle(&c->client, clock_boot_ms());
 	/* Left to itself, libevhtp would parse what has arrived of the next
 	 * request here, whether its head is whole or not. */
 	if (c->conn->flags & EVHTP_CONN_FLAG_WAITING) {
@@ -400,7 +392,8 @@
 	struct in6_addr ip = ip_of(conn->saddr);
 	struct caller_conn *c;
 
-	if (count_conns_from(f, &ip) >= CONNECTIONS_PER_IP_MAX)
+	if (caller_budget_conns_from(f->budget, &ip, CLIENT_CALLERS) >=
+	    CONNECTIONS_PER_IP_MAX)
 		return refuse_connection(f);
 	c = xcalloc(1, sizeof(*c));
 	c->server = f;
@@ -499,7 +492,7 @@
 
 	if (c == NULL || c->refused)
 		return;
-	account(c);
+	charge(c);
 	if (!caller_budget_relieve(f->budget, &c->client, clock_boot_ms())) {
 		refuse_request(c, req);
 		return;
@@ -529,22 +522,26 @@
 		return;
 	}
 	r->in_handler = false;
-	account(c);
+	charge(c);
 	evhtp_request_pause(req);
 }
 
 /* Why a connection without a request that waits is closed; CLIENT_ENDS: it
- * isn't. */
+ * isn't. A request that the server stopped reading is late for lack of memory,
+ * not because its sender is slow. */
 static enum client_end
 overdue(const struct caller_conn *c, int64_t now)
 {
+	enum client_end late =
+	    c->stopped ? CLIENT_END_MEMORY : CLIENT_END_SLOW_SENDER;
+
 	if (c->unread_since_ms != 0)
 		return now - c->unread_since_ms > RESPONSE_TIMEOUT_MS
 		    ? CLIENT_END_SLOW_READER
 		    : CLIENT_ENDS;
 	if (c->client.since_ms != 0)
 		return now - c->client.since_ms > REQUEST_TIMEOUT_MS
-		    ? CLIENT_END_SLOW_SENDER
+		    ? late
 		    : CLIENT_ENDS;
 	return now - c->client.idle_since_ms > IDLE_TIMEOUT_MS ? CLIENT_END_IDLE
 							       : CLIENT_ENDS;
@@ -576,7 +573,7 @@
 		enum client_end why;
 
 		next = TAILQ_NEXT(c, link);
-		account(c);
+		charge(c);
 		if (c->open > 0)
 			continue;
 		why = overdue(c, now);
@@ -606,8 +603,9 @@
 	char addr[64];
 
 	f->base = base;
-	caller_budget_init(&f->own, MEMORY_MAX_BYTES, CONNECTIONS_MAX, 0);
-	f->budget = budget != NULL ? budget : &f->own;
+	caller_budget_init(
+	    &f->default_budget, MEMORY_MAX_BYTES, CONNECTIONS_MAX, 0);
+	f->budget = budget != NULL ? budget : &f->default_budget;
 	f->body_max = s->body_max;
 	f->fn = fn;
 	f->arg = arg;
@@ -729,12 +727,11 @@
 			r->conn->open--;
 			r->conn->request_bytes = 0;
 			r->conn->client.since_ms = 0;
-			r->conn->client.idle_since_ms = clock_boot_ms();
 		}
 		evhtp_request_unset_hook(req, evhtp_hook_on_request_fini);
 		evhtp_send_reply(req, (evhtp_res)status);
 		if (r->conn != NULL)
-			account(r->conn);
+			charge(r->conn);
 		if (!in_handler)
 			evhtp_request_resume(req);
 	}
--- a/tests/unit/caller_budget_test.c
+++ b/tests/unit/caller_budget_test.c
@@ -94,6 +94,12 @@
 	CU_ASSERT_EQUAL(nclosed, 1);
 	CU_ASSERT_EQUAL(closed[0], 1);
 	CU_ASSERT_EQUAL(budget.nconns[CLIENT_CALLERS], 2);
+	CU_ASSERT_EQUAL(
+	    caller_budget_conns_from(&budget, &p[0].client.ip, CLIENT_CALLERS),
+	    2);
+	CU_ASSERT_EQUAL(caller_budget_conns_from(
+			    &budget, &p[0].client.ip, CLIENT_MONITORING),
+	    0);
 	p[0].client.answering = true;
 	p[2].client.answering = true;
 	CU_ASSERT_FALSE(add(&p[3], 3, 1, 1, 0));
--- a/tests/unit/http_server_test.c
+++ b/tests/unit/http_server_test.c
@@ -7,7 +7,9 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include "../../platform/monitor_port.h"
 #include "../../src/base/xalloc.h"
+#include "../../src/sys/clock.h"
 #include "../../src/transport/http_server.h"
 #include "unit.h"
 
@@ -225,3 +227,147 @@
 	free(text);
 	free(answers);
 }
+
+#define LARGE_BYTES (16 << 20)
+#define PAUSE_US 20000
+
+static void
+on_large(struct server_request *r, void *arg)
+{
+	server_answer(r, 200, "text/plain", arg, LARGE_BYTES, NULL);
+}
+
+/* Guards against idle time that starts when a response is queued: a caller that
+ * took long to read it would be closed as idle at once. */
+void
+test_http_server_idle_after_read(void)
+{
+	static const char text[] = "GET /q HTTP/1.1\r\nHost: a.example\r\n\r\n";
+	struct settings s = {.addr = "127.0.0.1", .caller_port = PORT};
+	struct event_base *base = event_base_new();
+	char *large = xcalloc(1, LARGE_BYTES), buf[65536];
+	struct caller_budget b;
+	struct http_server *f;
+	const struct client *c;
+	int64_t read_ms;
+	size_t got = 0;
+	ssize_t n;
+	int fd, tries;
+
+	caller_budget_init(&b, 4 * LARGE_BYTES, 4, 4);
+	s.body_max = 1 << 20;
+	f = http_server_new_limited(base, &s, &b, on_large, large);
+	CU_ASSERT_PTR_NOT_NULL_FATAL(f);
+	fd = connect_to(PORT);
+	CU_ASSERT_FATAL(fd >= 0);
+	CU_ASSERT(write(fd, text, strlen(text)) == (ssize_t)strlen(text));
+	run_events(base);
+	c = TAILQ_FIRST(&b.clients);
+	CU_ASSERT_PTR_NOT_NULL_FATAL(c);
+	CU_ASSERT(c->since_ms != 0);
+	usleep(PAUSE_US);
+	read_ms = clock_boot_ms();
+	for (tries = 0; got < LARGE_BYTES && tries < 100000; tries++) {
+		run_events(base);
+		n = recv(fd, buf, sizeof(buf), MSG_DONTWAIT);
+		got += n > 0 ? (size_t)n : 0;
+	}
+	run_events(base);
+	CU_ASSERT(got >= LARGE_BYTES);
+	CU_ASSERT_EQUAL(c->since_ms, 0);
+	CU_ASSERT(c->idle_since_ms >= read_ms);
+	close(fd);
+	run_events(base);
+	http_server_delete(f);
+	event_base_free(base);
+	free(large);
+}
+
+#define LATE_MS 20000
+#define TICK_WAIT_US 600000
+
+/* Guards against counting a request as one of a slow sender when the server
+ * stopped reading it for lack of memory. */
+void
+test_http_server_stopped_is_memory(void)
+{
+	static const char part[] = "GET /q HTTP/1.1\r\n";
+	struct settings s = {.addr = "127.0.0.1", .caller_port = PORT};
+	struct event_base *base = event_base_new();
+	struct caller_budget b;
+	struct http_server *f;
+	struct client *c;
+	int fd;
+
+	caller_budget_init(&b, 1, 4, 4);
+	s.body_max = 1 << 20;
+	f = http_server_new_limited(base, &s, &b, on_large, NULL);
+	CU_ASSERT_PTR_NOT_NULL_FATAL(f);
+	fd = connect_to(PORT);
+	CU_ASSERT_FATAL(fd >= 0);
+	CU_ASSERT(write(fd, part, strlen(part)) == (ssize_t)strlen(part));
+	run_events(base);
+	c = TAILQ_FIRST(&b.clients);
+	CU_ASSERT_PTR_NOT_NULL_FATAL(c);
+	CU_ASSERT(c->since_ms != 0);
+	c->since_ms -= LATE_MS;
+	usleep(TICK_WAIT_US);
+	run_events(base);
+	CU_ASSERT_EQUAL(b.ends[CLIENT_END_SLOW_SENDER], 0);
+	CU_ASSERT_EQUAL(b.ends[CLIENT_END_MEMORY], 1);
+	CU_ASSERT_PTR_NULL(TAILQ_FIRST(&b.clients));
+	close(fd);
+	http_server_delete(f);
+	event_base_free(base);
+}
+
+static void
+on_check(struct evhttp_request *req, void *arg)
+{
+	(void)arg;
+	evhttp_send_reply(req, 200, "OK", NULL);
+}
+
+/* Guards against a request whose time starts anew with each header line, which
+ * evhttp takes from the input when it is complete, and against idle time that
+ * starts before the response was written. */
+void
+test_monitor_port_header_lines(void)
+{
+	static const char *const lines[] = {
+	    "GET /ready HTTP/1.1\r\n", "Host: a.example\r\n", "X-A: b\r\n"};
+	struct event_base *base = event_base_new();
+	struct caller_budget b;
+	struct monitor_port *p;
+	const struct client *c;
+	int64_t since_ms = 0, end_ms;
+	int fd;
+	size_t i;
+
+	caller_budget_init(&b, 1 << 20, 4, 4);
+	p = monitor_port_new(
+	    base, &b, "127.0.0.1", PORT, "/ready", on_check, NULL);
+	CU_ASSERT_PTR_NOT_NULL_FATAL(p);
+	fd = connect_to(PORT);
+	CU_ASSERT_FATAL(fd >= 0);
+	run_events(base);
+	c = TAILQ_FIRST(&b.clients);
+	CU_ASSERT_PTR_NOT_NULL_FATAL(c);
+	for (i = 0; i < sizeof(lines) / sizeof(lines[0]); i++) {
+		CU_ASSERT(write(fd, lines[i], strlen(lines[i])) > 0);
+		run_events(base);
+		CU_ASSERT(c->since_ms != 0);
+		since_ms = i == 0 ? c->since_ms : since_ms;
+		CU_ASSERT_EQUAL(c->since_ms, since_ms);
+		usleep(PAUSE_US);
+	}
+	end_ms = clock_boot_ms();
+	CU_ASSERT(write(fd, "\r\n", 2) == 2);
+	run_events(base);
+	CU_ASSERT_EQUAL(c->since_ms, 0);
+	CU_ASSERT(c->idle_since_ms >= end_ms);
+	close(fd);
+	run_events(base);
+	monitor_port_delete(p);
+	event_base_free(base);
+}
