tests: a new connection is read after each that was closed

The readiness port keeps the events of connections that evhttp has closed, and the next connection on the descriptor isn't watched.

--- a/tests/scripts/fail-cell.sh
+++ b/tests/scripts/fail-cell.sh
@@ -26,6 +26,17 @@
 check "a queue reports no pending jobs" bash -c "[ \"\$(curl -s -m 3 -H 'Host: cell.example' $(url 1 "") | jq .pending)\" = 0 ]"
 check "a cancellation gets 200" status_is "$(ask -o /dev/null -w '%{http_code}' -X DELETE "$(url 1 00000000000000a1)")" 200
 
+# Guards against a descriptor of a closed connection that is reused while the
+# event loop still has the former one: nothing is read from the new connection.
+fresh_calls() {
+	local i
+	for i in $(seq 40); do
+		curl -sf -m 2 -o /dev/null -H 'Connection: close' "http://$(cell_addr 1):$((PORT + 101))/v1/readiness" &&
+		    [ "$(curl -s -m 2 -o /dev/null -w '%{http_code}' "http://$(cell_addr 1):$((PORT + 100))/none/")" = 404 ] || return 1
+	done
+}
+check "a new connection is read after each that was closed" fresh_calls
+
 # invalid input
 check "invalid JSON gets 400" status_is "$(submit 1 00000000000000b1 '{')" 400
 check "the answer names a field of the wrong type" bash -c "curl -s -m 3 -H 'Host: cell.example' -X POST -d '{\"steps\":[{\"count\":\"4\"}]}' $(url 1 00000000000000b2) | grep -q count"
