--- a/src/transport/http_server.c
+++ b/src/transport/http_server.c
@@ -78,6 +78,7 @@
 	struct event *tick;
 	TAILQ_HEAD(caller_conn_list, caller_conn) conns;
 	struct caller_budget *budget;
+	enum client_port port;
 	struct caller_budget default_budget; /**< where none is given */
 	struct caller_conn *current;	     /**< whose event is handled */
 	int64_t refusal_logged_ms;
@@ -380,7 +381,7 @@
 	if (now - f->refusal_logged_ms >= TICK_MS) {
 		f->refusal_logged_ms = now;
 		kvlog(KVLOG_WARN, "connection_refused", "open=%d",
-		    f->budget->nconns[CLIENT_CALLERS]);
+		    f->budget->nconns[f->port]);
 	}
 	return EVHTP_RES_ERROR;
 }
@@ -392,14 +393,14 @@
 	struct in6_addr ip = ip_of(conn->saddr);
 	struct caller_conn *c;
 
-	if (caller_budget_conns_from(f->budget, &ip, CLIENT_CALLERS) >=
+	if (caller_budget_conns_from(f->budget, &ip, f->port) >=
 	    CONNECTIONS_PER_IP_MAX)
 		return refuse_connection(f);
 	c = xcalloc(1, sizeof(*c));
 	c->server = f;
 	c->conn = conn;
 	c->client.ip = ip;
-	c->client.port = CLIENT_CALLERS;
+	c->client.port = f->port;
 	c->client.close = close_client;
 	if (!caller_budget_add(f->budget, &c->client, clock_boot_ms())) {
 		free(c);
@@ -590,12 +591,13 @@
 http_server_new(
     struct event_base *base, const struct settings *s, server_fn fn, void *arg)
 {
-	return http_server_new_limited(base, s, NULL, fn, arg);
+	return http_server_new_limited(base, s, NULL, CLIENT_CALLERS, fn, arg);
 }
 
 struct http_server *
 http_server_new_limited(struct event_base *base, const struct settings *s,
-    struct caller_budget *budget, server_fn fn, void *arg)
+    struct caller_budget *budget, enum client_port port, server_fn fn,
+    void *arg)
 {
 	struct http_server *f = xcalloc(1, sizeof(*f));
 	struct timeval rt = {READ_TIMEOUT_S, 0}, wt = {WRITE_TIMEOUT_S, 0};
@@ -606,6 +608,7 @@
 	caller_budget_init(
 	    &f->default_budget, MEMORY_MAX_BYTES, CONNECTIONS_MAX, 0);
 	f->budget = budget != NULL ? budget : &f->default_budget;
+	f->port = port;
 	f->body_max = s->body_max;
 	f->fn = fn;
 	f->arg = arg;
--- a/src/transport/http_server.h
+++ b/src/transport/http_server.h
@@ -30,10 +30,11 @@
 /** Listens on the caller port; NULL when it cannot be bound. */
 struct http_server *http_server_new(
     struct event_base *base, const struct settings *s, server_fn fn, void *arg);
-/** The same within @p budget, which must outlive the server. */
+/** The same within @p budget, which must outlive the server and counts its
+ * clients as those of @p port. */
 struct http_server *http_server_new_limited(struct event_base *base,
-    const struct settings *s, struct caller_budget *budget, server_fn fn,
-    void *arg);
+    const struct settings *s, struct caller_budget *budget,
+    enum client_port port, server_fn fn, void *arg);
 void http_server_delete(struct http_server *f);
 /** Drains: accepts no connections, and closes each open one once it is idle. */
 void http_server_drain(struct http_server *f);
