--- a/src/cell/account_admit.c
+++ b/src/cell/account_admit.c
@@ -6,7 +6,7 @@
  * rate. */
 #define LOADED_MS 1000
 
-/* What is known of the account, for a submission at @p now. One that returns
+/* What is known of the account, for a job at @p now. One that returns
  * earlier than it was told takes nothing from those that are within the rate.
  */
 static void
--- a/src/cell/account_admit.h
+++ b/src/cell/account_admit.h
@@ -1,4 +1,4 @@
-/** @file Submissions of client accounts: their rates, and whether they are
+/** @file Jobs of client accounts: their rates, and whether they are
  * admitted (coordination/admission.h). */
 #ifndef ACCOUNT_ADMIT_H
 #define ACCOUNT_ADMIT_H
@@ -6,7 +6,7 @@
 #include "../coordination/admission.h"
 #include "cell.h"
 
-/** Decides on a submission, and counts it for its account. */
+/** Decides on a job, and counts it for its account. */
 struct admission account_admit(struct cell *c, const char *id,
     const Cc__JobRow *row, int64_t objective_ms);
 /** Takes a token of its account for a stored job that was accepted within the
--- a/src/coordination/admission.c
+++ b/src/coordination/admission.c
@@ -9,7 +9,7 @@
 
 /** Length of a burst at the account's rate. */
 #define BURST_S 1.0
-/** A client of a small account may send a few submissions together. */
+/** A client of a small account may send a few jobs together. */
 #define BURST_MIN 4.0
 
 double
@@ -33,7 +33,7 @@
 	    (double)q->total_cpu;
 }
 
-/* Whether the submission can meet its objective behind all work that waits. It
+/* Whether the job can meet its objective behind all work that waits. It
  * is taken to while the capacity isn't known yet. */
 static bool
 is_in_time(const struct admission_request *q)
--- a/src/coordination/admission.h
+++ b/src/coordination/admission.h
@@ -1,5 +1,5 @@
 /**
- * @file Whether a submission is admitted, by the rate of its client account and
+ * @file Whether a job is admitted, by the rate of its client account and
  * the work that waits.
  *
  * Load that it answers: one account sends several times its rate while the
@@ -13,12 +13,12 @@
 #include <stdbool.h>
 #include <stdint.h>
 
-/** A submission, and what is known of its account and the cell. */
+/** A job, and what is known of its account and the cell. */
 struct admission_request {
 	bool has_account;
-	double rate;   /**< submissions a second that the account is entitled to
-			*/
-	double tokens; /**< of its token bucket; one for each submission */
+	double rate;	  /**< jobs a second that the account is entitled to
+			   */
+	double tokens;	  /**< of its token bucket; one for each job */
 	uint32_t refused; /**< refused lately: these will return */
 	/** It was refused before, and told to return in this time; 0: not. */
 	int64_t retry_due_in_ms;
@@ -43,7 +43,7 @@
 	int64_t retry_after_ms;
 };
 
-/** Submissions that an account of this rate may send at once. */
+/** Jobs that an account of this rate may send at once. */
 double admission_burst(double rate);
 struct admission admission_decide(const struct admission_request *q);
 
--- a/src/state/account.h
+++ b/src/state/account.h
@@ -21,7 +21,7 @@
 	UT_hash_handle hh; /**< in the configuration's accounts, by name */
 	char *name;
 	/** Share of the cell when all is full, relative to other accounts, and
-	 * the rate of submissions a second that the account is entitled to. */
+	 * the rate of jobs a second that the account is entitled to. */
 	double weight;
 	struct resources cap; /**< most that it may hold; 0: no limit */
 	/** Its calls are refused and its tasks wait, as its cap can't be read.
@@ -31,7 +31,7 @@
 	bool dropped;
 };
 
-/** Why a submission of an account was refused. */
+/** Why a job of an account was refused. */
 enum account_refusal {
 	ACCOUNT_REFUSED_RATE, /**< beyond its rate, and there is no room */
 	ACCOUNT_REFUSED_GANG, /**< its cap can't hold a gang of the job */
@@ -53,8 +53,8 @@
 	struct resources unseen;
 	int nruns;
 	bool above_share;	     /**< it holds more than its share */
-	struct token_bucket rate;    /**< of submissions */
-	struct rate_window refusals; /**< submissions refused for its rate */
+	struct token_bucket rate;    /**< of jobs */
+	struct rate_window refusals; /**< jobs refused for its rate */
 	uint32_t nwaiting;	     /**< steps with tasks to start */
 	uint64_t refused_total[ACCOUNT_REFUSALS];
 	/** Times from accept to first start of its jobs that aren't repeated.
