A configuration of any size reaches hosts on slow links

Cause: a watch of the store had its long poll and 0.5 s for the whole answer. One that failed was repeated without a long poll, so with 0.5 s, for an answer that takes 0.6 s on 10 Mbit/s: it could never succeed. Peers sent the whole text in one frame for each request, every 300 ms, given up after 1 s, on the same link.

Ruled out: the decoder (hosts that have the rest of the fix keep up).

Change: reads of the store are bounded by silence within the answer (0.5 s without 4 KB) and, as before, by the time until it begins. Peers give the text in parts of 64 KB, one under way for each host, from the next peer and the same offset when one is lost, and are asked when the store's answer doesn't arrive. A link on which a frame arrives isn't silent. A text that is in force isn't decoded again.

--- a/src/member/config.c
+++ b/src/member/config.c
@@ -1,18 +1,12 @@
-/*
- * The configuration in force: read from the store, or requested from a peer
- * that announced a newer version.
- */
+/* The configuration in force: read from the store, or fetched from peers. */
 #include <stdlib.h>
 #include <string.h>
 
 #include "../base/err.h"
 #include "../base/kvlog.h"
 #include "../base/xalloc.h"
-#include "../sys/clock.h"
 #include "member_internal.h"
 
-#define REQUEST_INTERVAL_MS 300
-#define REQUEST_TIMEOUT_MS 1000
 /** Most refused parts of a configuration that are logged. */
 #define REFUSALS_LOGGED_MAX 16
 
@@ -49,12 +43,23 @@
 	log_refusals(new);
 }
 
+/* Decoding a large text takes a weak host many milliseconds. */
+static bool
+is_in_force(const struct member *m, const void *value, size_t len)
+{
+	return m->config != NULL && len == m->config_len &&
+	    memcmp(value, m->config_text, len) == 0;
+}
+
 bool
 member_apply_config(
     struct member *m, const void *value, size_t len, const char *from)
 {
-	struct config *new = m->ports.config_decode(value, len);
+	struct config *new;
 
+	if (is_in_force(m, value, len))
+		return true;
+	new = m->ports.config_decode(value, len);
 	if (new == NULL) {
 		m->configs_unreadable++;
 		return false;
@@ -84,57 +89,3 @@
 	m->config_unreadable =
 	    !member_apply_config(m, row->value, row->len, "store");
 }
-
-/** A request to a peer for its configuration. */
-struct config_request {
-	struct member *member;
-	int64_t sent_ms;
-};
-
-static void
-on_config(int err, const Cc__Frame *f, void *arg)
-{
-	struct config_request *r = arg;
-	struct member *m = r->member;
-
-	if (err == CC_OK && f->body_case == CC__FRAME__BODY_CONF &&
-	    f->conf->version != 0) {
-		member_apply_config(
-		    m, f->conf->text, strlen(f->conf->text), "peer");
-		if (f->conf->has_age)
-			config_freshness_confirm_peer(&m->freshness,
-			    f->conf->version, r->sent_ms, f->conf->age_ms);
-	}
-	free(r);
-}
-
-void
-member_request_config(struct member *m)
-{
-	uint64_t have = m->config != NULL ? m->config->version : 0;
-	int64_t now = clock_boot_ms();
-	const struct cell_host *best = NULL;
-	struct config_request *r;
-	Cc__Frame f = CC__FRAME__INIT;
-	Cc__ConfGet get = CC__CONF_GET__INIT;
-	int i;
-
-	if (now - m->config_requested_ms < REQUEST_INTERVAL_MS)
-		return;
-	for (i = 0; i < m->nhosts; i++)
-		if (m->hosts[i].config_version > have &&
-		    member_linked(m, m->hosts[i].host) &&
-		    (best == NULL ||
-			m->hosts[i].config_version > best->config_version))
-			best = &m->hosts[i];
-	if (best == NULL)
-		return;
-	m->config_requested_ms = now;
-	get.have = have;
-	f.body_case = CC__FRAME__BODY_CONF_GET;
-	f.conf_get = &get;
-	r = xcalloc(1, sizeof(*r));
-	r->member = m;
-	r->sent_ms = now;
-	peer_call(m->peers, best->host, &f, REQUEST_TIMEOUT_MS, on_config, r);
-}
--- a/src/member/follow.c
+++ b/src/member/follow.c
@@ -32,9 +32,11 @@
 	int64_t list_sent_ms;  /**< time of the first call of this listing */
 	int64_t answered_ms;   /**< time of the last answer */
 	int64_t failing_since_ms; /**< start of a failure; 0: none */
-	bool reading;		  /**< the table is being listed, not watched */
-	bool ready;		  /**< it was listed completely at least once */
-	bool deleted;		  /**< freed when the pending call ends */
+	int64_t call_sent_ms;	  /**< time of the pending call */
+	uint64_t failures; /**< calls that failed since the last answer */
+	bool reading;	   /**< the table is being listed, not watched */
+	bool ready;	   /**< it was listed completely at least once */
+	bool deleted;	   /**< freed when the pending call ends */
 	struct reported *reported;
 	struct event *next; /**< timer of the next call */
 	follow_fn fn;
@@ -92,27 +94,45 @@
 	evtimer_add(f->next, &tv);
 }
 
+/* Logs the first failure and then each whose number is a power of two. */
 static void
-retry_later(struct follow *f, int err)
+log_failure(const struct follow *f, const struct store_result *r)
 {
-	if (f->failing_since_ms == 0) {
+	if ((f->failures & (f->failures - 1)) != 0)
+		return;
+	kvlog(KVLOG_WARN, "follow_lost",
+	    "table=%s call=%s why=%s version=%llu failures=%llu received=%llu "
+	    "took_ms=%lld failing_ms=%lld",
+	    f->options.table, f->reading ? "list" : "watch",
+	    cc_strerror(r->err), (unsigned long long)f->version,
+	    (unsigned long long)f->failures, (unsigned long long)r->received,
+	    (long long)(clock_boot_ms() - f->call_sent_ms),
+	    (long long)(clock_boot_ms() - f->failing_since_ms));
+}
+
+static void
+retry_later(struct follow *f, const struct store_result *r)
+{
+	if (f->failing_since_ms == 0)
 		f->failing_since_ms = clock_boot_ms();
-		kvlog(KVLOG_WARN, "follow_lost", "table=%s why=%s version=%llu",
-		    f->options.table, cc_strerror(err),
-		    (unsigned long long)f->version);
-	}
+	f->failures++;
+	log_failure(f, r);
 	schedule_call(f, RETRY_MS);
 }
 
 static void
-note_answer(struct follow *f)
+note_answer(struct follow *f, const struct store_result *r)
 {
 	f->answered_ms = clock_boot_ms();
 	if (f->failing_since_ms != 0)
-		kvlog(KVLOG_INFO, "follow_back", "table=%s after_ms=%lld",
+		kvlog(KVLOG_INFO, "follow_back",
+		    "table=%s after_ms=%lld failures=%llu received=%llu",
 		    f->options.table,
-		    (long long)(f->answered_ms - f->failing_since_ms));
+		    (long long)(f->answered_ms - f->failing_since_ms),
+		    (unsigned long long)f->failures,
+		    (unsigned long long)r->received);
 	f->failing_since_ms = 0;
+	f->failures = 0;
 }
 
 static void
@@ -168,10 +188,10 @@
 		return;
 	}
 	if (r->err != CC_OK) {
-		retry_later(f, r->err);
+		retry_later(f, r);
 		return;
 	}
-	note_answer(f);
+	note_answer(f, r);
 	for (i = 0; i < r->nrows && !f->deleted; i++)
 		report(f, &r->rows[i]);
 	if (f->deleted) {
@@ -192,13 +212,14 @@
 static void
 follow_next(struct follow *f)
 {
+	f->call_sent_ms = clock_boot_ms();
 	if (f->reading) {
 		f->store->ops->list(f->store, f->options.table,
 		    f->options.parts[f->part], f->page.from, PAGE_ROWS, on_rows,
 		    f);
 		return;
 	}
-	f->watch_sent_ms = clock_boot_ms();
+	f->watch_sent_ms = f->call_sent_ms;
 	f->store->ops->watch(f->store, f->options.table, f->version,
 	    f->failing_since_ms != 0 ? 0 : f->options.wait_ms, on_rows, f);
 }
@@ -244,6 +265,20 @@
 	return f->ready;
 }
 
+bool
+follow_receiving(const struct follow *f)
+{
+	const struct store_ops *ops = f->store->ops;
+
+	return ops->receiving != NULL && ops->receiving(f->store, f);
+}
+
+uint64_t
+follow_failures(const struct follow *f)
+{
+	return f->failures;
+}
+
 int64_t
 follow_age_ms(const struct follow *f)
 {
--- a/src/member/follow.h
+++ b/src/member/follow.h
@@ -46,6 +46,10 @@
 void follow_delete(struct follow *f);
 /** Whether all parts have been listed at least once. */
 bool follow_ready(const struct follow *f);
+/** Whether an answer of the store has begun to arrive. */
+bool follow_receiving(const struct follow *f);
+/** Calls that have failed since the store last answered. */
+uint64_t follow_failures(const struct follow *f);
 /** Milliseconds since the store last answered. */
 int64_t follow_age_ms(const struct follow *f);
 
--- a/src/member/member.c
+++ b/src/member/member.c
@@ -74,7 +74,7 @@
 	member_write_row(m);
 	member_lead_tick(m);
 	member_beat(m);
-	member_request_config(m);
+	config_fetch_tick(m);
 	member_registry_tick(m);
 	member_calls_tick(m);
 	if (member_leads(m)) {
@@ -195,6 +195,7 @@
 	init_cell(m);
 	m->member_row_tried_ms = 1;
 	m->started_ms = clock_boot_ms();
+	config_fetch_init(&m->config_fetch);
 	config_freshness_init(
 	    &m->freshness, s->revoke_strict ? s->revoke_ms : 0);
 	config_parts[0] = p->config_part;
@@ -220,6 +221,7 @@
 	relay_serve_delete(m->served);
 	peer_net_delete(m->peers);
 	relay_port_delete(m->relays);
+	config_fetch_done(&m->config_fetch);
 	config_delete(m->config);
 	free(m->config_text);
 	free(m);
--- a/src/member/member_internal.h
+++ b/src/member/member_internal.h
@@ -9,6 +9,7 @@
 #include "../relay/relay_port.h"
 #include "../relay/relay_serve.h"
 #include "access.h"
+#include "config_fetch.h"
 #include "follow.h"
 #include "member.h"
 
@@ -95,7 +96,7 @@
 	char *config_text;
 	size_t config_len;
 	struct config *config; /**< this host's copy; the cell has another */
-	int64_t config_requested_ms;
+	struct config_fetch config_fetch;
 	uint64_t config_read_version; /**< highest version that was read */
 	uint64_t configs_unreadable;  /**< rows that couldn't be read */
 	/** The newest row in the store can't be read. */
@@ -189,8 +190,6 @@
  * @return false when it can't be read */
 bool member_apply_config(
     struct member *m, const void *value, size_t len, const char *from);
-/** Requests the configuration from a peer that announced a newer version. */
-void member_request_config(struct member *m);
 
 /* registry.c */
 /** Keeps the cell's runners up to date while this host leads. */
--- a/src/member/members.c
+++ b/src/member/members.c
@@ -372,23 +372,6 @@
 	peer_reply(m->peers, rq, &f);
 }
 
-static void
-reply_config(struct member *m, const struct peer_request *rq)
-{
-	Cc__Frame f = CC__FRAME__INIT;
-	Cc__Conf c = CC__CONF__INIT;
-	int64_t age = config_freshness_age_ms(&m->freshness, clock_boot_ms());
-
-	c.version = m->config != NULL ? m->config->version : 0;
-	if (m->config_text != NULL)
-		c.text = m->config_text;
-	c.has_age = m->config != NULL && age >= 0;
-	c.age_ms = c.has_age ? age : 0;
-	f.body_case = CC__FRAME__BODY_CONF;
-	f.conf = &c;
-	peer_reply(m->peers, rq, &f);
-}
-
 void
 member_frame(const struct peer_request *rq, const Cc__Frame *f, void *arg)
 {
@@ -413,7 +396,7 @@
 		relay_port_answers(m->relays, rq->host, f->relay_answers);
 		break;
 	case CC__FRAME__BODY_CONF_GET:
-		reply_config(m, rq);
+		config_fetch_reply(m, rq, f->conf_get);
 		break;
 	default:
 		reply_ack(m, rq);
--- a/src/ports/ports.h
+++ b/src/ports/ports.h
@@ -55,6 +55,8 @@
 	const struct row *rows;
 	int nrows;
 	bool has_more;
+	/** Bytes of the answer that arrived, also of one that isn't whole. */
+	uint64_t received;
 	/** Key of the last row of a listing, also when that row couldn't be
 	 * read and isn't among @c rows; NULL: there was none. */
 	const char *last_key;
@@ -73,6 +75,9 @@
 	 * waits up to @p wait_ms for the first change. */
 	void (*watch)(struct store *s, const char *table, uint64_t after,
 	    int64_t wait_ms, store_fn fn, void *arg);
+	/** Whether the answer of the pending call with this @p arg has begun
+	 * to arrive; NULL: not known of any call. */
+	bool (*receiving)(const struct store *s, const void *arg);
 };
 struct store {
 	const struct store_ops *ops;
--- a/src/protocol/peer.pb-c.c
+++ b/src/protocol/peer.pb-c.c
@@ -4102,7 +4102,7 @@
   (ProtobufCMessageInit) cc__beat__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cc__conf__field_descriptors[6] =
+static const ProtobufCFieldDescriptor cc__conf__field_descriptors[9] =
 {
   {
     "version",
@@ -4176,11 +4176,50 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "total",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Cc__Conf, total),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "offset",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Cc__Conf, offset),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "part",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Cc__Conf, part),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cc__conf__field_indices_by_name[] = {
   5,   /* field[5] = age_ms */
   4,   /* field[4] = has_age */
+  7,   /* field[7] = offset */
+  8,   /* field[8] = part */
   1,   /* field[1] = text */
+  6,   /* field[6] = total */
   0,   /* field[0] = version */
   2,   /* field[2] = wall_ms */
   3,   /* field[3] = who */
@@ -4188,7 +4227,7 @@
 static const ProtobufCIntRange cc__conf__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 9 }
 };
 const ProtobufCMessageDescriptor cc__conf__descriptor =
 {
@@ -4198,14 +4237,14 @@
   "Cc__Conf",
   "cc",
   sizeof(Cc__Conf),
-  6,
+  9,
   cc__conf__field_descriptors,
   cc__conf__field_indices_by_name,
   1,  cc__conf__number_ranges,
   (ProtobufCMessageInit) cc__conf__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cc__conf_get__field_descriptors[1] =
+static const ProtobufCFieldDescriptor cc__conf_get__field_descriptors[4] =
 {
   {
     "have",
@@ -4219,14 +4258,53 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "part_bytes",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cc__ConfGet, part_bytes),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "version",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Cc__ConfGet, version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "offset",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Cc__ConfGet, offset),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cc__conf_get__field_indices_by_name[] = {
   0,   /* field[0] = have */
+  3,   /* field[3] = offset */
+  1,   /* field[1] = part_bytes */
+  2,   /* field[2] = version */
 };
 static const ProtobufCIntRange cc__conf_get__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 1 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor cc__conf_get__descriptor =
 {
@@ -4236,7 +4314,7 @@
   "Cc__ConfGet",
   "cc",
   sizeof(Cc__ConfGet),
-  1,
+  4,
   cc__conf_get__field_descriptors,
   cc__conf_get__field_indices_by_name,
   1,  cc__conf_get__number_ranges,
--- a/src/protocol/peer.pb-c.h
+++ b/src/protocol/peer.pb-c.h
@@ -373,20 +373,38 @@
    */
   protobuf_c_boolean has_age;
   int64_t age_ms;
+  /*
+   * Instead of text, where the ConfGet has part_bytes: a part of it.
+   */
+  /*
+   * bytes of the whole text
+   */
+  uint64_t total;
+  uint64_t offset;
+  ProtobufCBinaryData part;
 };
 #define CC__CONF__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cc__conf__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0, 0 }
+    , 0, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0, {0,NULL} }
 
 
 struct  Cc__ConfGet
 {
   ProtobufCMessage base;
   uint64_t have;
+  /*
+   * Longest part of the text to reply with; 0, as earlier versions send: all.
+   */
+  uint32_t part_bytes;
+  /*
+   * the offset is into the text of this version
+   */
+  uint64_t version;
+  uint64_t offset;
 };
 #define CC__CONF_GET__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cc__conf_get__descriptor) \
-    , 0 }
+    , 0, 0, 0, 0 }
 
 
 /*
--- a/src/transport/http_call.c
+++ b/src/transport/http_call.c
@@ -44,8 +44,14 @@
 	char endpoint[ENDPOINT_LEN];
 	int64_t last_answer_ms;
 	int64_t incarnation; /**< of the process that it leads to; 0: unknown */
-	uint64_t sent;	     /**< bytes of the present call */
-	bool closed;	     /**< closed by the other end, or to be closed */
+	struct http_call *call; /**< the present call; NULL: none */
+	/** Bytes of the present call. */
+	uint64_t sent;
+	uint64_t received;
+	/** Value of received when its stall time last began; 0: no answer yet.
+	 */
+	uint64_t progress_from;
+	bool closed; /**< closed by the other end, or to be closed */
 };
 
 struct http_call {
@@ -59,6 +65,7 @@
 	void *arg;
 	int error;
 	int64_t late_ms; /**< wait for a late answer after the time-out */
+	int64_t stall_ms;
 };
 
 struct http_pool {
@@ -87,6 +94,28 @@
 	c->pool->sent += info->n_deleted;
 }
 
+static struct timeval
+ms_to_timeval(int64_t ms)
+{
+	return (struct timeval){ms / 1000, (ms % 1000) * 1000};
+}
+
+/* Grants the answer a further stall time if enough of it has arrived. */
+static void
+note_progress(struct conn *c)
+{
+	struct timeval tv;
+
+	if (c->call == NULL || c->call->stall_ms == 0 || c->call->req == NULL)
+		return;
+	if (c->progress_from != 0 &&
+	    c->received - c->progress_from < HTTP_PROGRESS_BYTES)
+		return;
+	c->progress_from = c->received;
+	tv = ms_to_timeval(c->call->stall_ms);
+	evtimer_add(c->call->timer, &tv);
+}
+
 static void
 count_in(struct evbuffer *b, const struct evbuffer_cb_info *info, void *arg)
 {
@@ -94,6 +123,10 @@
 
 	(void)b;
 	c->pool->received += info->n_added;
+	if (info->n_added == 0)
+		return;
+	c->received += info->n_added;
+	note_progress(c);
 }
 
 static void
@@ -342,7 +375,8 @@
 on_fail(evutil_socket_t fd, short what, void *arg)
 {
 	struct http_call *c = arg;
-	struct http_answer a = {.err = c->error};
+	struct http_answer a = {
+	    .err = c->error, .received = http_call_received(c)};
 	http_fn fn = c->fn;
 	void *fn_arg = c->arg;
 
@@ -358,12 +392,6 @@
 	fn(&a, fn_arg);
 }
 
-static struct timeval
-ms_to_timeval(int64_t ms)
-{
-	return (struct timeval){ms / 1000, (ms % 1000) * 1000};
-}
-
 /* Reports the time-out and waits on for a late answer. */
 static void
 wait_for_late_answer(struct http_call *c)
@@ -402,7 +430,8 @@
 on_answer(struct evhttp_request *req, void *arg)
 {
 	struct http_call *c = arg;
-	struct http_answer a = {.err = CC_OK};
+	struct http_answer a = {
+	    .err = CC_OK, .received = http_call_received(c)};
 	struct evbuffer *in;
 	struct conn *conn = c->conn;
 	http_fn fn = c->fn;
@@ -420,6 +449,7 @@
 	a.len = evbuffer_get_length(in);
 	a.body = a.len > 0 ? evbuffer_pullup(in, -1) : (const uint8_t *)"";
 	conn->closed = !keeps_alive(req);
+	conn->call = NULL;
 	conn->pool->answering = conn;
 	conn_put_idle(c->pool, conn);
 	call_free(c);
@@ -474,6 +504,7 @@
 	c->fn = r->fn;
 	c->arg = r->arg;
 	c->late_ms = r->late_ms;
+	c->stall_ms = r->stall_ms;
 	c->timer = evtimer_new(p->base, on_timeout, c);
 	c->fail = evtimer_new(p->base, on_fail, c);
 	TAILQ_INSERT_TAIL(&p->calls, c, link);
@@ -486,7 +517,10 @@
 	}
 	if (c->conn == NULL)
 		c->conn = conn_new(p, r->addr, r->port);
+	c->conn->call = c;
 	c->conn->sent = 0;
+	c->conn->received = 0;
+	c->conn->progress_from = 0;
 	c->req = evhttp_request_new(on_answer, c);
 	add_headers(r, c->req);
 	if (r->len > 0)
@@ -502,6 +536,12 @@
 	return c;
 }
 
+uint64_t
+http_call_received(const struct http_call *c)
+{
+	return c->conn != NULL ? c->conn->received : 0;
+}
+
 void
 http_cancel(struct http_call *c)
 {
--- a/src/transport/http_call.h
+++ b/src/transport/http_call.h
@@ -18,6 +18,9 @@
 struct http_pool;
 struct http_call;
 
+/** Bytes that an answer brings in each stall_ms at least. */
+#define HTTP_PROGRESS_BYTES 4096
+
 struct http_answer {
 	/**
 	 * CC_OK when the whole answer arrived, whatever its status;
@@ -30,6 +33,9 @@
 	size_t len;
 	struct evkeyvalq *headers; /**< NULL without an answer */
 	bool more; /**< it timed out, and a late answer may follow */
+	/** Bytes that arrived, headers included, also of an answer that
+	 * isn't whole. */
+	uint64_t received;
 };
 
 typedef void (*http_fn)(const struct http_answer *a, void *arg);
@@ -51,6 +57,13 @@
 	const char *content_type;
 	struct http_header headers[6]; /**< up to the first without a name */
 	int64_t timeout_ms;
+	/**
+	 * For an answer whose size the other end decides. Once it begins to
+	 * arrive, the call ends when fewer than HTTP_PROGRESS_BYTES arrive in
+	 * this time, however long the whole answer takes; until then
+	 * timeout_ms holds. 0: timeout_ms is the bound of the whole answer.
+	 */
+	int64_t stall_ms;
 	/**
 	 * Time after the time-out for which an answer is still waited for; 0:
 	 * the time-out ends the call.
@@ -87,6 +100,8 @@
  * from within the fn of a call that was answered.
  */
 void http_pool_note_incarnation(struct http_pool *p, int64_t incarnation);
+/** Bytes of the answer that have arrived, headers included. */
+uint64_t http_call_received(const struct http_call *c);
 /** Cancels a call; its fn is not called. */
 void http_cancel(struct http_call *c);
 /** Bytes sent and received over all calls, headers included. */
--- a/src/transport/peer_net.c
+++ b/src/transport/peer_net.c
@@ -230,7 +230,6 @@
 {
 	struct peer_request rq;
 
-	l->last_recv_ms = clock_boot_ms();
 	if (l->state == LINK_HELLO)
 		return handle_hello(l, f);
 	if (l->state == LINK_AUTH)
@@ -266,6 +265,8 @@
 	Cc__Frame *f;
 	bool ok;
 
+	/* A frame that takes long to arrive is no silence. */
+	l->last_recv_ms = clock_boot_ms();
 	while (evbuffer_get_length(in) >= FRAME_HEADER_LEN) {
 		evbuffer_copyout(in, &len, FRAME_HEADER_LEN);
 		len = ntohl(len);
--- a/tests/cellstandin/link_sim.c
+++ b/tests/cellstandin/link_sim.c
@@ -33,6 +33,7 @@
 	int from_zone;
 	int to_host; /**< counts from 1 */
 	bool cut;
+	struct bufferevent_rate_limit_group *rate; /**< NULL: no limit */
 	TAILQ_HEAD(pair_list, pair) pairs;
 };
 
@@ -140,6 +141,9 @@
 	for (i = 0; i < 2; i++) {
 		bufferevent_setcb(p->ends[i], on_read, NULL, on_event, p);
 		bufferevent_enable(p->ends[i], EV_READ | EV_WRITE);
+		if (x->rate != NULL)
+			bufferevent_add_to_rate_limit_group(
+			    p->ends[i], x->rate);
 	}
 	setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
 	if (bufferevent_socket_connect(
@@ -198,6 +202,27 @@
 	}
 }
 
+static void
+limit_path(struct path *x, int bytes_per_s)
+{
+	struct pair *p;
+
+	x->rate = rate_limit_set(x->sim->base, x->rate, bytes_per_s);
+	TAILQ_FOREACH (p, &x->pairs, link) {
+		bufferevent_add_to_rate_limit_group(p->ends[0], x->rate);
+		bufferevent_add_to_rate_limit_group(p->ends[1], x->rate);
+	}
+}
+
+void
+link_sim_rate(struct link_sim *l, int bytes_per_s)
+{
+	int i;
+
+	for (i = 0; i < l->npaths; i++)
+		limit_path(&l->paths[i], bytes_per_s);
+}
+
 static void
 heal_path(struct path *x)
 {
--- a/tests/cellstandin/main.c
+++ b/tests/cellstandin/main.c
@@ -13,6 +13,9 @@
  * at once and drops the answers; held=0 (default) drops them. cut=none ends all
  * cuts. clock=PERCENT sets the clock rate of runner=N, or of all.
  *
+ * Rates: rate=BYTES&view=N limits the store's answers to the callers of a view,
+ * rate=BYTES without a view each path between hosts, to that many a second.
+ *
  * Faults of runners: runner=N is one of them, runner=K/M each whose number
  * leaves K when divided by M. mode=silent&view=all cuts them off from all
  * hosts, mode=ok&view=all ends it. registry=cut cuts them off from the store,
@@ -256,6 +259,17 @@
 	zones_cut(s->store, s->runners, s->nrunners, s->links, &cut);
 }
 
+static void
+set_rate(struct standin *s, struct evkeyvalq *q)
+{
+	const char *rate = query_get(q, "rate"), *view = query_get(q, "view");
+
+	if (rate != NULL && view != NULL)
+		store_sim_view_rate(s->store, atoi(view) % VIEWS, atoi(rate));
+	else if (rate != NULL && s->links != NULL)
+		link_sim_rate(s->links, atoi(rate));
+}
+
 static void
 on_fault(struct evhttp_request *req, void *arg)
 {
@@ -280,6 +294,7 @@
 	set_runner_fault(s, &q);
 	set_clock_rate(s, &q);
 	set_zone_cut(s, &q);
+	set_rate(s, &q);
 	evhttp_clear_headers(&q);
 	reply_json(req, 200, json_object());
 }
--- a/tests/cellstandin/standin.h
+++ b/tests/cellstandin/standin.h
@@ -8,6 +8,7 @@
 #ifndef CELL_STANDIN_H
 #define CELL_STANDIN_H
 
+#include <event2/bufferevent.h>
 #include <event2/event.h>
 #include <event2/http.h>
 #include <jansson.h>
@@ -66,6 +67,10 @@
 /** Ends a request without an answer by closing its connection. */
 void reply_reset(struct evhttp_request *req);
 int64_t now_ms(void);
+/** Sets the bytes a second that the connections of @p g write together.
+ * @param g NULL: creates the group; @return the group */
+struct bufferevent_rate_limit_group *rate_limit_set(struct event_base *base,
+    struct bufferevent_rate_limit_group *g, int bytes_per_s);
 enum fault_mode fault_mode_of(const char *name);
 
 struct store_sim *store_sim_new(struct event_base *base, uint16_t port);
@@ -85,6 +90,8 @@
 void store_sim_fault(struct store_sim *s, enum fault_mode mode);
 /** As store_sim_fault, for the callers of one view. */
 void store_sim_view_fault(struct store_sim *s, int view, enum fault_mode mode);
+/** Limits the bytes a second of all answers to the callers of one view. */
+void store_sim_view_rate(struct store_sim *s, int view, int bytes_per_s);
 /** Drops the history of changes, so that watchers must read all rows again. */
 void store_sim_compact(struct store_sim *s);
 /** Writes a row without conditions, as the operator or a runner does. */
--- a/tests/cellstandin/store_sim.c
+++ b/tests/cellstandin/store_sim.c
@@ -1,5 +1,6 @@
 /* Simulated store: versioned rows, conditional transactions and watches. */
 #include <event2/buffer.h>
+#include <event2/bufferevent.h>
 #include <event2/keyvalq_struct.h>
 #include <openssl/evp.h>
 #include <stdio.h>
@@ -13,6 +14,7 @@
 #define ANSWER_MS 4
 #define SLOW_MS 250
 #define LATE_MS 60
+#define RATE_TICK_MS 20
 #define LOST_EVERY 4 /* with FAULT_LOST, one in this many writes */
 
 struct cell_row {
@@ -40,6 +42,7 @@
 	struct evhttp *http;
 	enum fault_mode mode;
 	struct held_list held;
+	struct bufferevent_rate_limit_group *link; /**< NULL: no limit */
 };
 
 struct store_sim {
@@ -121,11 +124,40 @@
 	    s, req, status, body, s->mode == FAULT_SLOW ? SLOW_MS : ANSWER_MS);
 }
 
+struct bufferevent_rate_limit_group *
+rate_limit_set(struct event_base *base, struct bufferevent_rate_limit_group *g,
+    int bytes_per_s)
+{
+	size_t each = (size_t)bytes_per_s * RATE_TICK_MS / 1000;
+	struct timeval tick = {0, RATE_TICK_MS * 1000};
+	struct ev_token_bucket_cfg *c = ev_token_bucket_cfg_new(
+	    EV_RATE_LIMIT_MAX, EV_RATE_LIMIT_MAX, each, each, &tick);
+
+	if (g == NULL)
+		g = bufferevent_rate_limit_group_new(base, c);
+	else
+		bufferevent_rate_limit_group_set_cfg(g, c);
+	ev_token_bucket_cfg_free(c);
+	return g;
+}
+
+/* All answers to the callers of a view share its link. */
+static void
+use_link(const struct store_view *v, struct evhttp_request *req)
+{
+	if (v->link != NULL)
+		bufferevent_add_to_rate_limit_group(
+		    evhttp_connection_get_bufferevent(
+			evhttp_request_get_connection(req)),
+		    v->link);
+}
+
 /* Applies the active fault; @return whether the call must not be served, or not
  * now, and then by @p fn. */
 static bool
 apply_fault(struct store_view *v, struct evhttp_request *req, held_fn fn)
 {
+	use_link(v, req);
 	switch (v->mode != FAULT_NONE ? v->mode : v->sim->mode) {
 	case FAULT_BUSY:
 		reply_json(req, 503, json_object());
@@ -550,6 +582,14 @@
 		s->zones.serve_held(&v->held);
 }
 
+void
+store_sim_view_rate(struct store_sim *s, int view, int bytes_per_s)
+{
+	struct store_view *v = &s->views[view];
+
+	v->link = rate_limit_set(s->base, v->link, bytes_per_s);
+}
+
 void
 store_sim_set_zones(struct store_sim *s, const struct store_zones *z)
 {
--- a/tests/cellstandin/zones.h
+++ b/tests/cellstandin/zones.h
@@ -54,6 +54,8 @@
  * whether what was sent meanwhile arrives after the cut */
 void link_sim_cut(struct link_sim *l, int zone, bool hold);
 void link_sim_heal(struct link_sim *l);
+/** Limits the bytes a second of each path, both ways together. */
+void link_sim_rate(struct link_sim *l, int bytes_per_s);
 /** In a row that is read through the view: puts the addresses at which the
  * view's hosts reach others in place of the hosts' own. The length stays. */
 void link_sim_map_row(int nhosts, int view, char *plain, size_t len);
--- a/tests/unit/main.c
+++ b/tests/unit/main.c
@@ -474,6 +474,18 @@
 	test_near_later_step_not_doubled},
     {"near room", "a remote factor of 0 leaves errors of estimates finite",
 	test_near_remote_factor_zero},
+    {"large answers", "an answer that makes progress outlasts the time-out",
+	test_http_large_answer_outlasts_timeout},
+    {"large answers", "without a stall time the time-out bounds all of it",
+	test_http_timeout_bounds_whole_answer},
+    {"large answers", "silence within an answer ends the call",
+	test_http_silence_within_answer},
+    {"large answers", "a byte now and then is no progress",
+	test_http_trickle_is_silence},
+    {"large answers", "parts of a newer version replace those of an older one",
+	test_config_parts_newer_version},
+    {"large answers", "a part that isn't the next one is refused",
+	test_config_parts_out_of_order},
 };
 
 int
