Leaders in a row wait once for a runner that is gone

Cause: a leader starts no inherited work until it has heard every runner that the store records as open, or until 7.1 s after its claim, when the leases of leaders before are over. A runner that was gone before the former leader could close its row is never heard, and nothing said that this leader hadn't granted it a lease either, so the next one waited its own 7.1 s. The same for the runs on a runner that was closed: they were given up 7.1 s after each claim only.

Ruled out: the registry (the lost runners are silent, not unlisted, when the leader changes).

Change: a leader stores in the row of a runner that it can't reach that it hasn't heard it, and when, on the store's clock, leases of leaders before are over; it grants that runner nothing before a row without this is stored. The next leader counts from that time. It relies only on a row of the leader just before it, so that no leader in between, such as one of an earlier version, can have granted anything.

Tests: three unit tests, red without the change; undone alone, the row, its use for closed runners, its use for lapses, the ban on leases, the ban on starts and the check of the generation each fail one.

--- a/src/cell/cell.h
+++ b/src/cell/cell.h
@@ -220,6 +220,8 @@
 	/** All leases that leaders before granted are over by then, so that
 	 * inherited work may start whether or not all runners are adopted. */
 	int64_t adopt_until_ms;
+	/** The same time on the store's clock; 0: that isn't known. */
+	int64_t adopt_until_store_ms;
 	bool adopting;	     /**< inherited work must not start: it may run
 			      * on a runner that isn't adopted yet */
 	int64_t adopted_ms;  /**< when adopting ended in this leadership */
@@ -276,6 +278,8 @@
 	/** Version of the row of the first part's first chain. */
 	uint64_t commit_version;
 	int64_t sent_ms; /**< when it, or a read that shows it, was sent */
+	/** The store's clock in the answer to that; 0: not given. */
+	int64_t store_clock_ms;
 };
 /** Begins to lead: reads jobs and runners from the store, then serves. */
 void cell_lead(struct cell *c, const struct cell_claim *claim);
--- a/src/cell/crashes.c
+++ b/src/cell/crashes.c
@@ -55,9 +55,7 @@
 	    name, crash->run, r->info.id, crash_sign_name(sign), t->crashes.n,
 	    crash->proven, crash->alone, (long long)crash->age_ms,
 	    r->closed_connection, runner_heard_ms_ago(r, now),
-	    r->silent_since_ms != 0 ? (long long)(now - r->silent_since_ms)
-				    : 0LL,
-	    r->listed,
+	    runner_silent_ms(r, now), r->listed,
 	    r->unlisted_since_ms != 0 ? (long long)(now - r->unlisted_since_ms)
 				      : 0LL,
 	    (long long)r->info.born_ms, (long long)r->listed_born_ms,
--- a/src/cell/holds.c
+++ b/src/cell/holds.c
@@ -362,7 +362,8 @@
 		return;
 	/* An unanswered hold may still extend the leases at the runner, so no
 	 * other does until the runner has answered one. */
-	if (r->clock_at_ms != 0 && r->adopted && !r->renewal_unanswered) {
+	if (r->clock_at_ms != 0 && r->adopted && !r->stored_unheard &&
+	    !r->renewal_unanswered) {
 		o.until_ms = lead_lease_end(c, r, c->terms.lease_ms);
 		if (o.until_ms > r->lease_ms)
 			r->lease_ms = o.until_ms;
@@ -411,8 +412,9 @@
  * Whether all leases at the runner had certainly expired when this leadership
  * was last renewed: by the runner's clock where that is known. Else by the
  * longest lease after the last order, or, when the runner never answered this
- * leader, by adopt_until_ms. Since that renewal another leader may have claimed
- * and renewed leases at a runner that this one doesn't reach.
+ * leader, by the time when leases of leaders before are over. Since that
+ * renewal another leader may have claimed and renewed leases at a runner that
+ * this one doesn't reach.
  */
 static bool
 leases_lapsed(const struct cell *c, const struct runner *r)
@@ -421,7 +423,7 @@
 		return c->renewed_ms >= r->clock_at_ms &&
 		    runner_lapsed(r, c->renewed_ms);
 	if (r->last_hold_answer_ms == 0)
-		return lead_lease_inherited_over(c);
+		return lead_lease_inherited_over_at(c, r);
 	return c->renewed_ms - r->order_sent_ms >
 	    c->terms.max_hold_ms * 100 / CLOCK_RATE_MIN_PCT +
 	    ORDER_DELIVERY_MAX_MS;
@@ -445,7 +447,7 @@
 	    "renewed_ms_ago=%lld clock_ms=%lld lease_ms=%lld order_ms_ago=%lld "
 	    "born_ms=%lld fence=%llu order_fence=%llu",
 	    r->info.id, r->nruns, end_cause_name(lapse_cause(r)),
-	    (long long)(now - r->silent_since_ms), runner_heard_ms_ago(r, now),
+	    runner_silent_ms(r, now), runner_heard_ms_ago(r, now),
 	    (long long)(now - c->renewed_ms),
 	    r->clock_at_ms != 0 ? (long long)runner_clock(r, now) : 0LL,
 	    (long long)r->lease_ms, (long long)(now - r->order_sent_ms),
@@ -453,12 +455,21 @@
 	    (unsigned long long)r->fence);
 }
 
+/* Whether the runner is silent, or was under the leader before and hasn't
+ * answered this one. */
+static bool
+is_silent(const struct runner *r)
+{
+	return r->silent_since_ms != 0 ||
+	    (r->stored_unheard && r->last_hold_answer_ms == 0);
+}
+
 /* Ends the runs of a silent runner once its leases have expired, so that their
  * tasks can start elsewhere. */
 static void
 check_lapse(struct cell *c, struct runner *r, int64_t now)
 {
-	if (r->silent_since_ms == 0 || r->nruns == 0)
+	if (!is_silent(r) || r->nruns == 0)
 		return;
 	if (!leases_lapsed(c, r))
 		return;
@@ -545,23 +556,27 @@
 }
 
 /* Inherited work may start once the registry was read and the runs of every
- * runner are known: from its lists, or from the store if that records it as
- * closed. At the latest it may when all leases granted under earlier leaders
- * have expired. */
+ * runner are known, from its lists, or from the store if that records it as
+ * closed, or have ended with the leases that earlier leaders granted there. At
+ * the latest it may when all such leases are over. */
 void
 cell_check_adopted(struct cell *c)
 {
 	const struct runner *r;
-	int unknown = 0, unawaited;
+	int unknown = 0, awaited = 0, unawaited;
 
 	if (!c->adopting || c->phase != CELL_SERVING)
 		return;
-	for (r = c->runners; r != NULL; r = r->hh.next)
-		unknown += !r->adopted && !r->stored_closed && !r->gone;
-	if (c->registry_synced_ms == 0)
+	for (r = c->runners; r != NULL; r = r->hh.next) {
+		if (r->adopted || r->stored_closed || r->gone)
+			continue;
 		unknown++;
-	unknown += c->unreadable_rows != 0;
-	if (unknown > 0 && !lead_lease_inherited_over(c))
+		awaited += !lead_lease_inherited_over_at(c, r);
+	}
+	unknown += (c->registry_synced_ms == 0) + (c->unreadable_rows != 0);
+	if (c->registry_synced_ms == 0 || c->unreadable_rows != 0)
+		awaited += !lead_lease_inherited_over(c);
+	if (awaited > 0)
 		return;
 	c->adopting = false;
 	c->adopted_ms = c->ports.now();
--- a/src/cell/lead_lease.c
+++ b/src/cell/lead_lease.c
@@ -17,10 +17,14 @@
 void
 lead_lease_begin(struct cell *c, const struct cell_claim *claim)
 {
+	int64_t wait =
+	    c->terms.lead_lease_ms * 100 / CLOCK_RATE_MIN_PCT + LEASE_MARGIN_MS;
+
 	c->renewed_ms = claim->sent_ms;
 	c->adopting = true;
-	c->adopt_until_ms = c->ports.now() +
-	    c->terms.lead_lease_ms * 100 / CLOCK_RATE_MIN_PCT + LEASE_MARGIN_MS;
+	c->adopt_until_ms = c->ports.now() + wait;
+	c->adopt_until_store_ms =
+	    claim->store_clock_ms != 0 ? claim->store_clock_ms + wait : 0;
 }
 
 bool
@@ -55,6 +59,26 @@
 	return c->renewed_ms >= c->adopt_until_ms;
 }
 
+bool
+lead_lease_inherited_over_at(const struct cell *c, const struct runner *r)
+{
+	int64_t until = c->adopt_until_ms;
+
+	if (r->unheard_until_ms != 0 &&
+	    r->unheard_until_ms < c->adopt_until_store_ms)
+		until -= c->adopt_until_store_ms - r->unheard_until_ms;
+	return c->renewed_ms >= until;
+}
+
+int64_t
+lead_lease_unheard_until(const struct cell *c, const struct runner *r)
+{
+	if (r->unheard_until_ms != 0 &&
+	    r->unheard_until_ms < c->adopt_until_store_ms)
+		return r->unheard_until_ms;
+	return c->adopt_until_store_ms;
+}
+
 void
 lead_lease_log(struct cell *c)
 {
--- a/src/cell/lead_lease.h
+++ b/src/cell/lead_lease.h
@@ -30,6 +30,12 @@
 /** Whether all leases that leaders before granted are over, and no other leader
  * has claimed before that. */
 bool lead_lease_inherited_over(const struct cell *c);
+/** The same for leases at one runner. They end sooner if the leader before this
+ * one has stored that it never heard it. */
+bool lead_lease_inherited_over_at(const struct cell *c, const struct runner *r);
+/** The time that this leader may store for a runner that it hasn't heard;
+ * 0: none. */
+int64_t lead_lease_unheard_until(const struct cell *c, const struct runner *r);
 /** Logs once a second that the leadership isn't renewed, with what this leader
  * still does. */
 void lead_lease_log(struct cell *c);
--- a/src/cell/load_rows.c
+++ b/src/cell/load_rows.c
@@ -197,7 +197,14 @@
 	info.port = (uint16_t)row->port;
 	r = runner_new(&info);
 	r->stored_closed = r->known = row->closed;
-	r->stored_open = !row->closed;
+	/* Only the row of the leader before this one is relied on: one of an
+	 * earlier leader says nothing of the leases of those between. */
+	if (row->unheard_until_ms != 0 &&
+	    row->unheard_generation + 1 == c->generation) {
+		r->stored_unheard = true;
+		r->unheard_until_ms = row->unheard_until_ms;
+	}
+	r->stored_open = !row->closed && !r->stored_unheard;
 	runner_row_loaded(r, row);
 	r->fence = c->fence;
 	r->unlisted_since_ms = r->order_sent_ms = c->ports.now();
--- a/src/cell/run_ends.c
+++ b/src/cell/run_ends.c
@@ -196,10 +196,8 @@
 	    run->name, run->number, run_end_name(how),
 	    end_cause_name(run->cause), r->info.id,
 	    (long long)(now - run->ordered_ms), runner_heard_ms_ago(r, now),
-	    r->silent_since_ms != 0 ? (long long)(now - r->silent_since_ms)
-				    : 0LL,
-	    runner_lease_left_ms(r, now), (long long)(now - c->renewed_ms),
-	    (unsigned long long)c->fence);
+	    runner_silent_ms(r, now), runner_lease_left_ms(r, now),
+	    (long long)(now - c->renewed_ms), (unsigned long long)c->fence);
 	if (run->task != NULL)
 		run->task->last_end = (struct task_end){.run = run->number,
 		    .how = how,
--- a/src/cell/runner_rows.c
+++ b/src/cell/runner_rows.c
@@ -7,6 +7,7 @@
 
 #include "../base/kvlog.h"
 #include "../base/xalloc.h"
+#include "lead_lease.h"
 
 int
 runner_row(const struct runner *r)
@@ -34,6 +35,17 @@
 	    (r->listed || c->registry_synced_ms != 0);
 }
 
+/* The time to be stored for a runner that this leader hasn't heard; 0: it has,
+ * or the runner may yet answer. */
+static int64_t
+unheard_until(const struct cell *c, const struct runner *r)
+{
+	if (r->gone || (r->known && !r->stored_closed) ||
+	    (r->silent_since_ms == 0 && !r->stored_unheard))
+		return 0;
+	return lead_lease_unheard_until(c, r);
+}
+
 /* Whether the job of the run is known to have begun by this run. */
 static bool
 run_has_begun(const struct run *run)
@@ -48,6 +60,13 @@
 	return XXH64(addr, strlen(addr), (uint64_t)port << 1 | closed);
 }
 
+static uint64_t
+digest_unheard(int64_t until_ms, uint32_t generation)
+{
+	return until_ms != 0 ? XXH64(&until_ms, sizeof(until_ms), generation)
+			     : 0;
+}
+
 /* Digests of runs are added up, as their order doesn't matter. */
 static uint64_t
 digest_run(const char *task, uint32_t run, bool begun)
@@ -56,11 +75,12 @@
 }
 
 static uint64_t
-digest_runner(const struct runner *r, bool closed)
+digest_runner(const struct cell *c, const struct runner *r, bool closed)
 {
 	uint64_t d = digest_entry(r->info.addr, r->info.port, closed);
 	const struct run *run;
 
+	d += digest_unheard(unheard_until(c, r), c->generation);
 	if (!closed)
 		return d;
 	TAILQ_FOREACH (run, &r->runs, link)
@@ -73,7 +93,8 @@
 {
 	size_t i;
 
-	r->row_digest = digest_entry(row->addr, row->port, row->closed);
+	r->row_digest = digest_entry(row->addr, row->port, row->closed) +
+	    digest_unheard(row->unheard_until_ms, row->unheard_generation);
 	r->in_row = true;
 	for (i = 0; i < row->n_runs; i++)
 		r->row_digest += digest_run(
@@ -87,12 +108,12 @@
 
 	for (r = c->runners; r != NULL; r = r->hh.next)
 		if (!r->in_row ||
-		    r->row_digest != digest_runner(r, should_close(c, r)))
+		    r->row_digest != digest_runner(c, r, should_close(c, r)))
 			cell_mark_row_stale(c, r);
 }
 
 static Cc__RunnerRow *
-pack_runner(const struct runner *r, bool closed)
+pack_runner(const struct cell *c, const struct runner *r, bool closed)
 {
 	Cc__RunnerRow *row = xcalloc(1, sizeof(*row));
 	const struct run *run;
@@ -102,7 +123,10 @@
 	row->addr = xstrdup(r->info.addr);
 	row->port = r->info.port;
 	row->closed = closed;
-	if (!row->closed)
+	row->unheard_until_ms = unheard_until(c, r);
+	if (row->unheard_until_ms != 0)
+		row->unheard_generation = c->generation;
+	if (!closed)
 		return row;
 	row->runs = xcalloc((size_t)r->nruns + 1, sizeof(*row->runs));
 	TAILQ_FOREACH (run, &r->runs, link) {
@@ -117,16 +141,36 @@
 	return row;
 }
 
+/* Once the row is sent, a later leader may rely on it. */
+static void
+mark_unheard(const struct cell *c, struct runner *r)
+{
+	if (!r->stored_unheard)
+		kvlog(KVLOG_INFO, "runner_stored_unheard",
+		    "runner=%s listed=%d open=%d silent_ms=%lld "
+		    "leases_over_in_ms=%lld generation=%u fence=%llu",
+		    r->info.id, r->listed, r->stored_open,
+		    runner_silent_ms(r, c->ports.now()),
+		    (long long)(c->adopt_until_ms - c->ports.now() -
+			(c->adopt_until_store_ms - unheard_until(c, r))),
+		    c->generation, (unsigned long long)c->fence);
+	r->stored_unheard = true;
+	r->stored_open = false;
+}
+
 static void
 add_runner(
     const struct cell *c, Cc__RunnersRow *list, struct runner *r, bool closed)
 {
 	list->runners = xrealloc(
 	    list->runners, (list->n_runners + 1) * sizeof(*list->runners));
-	list->runners[list->n_runners++] = pack_runner(r, closed);
-	r->row_digest = digest_runner(r, closed);
+	list->runners[list->n_runners++] = pack_runner(c, r, closed);
+	r->row_digest = digest_runner(c, r, closed);
 	r->in_row = true;
-	r->commit_opens = !closed;
+	r->commit_hears = unheard_until(c, r) == 0;
+	r->commit_opens = !closed && r->commit_hears;
+	if (!r->commit_hears)
+		mark_unheard(c, r);
 	/* Once this is sent, a later leader may rely on the closed row. */
 	if (closed && r->stored_open)
 		kvlog(KVLOG_INFO, "runner_closed",
@@ -239,7 +283,9 @@
 			    (unsigned long long)c->fence);
 		if (r->commit_opens)
 			r->stored_open = true;
-		r->commit_opens = false;
+		if (r->commit_hears)
+			r->stored_unheard = false;
+		r->commit_opens = r->commit_hears = false;
 	}
 }
 
@@ -250,5 +296,5 @@
 
 	c->stale_rows |= rows;
 	for (r = c->runners; rows != 0 && r != NULL; r = r->hh.next)
-		r->commit_opens = false;
+		r->commit_opens = r->commit_hears = false;
 }
--- a/src/cell/runners.c
+++ b/src/cell/runners.c
@@ -63,7 +63,7 @@
 	    r->last_end <= r->last_end_stored && r->unlisted_since_ms != 0 &&
 	    now - r->unlisted_since_ms > forget_after_ms(r) &&
 	    (!c->adopting || r->adopted || r->gone) &&
-	    (r->adopted || r->gone || !r->stored_open ||
+	    (r->adopted || r->gone || !(r->stored_open || r->stored_unheard) ||
 		now - c->lead_since_ms > FORGET_MS);
 }
 
--- a/src/member/election.c
+++ b/src/member/election.c
@@ -127,12 +127,14 @@
 }
 
 static void
-start_leading(struct member *m, uint64_t fence, int64_t sent_ms)
+start_leading(
+    struct member *m, uint64_t fence, int64_t sent_ms, int64_t store_clock_ms)
 {
 	struct cell_claim claim = {.fence = fence,
 	    .generation = m->claim.generation,
 	    .commit_version = fence,
-	    .sent_ms = sent_ms};
+	    .sent_ms = sent_ms,
+	    .store_clock_ms = store_clock_ms};
 
 	forget_former_beat(m);
 	m->state = MEMBER_LEADING;
@@ -187,7 +189,8 @@
 			continue;
 		if (claim_succeeded(m->claim.before, r->rows[i].version,
 			row_is_mine(m, &r->rows[i])))
-			start_leading(m, r->rows[i].version, m->claim.read_ms);
+			start_leading(m, r->rows[i].version, m->claim.read_ms,
+			    r->clock_ms);
 		else
 			member_leader_row(m, &r->rows[i]);
 	}
@@ -213,7 +216,7 @@
 		/* First estimate: commits won't be answered sooner. */
 		m->cell.commit_latency_ms =
 		    (double)(clock_boot_ms() - m->claim.sent_ms);
-		start_leading(m, r->version, m->claim.sent_ms);
+		start_leading(m, r->version, m->claim.sent_ms, r->clock_ms);
 		return;
 	}
 	kvlog(KVLOG_INFO, "claim_failed",
--- a/src/ports/ports.h
+++ b/src/ports/ports.h
@@ -52,6 +52,7 @@
 	 */
 	int err;
 	uint64_t version; /**< newest version of the store */
+	int64_t clock_ms; /**< the store's steady clock; 0: not given */
 	const struct row *rows;
 	int nrows;
 	bool has_more;
--- a/src/protocol/peer.pb-c.c
+++ b/src/protocol/peer.pb-c.c
@@ -6638,7 +6638,7 @@
   (ProtobufCMessageInit) cc__run_ref__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cc__runner_row__field_descriptors[5] =
+static const ProtobufCFieldDescriptor cc__runner_row__field_descriptors[7] =
 {
   {
     "id",
@@ -6700,6 +6700,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "unheard_until_ms",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Cc__RunnerRow, unheard_until_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "unheard_generation",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cc__RunnerRow, unheard_generation),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cc__runner_row__field_indices_by_name[] = {
   1,   /* field[1] = addr */
@@ -6707,11 +6731,13 @@
   0,   /* field[0] = id */
   2,   /* field[2] = port */
   4,   /* field[4] = runs */
+  6,   /* field[6] = unheard_generation */
+  5,   /* field[5] = unheard_until_ms */
 };
 static const ProtobufCIntRange cc__runner_row__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor cc__runner_row__descriptor =
 {
@@ -6721,7 +6747,7 @@
   "Cc__RunnerRow",
   "cc",
   sizeof(Cc__RunnerRow),
-  5,
+  7,
   cc__runner_row__field_descriptors,
   cc__runner_row__field_indices_by_name,
   1,  cc__runner_row__number_ranges,
--- a/src/protocol/peer.pb-c.h
+++ b/src/protocol/peer.pb-c.h
@@ -882,10 +882,18 @@
   protobuf_c_boolean closed;
   size_t n_runs;
   Cc__RunRef **runs;
+  /*
+   * With a time: the leader of this generation has had no answer of the runner
+   * and grants no lease to it until a later row has no time. Leases of leaders
+   * before are over then, on the store's clock. Unless the runner is closed, its
+   * runs aren't known.
+   */
+  int64_t unheard_until_ms;
+  uint32_t unheard_generation;
 };
 #define CC__RUNNER_ROW__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cc__runner_row__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0,NULL }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0,NULL, 0, 0 }
 
 
 struct  Cc__RunnersRow
--- a/src/state/runner.c
+++ b/src/state/runner.c
@@ -213,6 +213,12 @@
 	return r->last_hold_answer_ms != 0 ? now - r->last_hold_answer_ms : -1;
 }
 
+long long
+runner_silent_ms(const struct runner *r, int64_t now)
+{
+	return r->silent_since_ms != 0 ? now - r->silent_since_ms : 0;
+}
+
 long long
 runner_lease_left_ms(const struct runner *r, int64_t now)
 {
--- a/src/state/runner.h
+++ b/src/state/runner.h
@@ -105,10 +105,17 @@
 	 * was known yet to follow; 0: none. */
 	int64_t dead_born_ms;
 	int64_t unlisted_since_ms; /**< since when it isn't listed; 0: it is */
-	uint64_t fence;	     /**< fencing token of orders to it; raised when it
-			      * restarts and when its lease lapses */
-	bool stored_open;    /**< stored as open: start orders may be sent */
-	bool commit_opens;   /**< the commit under way stores it as open */
+	uint64_t fence;	   /**< fencing token of orders to it; raised when it
+			    * restarts and when its lease lapses */
+	bool stored_open;  /**< stored as open: start orders may be sent */
+	bool commit_opens; /**< the commit under way stores it as open */
+	/** Its row says, or may say, that this leader hasn't heard it: it gets
+	 * no lease until a commit has stored otherwise. */
+	bool stored_unheard;
+	bool commit_hears; /**< the commit under way stores otherwise */
+	/** By the row of the leader before, when leases of leaders before that
+	 * are over, on the store's clock; 0: it doesn't say. */
+	int64_t unheard_until_ms;
 	bool in_row;	     /**< a row of runners was sent with it, or read */
 	uint64_t row_digest; /**< digest of what that row says about it */
 	/** The runner's row says closed as this leader read it, and the runner
@@ -214,6 +221,8 @@
 int64_t runner_clock(const struct runner *r, int64_t now);
 /** Time since the runner answered a hold of this leader, ms; -1: never. */
 long long runner_heard_ms_ago(const struct runner *r, int64_t now);
+/** Time since the runner was found silent, ms; 0: it isn't. */
+long long runner_silent_ms(const struct runner *r, int64_t now);
 /** Estimated time until its latest lease ends, ms; 0 when its clock isn't
  * known. */
 long long runner_lease_left_ms(const struct runner *r, int64_t now);
--- a/tests/unit/cell_inherited_test.c
+++ b/tests/unit/cell_inherited_test.c
@@ -11,7 +11,11 @@
 
 #define RUNNERS 4
 #define JOB "00000000000000c1"
+#define OTHER_JOB "00000000000000c2"
 #define SMALL_JOBS 300 /* more rows than a page of the store has */
+#define CELLS 3
+/** Longest time that inherited work waits for leases of the leader before. */
+#define LEASES_OVER_MS 7200
 
 static const struct world_step long_step = {
     .count = 12, .cpu = 4000, .ms = 25000, .after = -1};
@@ -117,3 +121,138 @@
 	world_run(w, 2000);
 	take_over(w);
 }
+
+/* Takes all the room that the runners have. */
+static const struct world_step short_step = {
+    .count = 4 * RUNNERS, .cpu = 4000, .ms = 1000, .after = -1};
+
+/* The last runner is lost for good @p before_ms before the first of several
+ * leaders claims, @p term_ms apart. */
+static struct world *
+lose_runner_and_leaders(int64_t before_ms, int64_t term_ms, int nleaders)
+{
+	struct world *w = start_world(RUNNERS);
+	int i;
+
+	world_submit(w, JOB, "batch", &short_step, 1);
+	world_run(w, 500);
+	world_runner_end_silently(w, RUNNERS - 1, true);
+	world_runner_crash(w, RUNNERS - 1, INT64_MAX);
+	world_run(w, before_ms);
+	for (i = 0; i < nleaders; i++) {
+		world_claim(w, (i + 1) % CELLS);
+		world_run(w, term_ms);
+	}
+	return w;
+}
+
+/* Guards against LOST: each of several leaders in a row waited anew for a
+ * runner that was gone before the first of them, so inherited work never
+ * started, or, where the runner was closed by then, what it had. */
+void
+test_cell_leaders_share_wait(void)
+{
+	int64_t term_ms;
+	struct world *w;
+	int n;
+
+	for (term_ms = 1500; term_ms <= 6000; term_ms += 500) {
+		/* What was lost runs for 1 s, after a takeover. */
+		n = (int)((LEASES_OVER_MS + LEADER_READY_MS + 1000) / term_ms +
+		    2);
+		w = lose_runner_and_leaders(0, term_ms, n);
+		CU_ASSERT_EQUAL(world_state(w, JOB), JOB_COMPLETED);
+		finish_world(w);
+		w = lose_runner_and_leaders(2000, term_ms, n);
+		CU_ASSERT_EQUAL(world_state(w, JOB), JOB_COMPLETED);
+		finish_world(w);
+	}
+}
+
+/* The second leader doesn't reach the runner for @p silent_ms, stores that, and
+ * reaches it from @p heard_ms before it is cut off from the store. The third
+ * one, which claims then, reaches all other runners. */
+static void
+hear_runner_late(
+    struct world *w, int runner, int64_t silent_ms, int64_t heard_ms)
+{
+	world_path_cut(w, 1, runner, true);
+	world_claim(w, 1);
+	world_run(w, silent_ms);
+	if (runner == RUNNERS - 1)
+		world_submit(w, OTHER_JOB, "batch", &long_step, 1);
+	world_path_cut(w, 1, runner, false);
+	world_run(w, heard_ms);
+	world_cut_store(w, 1, true);
+	world_path_cut(w, 2, runner, true);
+	world_claim(w, 2);
+	world_run(w, 20000);
+	world_cut_store(w, 1, false);
+	world_path_cut(w, 2, runner, false);
+	world_run(w, 50000);
+	CU_ASSERT(world_all_jobs_ended(w));
+	finish_world(w);
+}
+
+/* Guards against TWICE: a leader that has stored that it never heard a runner,
+ * and hears it after all, renews its leases or starts work there before that is
+ * stored; the next leader takes all leases there for over. */
+void
+test_cell_unheard_runner_back(void)
+{
+	static const struct world_step busy = {
+	    .count = 12, .cpu = 4000, .ms = 9000, .after = -1};
+	int64_t heard_ms;
+	struct world *w;
+
+	/* The runs on the first runner last until their leases end, and the
+	 * leader before has closed it or not. The last runner has no runs, and
+	 * another job needs it. */
+	for (heard_ms = 0; heard_ms <= 1200; heard_ms += 7) {
+		w = start_world(RUNNERS);
+		world_submit(w, JOB, "batch", &long_step, 1);
+		world_run(w, 1000);
+		hear_runner_late(w, 0, 2500, heard_ms);
+		w = start_world(RUNNERS);
+		world_submit(w, JOB, "batch", &long_step, 1);
+		world_run(w, 1000);
+		world_runner_cut(w, 0, true);
+		world_run(w, 1000);
+		world_path_cut(w, 1, 0, true);
+		world_runner_cut(w, 0, false);
+		hear_runner_late(w, 0, 1000, heard_ms);
+		w = start_world(RUNNERS);
+		world_submit(w, JOB, "batch", &busy, 1);
+		world_run(w, 1000);
+		hear_runner_late(w, RUNNERS - 1, 6000, heard_ms);
+	}
+}
+
+/* Guards against TWICE: a row of a leader before the last one says nothing of
+ * leases that the last one granted, for example one of an earlier version,
+ * which doesn't know what the row says. */
+void
+test_cell_unheard_by_earlier_leader(void)
+{
+	struct world *w = start_world(RUNNERS);
+
+	world_submit(w, JOB, "batch", &long_step, 1);
+	world_run(w, 1000);
+	world_path_cut(w, 1, 0, true);
+	world_claim(w, 1);
+	world_run(w, 3000);
+	world_cut_store(w, 1, true);
+	/* This leader doesn't get to write its own rows. */
+	world_claim(w, 2);
+	world_cut_store(w, 2, true);
+	world_run(w, 6000);
+	world_path_cut(w, 0, 0, true);
+	world_claim(w, 0);
+	world_run(w, LEADER_READY_MS);
+	CU_ASSERT(world_cell(w, 0)->adopting);
+	world_run(w, LEASES_OVER_MS);
+	CU_ASSERT_FALSE(world_cell(w, 0)->adopting);
+	world_path_cut(w, 0, 0, false);
+	world_run(w, 60000);
+	finish_world(w);
+}
--- a/tests/world/world.c
+++ b/tests/world/world.c
@@ -12,6 +12,8 @@
 
 #define TICK_MS 25
 #define GANG_TIMEOUT_MS 3000
+/** The store's clock at the start of the world. */
+#define STORE_CLOCK_START_MS 7000000
 #define STORE_LATENCY_MS 4
 #define ORDER_LATENCY_MS 3
 /** From a transaction whose answer a cut stops until its caller gives up. */
@@ -2783,7 +2785,8 @@
 void
 world_claim(struct world *w, int i)
 {
-	struct cell_claim claim = {.sent_ms = w->now};
+	struct cell_claim claim = {
+	    .sent_ms = w->now, .store_clock_ms = w->now + STORE_CLOCK_START_MS};
 	struct stored_row rows[2] = {
 	    {.table = MEMBER_TABLE, .part = CELL_PART, .key = LEADER_KEY},
 	    {.table = CELL_TABLE, .part = CELL_PART, .key = COMMIT_KEY},
