A host that shuts down closes quiet connections only

Cause: while a host drains, a tick of the server freed each connection without an open request, and the process ended when no request was open. A request is open from its handler to its answer only; before and after that its bytes are in the kernel or in the buffers of the connection, on a slow link or a busy host for some 100 ms.

Change: one function tells whether anything is under way, in the handler, in either buffer or unread in the socket. A draining server closes quiet connections only, at once after the last response; the process ends when all are quiet, or at the end of its grace.

--- a/src/daemon/node.c
+++ b/src/daemon/node.c
@@ -207,15 +207,16 @@
 }
 
 /*
- * Stops the event loop once the open requests are answered and the shards are
- * released; without a successor for the shards, it waits for requests only.
+ * Stops the event loop once the open requests are answered, their answers are
+ * sent, and the shards are released; without a successor for the shards, it
+ * waits for requests only.
  */
 static void
 on_leave_tick(evutil_socket_t fd, short what, void *arg)
 {
 	struct node *n = arg;
 	int64_t since = clock_boot_ms() - n->leave_ms;
-	int open = http_server_open_requests(n->server) +
+	int open = http_server_busy_connections(n->server) +
 	    router_open_requests(n->router);
 
 	(void)fd;
--- a/src/transport/http_server.c
+++ b/src/transport/http_server.c
@@ -6,6 +6,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/ioctl.h>
 
 #include "../base/err.h"
 #include "../base/kvlog.h"
@@ -151,6 +152,26 @@
 	    bufferevent_get_output(evhtp_connection_get_bev(c->conn)));
 }
 
+/* Bytes that have arrived and that this process hasn't read yet. */
+static int
+unread_bytes(const struct caller_conn *c)
+{
+	evutil_socket_t fd =
+	    bufferevent_getfd(evhtp_connection_get_bev(c->conn));
+	int n = 0;
+
+	return fd >= 0 && ioctl(fd, FIONREAD, &n) == 0 ? n : 0;
+}
+
+/* Whether no part of a request or of a response is under way, so that closing
+ * the connection cuts off neither. */
+static bool
+is_quiet(const struct caller_conn *c)
+{
+	return c->open == 0 && !c->in_body && input_bytes(c) == 0 &&
+	    output_bytes(c) == 0 && unread_bytes(c) == 0;
+}
+
 /*
  * Charges the connection for what it holds, and notes since when a request is
  * unfinished or a response unread.
@@ -271,6 +292,9 @@
 	if (f->current == c && c->open == 0 && !c->refused &&
 	    evbuffer_get_length(bufferevent_get_input(bev)) > 0)
 		parse(c, bev);
+	/* The response has said that the connection closes. */
+	if (f->leaving && f->current == c && is_quiet(c))
+		evhtp_connection_free(c->conn);
 	settle(f, c);
 }
 
@@ -578,10 +602,10 @@
 		if (c->open > 0)
 			continue;
 		why = overdue(c, now);
-		if (f->leaving)
-			evhtp_connection_free(c->conn);
-		else if (why != CLIENT_ENDS)
+		if (why != CLIENT_ENDS)
 			caller_budget_end(f->budget, &c->client, why, now);
+		else if (f->leaving && is_quiet(c))
+			evhtp_connection_free(c->conn);
 	}
 	if (caller_budget_relieve(f->budget, NULL, now))
 		resume_stopped(f);
@@ -660,6 +684,17 @@
 	return f->open;
 }
 
+int
+http_server_busy_connections(const struct http_server *f)
+{
+	const struct caller_conn *c;
+	int n = 0;
+
+	TAILQ_FOREACH (c, &f->conns, link)
+		n += !is_quiet(c);
+	return n;
+}
+
 enum server_method
 server_request_method(const struct server_request *r)
 {
--- a/src/transport/http_server.h
+++ b/src/transport/http_server.h
@@ -36,10 +36,14 @@
     const struct settings *s, struct caller_budget *budget,
     enum client_port port, server_fn fn, void *arg);
 void http_server_delete(struct http_server *f);
-/** Drains: accepts no connections, and closes each open one once it is idle. */
+/** Drains: accepts no connections, and closes each open one once no part of a
+ * request or response is under way on it. */
 void http_server_drain(struct http_server *f);
 /** Number of requests that are not answered yet. */
 int http_server_open_requests(const struct http_server *f);
+/** Number of connections on which a part of a request or response is under way,
+ * read or not, sent or not. Ending the process would cut it off. */
+int http_server_busy_connections(const struct http_server *f);
 
 enum server_method server_request_method(const struct server_request *r);
 const char *server_request_path(const struct server_request *r);
--- a/tests/unit/http_server_test.c
+++ b/tests/unit/http_server_test.c
@@ -374,3 +374,138 @@
 	http_server_delete(p);
 	event_base_free(base);
 }
+
+/* A server that drains, with one client connected to it. */
+struct draining {
+	struct event_base *base;
+	struct http_server *server;
+	int fd;
+};
+
+static void
+draining_start(struct draining *d, server_fn fn, void *arg)
+{
+	struct settings s = {.addr = "127.0.0.1", .caller_port = PORT};
+
+	s.body_max = 1 << 20;
+	d->base = event_base_new();
+	d->server = http_server_new(d->base, &s, fn, arg);
+	CU_ASSERT_PTR_NOT_NULL_FATAL(d->server);
+	d->fd = connect_to(PORT);
+	CU_ASSERT_FATAL(d->fd >= 0);
+	run_events(d->base);
+}
+
+static void
+draining_stop(struct draining *d)
+{
+	close(d->fd);
+	run_events(d->base);
+	http_server_delete(d->server);
+	event_base_free(d->base);
+}
+
+static void
+drain_past_tick(struct draining *d)
+{
+	http_server_drain(d->server);
+	usleep(TICK_WAIT_US);
+	run_events(d->base);
+}
+
+/* Reads until the server closes the connection or has nothing more to send.
+ * @return bytes read */
+static size_t
+read_to_end(struct draining *d, bool *closed)
+{
+	char buf[65536];
+	size_t got = 0;
+	ssize_t n;
+	int idle = 0;
+
+	*closed = false;
+	while (!*closed && idle < 100) {
+		run_events(d->base);
+		n = recv(d->fd, buf, sizeof(buf), MSG_DONTWAIT);
+		*closed = n == 0;
+		idle = n > 0 ? 0 : idle + 1;
+		got += n > 0 ? (size_t)n : 0;
+	}
+	return got;
+}
+
+/* Guards against LOST: a server that drains closed connections whose response
+ * was still in its buffers. */
+void
+test_http_server_drain_unsent(void)
+{
+	static const char text[] = "GET /q HTTP/1.1\r\nHost: a.example\r\n\r\n";
+	char *large = xcalloc(1, LARGE_BYTES);
+	struct draining d;
+	bool closed;
+
+	draining_start(&d, on_large, large);
+	CU_ASSERT(write(d.fd, text, strlen(text)) == (ssize_t)strlen(text));
+	run_events(d.base);
+	CU_ASSERT_EQUAL(http_server_open_requests(d.server), 0);
+	drain_past_tick(&d);
+	CU_ASSERT_EQUAL(http_server_busy_connections(d.server), 1);
+	CU_ASSERT(read_to_end(&d, &closed) >= LARGE_BYTES);
+	CU_ASSERT(closed);
+	CU_ASSERT_EQUAL(http_server_busy_connections(d.server), 0);
+	draining_stop(&d);
+	free(large);
+}
+
+/* Guards against LOST: a server that drains closed connections on which a part
+ * of a request had been read. */
+void
+test_http_server_drain_partial(void)
+{
+	static const char head[] = "POST /q HTTP/1.1\r\nHost: a.example\r\n"
+				   "Content-Length: 5\r\n";
+	static const char *const rests[] = {"\r\nhello", "hello"};
+	struct draining d;
+	struct whole_seen seen;
+	bool closed;
+	size_t i;
+
+	for (i = 0; i < sizeof(rests) / sizeof(rests[0]); i++) {
+		memset(&seen, 0, sizeof(seen));
+		draining_start(&d, on_whole, &seen);
+		CU_ASSERT(write(d.fd, head, strlen(head)) > 0);
+		if (rests[i][0] != '\r')
+			CU_ASSERT(write(d.fd, "\r\n", 2) == 2);
+		run_events(d.base);
+		drain_past_tick(&d);
+		CU_ASSERT_EQUAL(http_server_busy_connections(d.server), 1);
+		CU_ASSERT(write(d.fd, rests[i], strlen(rests[i])) > 0);
+		CU_ASSERT(read_to_end(&d, &closed) > 0);
+		CU_ASSERT(closed);
+		CU_ASSERT_EQUAL(seen.n, 1);
+		draining_stop(&d);
+	}
+}
+
+/* Guards against LOST: a process that ended while a request had arrived that it
+ * hadn't read; and against one that never closes an idle connection. */
+void
+test_http_server_drain_unread(void)
+{
+	static const char text[] = "GET /q HTTP/1.1\r\nHost: a.example\r\n\r\n";
+	struct draining d;
+	struct whole_seen seen = {0};
+	bool closed;
+
+	draining_start(&d, on_whole, &seen);
+	CU_ASSERT_EQUAL(http_server_busy_connections(d.server), 0);
+	CU_ASSERT(write(d.fd, text, strlen(text)) == (ssize_t)strlen(text));
+	CU_ASSERT_EQUAL(http_server_busy_connections(d.server), 1);
+	CU_ASSERT(read_to_end(&d, &closed) > 0);
+	CU_ASSERT_FALSE(closed);
+	CU_ASSERT_EQUAL(http_server_busy_connections(d.server), 0);
+	drain_past_tick(&d);
+	CU_ASSERT_EQUAL(read_to_end(&d, &closed), 0);
+	CU_ASSERT(closed);
+	draining_stop(&d);
+}
