Occurrences that a runner shows first are listed for placement

Cause: a runner's list that comes before the new leader's first tick creates the occurrence on the way to the run's task, and nothing lists its steps; the tick then finds the occurrence there. Ruled out: the ends of the runs that were taken over, which list the steps that follow.

Change: cell_job_task() finds a task for what a runner shows and lists what that creates; lists of runs, lists of ends and crashes use it.

--- a/src/cell/cell_internal.h
+++ b/src/cell/cell_internal.h
@@ -59,6 +59,10 @@
 void cell_add_job(struct cell *c, struct job *j);
 /** Lists the steps that have become ready for placement. */
 void cell_list_steps(struct cell *c, struct occurrence *o);
+/** The task of a job of this cell that a runner's list names; NULL when the job
+ * has none of this name. Occurrences that it creates can be placed. */
+struct task *cell_job_task(
+    struct cell *c, struct job *j, const struct task_ref *ref);
 /** Lists the step for placement if it has tasks to start. */
 void cell_list_step(struct cell *c, struct step *s);
 /** Sets the job's final state and stops its runs. */
--- a/src/cell/crashes.c
+++ b/src/cell/crashes.c
@@ -26,7 +26,7 @@
 
 	if (task_ref_parse(&ref, name))
 		j = cell_job(c, ref.id);
-	return j != NULL ? job_task(j, &ref) : NULL;
+	return j != NULL ? cell_job_task(c, j, &ref) : NULL;
 }
 
 static void
--- a/src/cell/jobs.c
+++ b/src/cell/jobs.c
@@ -114,6 +114,19 @@
 			cell_list_steps(c, job_add_occurrence(j));
 }
 
+/* An occurrence that a runner shows before its time was looked at is listed, as
+ * one that is created when it is due. */
+struct task *
+cell_job_task(struct cell *c, struct job *j, const struct task_ref *ref)
+{
+	uint32_t i = j->noccurrences;
+	struct task *t = job_task(j, ref);
+
+	for (; i < j->noccurrences; i++)
+		cell_list_steps(c, j->occurrences[i]);
+	return t;
+}
+
 void
 cell_add_job(struct cell *c, struct job *j)
 {
--- a/src/cell/reconcile.c
+++ b/src/cell/reconcile.c
@@ -53,7 +53,7 @@
 	if (task_ref_parse(&ref, seen->task))
 		j = cell_job(c, ref.id);
 	if (j != NULL)
-		t = job_task(j, &ref);
+		t = cell_job_task(c, j, &ref);
 	run = run_new(r, t, seen->task, seen->run);
 	run->state = RUN_RUNNING;
 	run->ordered_ms = run->confirmed_ms = c->ports.now();
--- a/src/cell/run_ends.c
+++ b/src/cell/run_ends.c
@@ -271,7 +271,7 @@
 	if (!task_ref_parse(&ref, e->task))
 		return;
 	j = cell_job(c, ref.id);
-	if (j == NULL || (t = job_task(j, &ref)) == NULL)
+	if (j == NULL || (t = cell_job_task(c, j, &ref)) == NULL)
 		return;
 	note_unknown_end(c, r, t, e);
 	if (e->run > t->last_run)
--- a/tests/unit/cell_inherited_test.c
+++ b/tests/unit/cell_inherited_test.c
@@ -256,3 +256,23 @@
 	world_run(w, 60000);
 	finish_world(w);
 }
+
+/* Guards against LOST: an occurrence that a runner shows to a new leader before
+ * it has looked at what is due was never listed, and those of its tasks that
+ * wait for room were never started. */
+void
+test_cell_takeover_scheduled(void)
+{
+	static const struct world_step wide = {
+	    .count = 6 * RUNNERS, .cpu = 4000, .ms = 3000, .after = -1};
+	struct world *w = start_world(RUNNERS);
+
+	world_submit_in(w, JOB, "batch", &wide, 1, 500);
+	world_run(w, 1500);
+	CU_ASSERT_EQUAL(world_live_runs(w, JOB), 4 * RUNNERS);
+	world_cell_restart(w, 0);
+	world_claim(w, 1);
+	world_run(w, 20000);
+	CU_ASSERT_EQUAL(world_state(w, JOB), JOB_COMPLETED);
+	finish_world(w);
+}
--- a/tests/world/world.c
+++ b/tests/world/world.c
@@ -2976,16 +2976,18 @@
 	world_submit_as(w, id, queue, "", steps, n);
 }
 
-void
-world_submit_as(struct world *w, const char *id, const char *queue,
-    const char *account, const struct world_step *steps, int n)
+static void
+submit(struct world *w, const char *id, const char *queue, const char *account,
+    const struct world_step *steps, int n, Cc__JobRow *row)
 {
 	struct world_job *j = find_job(w, id);
 	int i;
 
 	current = w;
-	if (w->leader < 0)
+	if (w->leader < 0) {
+		cc__job_row__free_unpacked(row, NULL);
 		return;
+	}
 	if (j == NULL) {
 		j = &w->jobs[w->njobs++];
 		str_copy(j->id, id, sizeof(j->id));
@@ -3003,11 +3005,30 @@
 	}
 	/* A refused job that is submitted again may be accepted. */
 	j->refused = false;
-	cell_submit(&w->cells[w->leader].cell, id,
-	    make_job_row(queue, account, steps, n), on_answer,
+	cell_submit(&w->cells[w->leader].cell, id, row, on_answer,
 	    submit_arg(w, id, false));
 }
 
+void
+world_submit_as(struct world *w, const char *id, const char *queue,
+    const char *account, const struct world_step *steps, int n)
+{
+	submit(w, id, queue, account, steps, n,
+	    make_job_row(queue, account, steps, n));
+}
+
+void
+world_submit_in(struct world *w, const char *id, const char *queue,
+    const struct world_step *steps, int n, int64_t in_ms)
+{
+	Cc__JobRow *row = make_job_row(queue, "", steps, n);
+
+	row->repeat_count = 1;
+	row->start_at_ms = w->now + in_ms;
+	row->interval_ms = 1000;
+	submit(w, id, queue, "", steps, n, row);
+}
+
 void
 world_cancel(struct world *w, const char *id)
 {
--- a/tests/world/world.h
+++ b/tests/world/world.h
@@ -152,6 +152,9 @@
 /** As world_submit(), for a client account. */
 void world_submit_as(struct world *w, const char *id, const char *queue,
     const char *account, const struct world_step *steps, int n);
+/** As world_submit(), for a job whose only occurrence is due in @p in_ms. */
+void world_submit_in(struct world *w, const char *id, const char *queue,
+    const struct world_step *steps, int n, int64_t in_ms);
 void world_cancel(struct world *w, const char *id);
 /** State of the job at the leader; -1 when no cell leads or the leader doesn't
  * know the job. */
