Jobs keep the terms of their queue

Cause: a job's row had the name of its queue only. The leader kept the terms of a dropped queue in memory; the next one places no step without a queue. Weighed and ruled out: keeping them at every host, or storing them at the drop, as all processes may end just after the change.

Change: the terms are stored with the job as it is accepted. A leader that loads live jobs of a queue that the configuration lacks adds it to its own copy.

--- a/src/cell/cell.c
+++ b/src/cell/cell.c
@@ -8,6 +8,7 @@
 #include "../base/err.h"
 #include "../base/kvlog.h"
 #include "../base/xalloc.h"
+#include "../state/queue_terms.h"
 #include "account_cap.h"
 #include "account_order.h"
 #include "commit.h"
@@ -127,6 +128,17 @@
 	cell_load(c);
 }
 
+void
+cell_keep_queue(struct config *m, const struct job *j)
+{
+	if (config_queue(m, j->row->queue) != NULL)
+		return;
+	if (j->queue != NULL)
+		config_add_queue(m, j->queue);
+	else if (j->row->terms != NULL)
+		queue_terms_add(m, j->row->queue, j->row->terms);
+}
+
 static void
 apply_config_to_jobs(struct cell *c)
 {
@@ -144,8 +156,7 @@
 	const struct job *j;
 
 	TAILQ_FOREACH (j, &c->live, live_link)
-		if (j->queue != NULL && config_queue(m, j->queue->name) == NULL)
-			config_add_queue(m, j->queue);
+		cell_keep_queue(m, j);
 }
 
 /* Keeps the terms of accounts that the new configuration lacks, so that their
--- a/src/cell/cell_internal.h
+++ b/src/cell/cell_internal.h
@@ -59,6 +59,9 @@
 void cell_add_job(struct cell *c, struct job *j);
 /** Lists the steps that have become ready for placement. */
 void cell_list_steps(struct cell *c, struct occurrence *o);
+/** Adds the job's queue to the configuration if that lacks it. Earlier pointers
+ * to its queues are invalid then. */
+void cell_keep_queue(struct config *m, const struct job *j);
 /** The task of a job of this cell that a runner's list names; NULL when the job
  * has none of this name. Occurrences that it creates can be placed. */
 struct task *cell_job_task(
--- a/src/cell/jobs.c
+++ b/src/cell/jobs.c
@@ -6,6 +6,7 @@
 #include "../base/kvlog.h"
 #include "../base/xalloc.h"
 #include "../coordination/leader_claim.h"
+#include "../state/queue_terms.h"
 #include "account_admit.h"
 #include "cell_internal.h"
 
@@ -385,6 +386,16 @@
 	    strcmp(j->row->account, account) != 0;
 }
 
+static void
+store_terms(const struct cell *c, Cc__JobRow *row)
+{
+	const struct queue *q =
+	    c->config != NULL ? config_queue(c->config, row->queue) : NULL;
+
+	if (q != NULL && row->terms == NULL)
+		row->terms = queue_terms_pack(q);
+}
+
 void
 cell_submit(
     struct cell *c, const char *id, Cc__JobRow *row, cell_fn fn, void *arg)
@@ -414,6 +425,7 @@
 		return;
 	}
 	row->accepted_wall_ms = c->ports.wall_now();
+	store_terms(c, row);
 	j = job_new(id, row);
 	cell_bind_account(c, j);
 	j->accepted_ms = c->ports.now();
--- a/src/cell/load_rows.c
+++ b/src/cell/load_rows.c
@@ -282,6 +282,10 @@
 	for (i = 0; i < l->nrunners; i++)
 		for (k = 0; k < l->runners[i]->n_runners; k++)
 			load_runner(c, l->runners[i]->runners[k]);
+	/* Before any job is bound to a queue. */
+	for (j = c->loading; c->config != NULL && j != NULL; j = j->hh.next)
+		if (!job_ended(j))
+			cell_keep_queue(c->config, j);
 	HASH_ITER(hh, c->loading, j, tmp)
 	{
 		HASH_DEL(c->loading, j);
--- a/src/protocol/peer.pb-c.c
+++ b/src/protocol/peer.pb-c.c
@@ -1627,6 +1627,51 @@
   assert(message->base.descriptor == &cc__step_spec__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   cc__queue_terms__init
+                     (Cc__QueueTerms         *message)
+{
+  static const Cc__QueueTerms init_value = CC__QUEUE_TERMS__INIT;
+  *message = init_value;
+}
+size_t cc__queue_terms__get_packed_size
+                     (const Cc__QueueTerms *message)
+{
+  assert(message->base.descriptor == &cc__queue_terms__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t cc__queue_terms__pack
+                     (const Cc__QueueTerms *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &cc__queue_terms__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t cc__queue_terms__pack_to_buffer
+                     (const Cc__QueueTerms *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &cc__queue_terms__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Cc__QueueTerms *
+       cc__queue_terms__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Cc__QueueTerms *)
+     protobuf_c_message_unpack (&cc__queue_terms__descriptor,
+                                allocator, len, data);
+}
+void   cc__queue_terms__free_unpacked
+                     (Cc__QueueTerms *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &cc__queue_terms__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   cc__job_row__init
                      (Cc__JobRow         *message)
 {
@@ -6032,7 +6077,149 @@
   (ProtobufCMessageInit) cc__step_spec__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cc__job_row__field_descriptors[9] =
+static const ProtobufCFieldDescriptor cc__queue_terms__field_descriptors[9] =
+{
+  {
+    "service",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Cc__QueueTerms, service),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "target_latency_ms",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Cc__QueueTerms, target_latency_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "priority",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT32,
+    0,   /* quantifier_offset */
+    offsetof(Cc__QueueTerms, priority),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "max_attempts",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cc__QueueTerms, max_attempts),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "stretch",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_DOUBLE,
+    0,   /* quantifier_offset */
+    offsetof(Cc__QueueTerms, stretch),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "advice_needed",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Cc__QueueTerms, advice_needed),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "advice_decision_ms",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_DOUBLE,
+    0,   /* quantifier_offset */
+    offsetof(Cc__QueueTerms, advice_decision_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "advice_runner_ms",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_DOUBLE,
+    0,   /* quantifier_offset */
+    offsetof(Cc__QueueTerms, advice_runner_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "advice_validity_ms",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Cc__QueueTerms, advice_validity_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned cc__queue_terms__field_indices_by_name[] = {
+  6,   /* field[6] = advice_decision_ms */
+  5,   /* field[5] = advice_needed */
+  7,   /* field[7] = advice_runner_ms */
+  8,   /* field[8] = advice_validity_ms */
+  3,   /* field[3] = max_attempts */
+  2,   /* field[2] = priority */
+  0,   /* field[0] = service */
+  4,   /* field[4] = stretch */
+  1,   /* field[1] = target_latency_ms */
+};
+static const ProtobufCIntRange cc__queue_terms__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 9 }
+};
+const ProtobufCMessageDescriptor cc__queue_terms__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "cc.QueueTerms",
+  "QueueTerms",
+  "Cc__QueueTerms",
+  "cc",
+  sizeof(Cc__QueueTerms),
+  9,
+  cc__queue_terms__field_descriptors,
+  cc__queue_terms__field_indices_by_name,
+  1,  cc__queue_terms__number_ranges,
+  (ProtobufCMessageInit) cc__queue_terms__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor cc__job_row__field_descriptors[10] =
 {
   {
     "queue",
@@ -6142,6 +6329,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "terms",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Cc__JobRow, terms),
+    &cc__queue_terms__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cc__job_row__field_indices_by_name[] = {
   6,   /* field[6] = accepted_wall_ms */
@@ -6153,11 +6352,12 @@
   1,   /* field[1] = spec */
   4,   /* field[4] = start_at_ms */
   2,   /* field[2] = steps */
+  9,   /* field[9] = terms */
 };
 static const ProtobufCIntRange cc__job_row__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 9 }
+  { 0, 10 }
 };
 const ProtobufCMessageDescriptor cc__job_row__descriptor =
 {
@@ -6167,7 +6367,7 @@
   "Cc__JobRow",
   "cc",
   sizeof(Cc__JobRow),
-  9,
+  10,
   cc__job_row__field_descriptors,
   cc__job_row__field_indices_by_name,
   1,  cc__job_row__number_ranges,
--- a/src/protocol/peer.pb-c.h
+++ b/src/protocol/peer.pb-c.h
@@ -51,6 +51,7 @@
 typedef struct Cc__Ended Cc__Ended;
 typedef struct Cc__Ack Cc__Ack;
 typedef struct Cc__StepSpec Cc__StepSpec;
+typedef struct Cc__QueueTerms Cc__QueueTerms;
 typedef struct Cc__JobRow Cc__JobRow;
 typedef struct Cc__TaskProgress Cc__TaskProgress;
 typedef struct Cc__StepProgress Cc__StepProgress;
@@ -728,7 +729,28 @@
 
 /*
  * A job as it was accepted; never changes afterwards.
+ * The terms of a job's queue when the job was accepted, by which it is finished
+ * if the configuration has the queue no more. The fields are those of struct
+ * queue.
  */
+struct  Cc__QueueTerms
+{
+  ProtobufCMessage base;
+  char *service;
+  int64_t target_latency_ms;
+  int32_t priority;
+  uint32_t max_attempts;
+  double stretch;
+  protobuf_c_boolean advice_needed;
+  double advice_decision_ms;
+  double advice_runner_ms;
+  int64_t advice_validity_ms;
+};
+#define CC__QUEUE_TERMS__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&cc__queue_terms__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, 0 }
+
+
 struct  Cc__JobRow
 {
   ProtobufCMessage base;
@@ -751,10 +773,14 @@
    * sent beyond the account's rate
    */
   protobuf_c_boolean over_rate;
+  /*
+   * none in rows of earlier versions
+   */
+  Cc__QueueTerms *terms;
 };
 #define CC__JOB_ROW__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cc__job_row__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0,NULL, 0, 0, 0, 0, (char *)protobuf_c_empty_string, 0 }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0,NULL, 0, 0, 0, 0, (char *)protobuf_c_empty_string, 0, NULL }
 
 
 struct  Cc__TaskProgress
@@ -1933,6 +1959,25 @@
 void   cc__step_spec__free_unpacked
                      (Cc__StepSpec *message,
                       ProtobufCAllocator *allocator);
+/* Cc__QueueTerms methods */
+void   cc__queue_terms__init
+                     (Cc__QueueTerms         *message);
+size_t cc__queue_terms__get_packed_size
+                     (const Cc__QueueTerms   *message);
+size_t cc__queue_terms__pack
+                     (const Cc__QueueTerms   *message,
+                      uint8_t             *out);
+size_t cc__queue_terms__pack_to_buffer
+                     (const Cc__QueueTerms   *message,
+                      ProtobufCBuffer     *buffer);
+Cc__QueueTerms *
+       cc__queue_terms__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   cc__queue_terms__free_unpacked
+                     (Cc__QueueTerms *message,
+                      ProtobufCAllocator *allocator);
 /* Cc__JobRow methods */
 void   cc__job_row__init
                      (Cc__JobRow         *message);
@@ -2480,6 +2525,9 @@
 typedef void (*Cc__StepSpec_Closure)
                  (const Cc__StepSpec *message,
                   void *closure_data);
+typedef void (*Cc__QueueTerms_Closure)
+                 (const Cc__QueueTerms *message,
+                  void *closure_data);
 typedef void (*Cc__JobRow_Closure)
                  (const Cc__JobRow *message,
                   void *closure_data);
@@ -2591,6 +2639,7 @@
 extern const ProtobufCMessageDescriptor cc__ended__descriptor;
 extern const ProtobufCMessageDescriptor cc__ack__descriptor;
 extern const ProtobufCMessageDescriptor cc__step_spec__descriptor;
+extern const ProtobufCMessageDescriptor cc__queue_terms__descriptor;
 extern const ProtobufCMessageDescriptor cc__job_row__descriptor;
 extern const ProtobufCMessageDescriptor cc__task_progress__descriptor;
 extern const ProtobufCMessageDescriptor cc__step_progress__descriptor;
--- a/tests/unit/cell_inherited_test.c
+++ b/tests/unit/cell_inherited_test.c
@@ -276,3 +276,24 @@
 	CU_ASSERT_EQUAL(world_state(w, JOB), JOB_COMPLETED);
 	finish_world(w);
 }
+
+/* Guards against LOST: work of a queue that the configuration has dropped was
+ * never run once another host led, as only the leader before knew its terms. */
+void
+test_cell_takeover_dropped_queue(void)
+{
+	static const struct world_step steps[2] = {
+	    {.count = 2, .cpu = 1000, .ms = 1000, .after = -1},
+	    {.count = 2, .cpu = 1000, .ms = 1000, .after = 0}};
+	struct world *w = start_world(RUNNERS);
+
+	world_submit(w, JOB, "batch", steps, 2);
+	world_run(w, 500);
+	world_drop_queue(w, "batch");
+	world_run(w, 100);
+	world_cell_restart(w, 0);
+	world_claim(w, 1);
+	world_run(w, 10000);
+	CU_ASSERT_EQUAL(world_state(w, JOB), JOB_COMPLETED);
+	finish_world(w);
+}
--- a/tests/unit/main.c
+++ b/tests/unit/main.c
@@ -168,6 +168,8 @@
 	test_cell_unheard_by_earlier_leader},
     {"cell", "tasks of a scheduled job that wait start after a takeover",
 	test_cell_takeover_scheduled},
+    {"cell", "a job of a dropped queue is completed after a takeover",
+	test_cell_takeover_dropped_queue},
     {"cell", "leases at idle runners end before the next leader's wait",
 	test_cell_idle_runner_lease},
     {"cell", "leases at a runner heard once count after a takeover",
--- a/tests/unit/unit.h
+++ b/tests/unit/unit.h
@@ -46,6 +46,7 @@
 void test_cell_unheard_runner_back(void);
 void test_cell_unheard_by_earlier_leader(void);
 void test_cell_takeover_scheduled(void);
+void test_cell_takeover_dropped_queue(void);
 void test_http_large_answer_outlasts_timeout(void);
 void test_http_timeout_bounds_whole_answer(void);
 void test_http_silence_within_answer(void);
--- a/tests/world/world.c
+++ b/tests/world/world.c
@@ -241,6 +241,7 @@
 	int nrunners;
 	struct world_cell cells[WORLD_CELLS_MAX];
 	int leader;
+	const char *dropped_queue; /**< not in the configuration; NULL: none */
 	uint32_t generation;
 	struct world_job jobs[JOBS_MAX];
 	int njobs;
@@ -2342,7 +2343,9 @@
 
 	c->version = 1 + list->version;
 	for (i = 0; i < sizeof(queues) / sizeof(queues[0]); i++)
-		config_add_queue(c, &queues[i]);
+		if (current->dropped_queue == NULL ||
+		    strcmp(queues[i].name, current->dropped_queue) != 0)
+			config_add_queue(c, &queues[i]);
 	c->has_accounts = list->n > 0;
 	for (k = 0; k < list->n; k++) {
 		char name[32];
@@ -2780,6 +2783,18 @@
 		advance(w, end);
 }
 
+void
+world_drop_queue(struct world *w, const char *name)
+{
+	int i;
+
+	current = w;
+	w->dropped_queue = name;
+	for (i = 0; i < WORLD_CELLS_MAX; i++)
+		cell_set_config(
+		    &w->cells[i].cell, make_config(&w->cells[i].accounts));
+}
+
 /* Writes the rows of a claim as a member does, but without waiting until the
  * previous leader's row is unchanged. */
 void
--- a/tests/world/world.h
+++ b/tests/world/world.h
@@ -74,6 +74,8 @@
 void world_disturb(struct world *w);
 /** From now on calls over a path that is cut fail at once, as not sent. */
 void world_refuse_cuts(struct world *w);
+/** A configuration without the queue is in force; @p name is static text. */
+void world_drop_queue(struct world *w, const char *name);
 /** Index of the cell that claimed last; -1: none leads. */
 int world_leader(const struct world *w);
 
