A runner that is back gets its lease as soon as that is stored

What callers would see: a runner that a new leader had stored as unheard, and that came back, lost its runs though they were alive, if less than a second was left of the former leader's lease.

Until the row without the mark is stored, no lease is granted; but the hold that found the runner back was followed by a long poll of 1 s without one, and the stored row didn't end it.

Change: a runner that may get no lease yet is asked again without a wait.

Tests: one unit test, in which the runs lapse without the change; and with it the test of the ban's end notices when the ban ends before its commit, which it didn't before.

--- a/src/cell/holds.c
+++ b/src/cell/holds.c
@@ -275,14 +275,14 @@
 	c->ports.wake(c->ports.arg);
 }
 
-/* Whether a hold to the runner may long-poll: its state is known, and no ends
- * or stops wait to be confirmed. */
+/* Whether a hold to the runner may long-poll: its state is known, it may get a
+ * lease, and no ends or stops wait to be confirmed. */
 static bool
 may_wait(const struct runner *r)
 {
 	const struct run *run;
 
-	if (!r->adopted || r->hold_errors > 0 ||
+	if (!r->adopted || r->stored_unheard || r->hold_errors > 0 ||
 	    r->last_end > r->last_end_stored)
 		return false;
 	TAILQ_FOREACH (run, &r->runs, link)
--- a/tests/unit/cell_inherited_test.c
+++ b/tests/unit/cell_inherited_test.c
@@ -228,6 +228,31 @@
 	}
 }
 
+/* Guards against runs that lapse though their runner is back: the hold that
+ * first reached it was followed by a long poll without a lease, longer than
+ * what was left of the former leader's. */
+void
+test_cell_unheard_runner_keeps_runs(void)
+{
+	struct world *w = start_world(RUNNERS);
+	char name[64];
+	int i;
+
+	world_submit(w, JOB, "batch", &long_step, 1);
+	world_run(w, 1000);
+	world_path_cut(w, 1, 0, true);
+	world_claim(w, 1);
+	world_run(w, 2000);
+	world_path_cut(w, 1, 0, false);
+	world_run(w, 40000);
+	CU_ASSERT_EQUAL(world_state(w, JOB), JOB_COMPLETED);
+	for (i = 0; i < (int)long_step.count; i++) {
+		snprintf(name, sizeof(name), JOB ".0.0.%d", i);
+		CU_ASSERT_EQUAL(world_start_count(w, name), 1);
+	}
+	finish_world(w);
+}
+
 /* Guards against TWICE: a row of a leader before the last one says nothing of
  * leases that the last one granted, for example one of an earlier version,
  * which doesn't know what the row says. */
--- a/tests/unit/main.c
+++ b/tests/unit/main.c
@@ -164,6 +164,8 @@
 	test_cell_leaders_share_wait},
     {"cell", "a runner that was stored as unheard and is back runs on",
 	test_cell_unheard_runner_back},
+    {"cell", "a runner that was stored as unheard and is back keeps its runs",
+	test_cell_unheard_runner_keeps_runs},
     {"cell", "a runner unheard by an earlier leader than the last is awaited",
 	test_cell_unheard_by_earlier_leader},
     {"cell", "tasks of a scheduled job that wait start after a takeover",
--- a/tests/unit/unit.h
+++ b/tests/unit/unit.h
@@ -44,6 +44,7 @@
 void test_cell_lost_holds_in_time(void);
 void test_cell_leaders_share_wait(void);
 void test_cell_unheard_runner_back(void);
+void test_cell_unheard_runner_keeps_runs(void);
 void test_cell_unheard_by_earlier_leader(void);
 void test_cell_takeover_scheduled(void);
 void test_cell_takeover_dropped_queue(void);
