The host that is asked bounds the part of a configuration that it sends

The asker named the size of a part, and nothing at the asked host bounded it: the bound in docs/PLATFORM.md rested on the other side.

--- a/src/member/config_fetch.c
+++ b/src/member/config_fetch.c
@@ -215,6 +215,8 @@
 set_part(const struct member *m, const Cc__ConfGet *get, Cc__Conf *c)
 {
 	size_t from = get->version == c->version ? get->offset : 0, left;
+	size_t most =
+	    get->part_bytes < PART_BYTES ? get->part_bytes : PART_BYTES;
 
 	if (from >= m->config_len)
 		return;
@@ -222,7 +224,7 @@
 	c->total = m->config_len;
 	c->offset = from;
 	c->part.data = (uint8_t *)m->config_text + from;
-	c->part.len = left < get->part_bytes ? left : get->part_bytes;
+	c->part.len = left < most ? left : most;
 }
 
 void
